--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# Every target works from a path that contains spaces.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test lint format fuzz bench plots gen clean
+
+$(STAMP): pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet -c constraints.txt -e '.[dev]'
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python tools/demo.py
+
+test: $(STAMP)
+	$(BIN)/python -m pytest
+
+lint: $(STAMP)
+	$(BIN)/python -m ruff format --check .
+	$(BIN)/python -m ruff check .
+
+format: $(STAMP)
+	$(BIN)/python -m ruff format .
+	$(BIN)/python -m ruff check --fix .
+
+fuzz: $(STAMP)
+	HYPOTHESIS_PROFILE=long $(BIN)/python -m pytest -k Machine
+
+bench: $(STAMP)
+	$(BIN)/python -m pip install --quiet -c constraints.txt -e '.[bench]'
+	$(BIN)/python -m bench
+
+gen:
+	thrift --gen py:slots -out src/_arbutuswalk/wire/gen \
+	  src/_arbutuswalk/wire/arbutuswalk.thrift
+
+clean:
+	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/src/_arbutuswalk/__init__.py
@@ -0,0 +1,1 @@
+"""Private implementation of arbutuswalk; import ``arbutuswalk`` instead."""
--- /dev/null
+++ b/src/_arbutuswalk/agreement/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log: election, replication, membership, leases."""
--- /dev/null
+++ b/src/_arbutuswalk/agreement/step.py
@@ -0,0 +1,36 @@
+"""One entry point for messages and one for the passing of time."""
+
+from _arbutuswalk.agreement import election
+from _arbutuswalk.agreement import membership
+from _arbutuswalk.agreement import replica as replicas
+from _arbutuswalk.agreement import replication
+from _arbutuswalk.agreement import transfer
+from _arbutuswalk.wire.gen.arbutus import ttypes
+
+_HANDLERS = {
+    ttypes.VoteRequest: election.on_vote_request,
+    ttypes.VoteReply: election.on_vote_reply,
+    ttypes.AppendRequest: replication.on_append_request,
+    ttypes.AppendReply: replication.on_append_reply,
+    ttypes.SnapshotOffer: transfer.on_offer,
+    ttypes.Piece: transfer.on_piece,
+    ttypes.Hello: membership.on_hello,
+}
+
+
+def receive(replica: replicas.Replica, message: object, now: float) -> None:
+    """Takes one message from another member."""
+    if isinstance(message, ttypes.PieceRequest):
+        transfer.on_piece_request(replica, message)
+        return
+    handler = _HANDLERS.get(type(message))
+    if handler is not None:
+        handler(replica, message, now)
+
+
+def tick(replica: replicas.Replica, now: float) -> None:
+    """Runs what is due at ``now``."""
+    election.tick(replica, now)
+    membership.tick(replica, now)
+    replication.tick(replica, now)
+    transfer.tick(replica, now)
--- /dev/null
+++ b/src/_arbutuswalk/base/__init__.py
@@ -0,0 +1,1 @@
+"""Clock, outcomes, events, settings and metrics shared by all layers."""
--- /dev/null
+++ b/src/_arbutuswalk/base/events.py
@@ -0,0 +1,63 @@
+"""Numbered log events; ``docs/events.md`` is their catalogue."""
+
+import enum
+
+from absl import logging
+
+
+class Event(enum.Enum):
+    """An event's number and its message, with ``%s`` for each field."""
+
+    PROCESS_STARTED = (100, "started role=%s id=%s address=%s")
+    PROCESS_DRAINING = (101, "draining role=%s id=%s")
+    PROCESS_STOPPED = (102, "stopped role=%s id=%s")
+    STATE_DUMPED = (103, "state dumped to %s")
+    TASK_FAILED = (104, "background task failed name=%s error=%s")
+    LINK_OPENED = (200, "link opened to=%s")
+    LINK_REPLACED = (201, "link replaced to=%s reason=%s")
+    FRAME_REFUSED = (202, "frame refused from=%s reason=%s")
+    LOG_RECOVERED = (300, "log recovered first=%s last=%s snapshot=%s")
+    LOG_TAIL_CUT = (301, "torn log tail cut file=%s offset=%s")
+    STORAGE_FAILED = (302, "storage failed: %s")
+    SNAPSHOT_WRITTEN = (303, "snapshot written index=%s bytes=%s")
+    TERM_CHANGED = (400, "term=%s role=%s leader=%s")
+    MEMBERS_CHANGED = (401, "voters=%s learners=%s")
+    SNAPSHOT_INSTALLED = (402, "snapshot installed index=%s")
+    CONFIG_ACCEPTED = (500, "configuration accepted revision=%s")
+    ENTRY_REGISTERED = (501, "entry registered id=%s incarnation=%s")
+    ENTRY_LOST = (502, "entry lost id=%s incarnation=%s")
+    MOVE_CHANGED = (503, "move=%s state=%s reason=%s")
+    FLEET_ORDER = (504, "fleet order=%s instance=%s outcome=%s")
+    SUSPECT_CONVICTED = (505, "request quarantined fingerprint=%s until=%s")
+    LEASE_GAINED = (600, "entry lease gained revision=%s")
+    LEASE_LOST = (601, "entry lease lost revision=%s")
+    UPSTREAM_JOINED = (602, "upstream joined id=%s incarnation=%s")
+    UPSTREAM_LEAVING = (603, "upstream leaving id=%s")
+    UPSTREAM_GONE = (604, "upstream gone id=%s reason=%s")
+    ATTEMPT_FAILED = (605, "attempt failed request=%s upstream=%s reason=%s")
+    STREAM_CONTINUED = (606, "stream continued request=%s upstream=%s at=%s")
+    REQUEST_REFUSED = (607, "request refused request=%s reason=%s")
+    CALL_UNKNOWN = (608, "call outcome unknown key=%s upstream=%s")
+    COPY_ADOPTED = (609, "request copy adopted request=%s owner=%s")
+    VERSION_CUT_OFF = (610, "version cut off upstream=%s version=%s route=%s")
+    ANNOUNCE_REFUSED = (611, "announcement refused id=%s reason=%s")
+
+    @property
+    def number(self) -> int:
+        """The event's stable number."""
+        return self.value[0]
+
+    @property
+    def message(self) -> str:
+        """The event's message format."""
+        return self.value[1]
+
+
+def log(event: Event, *fields: object) -> None:
+    """Logs ``event`` at info level with its number."""
+    logging.info("E%d " + event.message, event.number, *fields)
+
+
+def warn(event: Event, *fields: object) -> None:
+    """Logs ``event`` at warning level with its number."""
+    logging.warning("E%d " + event.message, event.number, *fields)
--- /dev/null
+++ b/src/_arbutuswalk/base/settings.py
@@ -0,0 +1,150 @@
+"""Checked TOML settings: every problem names file, key, value and the fix."""
+
+import dataclasses
+import pathlib
+import tomllib
+from collections.abc import Callable
+from collections.abc import Sequence
+from typing import Any
+from typing import NamedTuple
+
+EXIT_BAD_SETTINGS = 2
+
+REQUIRED = object()
+"""Default of a field that has to be given."""
+
+
+class Field(NamedTuple):
+    """One settings key.
+
+    Attributes:
+        key: Name in the file.
+        accepts: What the value may be, in words.
+        check: Returns true for an acceptable value.
+        default: Value when absent, or ``REQUIRED``.
+    """
+
+    key: str
+    accepts: str
+    check: Callable[[Any], bool]
+    default: Any = REQUIRED
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class BadSettings:
+    """Settings that were refused, with one line for each problem."""
+
+    problems: tuple[str, ...]
+
+
+def is_text(value: object) -> bool:
+    """Tells whether ``value`` is a non-empty string."""
+    return isinstance(value, str) and bool(value)
+
+
+def is_flag(value: object) -> bool:
+    """Tells whether ``value`` is a boolean."""
+    return isinstance(value, bool)
+
+
+def is_positive(value: object) -> bool:
+    """Tells whether ``value`` is a positive number."""
+    return _is_number(value) and value > 0
+
+
+def is_natural(value: object) -> bool:
+    """Tells whether ``value`` is a whole number of at least zero."""
+    return _is_number(value) and isinstance(value, int) and value >= 0
+
+
+def is_address(value: object) -> bool:
+    """Tells whether ``value`` is ``IP:port``."""
+    if not isinstance(value, str):
+        return False
+    host, _, port = value.rpartition(":")
+    octets = host.split(".")
+    if len(octets) != 4 or not all(o.isdigit() for o in octets):
+        return False
+    if any(int(octet) > 255 for octet in octets):
+        return False
+    return port.isdigit() and 0 < int(port) < 65536
+
+
+def is_address_list(value: object) -> bool:
+    """Tells whether ``value`` is a list of ``IP:port``."""
+    return isinstance(value, list) and all(is_address(v) for v in value)
+
+
+def is_address_table(value: object) -> bool:
+    """Tells whether ``value`` maps names to ``IP:port``."""
+    return isinstance(value, dict) and all(
+        is_text(key) and is_address(item) for key, item in value.items()
+    )
+
+
+def _is_number(value: object) -> bool:
+    return isinstance(value, int | float) and not isinstance(value, bool)
+
+
+def check(
+    values: dict[str, Any], fields: Sequence[Field], *, where: str
+) -> dict[str, Any] | BadSettings:
+    """Checks ``values`` against ``fields`` and fills in defaults.
+
+    Args:
+        values: Parsed table.
+        fields: Every key the table may have.
+        where: File, and table if any, for the messages.
+
+    Returns:
+        The complete values, or every problem found.
+    """
+    problems = _unknown_keys(values, fields, where)
+    complete = {}
+    for field in fields:
+        value = values.get(field.key, field.default)
+        if value is REQUIRED:
+            problems.append(
+                f"{where}: {field.key}: missing; give {field.accepts}"
+            )
+        elif field.key in values and not field.check(value):
+            problems.append(
+                f"{where}: {field.key}: {value!r} is not accepted;"
+                f" give {field.accepts}"
+            )
+        complete[field.key] = value
+    if problems:
+        return BadSettings(problems=tuple(problems))
+    return complete
+
+
+def load(path: str, fields: Sequence[Field]) -> dict[str, Any] | BadSettings:
+    """Reads and checks one settings file."""
+    parsed = read_toml(path)
+    if isinstance(parsed, BadSettings):
+        return parsed
+    return check(parsed, fields, where=path)
+
+
+def read_toml(path: str) -> dict[str, Any] | BadSettings:
+    """Parses a TOML file without checking its keys."""
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+        return tomllib.loads(text)
+    except OSError as error:
+        return BadSettings(problems=(f"{path}: {error.strerror}",))
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        return BadSettings(problems=(f"{path}: not TOML: {error}",))
+
+
+def _unknown_keys(
+    values: dict[str, Any], fields: Sequence[Field], where: str
+) -> list[str]:
+    known = {field.key for field in fields}
+    accepted = ", ".join(sorted(known))
+    return [
+        f"{where}: {key}: unknown key with value {values[key]!r};"
+        f" accepted: {accepted}"
+        for key in values
+        if key not in known
+    ]
--- /dev/null
+++ b/src/_arbutuswalk/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/src/_arbutuswalk/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control process: the replicated log and its leader."""
--- /dev/null
+++ b/src/_arbutuswalk/control/leases.py
@@ -0,0 +1,91 @@
+"""Leases that the leader grants to entries, and what is in force where."""
+
+from typing import NamedTuple
+
+from _arbutuswalk.state import entries
+from _arbutuswalk.state import tables as rows
+
+LEASE_S = 3.0
+"""How long an entry may admit work after it asked for a stamp."""
+LOST_S = 2 * LEASE_S
+"""After how long without a stamp an entry counts as gone."""
+
+
+class Grant(NamedTuple):
+    """What the leader last granted to an entry.
+
+    Attributes:
+        until: Leader's time at which every stamp given has run out.
+        revision: Revision the entry last said it serves.
+        synced_at: Leader's time of its last request.
+        report: Entry's last report.
+    """
+
+    until: float
+    revision: int
+    synced_at: float
+    report: dict
+
+
+class Leases:
+    """The leader's volatile table of grants.
+
+    A new leader does not know what its predecessor granted, so every known
+    entry counts as holding a fresh stamp with no revision from that moment.
+
+    Attributes:
+        grants: Grant by (entry, incarnation).
+        since: When this leader began.
+    """
+
+    def __init__(self, *, since: float):
+        self.grants: dict[tuple[str, int], Grant] = {}
+        self.since = since
+
+    def find(self, entry: str, incarnation: int) -> Grant:
+        """Returns the grant of an entry, assumed if none is known."""
+        unknown = Grant(self.since + LEASE_S, 0, self.since, {})
+        return self.grants.get((entry, incarnation), unknown)
+
+    def grant(
+        self,
+        entry: str,
+        incarnation: int,
+        *,
+        revision: int,
+        report: dict,
+        now: float,
+    ) -> None:
+        """Notes a stamp given at ``now``."""
+        key = (entry, incarnation)
+        self.grants[key] = Grant(now + LEASE_S, revision, now, report)
+
+    def behind(
+        self, tables: rows.Tables, revision: int, now: float
+    ) -> list[str]:
+        """Returns entries that may still serve an older revision."""
+        late = []
+        for entry, row in tables.entries.items():
+            if row.state == entries.GONE:
+                continue
+            grant = self.find(entry, row.incarnation)
+            if grant.revision < revision and grant.until > now:
+                late.append(entry)
+        return late
+
+    def lost(self, tables: rows.Tables, now: float) -> list[tuple[str, int]]:
+        """Returns entries that have not asked for a stamp for too long."""
+        return [
+            (entry, row.incarnation)
+            for entry, row in tables.entries.items()
+            if row.state != entries.GONE
+            and now - self.find(entry, row.incarnation).synced_at > LOST_S
+        ]
+
+    def reports(self, tables: rows.Tables) -> dict[str, dict]:
+        """Returns the last report of each entry that is not gone."""
+        return {
+            entry: self.find(entry, row.incarnation).report
+            for entry, row in tables.entries.items()
+            if row.state != entries.GONE
+        }
--- /dev/null
+++ b/src/_arbutuswalk/control/main.py
@@ -0,0 +1,101 @@
+"""``arbutuswalk-control``: one member of the control group."""
+
+import asyncio
+import sys
+from typing import Any
+
+from _arbutuswalk.agreement import types
+from _arbutuswalk.base import events
+from _arbutuswalk.base import process
+from _arbutuswalk.base import settings
+from _arbutuswalk.control import member as members
+from _arbutuswalk.control import service
+from _arbutuswalk.control import systems
+from _arbutuswalk.storage import errors
+from _arbutuswalk.storage import folder
+from _arbutuswalk.wire import link
+
+EXIT_STORAGE = 3
+
+FIELDS = (
+    settings.Field("id", "a name", settings.is_text),
+    settings.Field("address", "IP:port to listen on", settings.is_address),
+    settings.Field("data", "path of the data folder", settings.is_text),
+    settings.Field(
+        "peers",
+        "a list of the IP:port of all members that found the group",
+        settings.is_address_list,
+    ),
+    settings.Field(
+        "voters", "a whole number of voters", settings.is_natural, 3
+    ),
+    settings.Field("heartbeat_s", "seconds", settings.is_positive, 0.1),
+    settings.Field("election_s", "seconds", settings.is_positive, 0.6),
+    settings.Field("replace_after_s", "seconds", settings.is_positive, 10.0),
+    settings.Field(
+        "platform",
+        "IP:port of the platform's API, or nothing",
+        lambda v: v == "" or settings.is_address(v),
+        "",
+    ),
+    settings.Field(
+        "interval_s", "seconds between charges", settings.is_positive, 10.0
+    ),
+    settings.Field("plan_fleet", "true or false", settings.is_flag, False),
+    settings.Field("log_level", "an absl log level", settings.is_text, "info"),
+)
+
+LEASE_FRACTION = 0.75
+"""Leader's lease as a part of the election timeout."""
+
+
+async def run(values: dict[str, Any]) -> int:
+    """Runs the process until drained; returns its exit code."""
+    member = members.Member(
+        data=folder.Folder(path=values["data"]),
+        address=values["address"],
+        peers=tuple(values["peers"]),
+        timing=types.Timing(
+            heartbeat_s=values["heartbeat_s"],
+            election_s=values["election_s"],
+            lease_s=values["election_s"] * LEASE_FRACTION,
+            replace_after_s=values["replace_after_s"],
+        ),
+        target_voters=values["voters"],
+    )
+    failure = member.recover()
+    if failure is not None:
+        events.warn(events.Event.STORAGE_FAILED, errors.describe(failure))
+        return EXIT_STORAGE
+    serving = service.Service(member=member, name=values["id"])
+    server = link.LinkServer(address=values["address"], handler=serving.handle)
+    await server.start()
+    stop = asyncio.Event()
+    process.on_signals(drain=stop.set, dump=serving.dump)
+    events.log(
+        events.Event.PROCESS_STARTED,
+        "control",
+        values["id"],
+        values["address"],
+    )
+    leader = systems.Systems(service=serving, values=values)
+    serving.extra_dump = leader.dump
+    running = asyncio.ensure_future(member.run())
+    deciding = asyncio.ensure_future(leader.run())
+    stopping = asyncio.ensure_future(stop.wait())
+    await asyncio.wait((running, stopping), return_when=asyncio.FIRST_COMPLETED)
+    for task in (running, deciding, stopping):
+        task.cancel()
+    await asyncio.gather(running, deciding, return_exceptions=True)
+    await leader.close()
+    await server.stop()
+    await member.stop()
+    events.log(events.Event.PROCESS_STOPPED, "control", values["id"])
+    return EXIT_STORAGE if member.failure else process.EXIT_OK
+
+
+def main() -> None:
+    """Runs the binary."""
+    values = process.load_settings("arbutuswalk-control", FIELDS, sys.argv[1:])
+    process.start_logging(values["log_level"])
+    sys.exit(asyncio.run(run(values)))
--- /dev/null
+++ b/src/_arbutuswalk/control/service.py
@@ -0,0 +1,273 @@
+"""Answers what entries and operators ask of a control process."""
+
+import asyncio
+import json
+from typing import Any
+
+from _arbutuswalk.base import events
+from _arbutuswalk.control import leases
+from _arbutuswalk.control import member as members
+from _arbutuswalk.state import commands
+from _arbutuswalk.state import entries
+from _arbutuswalk.state import inventory as inventories
+from _arbutuswalk.state import ledger
+from _arbutuswalk.state import outcomes
+from _arbutuswalk.state import view
+from _arbutuswalk.base import settings
+from _arbutuswalk.wire.gen.arbutus import ttypes
+
+SUBMIT_TIMEOUT_S = 2.0
+SYNC_WAIT_S = 0.5
+READ_WAIT_S = 1.0
+OK = ttypes.Status.OK
+
+
+class Service:
+    """Request handling of one control process.
+
+    Attributes:
+        member: The member behind it.
+        leases: Grants, renewed whenever the role changes.
+        name: Process id for the dump.
+    """
+
+    def __init__(self, *, member: members.Member, name: str):
+        self.member = member
+        self.name = name
+        self.leases = leases.Leases(since=member.now())
+        self.term = -1
+        self.extra_dump = dict
+        member.on_role = self._on_role
+
+    def _on_role(self) -> None:
+        if self.term != self.member.replica.term:
+            self.term = self.member.replica.term
+            self.leases = leases.Leases(since=self.member.now())
+
+    async def handle(self, message: object) -> object | None:
+        """Takes one message from a link."""
+        if isinstance(message, ttypes.Submit):
+            return await self._submit(message)
+        if isinstance(message, ttypes.Sync):
+            return await self._sync(message)
+        if isinstance(message, ttypes.Read):
+            return await self._read(message)
+        if isinstance(message, ttypes.Dump):
+            return ttypes.DumpReply(state=json.dumps(self.dump()).encode())
+        self.member.receive(message)
+        return None
+
+    async def _submit(self, message: ttypes.Submit) -> ttypes.SubmitReply:
+        command = commands.decode(message.command)
+        reason = _refusal(command)
+        if reason:
+            return ttypes.SubmitReply(
+                status=ttypes.Status.INVALID, reason=reason
+            )
+        outcome = await self.member.submit(
+            message.command, timeout_s=SUBMIT_TIMEOUT_S
+        )
+        if isinstance(outcome, members.NotLeader):
+            return ttypes.SubmitReply(
+                status=ttypes.Status.NOT_LEADER, leader=outcome.leader
+            )
+        if isinstance(outcome, members.Undecided):
+            return ttypes.SubmitReply(
+                status=ttypes.Status.UNAVAILABLE, reason=outcome.reason
+            )
+        if isinstance(command, commands.Apply):
+            events.log(events.Event.CONFIG_ACCEPTED, outcome)
+        return ttypes.SubmitReply(status=OK, result=outcomes.encode(outcome))
+
+    async def _sync(self, message: ttypes.Sync) -> ttypes.SyncReply:
+        """Stamps an entry's lease and sends it what changed.
+
+        Waits a little for a change, so that changes are pushed; the lease
+        runs from when the entry asked, however long the answer took.
+        """
+        member = self.member
+        if member.is_current and not self._news_for(message):
+            waiter = member.changed.wait()
+            try:
+                await asyncio.wait_for(waiter, SYNC_WAIT_S)
+            except TimeoutError:
+                pass
+        if not member.is_leader:
+            return ttypes.SyncReply(
+                status=ttypes.Status.NOT_LEADER, leader=member.leader_address()
+            )
+        if not member.is_current:
+            return ttypes.SyncReply(
+                status=ttypes.Status.UNAVAILABLE, reason="no quorum"
+            )
+        row = member.tables.entries.get(message.entry)
+        if row is None or row.incarnation != message.incarnation:
+            return _invalid_sync("register first")
+        if row.state == entries.GONE:
+            return _invalid_sync("gone; register as a new incarnation")
+        self.leases.grant(
+            message.entry,
+            message.incarnation,
+            revision=message.revision,
+            report=json.loads(message.report or b"{}"),
+            now=member.now(),
+        )
+        parts = view.parts_since(member.tables, message.view_version)
+        return ttypes.SyncReply(
+            status=OK,
+            lease_ms=int(leases.LEASE_S * 1000),
+            view_version=view.version(member.tables),
+            view=json.dumps(parts).encode(),
+        )
+
+    def _news_for(self, message: ttypes.Sync) -> bool:
+        tables = self.member.tables
+        return view.version(tables) > message.view_version
+
+    async def _read(self, message: ttypes.Read) -> ttypes.ReadReply:
+        if not await self._becomes_current():
+            if not self.member.is_leader:
+                leader = self.member.leader_address()
+                return ttypes.ReadReply(
+                    status=ttypes.Status.NOT_LEADER, leader=leader
+                )
+            return ttypes.ReadReply(
+                status=ttypes.Status.UNAVAILABLE, reason="no quorum"
+            )
+        query = self._queries().get(message.query)
+        if query is None:
+            return ttypes.ReadReply(
+                status=ttypes.Status.INVALID,
+                reason=f"unknown query {message.query}",
+            )
+        result = query(message.argument or "")
+        return ttypes.ReadReply(status=OK, result=json.dumps(result).encode())
+
+    async def _becomes_current(self) -> bool:
+        deadline = self.member.now() + READ_WAIT_S
+        while not self.member.is_current:
+            if not self.member.is_leader or self.member.now() > deadline:
+                return False
+            await asyncio.sleep(members.TICK_S)
+        return True
+
+    def _queries(self) -> dict[str, Any]:
+        return {
+            "status": self._status,
+            "in_force": self._in_force,
+            "moves": self._moves,
+            "charges": self._charges,
+            "entries": self._entries,
+            "inventory": lambda _: self.member.tables.inventory,
+            "call": self._call,
+        }
+
+    def _status(self, _: str) -> dict[str, Any]:
+        member, tables = self.member, self.member.tables
+        log = member.replica.log
+        live = {
+            name: row._asdict()
+            for name, row in tables.instances.items()
+            if row.state != "gone"
+        }
+        return {
+            "leader": member.address,
+            "term": member.replica.term,
+            "commit": member.replica.commit,
+            "revision": tables.revision,
+            "behind": self.leases.behind(tables, tables.revision, member.now()),
+            "voters": [log.members.addresses[v] for v in log.members.voters],
+            "learners": [
+                log.members.addresses[v] for v in log.members.learners
+            ],
+            "versions": tables.versions,
+            "instances": live,
+            "quarantined": len(tables.convicted),
+            "history": [row._asdict() for row in tables.history[-10:]],
+        }
+
+    def _in_force(self, argument: str) -> dict[str, Any]:
+        revision = int(argument) if argument.isdigit() else 0
+        late = self.leases.behind(
+            self.member.tables, revision, self.member.now()
+        )
+        accepted = self.member.tables.revision >= revision
+        return {"in_force": accepted and not late, "behind": late}
+
+    def _moves(self, _: str) -> dict[str, Any]:
+        return {
+            move: row._asdict()
+            for move, row in self.member.tables.moves.items()
+        }
+
+    def _charges(self, _: str) -> dict[str, Any]:
+        tables = self.member.tables
+        return {
+            "billed_micro": tables.billed_micro,
+            "intervals": tables.intervals,
+            "accounts": tables.charges,
+        }
+
+    def _entries(self, _: str) -> dict[str, Any]:
+        return {
+            entry: row._asdict()
+            for entry, row in self.member.tables.entries.items()
+        }
+
+    def _call(self, argument: str) -> dict[str, Any]:
+        workspace, _, key = argument.partition("\n")
+        found = ledger.find(self.member.tables, workspace, key)
+        return outcomes.to_json(found)
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the process's state as JSON values."""
+        member = self.member
+        replica = member.replica
+        return {
+            "role": "control",
+            "id": self.name,
+            "member": replica.member,
+            "raft": {
+                "role": replica.role.value,
+                "term": replica.term,
+                "leader": replica.leader,
+                "commit": replica.commit,
+                "applied": member.applied,
+                "first": replica.log.base_index + 1,
+                "last": replica.log.last_index,
+                "durable": replica.durable_index,
+                "members": replica.log.members._asdict(),
+                "lease": member.holds_lease,
+            },
+            "counts": member.counts,
+            "grants": {
+                f"{entry}/{incarnation}": [grant.revision, grant.synced_at]
+                for (entry, incarnation), grant in self.leases.grants.items()
+            },
+            "tables": json.loads(_dump_tables(member)),
+            **self.extra_dump(),
+        }
+
+
+def _dump_tables(member: members.Member) -> bytes:
+    values = dict(vars(member.tables))
+    values["calls"] = len(member.tables.calls)
+    return json.dumps(values).encode()
+
+
+def _invalid_sync(reason: str) -> ttypes.SyncReply:
+    return ttypes.SyncReply(status=ttypes.Status.INVALID, reason=reason)
+
+
+def _refusal(command: commands.Command | None) -> str:
+    """Returns why a command is refused before it is proposed."""
+    if command is None:
+        return "unknown command"
+    if not isinstance(command, commands.Apply):
+        return ""
+    if not isinstance(command.inventory, dict):
+        return "inventory: not a table"
+    checked = inventories.check(command.inventory, where="inventory")
+    if isinstance(checked, settings.BadSettings):
+        return "; ".join(checked.problems)
+    return ""
--- /dev/null
+++ b/src/_arbutuswalk/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process: callers' and upstreams' HTTP."""
--- /dev/null
+++ b/src/_arbutuswalk/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Fair queues, early refusals and retry budgets."""
--- /dev/null
+++ b/src/_arbutuswalk/load/__init__.py
@@ -0,0 +1,1 @@
+"""Workload sender that checks every answer."""
--- /dev/null
+++ b/src/_arbutuswalk/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choosing an upstream for one attempt."""
--- /dev/null
+++ b/src/_arbutuswalk/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for runners, plain services and the platform."""
--- /dev/null
+++ b/src/_arbutuswalk/state/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated tables and the decisions that run over them."""
--- /dev/null
+++ b/src/_arbutuswalk/state/fleet.py
@@ -0,0 +1,91 @@
+"""Instances and orders as replicated rows; ``fleetplan`` decides them."""
+
+from _arbutuswalk.state import commands
+from _arbutuswalk.state import outcomes
+from _arbutuswalk.state import tables as rows
+
+STARTING = "starting"
+RUNNING = "running"
+LEAVING = "leaving"
+GONE = "gone"
+PENDING = "pending"
+KEPT_MS = 600_000
+
+
+def order(
+    tables: rows.Tables, command: commands.OrderInstance
+) -> outcomes.Outcome:
+    """Records an order; a lower fence than the last one's is stale."""
+    if command.fence < tables.highest_fence:
+        return outcomes.Stale(what=f"fence {command.fence}")
+    tables.highest_fence = command.fence
+    if command.order in tables.orders:
+        return outcomes.Accepted()
+    tables.orders[command.order] = rows.OrderRow(
+        kind=command.kind,
+        instance=command.instance,
+        outcome=PENDING,
+        fence=command.fence,
+        at_ms=tables.time_ms,
+    )
+    if command.kind == "start":
+        tables.instances[command.instance] = rows.InstanceRow(
+            upstream=command.upstream,
+            version=command.version,
+            domain=command.domain,
+            instance_class=command.instance_class,
+            reclaimable=command.reclaimable,
+            state=STARTING,
+            price_micro_per_hour=0,
+            fence=command.fence,
+            at_ms=tables.time_ms,
+        )
+    return outcomes.Accepted()
+
+
+def settle(
+    tables: rows.Tables, command: commands.SettleOrder
+) -> outcomes.Outcome:
+    """Records what became of an order."""
+    row = tables.orders.get(command.order)
+    if row is None or row.outcome != PENDING:
+        return outcomes.Absent()
+    tables.orders[command.order] = row._replace(outcome=command.outcome)
+    instance = tables.instances.get(row.instance)
+    if instance is None:
+        return outcomes.Accepted()
+    done = command.outcome == "done"
+    if row.kind == "start":
+        state = RUNNING if done else GONE
+        price = command.price_micro_per_hour
+        changed = instance._replace(state=state, price_micro_per_hour=price)
+    elif done:
+        changed = instance._replace(state=GONE)
+    else:
+        changed = instance
+    tables.instances[row.instance] = changed._replace(at_ms=tables.time_ms)
+    return outcomes.Accepted()
+
+
+def mark(
+    tables: rows.Tables, command: commands.MarkInstance
+) -> outcomes.Outcome:
+    """Records that an instance leaves or is gone."""
+    row = tables.instances.get(command.instance)
+    if row is None or row.state == GONE:
+        return outcomes.Absent()
+    tables.instances[command.instance] = row._replace(
+        state=command.state, at_ms=tables.time_ms
+    )
+    return outcomes.Accepted()
+
+
+def expire(tables: rows.Tables) -> None:
+    """Forgets ended instances and settled orders."""
+    oldest = tables.time_ms - KEPT_MS
+    for name, row in list(tables.instances.items()):
+        if row.state == GONE and row.at_ms < oldest:
+            del tables.instances[name]
+    for name, row in list(tables.orders.items()):
+        if row.outcome != PENDING and row.at_ms < oldest:
+            del tables.orders[name]
--- /dev/null
+++ b/src/_arbutuswalk/state/ledger.py
@@ -0,0 +1,138 @@
+"""The ledger of non-repeatable calls: each runs at most once.
+
+An intent is committed before the first byte of a call leaves an entry. From
+then on nobody sends it again: a resend gets the recorded answer, learns that
+the call is running, or that its outcome is unknown. Only the entry that never
+opened a connection may withdraw its intent.
+"""
+
+from _arbutuswalk.state import commands
+from _arbutuswalk.state import outcomes
+from _arbutuswalk.state import tables as rows
+
+RECORD_KEPT_MS = 24 * 3600 * 1000
+"""How long a record is kept in log time; callers must resend sooner."""
+
+
+def call_id(workspace: str, key: str) -> str:
+    """Returns the id of a call's row."""
+    return f"{workspace}\n{key}"
+
+
+def begin(tables: rows.Tables, command: commands.BeginCall) -> outcomes.Outcome:
+    """Grants a call to one attempt, or tells what became of it."""
+    call = call_id(command.workspace, command.key)
+    row = tables.calls.get(call)
+    if row is None:
+        return _grant(tables, call, command)
+    if row.digest != command.digest:
+        return outcomes.Reused(what=f"idempotency key {command.key}")
+    if row.attempt == command.attempt and row.state == "running":
+        return outcomes.Granted()  # its answer was lost on the way
+    return _state(row)
+
+
+def _grant(
+    tables: rows.Tables, call: str, command: commands.BeginCall
+) -> outcomes.Outcome:
+    entry = tables.entries.get(command.entry)
+    if entry is None or entry.incarnation != command.incarnation:
+        return outcomes.Stale(what=f"entry {command.entry}")
+    if entry.state == "gone":
+        return outcomes.Stale(what=f"entry {command.entry}")
+    tables.calls[call] = rows.CallRow(
+        digest=command.digest,
+        attempt=command.attempt,
+        entry=command.entry,
+        incarnation=command.incarnation,
+        upstream=command.upstream,
+        route=command.route,
+        state="running",
+        status=0,
+        content_type="",
+        body="",
+        at_ms=tables.time_ms,
+    )
+    return outcomes.Granted()
+
+
+def withdraw(
+    tables: rows.Tables, command: commands.WithdrawCall
+) -> outcomes.Outcome:
+    """Removes an intent whose call never left its entry."""
+    call = call_id(command.workspace, command.key)
+    row = tables.calls.get(call)
+    if row is None or row.attempt != command.attempt:
+        return outcomes.Absent()
+    if row.state == "done":
+        return outcomes.Stale(what=f"call {command.key}")
+    del tables.calls[call]
+    return outcomes.Accepted()
+
+
+def finish(
+    tables: rows.Tables, command: commands.FinishCall
+) -> outcomes.Outcome:
+    """Records an answer, even one that comes after ``unknown``."""
+    call = call_id(command.workspace, command.key)
+    row = tables.calls.get(call)
+    if row is None or row.attempt != command.attempt:
+        return outcomes.Absent()
+    if row.state != "done":
+        tables.calls[call] = row._replace(
+            state="done",
+            status=command.status,
+            content_type=command.content_type,
+            body=command.body,
+        )
+    return outcomes.Accepted()
+
+
+def lose(tables: rows.Tables, command: commands.LoseCall) -> outcomes.Outcome:
+    """Records that the outcome of a running call is unknown."""
+    call = call_id(command.workspace, command.key)
+    row = tables.calls.get(call)
+    if row is None or row.attempt != command.attempt:
+        return outcomes.Absent()
+    if row.state == "running":
+        tables.calls[call] = row._replace(state="unknown")
+    return outcomes.Accepted()
+
+
+def lose_calls_of(tables: rows.Tables, entry: str, incarnation: int) -> None:
+    """Marks the running calls of an entry's lost incarnation unknown."""
+    for call, row in tables.calls.items():
+        if row.state != "running" or row.entry != entry:
+            continue
+        if row.incarnation <= incarnation:
+            tables.calls[call] = row._replace(state="unknown")
+
+
+def find(tables: rows.Tables, workspace: str, key: str) -> outcomes.Outcome:
+    """Returns what is known of a call."""
+    row = tables.calls.get(call_id(workspace, key))
+    return _state(row) if row else outcomes.Absent()
+
+
+def expire(tables: rows.Tables) -> None:
+    """Forgets records older than any caller's resend."""
+    oldest = tables.time_ms - RECORD_KEPT_MS
+    expired = []
+    for call, row in tables.calls.items():
+        if row.at_ms >= oldest:
+            break
+        expired.append(call)
+    for call in expired:
+        del tables.calls[call]
+
+
+def _state(row: rows.CallRow) -> outcomes.CallState:
+    return outcomes.CallState(
+        state=row.state,
+        entry=row.entry,
+        upstream=row.upstream,
+        route=row.route,
+        status=row.status,
+        content_type=row.content_type,
+        body=row.body,
+    )
--- /dev/null
+++ b/src/_arbutuswalk/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Segmented log and snapshots on local disk."""
--- /dev/null
+++ b/src/_arbutuswalk/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Relaying and continuing one streamed answer."""
--- /dev/null
+++ b/src/_arbutuswalk/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Thrift codec and framed asyncio links between our processes."""
--- /dev/null
+++ b/src/_arbutuswalk/wire/arbutuswalk.thrift
@@ -0,0 +1,189 @@
+// Messages between the system's own processes. Every message travels in one
+// Frame behind a four byte big-endian length. Times are seconds unless a name
+// says otherwise; a time never crosses processes except to be echoed back.
+namespace py arbutus
+
+// Agreement: the replicated log.
+
+struct Entry {
+  1: required i64 term,
+  2: required binary command,
+}
+
+struct VoteRequest {
+  1: required i64 term,
+  2: required string candidate,
+  3: required i64 last_index,
+  4: required i64 last_term,
+  5: required bool trial, // pre-vote: asks without raising anyone's term
+}
+
+struct VoteReply {
+  1: required i64 term,
+  2: required string voter,
+  3: required bool granted,
+  4: required bool trial,
+  5: required i64 asked_term,
+}
+
+struct AppendRequest {
+  1: required i64 term,
+  2: required string leader,
+  3: required i64 prev_index,
+  4: required i64 prev_term,
+  5: required list<Entry> entries,
+  6: required i64 commit,
+  7: required double sent_at, // leader's clock, echoed in the reply
+}
+
+struct AppendReply {
+  1: required i64 term,
+  2: required string follower,
+  3: required bool accepted,
+  4: required i64 match_index, // on refusal: the index to try next
+  5: required double sent_at,
+}
+
+// The leader names a snapshot; the receiver fetches its pieces from any source.
+struct SnapshotOffer {
+  1: required i64 term,
+  2: required string leader,
+  3: required i64 last_index,
+  4: required i64 last_term,
+  5: required i64 total, // bytes
+  6: required i64 checksum, // CRC-32 of the whole snapshot
+  7: required list<string> sources,
+}
+
+struct PieceRequest {
+  1: required string member,
+  2: required i64 last_index,
+  3: required i64 offset,
+}
+
+struct Piece {
+  1: required string source,
+  2: required i64 last_index,
+  3: required i64 offset,
+  4: required binary data, // empty when the source has no such snapshot
+}
+
+// Says who is behind an address, before and during membership.
+struct Hello {
+  1: required string member,
+  2: required string address,
+  3: required string group, // empty until the member belongs to one
+}
+
+// Control: commands, leases and reads.
+
+enum Status {
+  OK = 1,
+  NOT_LEADER = 2,
+  UNAVAILABLE = 3,
+  INVALID = 4,
+}
+
+struct Submit {
+  1: required binary command,
+}
+
+struct SubmitReply {
+  1: required Status status,
+  2: optional binary result,
+  3: optional string leader,
+  4: optional string reason,
+}
+
+struct Sync {
+  1: required string entry,
+  2: required i64 incarnation,
+  3: required i64 view_version,
+  4: required i64 revision,
+  5: required binary report, // JSON: traffic counts and observed upstreams
+}
+
+struct SyncReply {
+  1: required Status status,
+  2: optional i64 lease_ms,
+  3: optional i64 view_version,
+  4: optional binary view, // JSON, absent when the caller has it
+  5: optional string leader,
+  6: optional string reason,
+}
+
+struct Read {
+  1: required string query,
+  2: optional string argument,
+}
+
+struct ReadReply {
+  1: required Status status,
+  2: optional binary result,
+  3: optional string leader,
+  4: optional string reason,
+}
+
+// Between entries.
+
+struct UpstreamNews {
+  1: required list<binary> announcements, // JSON
+}
+
+struct CopyRequest {
+  1: required string request_id,
+  2: required string owner,
+  3: required i64 owner_incarnation,
+  4: required binary request, // JSON
+}
+
+struct CopyProgress {
+  1: required string request_id,
+  2: required i64 first_event,
+  3: required list<binary> events,
+  4: required bool finished,
+}
+
+struct Done {
+  1: required bool ok,
+}
+
+struct Dump {
+}
+
+struct DumpReply {
+  1: required binary state, // JSON
+}
+
+struct Ping {
+}
+
+union Body {
+  1: VoteRequest vote_request,
+  2: VoteReply vote_reply,
+  3: AppendRequest append_request,
+  4: AppendReply append_reply,
+  5: SnapshotOffer snapshot_offer,
+  6: PieceRequest piece_request,
+  20: Piece piece,
+  21: Hello hello,
+  7: Submit submit,
+  8: SubmitReply submit_reply,
+  9: Sync sync,
+  10: SyncReply sync_reply,
+  11: Read read_request,
+  12: ReadReply read_reply,
+  13: UpstreamNews upstream_news,
+  14: CopyRequest copy_request,
+  15: CopyProgress copy_progress,
+  16: Done done,
+  17: Dump dump,
+  18: DumpReply dump_reply,
+  19: Ping ping,
+}
+
+struct Frame {
+  1: required i64 call, // zero for one-way messages
+  2: required bool reply,
+  3: required Body body,
+}
--- /dev/null
+++ b/src/_arbutuswalk/wire/gen/arbutus/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
