--- a/src/_arbutuswalk/base/settings.py
+++ b/src/_arbutuswalk/base/settings.py
@@ -57,6 +57,16 @@
     return _is_number(value) and isinstance(value, int) and value >= 0
 
 
+def is_rate(value: object) -> bool:
+    """Tells whether ``value`` is a number from 0 to 1."""
+    return _is_number(value) and 0 <= value <= 1
+
+
+def is_not_negative(value: object) -> bool:
+    """Tells whether ``value`` is a number of at least 0."""
+    return _is_number(value) and value >= 0
+
+
 def is_address(value: object) -> bool:
     """Tells whether ``value`` is ``IP:port``."""
     if not isinstance(value, str):
@@ -75,13 +85,6 @@
     return isinstance(value, list) and all(is_address(v) for v in value)
 
 
-def is_address_table(value: object) -> bool:
-    """Tells whether ``value`` maps names to ``IP:port``."""
-    return isinstance(value, dict) and all(
-        is_text(key) and is_address(item) for key, item in value.items()
-    )
-
-
 def _is_number(value: object) -> bool:
     return isinstance(value, int | float) and not isinstance(value, bool)
 
--- a/src/_arbutuswalk/control/member.py
+++ b/src/_arbutuswalk/control/member.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import random
 import uuid
@@ -207,11 +208,8 @@
         """Runs until cancelled, or until storage fails."""
         role = None
         while self.failure is None:
-            with_timeout = asyncio.wait_for(self.wake.wait(), TICK_S)
-            try:
-                await with_timeout
-            except TimeoutError:
-                pass
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.wake.wait(), TICK_S)
             self.wake.clear()
             self._step()
             await self._flush()
--- /dev/null
+++ b/src/_arbutuswalk/control/platform.py
@@ -0,0 +1,81 @@
+"""Client of the platform's API."""
+
+import dataclasses
+from typing import Any
+
+import aiohttp
+
+TIMEOUT_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Refused:
+    """The platform refused, or the order's fence was old."""
+
+    status: int
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NoAnswer:
+    """Nobody knows whether the order was carried out."""
+
+    reason: str
+
+
+class Platform:
+    """Orders, notices, prices and bills at one address."""
+
+    def __init__(self, *, address: str):
+        self.base = f"http://{address}/v1"
+        self.session: aiohttp.ClientSession | None = None
+
+    async def start(self, spec: dict[str, Any]) -> int | Refused | NoAnswer:
+        """Starts an instance; returns its price in micro-units an hour."""
+        answer = await self._call("POST", "/instances", spec)
+        return answer["price"] if isinstance(answer, dict) else answer
+
+    async def stop(
+        self, instance: str, fence: int
+    ) -> dict | Refused | NoAnswer:
+        """Stops an instance; stopping one that is gone is no error."""
+        path = f"/instances/{instance}?fence={fence}"
+        return await self._call("DELETE", path)
+
+    async def instances(self) -> dict | Refused | NoAnswer:
+        """Returns every instance by id."""
+        return await self._call("GET", "/instances")
+
+    async def notices(self, since: int) -> list | Refused | NoAnswer:
+        """Returns reclaim notices from number ``since`` on."""
+        return await self._call("GET", f"/notices?since={since}")
+
+    async def bill(self) -> dict | Refused | NoAnswer:
+        """Returns micro-units billed so far by instance."""
+        return await self._call("GET", "/bill")
+
+    async def prices(self) -> dict | Refused | NoAnswer:
+        """Returns prices by class."""
+        return await self._call("GET", "/prices")
+
+    async def close(self) -> None:
+        """Closes connections."""
+        if self.session is not None:
+            await self.session.close()
+
+    async def _call(self, method: str, path: str, body: Any = None) -> Any:
+        if self.session is None:
+            timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+            self.session = aiohttp.ClientSession(timeout=timeout)
+        try:
+            async with self.session.request(
+                method, self.base + path, json=body
+            ) as response:
+                if response.status >= 400:
+                    reason = (await response.read())[:200].decode(
+                        errors="replace"
+                    )
+                    return Refused(status=response.status, reason=reason)
+                return await response.json()
+        except (TimeoutError, aiohttp.ClientError, ValueError) as e:
+            return NoAnswer(reason=f"{type(e).__name__}: {e}")
--- a/src/_arbutuswalk/control/service.py
+++ b/src/_arbutuswalk/control/service.py
@@ -1,10 +1,12 @@
 """Answers what entries and operators ask of a control process."""
 
 import asyncio
+import contextlib
 import json
 from typing import Any
 
 from _arbutuswalk.base import events
+from _arbutuswalk.base import settings
 from _arbutuswalk.control import leases
 from _arbutuswalk.control import member as members
 from _arbutuswalk.state import commands
@@ -13,7 +15,6 @@
 from _arbutuswalk.state import ledger
 from _arbutuswalk.state import outcomes
 from _arbutuswalk.state import view
-from _arbutuswalk.base import settings
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
 SUBMIT_TIMEOUT_S = 2.0
@@ -87,11 +88,8 @@
         """
         member = self.member
         if member.is_current and not self._news_for(message):
-            waiter = member.changed.wait()
-            try:
-                await asyncio.wait_for(waiter, SYNC_WAIT_S)
-            except TimeoutError:
-                pass
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(member.changed.wait(), SYNC_WAIT_S)
         if not member.is_leader:
             return ttypes.SyncReply(
                 status=ttypes.Status.NOT_LEADER, leader=member.leader_address()
@@ -160,6 +158,7 @@
             "entries": self._entries,
             "inventory": lambda _: self.member.tables.inventory,
             "call": self._call,
+            "replace": self._replace,
         }
 
     def _status(self, _: str) -> dict[str, Any]:
@@ -219,6 +218,17 @@
         found = ledger.find(self.member.tables, workspace, key)
         return outcomes.to_json(found)
 
+    def _replace(self, argument: str) -> dict[str, Any]:
+        """Orders the replacement of the voter at an address."""
+        replica = self.member.replica
+        members = replica.log.members
+        for voter in members.voters:
+            if members.addresses[voter] == argument:
+                replica.replace_asked = voter
+                note = f"{voter} is replaced once another member is ready"
+                return {"ordered": True, "note": note}
+        return {"ordered": False, "note": f"no voter at {argument}"}
+
     def dump(self) -> dict[str, Any]:
         """Returns the process's state as JSON values."""
         member = self.member
--- /dev/null
+++ b/src/_arbutuswalk/entry/links.py
@@ -0,0 +1,112 @@
+"""What an entry answers on its link: other entries and operators."""
+
+import json
+from typing import Any
+
+from _arbutuswalk.entry import announcing
+from _arbutuswalk.entry import control_client
+from _arbutuswalk.entry import copies
+from _arbutuswalk.entry import core
+from _arbutuswalk.wire.gen.arbutus import ttypes
+
+RELAY_TIMEOUT_S = 1.5
+
+_REPLIES = {
+    ttypes.Submit: ttypes.SubmitReply,
+    ttypes.Sync: ttypes.SyncReply,
+    ttypes.Read: ttypes.ReadReply,
+}
+
+
+def handler(entry: core.Entry):
+    """Returns the handler for an entry's link server."""
+
+    async def handle(message: object) -> object | None:
+        if isinstance(message, ttypes.UpstreamNews):
+            announcing.on_news(entry, message)
+            return None
+        if isinstance(message, ttypes.CopyProgress):
+            copies.on_copy_progress(entry, message)
+            return None
+        if isinstance(message, ttypes.CopyRequest):
+            return copies.on_copy_request(entry, message)
+        if isinstance(message, ttypes.TakeRequest):
+            return copies.on_take(entry, message)
+        if isinstance(message, ttypes.Dump):
+            return ttypes.DumpReply(state=json.dumps(dump(entry)).encode())
+        if isinstance(message, ttypes.Read) and message.query == "explain":
+            return _explain(entry, message.argument or "")
+        if type(message) in _REPLIES:
+            return await _relay(entry, message)
+        return None
+
+    return handle
+
+
+async def _relay(entry: core.Entry, message: object) -> object:
+    """Passes a message of a cut-off entry on to the control group."""
+    reply = await entry.control.call(
+        message, timeout_s=RELAY_TIMEOUT_S, relayed=True
+    )
+    if isinstance(reply, control_client.Unreachable):
+        return _REPLIES[type(message)](
+            status=ttypes.Status.UNAVAILABLE, reason=reply.reason
+        )
+    return reply
+
+
+def _explain(entry: core.Entry, request_id: str) -> ttypes.ReadReply:
+    request = entry.requests.get(request_id)
+    if request is None:
+        return ttypes.ReadReply(
+            status=ttypes.Status.INVALID,
+            reason=f"{request_id} is not known here any more",
+        )
+    result = {"request_id": request_id, "history": request.history}
+    return ttypes.ReadReply(
+        status=ttypes.Status.OK, result=json.dumps(result).encode()
+    )
+
+
+def dump(entry: core.Entry) -> dict[str, Any]:
+    """Returns the process's state as JSON values."""
+    now = entry.now()
+    return {
+        "role": "entry",
+        "id": entry.name,
+        "incarnation": entry.incarnation,
+        "revision": entry.revision,
+        "view_version": entry.view_version,
+        "lease_left_s": max(0.0, entry.lease_until - now),
+        "draining": entry.draining,
+        "upstreams": {
+            identity: {
+                "said": row.said,
+                "health": row.health(now).value,
+                "load": row.load,
+                "active": len(row.active),
+                "isolated": row.isolated,
+                "blocks": len(row.index.blocks),
+                "trust": row.index.trust,
+            }
+            for identity, row in entry.upstreams.rows.items()
+        },
+        "requests": {
+            request_id: {
+                "workspace": request.workspace,
+                "upstream": request.upstream,
+                "attempts": request.attempts,
+                "events": len(request.answer.events),
+                "ended": request.answer.ended,
+            }
+            for request_id, request in entry.requests.items()
+        },
+        "copies": len(entry.copies),
+        "waiting": {name: len(q) for name, q in entry.queues.items()},
+        "evidence": entry.evidence.report(),
+        "cut": ["|".join(side) for side in entry.evidence.cut],
+        "counters": {
+            f"{name}{{{labels}}}": count
+            for (name, labels), count in entry.metrics.counters.items()
+        },
+    }
--- /dev/null
+++ b/src/_arbutuswalk/entry/placing.py
@@ -0,0 +1,168 @@
+"""Placing requests on upstreams: fair queues and early refusals."""
+
+import asyncio
+
+from _arbutuswalk.entry import core
+from _arbutuswalk.entry import requests
+from _arbutuswalk.limits import fair
+from _arbutuswalk.routing import choose
+from _arbutuswalk.routing import evidence
+from _arbutuswalk.routing import upstreams
+from _arbutuswalk.routing import versions
+from _arbutuswalk.streams import answer
+
+TOKENS_PER_S_PER_SLOT = 16.0
+RETRY_AFTER_S = 1
+SERVICE_S = 0.5
+
+
+class Waiting:
+    """What waits for a place.
+
+    Attributes:
+        request: The request.
+        avoid: Keys of upstreams to avoid.
+        future: Gets the row, reserved for the request.
+    """
+
+    def __init__(
+        self,
+        *,
+        request: requests.ModelRequest,
+        avoid: frozenset[str],
+        future: asyncio.Future,
+    ):
+        self.request = request
+        self.avoid = avoid
+        self.future = future
+
+
+def candidates(
+    entry: core.Entry, name: str, route: str, request_id: str
+) -> list[upstreams.Row]:
+    """Returns the upstreams that may run a request, by its version."""
+    rows = upstreams.usable(entry.upstreams, name, entry.now())
+    wanted, fallback = versions.pick(entry.moves, name, route, request_id)
+    cut = evidence.Side(name, wanted, route) in entry.evidence.cut
+    if not cut:
+        chosen = [row for row in rows if row.said["version"] == wanted]
+        if chosen or not fallback:
+            return chosen
+    return [row for row in rows if row.said["version"] == fallback]
+
+
+def early_refusal(
+    entry: core.Entry, request: requests.ModelRequest
+) -> answer.Problem | None:
+    """Refuses a new request whose deadline cannot be met.
+
+    The estimate counts what its workspace has waiting and the share that
+    others get meanwhile.
+    """
+    rows = candidates(
+        entry, request.upstream, request.route, request.request_id
+    )
+    if not rows:
+        return answer.Problem(
+            503,
+            "no upstream",
+            f"no upstream of {request.upstream} is up; come back later",
+            "no",
+            RETRY_AFTER_S,
+        )
+    slots = sum(row.said["slots"] for row in rows)
+    queue = entry.queue_of(request.upstream)
+    ticket = _ticket(request, None)
+    ahead = queue.cost_ahead(ticket, _total_weight(entry))
+    speed = max(1, slots) * TOKENS_PER_S_PER_SLOT
+    wait_s = ahead / speed
+    left_s = request.deadline - entry.now()
+    if ahead and wait_s + request.max_tokens / speed > left_s:
+        return answer.Problem(
+            429,
+            "deadline cannot be met",
+            f"about {wait_s:.1f} s of work is waiting before this request",
+            "no",
+            max(RETRY_AFTER_S, int(wait_s - left_s) + 1),
+        )
+    return None
+
+
+async def place(
+    entry: core.Entry,
+    request: requests.ModelRequest,
+    *,
+    avoid: frozenset[str] = frozenset(),
+) -> upstreams.Row | None:
+    """Waits for an upstream; None when the deadline passes first."""
+    future = asyncio.get_running_loop().create_future()
+    waiting = Waiting(request=request, avoid=avoid, future=future)
+    ticket = _ticket(request, waiting)
+    queue = entry.queue_of(request.upstream)
+    queue.push(ticket)
+    pump(entry, request.upstream)
+    try:
+        left_s = request.deadline - entry.now()
+        return await asyncio.wait_for(future, max(0.0, left_s))
+    except TimeoutError:
+        return None
+    except asyncio.CancelledError:
+        if future.done() and not future.cancelled():
+            release(entry, future.result(), request)
+        raise
+    finally:
+        ticket.cancelled = True
+
+
+def pump(entry: core.Entry, name: str) -> None:
+    """Places whatever waits for an upstream name, in fair order."""
+    entry.queue_of(name).serve(lambda ticket: _place_one(entry, ticket))
+
+
+def _place_one(entry: core.Entry, ticket: fair.Ticket) -> bool:
+    waiting = ticket.payload
+    request = waiting.request
+    if waiting.future.done():
+        return True
+    rows = candidates(
+        entry, request.upstream, request.route, request.request_id
+    )
+    row = choose.choose(rows, request.features, avoid=waiting.avoid)
+    if row is None:
+        return False
+    reserve(row, request)
+    waiting.future.set_result(row)
+    return True
+
+
+def reserve(row: upstreams.Row, request: requests.ModelRequest) -> None:
+    """Counts a request on an upstream."""
+    row.sent += 1
+    row.active.add(request.request_id)
+    row.index.note(request.features.blocks)
+
+
+def release(
+    entry: core.Entry, row: upstreams.Row, request: requests.ModelRequest
+) -> None:
+    """Ends a reservation and places what waited for it."""
+    row.ended += 1
+    row.active.discard(request.request_id)
+    pump(entry, row.name)
+
+
+def _ticket(
+    request: requests.ModelRequest, waiting: Waiting | None
+) -> fair.Ticket:
+    return fair.Ticket(
+        workspace=request.workspace,
+        weight=request.weight,
+        cost=request.cost,
+        deadline=request.deadline,
+        payload=waiting,
+    )
+
+
+def _total_weight(entry: core.Entry) -> float:
+    workspaces = entry.inventory["workspaces"] if entry.inventory else []
+    return sum(workspace["weight"] for workspace in workspaces) or 1.0
--- /dev/null
+++ b/src/_arbutuswalk/load/workload.py
@@ -0,0 +1,113 @@
+"""Workload files: one JSON object a line, one request each."""
+
+import dataclasses
+import hashlib
+import json
+import pathlib
+from typing import Any
+from typing import NamedTuple
+
+from _arbutuswalk.base import settings
+
+KINDS = ("completions", "chat", "service")
+FIELDS = (
+    settings.Field("at_ms", "milliseconds", settings.is_natural),
+    settings.Field("workspace", "a workspace", settings.is_text),
+    settings.Field("kind", " or ".join(KINDS), lambda v: v in KINDS),
+    settings.Field("upstream", "an upstream", settings.is_text),
+    settings.Field("ref", "a reference, unique in the file", settings.is_text),
+    settings.Field(
+        "dossier", "a name of shared text", lambda v: isinstance(v, str), ""
+    ),
+    settings.Field("dossier_chars", "a number", settings.is_natural, 0),
+    settings.Field("ask", "the question", lambda v: isinstance(v, str), ""),
+    settings.Field("max_tokens", "a number", settings.is_natural, 64),
+    settings.Field("stream", "true or false", settings.is_flag, True),
+    settings.Field("deadline_ms", "a number", settings.is_natural, 60000),
+    settings.Field("priority", "0 to 9", settings.is_natural, 5),
+    settings.Field("key", "a key", lambda v: isinstance(v, str), ""),
+    settings.Field("resend_after_ms", "a number", settings.is_natural, 0),
+    settings.Field("method", "a method", settings.is_text, "POST"),
+    settings.Field("path", "a path", lambda v: isinstance(v, str), ""),
+    settings.Field("body", "an object", lambda v: isinstance(v, dict), {}),
+)
+
+
+class Item(NamedTuple):
+    """One request of a workload; fields as in ``FIELDS``."""
+
+    at_ms: int
+    workspace: str
+    kind: str
+    upstream: str
+    ref: str
+    dossier: str
+    dossier_chars: int
+    ask: str
+    max_tokens: int
+    stream: bool
+    deadline_ms: int
+    priority: int
+    key: str
+    resend_after_ms: int
+    method: str
+    path: str
+    body: dict[str, Any]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class BadWorkload:
+    """A workload that was refused, and every problem in it."""
+
+    problems: tuple[str, ...]
+
+
+def load(path: str) -> list[Item] | BadWorkload:
+    """Reads and checks a workload file."""
+    try:
+        lines = pathlib.Path(path).read_text(encoding="utf-8").splitlines()
+    except (OSError, UnicodeDecodeError) as error:
+        return BadWorkload(problems=(f"{path}: {error}",))
+    items: list[Item] = []
+    problems: list[str] = []
+    for number, line in enumerate(lines, 1):
+        parsed = _parse(line, f"{path}:{number}")
+        if isinstance(parsed, BadWorkload):
+            problems += parsed.problems
+        elif parsed is not None:
+            items.append(parsed)
+    if problems:
+        return BadWorkload(problems=tuple(problems))
+    return sorted(items, key=lambda item: item.at_ms)
+
+
+def _parse(line: str, where: str) -> Item | BadWorkload | None:
+    if not line.strip():
+        return None
+    try:
+        raw = json.loads(line)
+    except ValueError as error:
+        return BadWorkload(problems=(f"{where}: not JSON: {error}",))
+    if not isinstance(raw, dict):
+        return BadWorkload(problems=(f"{where}: not an object",))
+    checked = settings.check(raw, FIELDS, where=where)
+    if isinstance(checked, settings.BadSettings):
+        return BadWorkload(problems=checked.problems)
+    return Item(**checked)
+
+
+def prompt_of(item: Item) -> str:
+    """Returns the prompt: shared dossier text, question, reference."""
+    return f"{dossier_text(item)}\n{item.ask}\nref:{item.ref}"
+
+
+def dossier_text(item: Item) -> str:
+    """Returns text that is equal for all items with the same dossier."""
+    parts, size, number = [], 0, 0
+    while size < item.dossier_chars:
+        seed = f"{item.dossier}/{number}".encode()
+        part = hashlib.sha256(seed).hexdigest() + " "
+        parts.append(part)
+        size += len(part)
+        number += 1
+    return "".join(parts)[: item.dossier_chars]
--- /dev/null
+++ b/src/_arbutuswalk/routing/choose.py
@@ -0,0 +1,119 @@
+"""Choosing one upstream: expected wait, uncached prefill, price.
+
+All terms are in seconds, so that they can be added. Equal scores are broken
+by rendezvous hashing on the prefix, so that entries which know nothing of each
+other's choices still agree.
+"""
+
+import hashlib
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from _arbutuswalk.routing import prefixes
+from _arbutuswalk.routing import upstreams
+
+BOUND = 1.25
+"""Load over the mean at which affinity stops to attract."""
+
+
+class Weights(NamedTuple):
+    """What a choice is weighed by.
+
+    Attributes:
+        prefill_tokens_per_s: Speed at which an engine reads a prompt.
+        service_s: Seconds a request holds a slot.
+        crowd_s: Seconds a full batch adds to a request.
+        price_s: Seconds worth paying the price of the cheapest once more.
+    """
+
+    prefill_tokens_per_s: float = 8000.0
+    service_s: float = 2.0
+    crowd_s: float = 0.15
+    price_s: float = 0.02
+
+
+DEFAULT_WEIGHTS = Weights()
+
+
+class Features(NamedTuple):
+    """What is known of a request before it is sent.
+
+    Attributes:
+        prompt_tokens: Estimated length of the prompt.
+        blocks: Hashes of its prefix.
+        affinity: What rendezvous hashing goes by.
+    """
+
+    prompt_tokens: int
+    blocks: tuple[str, ...]
+    affinity: str
+
+
+def features_of(prompt: str) -> Features:
+    """Returns the features of a prompt."""
+    blocks = prefixes.hash_blocks(prompt)
+    affinity = blocks[0] if blocks else prompt[: prefixes.BLOCK_CHARS]
+    tokens = len(prompt) // prefixes.CHARS_PER_TOKEN
+    return Features(tokens, blocks, affinity)
+
+
+def choose(
+    rows: Sequence[upstreams.Row],
+    features: Features,
+    *,
+    weights: Weights = DEFAULT_WEIGHTS,
+    avoid: frozenset[str] = frozenset(),
+) -> upstreams.Row | None:
+    """Returns the best upstream with a free slot, or None.
+
+    Args:
+        rows: Upstreams that may get work.
+        features: The request.
+        weights: How terms are weighed.
+        avoid: Keys of upstreams to use only if there is no other.
+    """
+    free = [row for row in rows if row.load < row.said["slots"]]
+    preferred = [row for row in free if row.key not in avoid]
+    candidates = preferred or free
+    if not candidates:
+        return None
+    if len(candidates) == 1:
+        return candidates[0]
+    mean = sum(row.load for row in candidates) / len(candidates)
+    cheapest = min((row.price for row in candidates if row.price), default=0)
+
+    def rank(row: upstreams.Row) -> tuple[float, bytes]:
+        total = (
+            _crowding(row, mean, weights)
+            + _prefill(row, features, weights)
+            + _price(row, cheapest, weights)
+        )
+        return round(total, 3), _rendezvous(features.affinity, row)
+
+    return min(candidates, key=rank)
+
+
+def _crowding(row: upstreams.Row, mean: float, weights: Weights) -> float:
+    """Seconds lost to others in the batch, flat while below the bound."""
+    slots = max(1, row.said["slots"])
+    over = row.load + 1 - BOUND * (mean + 1)
+    if over <= 0:
+        return weights.crowd_s * mean / slots
+    return weights.crowd_s * (mean + over * 4) / slots
+
+
+def _prefill(row: upstreams.Row, features: Features, weights: Weights) -> float:
+    held = row.index.match(features.blocks) * prefixes.BLOCK_TOKENS
+    uncached = max(0.0, features.prompt_tokens - held * row.index.trust)
+    return uncached / weights.prefill_tokens_per_s
+
+
+def _price(row: upstreams.Row, cheapest: int, weights: Weights) -> float:
+    if not cheapest or not row.price:
+        return 0.0
+    return weights.price_s * (row.price / cheapest - 1)
+
+
+def _rendezvous(affinity: str, row: upstreams.Row) -> bytes:
+    text = f"{affinity}|{row.said['id']}"
+    return hashlib.blake2b(text.encode(), digest_size=8).digest()
--- /dev/null
+++ b/src/_arbutuswalk/routing/prefixes.py
@@ -0,0 +1,81 @@
+"""Which prompt prefixes an upstream's cache probably holds."""
+
+import collections
+import hashlib
+from collections.abc import Sequence
+
+BLOCK_CHARS = 256
+CHARS_PER_TOKEN = 4
+BLOCK_TOKENS = BLOCK_CHARS // CHARS_PER_TOKEN
+MAX_BLOCKS = 512
+TRUST_LOST_PER_GAP = 0.5
+TRUST_GAINED_PER_EVENT = 0.05
+
+
+def hash_blocks(text: str) -> tuple[str, ...]:
+    """Returns a chained hash for each whole block of ``text``.
+
+    Two texts share the first n hashes if and only if they share the first n
+    blocks.
+    """
+    chain = hashlib.blake2b(digest_size=8)
+    hashes = []
+    whole = min(len(text) // BLOCK_CHARS, MAX_BLOCKS)
+    for i in range(whole):
+        block = text[i * BLOCK_CHARS : (i + 1) * BLOCK_CHARS]
+        chain.update(block.encode())
+        hashes.append(chain.copy().hexdigest())
+    return tuple(hashes)
+
+
+class PrefixIndex:
+    """Block hashes one upstream probably holds, least recently used first.
+
+    It follows what this entry routed there and the cache events that the
+    upstream publishes. Events come late and with gaps; a gap lowers the trust
+    in the index instead of clearing it.
+
+    Attributes:
+        capacity: Blocks the cache can hold.
+        blocks: Hashes, least recently used first.
+        trust: From 0 to 1, how far a hit is believed.
+        last_event: Sequence number of the newest event.
+    """
+
+    def __init__(self, *, capacity_tokens: int):
+        self.capacity = max(1, capacity_tokens // BLOCK_TOKENS)
+        self.blocks: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+        self.trust = 1.0
+        self.last_event = 0
+
+    def note(self, hashes: Sequence[str]) -> None:
+        """Notes a prompt that was sent there."""
+        for block in hashes:
+            self.blocks[block] = None
+            self.blocks.move_to_end(block)
+        while len(self.blocks) > self.capacity:
+            self.blocks.popitem(last=False)
+
+    def match(self, hashes: Sequence[str]) -> int:
+        """Returns how many leading blocks are probably held."""
+        for i, block in enumerate(hashes):
+            if block not in self.blocks:
+                return i
+        return len(hashes)
+
+    def apply_event(
+        self, sequence: int, stored: Sequence[str], removed: Sequence[str]
+    ) -> None:
+        """Takes one cache event; old ones are ignored."""
+        if sequence <= self.last_event:
+            return
+        if sequence > self.last_event + 1 and self.last_event:
+            self.trust *= TRUST_LOST_PER_GAP
+        else:
+            self.trust = min(1.0, self.trust + TRUST_GAINED_PER_EVENT)
+        self.last_event = sequence
+        for block in removed:
+            self.blocks.pop(block, None)
+        self.note(stored)
--- a/src/_arbutuswalk/state/inventory.py
+++ b/src/_arbutuswalk/state/inventory.py
@@ -105,6 +105,10 @@
     return isinstance(value, str) and value.startswith("/")
 
 
+def _is_status(value: object) -> bool:
+    return value == "" or (_is_path(value) and "{key}" in value)
+
+
 def _is_methods(value: object) -> bool:
     known = {"GET", "POST", "PUT", "PATCH", "DELETE"}
     return isinstance(value, list) and bool(value) and known.issuperset(value)
@@ -142,7 +146,7 @@
     settings.Field("path", "a path that starts with /", _is_path),
     settings.Field("methods", "a list of HTTP methods", _is_methods),
     settings.Field("repeatable", "true or false", settings.is_flag),
-    settings.Field("status", "a path with {key}", _is_path, ""),
+    settings.Field("status", "a path with {key}", _is_status, ""),
 )
 
 
--- a/src/_arbutuswalk/state/moves.py
+++ b/src/_arbutuswalk/state/moves.py
@@ -6,6 +6,9 @@
 from _arbutuswalk.state import tables as rows
 
 LIVE = ("waiting", "growing", "baking")
+TAKEN_BACK = "taken_back"
+SETTLED = "settled"
+"""A taken back move whose revision the operator has since undone."""
 MAX_ENDED = 200
 FULL = 1000
 """Share in per mille at which all traffic goes to the new version."""
@@ -97,15 +100,15 @@
     return any(
         row.upstream == upstream
         and row.new == version
-        and row.state == "taken_back"
+        and row.state == TAKEN_BACK
         for row in tables.moves.values()
     )
 
 
 def _forget_taken_back(tables: rows.Tables, upstream: str) -> None:
     for move, row in tables.moves.items():
-        if row.upstream == upstream and row.state == "taken_back":
-            tables.moves[move] = row._replace(state="settled")
+        if row.upstream == upstream and row.state == TAKEN_BACK:
+            tables.moves[move] = row._replace(state=SETTLED)
 
 
 def _end(tables: rows.Tables, move: str, state: str, reason: str) -> None:
--- /dev/null
+++ b/src/_arbutuswalk/streams/framing.py
@@ -0,0 +1,65 @@
+"""Server-sent events as bytes: split, numbered and counted, not parsed."""
+
+import json
+
+SEPARATOR = b"\n\n"
+DONE = b"data: [DONE]"
+ERROR_PREFIX = b'data: {"error"'
+COMMENT = b":"
+KEEP_ALIVE = b": keep-alive\n\n"
+MAX_EVENT_BYTES = 256 * 1024
+
+
+class Framer:
+    """Cuts a byte stream into events.
+
+    Attributes:
+        rest: Bytes of an event that is not complete yet.
+    """
+
+    def __init__(self):
+        self.rest = b""
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Returns the events that ``data`` completes, without separators."""
+        if self.rest:
+            data = self.rest + data
+        parts = data.split(SEPARATOR)
+        self.rest = parts.pop()
+        return parts
+
+
+def number(request_id: str, index: int, event: bytes) -> bytes:
+    """Returns an event with its id line, ready to send."""
+    return b"id: %b:%d\n%b\n\n" % (request_id.encode(), index, event)
+
+
+def parse_event_id(text: str) -> tuple[str, int] | None:
+    """Returns the request id and event number of a ``Last-Event-ID``."""
+    request_id, _, index = text.rpartition(":")
+    if not request_id or not index.isdigit():
+        return None
+    return request_id, int(index)
+
+
+def text_of(event: bytes) -> str:
+    """Returns the text that one completion or chat event carries."""
+    if not event.startswith(b"data: {"):
+        return ""
+    try:
+        choices = json.loads(event[len(b"data: ") :]).get("choices") or [{}]
+        choice = choices[0]
+        delta = choice.get("delta") or {}
+        return choice.get("text") or delta.get("content") or ""
+    except (ValueError, AttributeError, TypeError, IndexError):
+        return ""
+
+
+def payload_of(event: bytes) -> dict | None:
+    """Returns the JSON object an event carries, if it does."""
+    if not event.startswith(b"data: {"):
+        return None
+    try:
+        return json.loads(event[len(b"data: ") :])
+    except ValueError:
+        return None
--- a/src/_arbutuswalk/wire/arbutuswalk.thrift
+++ b/src/_arbutuswalk/wire/arbutuswalk.thrift
@@ -142,6 +142,18 @@
   2: required i64 first_event,
   3: required list<binary> events,
   4: required bool finished,
+  5: required bool failed,
+}
+
+// Moves a request to the entry where its caller now is.
+struct TakeRequest {
+  1: required string request_id,
+}
+
+struct TakeReply {
+  1: required binary request, // JSON, empty when it is not known
+  2: required list<binary> events,
+  3: required bool finished,
 }
 
 struct Done {
@@ -180,6 +192,8 @@
   17: Dump dump,
   18: DumpReply dump_reply,
   19: Ping ping,
+  22: TakeRequest take_request,
+  23: TakeReply take_reply,
 }
 
 struct Frame {
--- a/src/_arbutuswalk/wire/gen/arbutus/ttypes.py
+++ b/src/_arbutuswalk/wire/gen/arbutus/ttypes.py
@@ -1949,6 +1949,7 @@
      - first_event
      - events
      - finished
+     - failed
 
     """
 
@@ -1957,14 +1958,16 @@
         'first_event',
         'events',
         'finished',
+        'failed',
     )
 
 
-    def __init__(self, request_id=None, first_event=None, events=None, finished=None,):
+    def __init__(self, request_id=None, first_event=None, events=None, finished=None, failed=None,):
         self.request_id = request_id
         self.first_event = first_event
         self.events = events
         self.finished = finished
+        self.failed = failed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2000,6 +2003,11 @@
                     self.finished = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.failed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2029,6 +2037,10 @@
             oprot.writeFieldBegin('finished', TType.BOOL, 4)
             oprot.writeBool(self.finished)
             oprot.writeFieldEnd()
+        if self.failed is not None:
+            oprot.writeFieldBegin('failed', TType.BOOL, 5)
+            oprot.writeBool(self.failed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2041,6 +2053,184 @@
             raise TProtocolException(message='Required field events is unset!')
         if self.finished is None:
             raise TProtocolException(message='Required field finished is unset!')
+        if self.failed is None:
+            raise TProtocolException(message='Required field failed is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TakeRequest(object):
+    """
+    Attributes:
+     - request_id
+
+    """
+
+    __slots__ = (
+        'request_id',
+    )
+
+
+    def __init__(self, request_id=None,):
+        self.request_id = request_id
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TakeRequest')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 1)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.request_id is None:
+            raise TProtocolException(message='Required field request_id is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TakeReply(object):
+    """
+    Attributes:
+     - request
+     - events
+     - finished
+
+    """
+
+    __slots__ = (
+        'request',
+        'events',
+        'finished',
+    )
+
+
+    def __init__(self, request=None, events=None, finished=None,):
+        self.request = request
+        self.events = events
+        self.finished = finished
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.events = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = iprot.readBinary()
+                        self.events.append(_elem33)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.finished = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TakeReply')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRING, 1)
+            oprot.writeBinary(self.request)
+            oprot.writeFieldEnd()
+        if self.events is not None:
+            oprot.writeFieldBegin('events', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.events))
+            for iter34 in self.events:
+                oprot.writeBinary(iter34)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.finished is not None:
+            oprot.writeFieldBegin('finished', TType.BOOL, 3)
+            oprot.writeBool(self.finished)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.request is None:
+            raise TProtocolException(message='Required field request is unset!')
+        if self.events is None:
+            raise TProtocolException(message='Required field events is unset!')
+        if self.finished is None:
+            raise TProtocolException(message='Required field finished is unset!')
         return
 
     def __repr__(self):
@@ -2326,6 +2516,8 @@
      - dump
      - dump_reply
      - ping
+     - take_request
+     - take_reply
 
     """
 
@@ -2351,10 +2543,12 @@
         'ping',
         'piece',
         'hello',
+        'take_request',
+        'take_reply',
     )
 
 
-    def __init__(self, vote_request=None, vote_reply=None, append_request=None, append_reply=None, snapshot_offer=None, piece_request=None, piece=None, hello=None, submit=None, submit_reply=None, sync=None, sync_reply=None, read_request=None, read_reply=None, upstream_news=None, copy_request=None, copy_progress=None, done=None, dump=None, dump_reply=None, ping=None,):
+    def __init__(self, vote_request=None, vote_reply=None, append_request=None, append_reply=None, snapshot_offer=None, piece_request=None, piece=None, hello=None, submit=None, submit_reply=None, sync=None, sync_reply=None, read_request=None, read_reply=None, upstream_news=None, copy_request=None, copy_progress=None, done=None, dump=None, dump_reply=None, ping=None, take_request=None, take_reply=None,):
         self.vote_request = vote_request
         self.vote_reply = vote_reply
         self.append_request = append_request
@@ -2376,6 +2570,8 @@
         self.dump = dump
         self.dump_reply = dump_reply
         self.ping = ping
+        self.take_request = take_request
+        self.take_reply = take_reply
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2512,6 +2708,18 @@
                     self.ping.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.STRUCT:
+                    self.take_request = TakeRequest()
+                    self.take_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.STRUCT:
+                    self.take_reply = TakeReply()
+                    self.take_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2606,6 +2814,14 @@
             oprot.writeFieldBegin('hello', TType.STRUCT, 21)
             self.hello.write(oprot)
             oprot.writeFieldEnd()
+        if self.take_request is not None:
+            oprot.writeFieldBegin('take_request', TType.STRUCT, 22)
+            self.take_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.take_reply is not None:
+            oprot.writeFieldBegin('take_reply', TType.STRUCT, 23)
+            self.take_reply.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2871,6 +3087,19 @@
     (2, TType.I64, 'first_event', None, None, ),  # 2
     (3, TType.LIST, 'events', (TType.STRING, 'BINARY', False), None, ),  # 3
     (4, TType.BOOL, 'finished', None, None, ),  # 4
+    (5, TType.BOOL, 'failed', None, None, ),  # 5
+)
+all_structs.append(TakeRequest)
+TakeRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request_id', 'UTF8', None, ),  # 1
+)
+all_structs.append(TakeReply)
+TakeReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request', 'BINARY', None, ),  # 1
+    (2, TType.LIST, 'events', (TType.STRING, 'BINARY', False), None, ),  # 2
+    (3, TType.BOOL, 'finished', None, None, ),  # 3
 )
 all_structs.append(Done)
 Done.thrift_spec = (
@@ -2912,6 +3141,8 @@
     (19, TType.STRUCT, 'ping', [Ping, None], None, ),  # 19
     (20, TType.STRUCT, 'piece', [Piece, None], None, ),  # 20
     (21, TType.STRUCT, 'hello', [Hello, None], None, ),  # 21
+    (22, TType.STRUCT, 'take_request', [TakeRequest, None], None, ),  # 22
+    (23, TType.STRUCT, 'take_reply', [TakeReply, None], None, ),  # 23
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
