Fuzz the replicated log and the ledger on fake disk, network and clock

Cause: nothing showed that acknowledged changes survive or that calls run at most once. The replica's driver is now free of asyncio, so that the process and the fuzzers run the same code. The oracle of the log is what a leader acknowledged; that of the ledger counts runs at the upstreams.

Before: no proof.

--- a/src/_arbutuswalk/control/main.py
+++ b/src/_arbutuswalk/control/main.py
@@ -1,14 +1,17 @@
 """``arbutuswalk-control``: one member of the control group."""
 
 import asyncio
+import random
 import sys
 from typing import Any
 
 from _arbutuswalk.agreement import types
+from _arbutuswalk.base import clock
 from _arbutuswalk.base import events
 from _arbutuswalk.base import process
 from _arbutuswalk.base import settings
 from _arbutuswalk.control import member as members
+from _arbutuswalk.control import replicated
 from _arbutuswalk.control import service
 from _arbutuswalk.control import systems
 from _arbutuswalk.storage import errors
@@ -51,22 +54,12 @@
 
 async def run(values: dict[str, Any]) -> int:
     """Runs the process until drained; returns its exit code."""
-    member = members.Member(
-        data=folder.Folder(path=values["data"]),
-        address=values["address"],
-        peers=tuple(values["peers"]),
-        timing=types.Timing(
-            heartbeat_s=values["heartbeat_s"],
-            election_s=values["election_s"],
-            lease_s=values["election_s"] * LEASE_FRACTION,
-            replace_after_s=values["replace_after_s"],
-        ),
-        target_voters=values["voters"],
-    )
-    failure = member.recover()
+    core = _make_core(values)
+    failure = core.recover(clock.monotonic())
     if failure is not None:
         events.warn(events.Event.STORAGE_FAILED, errors.describe(failure))
         return EXIT_STORAGE
+    member = members.Member(core=core)
     serving = service.Service(member=member, name=values["id"])
     server = link.LinkServer(address=values["address"], handler=serving.handle)
     await server.start()
@@ -94,6 +87,24 @@
     return EXIT_STORAGE if member.failure else process.EXIT_OK
 
 
+def _make_core(values: dict[str, Any]) -> replicated.Replicated:
+    return replicated.Replicated(
+        data=folder.Folder(path=values["data"]),
+        identity=replicated.Identity(
+            address=values["address"],
+            peers=tuple(values["peers"]),
+            target_voters=values["voters"],
+        ),
+        timing=types.Timing(
+            heartbeat_s=values["heartbeat_s"],
+            election_s=values["election_s"],
+            lease_s=values["election_s"] * LEASE_FRACTION,
+            replace_after_s=values["replace_after_s"],
+        ),
+        rng=random.SystemRandom(),
+    )
+
+
 def main() -> None:
     """Runs the binary."""
     values = process.load_settings("arbutuswalk-control", FIELDS, sys.argv[1:])
--- /dev/null
+++ b/src/_arbutuswalk/control/replicated.py
@@ -0,0 +1,228 @@
+"""One replica with its disk and its tables, without any I/O of its own timing.
+
+The process drives it from asyncio; the fuzzers drive the same code on a fake
+folder, network and clock. A round is: ``step``, ``take``, send ``early``,
+``persist``, ``saved``, send ``late``, ``apply``.
+"""
+
+import random
+import uuid
+from typing import NamedTuple
+
+from _arbutuswalk.agreement import membership
+from _arbutuswalk.agreement import raftlog
+from _arbutuswalk.agreement import replica as replicas
+from _arbutuswalk.agreement import replication
+from _arbutuswalk.agreement import snapshot
+from _arbutuswalk.agreement import step
+from _arbutuswalk.agreement import transfer
+from _arbutuswalk.agreement import types
+from _arbutuswalk.base import events
+from _arbutuswalk.state import machine
+from _arbutuswalk.state import outcomes
+from _arbutuswalk.state import tables as rows
+from _arbutuswalk.storage import errors
+from _arbutuswalk.storage import folder
+from _arbutuswalk.storage import wal
+from _arbutuswalk.wire.gen.arbutus import ttypes
+
+SNAPSHOT_EVERY = 2000
+"""Entries between two snapshots; equal on all members."""
+
+
+class Identity(NamedTuple):
+    """Who a member is and whom it founds the group with.
+
+    Attributes:
+        address: ``IP:port`` it listens on.
+        peers: Addresses of all members that found the group, own included.
+        target_voters: How many voters the group should have.
+    """
+
+    address: str
+    peers: tuple[str, ...]
+    target_voters: int
+
+
+class Applied(NamedTuple):
+    """A log entry that was applied.
+
+    Attributes:
+        index: Its index.
+        term: Its term.
+        outcome: Outcome of its command, None for entries of the log's own.
+    """
+
+    index: int
+    term: int
+    outcome: outcomes.Outcome | None
+
+
+class Replicated:
+    """A replica, its write-ahead log and the tables on top.
+
+    Attributes:
+        data: The data folder.
+        wal: The log on it.
+        replica: The replica, set by ``recover``.
+        tables: State after all applied entries.
+        applied: Index of the last applied entry.
+        snapshot_every: Entries between two snapshots.
+        counts: Entries, syncs and messages, for the dump.
+    """
+
+    def __init__(
+        self,
+        *,
+        data: folder.Folder,
+        identity: Identity,
+        timing: types.Timing,
+        rng: random.Random,
+        snapshot_every: int = SNAPSHOT_EVERY,
+        segment_bytes: int = wal.SEGMENT_BYTES,
+    ):
+        self.data = data
+        self.identity = identity
+        self.timing = timing
+        self.rng = rng
+        self.snapshot_every = snapshot_every
+        self.wal = wal.Wal(folder=data, segment_bytes=segment_bytes)
+        self.replica: replicas.Replica | None = None
+        self.tables = rows.Tables()
+        self.applied = 0
+        self.counts = {"entries": 0, "syncs": 0, "messages": 0}
+
+    def recover(self, now: float) -> errors.StorageError | None:
+        """Locks the folder and rebuilds state from it."""
+        failure = self.data.open()
+        if failure is not None:
+            return failure
+        found = self.wal.recover()
+        if isinstance(found, errors.StorageError):
+            return found
+        member = self._member_id()
+        if isinstance(member, errors.StorageError):
+            return member
+        log = self._rebuild(found)
+        self.replica = replicas.Replica(
+            member=member,
+            address=self.identity.address,
+            timing=self.timing,
+            rng=self.rng,
+            now=now,
+            target_voters=self.identity.target_voters,
+            peers=self.identity.peers,
+            vote=found.vote,
+            log=log,
+        )
+        if found.snapshot is not None:
+            self.replica.snapshots[log.base_index] = found.snapshot.state
+        return None
+
+    def _rebuild(self, found: wal.Recovered) -> raftlog.RaftLog:
+        members = types.Members()
+        index = term = 0
+        if found.snapshot is not None:
+            index, term, packed = found.snapshot
+            members, state = snapshot.unpack(packed)
+            self.tables = machine.load(state)
+            self.applied = index
+        return raftlog.RaftLog(
+            base_index=index,
+            base_term=term,
+            base_members=members,
+            entries=[
+                ttypes.Entry(term=entry.term, command=entry.command)
+                for entry in found.entries
+            ],
+        )
+
+    def _member_id(self) -> str | errors.StorageError:
+        """Returns the folder's member id, drawn when it is first used."""
+        if wal.IDENTITY_NAME in self.data.names():
+            return self.data.read(wal.IDENTITY_NAME).decode()
+        drawn = uuid.UUID(int=self.rng.getrandbits(128)).hex[:8]
+        member = f"{self.identity.address}/{drawn}"
+        failure = self.data.replace(wal.IDENTITY_NAME, member.encode())
+        return failure or member
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this member leads its term."""
+        return self.replica.role is types.Role.LEADER
+
+    def step(self, messages: list[object], now: float) -> None:
+        """Takes messages from other members, then lets time pass."""
+        for message in messages:
+            step.receive(self.replica, message, now)
+        self.counts["messages"] += len(messages)
+        step.tick(self.replica, now)
+
+    def propose(self, command: bytes, now: float, at_ms: int) -> int | None:
+        """Appends an encoded command; None unless this member may.
+
+        Returns:
+            The index at which it is committed if the term stays the same.
+        """
+        may = membership.accepts_commands(self.replica)
+        if not self.is_leader or not may:
+            return None
+        payload = types.COMMAND + machine.stamp_encoded(command, at_ms)
+        return replication.propose(self.replica, payload, now)
+
+    def take(self) -> types.Ready:
+        """Returns the work of this round."""
+        return replicas.take_ready(self.replica)
+
+    def persist(self, ready: types.Ready) -> errors.StorageError | None:
+        """Makes a round durable; may run off the event loop."""
+        if ready.snapshot is not None:
+            failure = self.wal.save_snapshot(ready.snapshot)
+            if failure is not None:
+                return failure
+        if ready.vote is None and not ready.entries:
+            return None
+        self.counts["syncs"] += 1
+        self.counts["entries"] += len(ready.entries)
+        return self.wal.write(ready.vote, ready.entries)
+
+    def saved(self, ready: types.Ready) -> None:
+        """Notes that a round is durable."""
+        if ready.snapshot is not None:
+            _, state = snapshot.unpack(ready.snapshot.state)
+            self.tables = machine.load(state)
+            self.applied = ready.snapshot.index
+            events.log(events.Event.SNAPSHOT_INSTALLED, self.applied)
+        if ready.entries:
+            last = ready.entries[-1]
+            replication.saved(self.replica, last.index, last.term)
+
+    def apply_next(self) -> Applied | None:
+        """Applies the next committed entry; None when there is none."""
+        if self.applied >= self.replica.commit:
+            return None
+        self.applied += 1
+        entry = self.replica.log.slice(self.applied, 1)[0]
+        kind, payload = entry.command[:1], entry.command[1:]
+        outcome = None
+        if kind == types.COMMAND:
+            outcome = machine.apply(self.tables, payload, self.applied)
+        elif kind == types.MEMBERS:
+            members = types.unpack_members(entry.command)
+            events.log(
+                events.Event.MEMBERS_CHANGED, members.voters, members.learners
+            )
+        return Applied(self.applied, entry.term, outcome)
+
+    def due_snapshot(self) -> wal.Snapshot | None:
+        """Returns a snapshot to save, at the indices all members share."""
+        index = self.applied
+        if index % self.snapshot_every or index <= self.replica.log.base_index:
+            return None
+        members = transfer.members_at(self.replica, index)
+        packed = snapshot.pack(members, machine.dump(self.tables))
+        return wal.Snapshot(index, self.replica.log.term_at(index), packed)
+
+    def keep_snapshot(self, made: wal.Snapshot) -> None:
+        """Serves a snapshot that was saved and forgets what it covers."""
+        transfer.keep(self.replica, made.index, made.state)
--- a/src/_arbutuswalk/control/service.py
+++ b/src/_arbutuswalk/control/service.py
@@ -242,14 +242,14 @@
                 "term": replica.term,
                 "leader": replica.leader,
                 "commit": replica.commit,
-                "applied": member.applied,
+                "applied": member.core.applied,
                 "first": replica.log.base_index + 1,
                 "last": replica.log.last_index,
                 "durable": replica.durable_index,
                 "members": replica.log.members._asdict(),
                 "lease": member.holds_lease,
             },
-            "counts": member.counts,
+            "counts": member.core.counts,
             "grants": {
                 f"{entry}/{incarnation}": [grant.revision, grant.synced_at]
                 for (entry, incarnation), grant in self.leases.grants.items()
--- /dev/null
+++ b/testing/conftest.py
@@ -0,0 +1,25 @@
+"""Profiles and fixtures shared by the tests."""
+
+import os
+
+import hypothesis
+
+hypothesis.settings.register_profile(
+    "ci",
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=60,
+    stateful_step_count=60,
+    suppress_health_check=list(hypothesis.HealthCheck),
+    print_blob=True,
+)
+hypothesis.settings.register_profile(
+    "long",
+    deadline=None,
+    max_examples=2000,
+    stateful_step_count=150,
+    suppress_health_check=list(hypothesis.HealthCheck),
+    print_blob=True,
+)
+hypothesis.settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
--- /dev/null
+++ b/testing/test_ledger.py
@@ -0,0 +1,156 @@
+"""Non-repeatable calls run at most once; the oracle counts runs."""
+
+import hypothesis
+import ledger_machine
+import pytest
+from hypothesis import stateful
+
+from _arbutuswalk.entry import calls
+from _arbutuswalk.state import commands
+from _arbutuswalk.state import ledger
+from _arbutuswalk.state import machine
+from _arbutuswalk.state import outcomes
+from _arbutuswalk.state import tables as rows
+
+
+class TestLedgerMachine(ledger_machine.LedgerMachine.TestCase):
+    """Runs the machine with the profile in force."""
+
+
+def begin(attempt="a1", digest="d", entry="e", incarnation=1):
+    return commands.BeginCall(
+        "w", "k", digest, attempt, entry, incarnation, "u", "r"
+    )
+
+
+@pytest.fixture
+def state():
+    tables = rows.Tables()
+    apply(tables, commands.RegisterEntry("e", 1, "a", "l", "d", 1, "r"), 0)
+    return tables
+
+
+def apply(tables, command, at_ms=1):
+    return machine.apply(
+        tables, machine.stamp(command, at_ms), tables.applied + 1
+    )
+
+
+class TestBegin:
+    def test_first_attempt_is_granted(self, state):
+        assert apply(state, begin()) == outcomes.Granted()
+
+    def test_resend_of_the_same_attempt_is_granted_again(self, state):
+        apply(state, begin())
+        assert apply(state, begin()) == outcomes.Granted()
+
+    def test_another_attempt_is_told_it_runs(self, state):
+        apply(state, begin())
+        assert apply(state, begin("a2")).state == "running"
+
+    def test_other_body_is_refused(self, state):
+        apply(state, begin())
+        outcome = apply(state, begin("a2", digest="other"))
+        assert isinstance(outcome, outcomes.Reused)
+
+    def test_unknown_entry_is_stale(self, state):
+        outcome = apply(state, begin(entry="nobody"))
+        assert isinstance(outcome, outcomes.Stale)
+
+    def test_gone_entry_is_stale(self, state):
+        apply(state, commands.SetEntryState("e", 1, "gone"))
+        assert isinstance(apply(state, begin()), outcomes.Stale)
+
+
+class TestAfterBegin:
+    def test_withdrawn_call_may_begin_again(self, state):
+        apply(state, begin())
+        apply(state, commands.WithdrawCall("w", "k", "a1"))
+        assert apply(state, begin("a2")) == outcomes.Granted()
+
+    def test_another_attempt_cannot_withdraw(self, state):
+        apply(state, begin())
+        apply(state, commands.WithdrawCall("w", "k", "a2"))
+        assert apply(state, begin("a2")).state == "running"
+
+    def test_entry_death_makes_running_unknown(self, state):
+        apply(state, begin())
+        apply(state, commands.SetEntryState("e", 1, "gone"))
+        assert ledger.find(state, "w", "k").state == "unknown"
+
+    def test_late_answer_replaces_unknown(self, state):
+        apply(state, begin())
+        apply(state, commands.LoseCall("w", "k", "a1"))
+        apply(state, commands.FinishCall("w", "k", "a1", 200, "t", "Ym9keQ=="))
+        found = ledger.find(state, "w", "k")
+        assert (found.state, found.body) == ("done", "Ym9keQ==")
+
+    def test_records_expire_by_log_time(self, state):
+        apply(state, begin(), at_ms=1000)
+        late = 1000 + ledger.RECORD_KEPT_MS
+        apply(state, commands.Tick(), at_ms=late)
+        assert isinstance(ledger.find(state, "w", "k"), outcomes.CallState)
+        apply(state, commands.Tick(), at_ms=late + 2000)
+        assert ledger.find(state, "w", "k") == outcomes.Absent()
+
+    def test_log_time_never_goes_back(self, state):
+        apply(state, commands.Tick(), at_ms=5000)
+        apply(state, commands.Tick(), at_ms=10)
+        assert state.time_ms == 5000
+
+
+def run_twin():
+    settings = hypothesis.settings(
+        hypothesis.settings.get_profile("ci"),
+        max_examples=300,
+        phases=[hypothesis.Phase.generate],
+    )
+    stateful.run_state_machine_as_test(
+        ledger_machine.LedgerMachine, settings=settings
+    )
+
+
+class TestPlantedFaults:
+    """Each fault below is one the oracle has to see."""
+
+    def test_retry_after_a_byte_left(self, monkeypatch):
+        async def try_again(entry, call, attempt, row):
+            return await calls._withdraw(entry, call, attempt)
+
+        monkeypatch.setattr(calls, "_resolve", try_again)
+        with pytest.raises(AssertionError):
+            run_twin()
+
+    def test_unknown_call_granted_to_a_resend(self, monkeypatch):
+        real = ledger.begin
+
+        def forgiving(tables, command):
+            call = ledger.call_id(command.workspace, command.key)
+            row = tables.calls.get(call)
+            if row is not None and row.state == "unknown":
+                del tables.calls[call]
+            return real(tables, command)
+
+        monkeypatch.setitem(machine._HANDLERS, commands.BeginCall, forgiving)
+        with pytest.raises(AssertionError):
+            run_twin()
+
+    def test_send_without_waiting_for_the_grant(self, monkeypatch):
+        async def eager(entry, call, attempt, outcome):
+            row = next(iter(entry.upstreams.rows.values()))
+            sent = await calls._send(entry, call, attempt, row)
+            return sent or calls._not_run("never opened")
+
+        monkeypatch.setattr(calls, "_not_granted", eager)
+        with pytest.raises(AssertionError):
+            run_twin()
+
+    def test_records_that_expire_too_soon(self, monkeypatch):
+        monkeypatch.setattr(ledger, "RECORD_KEPT_MS", 3000)
+        with pytest.raises(AssertionError):
+            run_twin()
+
+    def test_refusal_that_lies(self, monkeypatch):
+        monkeypatch.setattr(calls, "_unknown", calls._not_run)
+        with pytest.raises(AssertionError):
+            run_twin()
--- /dev/null
+++ b/testing/worlds.py
@@ -0,0 +1,203 @@
+"""Entries over a fake control group and fake upstreams, on virtual time."""
+
+import asyncio
+import json
+
+import virtual
+
+from _arbutuswalk.entry import control_client
+from _arbutuswalk.entry import core
+from _arbutuswalk.state import commands
+from _arbutuswalk.state import inventory as inventories
+from _arbutuswalk.state import ledger
+from _arbutuswalk.state import machine
+from _arbutuswalk.state import outcomes
+from _arbutuswalk.state import tables as rows
+from _arbutuswalk.state import view
+
+VALUES = {
+    "address": "127.0.0.1:1",
+    "link_address": "127.0.0.1:2",
+    "domain": "d1",
+    "region": "local",
+    "weight": 1,
+    "control": ["127.0.0.1:3"],
+    "connect_s": 1.0,
+    "first_byte_s": 10.0,
+    "gap_s": 2.0,
+    "service_timeout_s": 5.0,
+    "resume_grace_s": 5.0,
+}
+
+INVENTORY = inventories.check(
+    {
+        "domains": ["d1", "d2"],
+        "classes": [{"name": "c", "slots": 4}],
+        "workspaces": [
+            {"name": "w", "token_sha256": inventories.digest("t")},
+            {"name": "big", "token_sha256": inventories.digest("b")},
+        ],
+        "upstreams": [
+            {
+                "name": "model",
+                "kind": "model",
+                "owner": "w",
+                "version": "v1",
+                "domains": ["d1"],
+                "classes": ["c"],
+            },
+            {
+                "name": "claims",
+                "kind": "service",
+                "owner": "w",
+                "version": "v1",
+                "domains": ["d1"],
+                "classes": ["c"],
+                "routes": [
+                    {
+                        "name": "claim",
+                        "path": "/claims",
+                        "methods": ["POST"],
+                        "repeatable": False,
+                        "status": "/status/{key}",
+                    },
+                    {
+                        "name": "lots",
+                        "path": "/lots/*",
+                        "methods": ["GET"],
+                        "repeatable": True,
+                    },
+                ],
+            },
+        ],
+    },
+    where="test",
+)
+
+
+class Control:
+    """A control group reduced to its tables, behind an unreliable link.
+
+    Attributes:
+        tables: The replicated tables.
+        modes: What may happen to a command: ``ok``, ``lost`` (not committed),
+            ``deaf`` (committed, answer lost) or ``late`` (committed after the
+            sender gave up).
+    """
+
+    def __init__(self, loop, rng):
+        self.loop = loop
+        self.rng = rng
+        self.tables = rows.Tables()
+        self.index = 0
+        self.modes = ["ok"]
+
+    def commit(self, command):
+        self.index += 1
+        at_ms = int(self.loop.time() * 1000)
+        payload = machine.stamp(command, at_ms)
+        outcome = machine.apply(self.tables, payload, self.index)
+        # What a restart would load must be what is there.
+        dumped = machine.dump(self.tables)
+        assert machine.dump(machine.load(dumped)) == dumped
+        return outcome
+
+    def client(self):
+        return Client(self)
+
+
+class Client:
+    """What an entry sees of the control group."""
+
+    def __init__(self, control):
+        self.control = control
+        self.relays = []
+
+    async def submit(self, command, *, timeout_s):
+        control = self.control
+        mode = control.rng.choice(control.modes)
+        await asyncio.sleep(0.002)
+        if mode == "ok":
+            return control.commit(command)
+        if mode == "deaf":
+            control.commit(command)
+        if mode == "late":
+            control.loop.call_later(
+                timeout_s + control.rng.random() * 3, control.commit, command
+            )
+        await asyncio.sleep(max(0.0, timeout_s))
+        return control_client.Unreachable(reason=mode)
+
+    async def read(self, query, argument="", *, timeout_s):
+        assert query == "call"
+        await asyncio.sleep(0.002)
+        if self.control.rng.choice(self.control.modes) == "lost":
+            await asyncio.sleep(timeout_s)
+            return control_client.Unreachable(reason="lost")
+        workspace, _, key = argument.partition("\n")
+        found = ledger.find(self.control.tables, workspace, key)
+        return outcomes.to_json(found)
+
+
+def make_entry(loop, control, name, incarnation=1):
+    """Returns an entry that is registered, leased and configured."""
+    entry = core.Entry(
+        values={**VALUES, "id": name},
+        incarnation=incarnation,
+        session=None,
+        fresh_session=None,
+        now=loop.time,
+        wall=loop.time,
+    )
+    entry.control = control.client()
+    control.commit(
+        commands.RegisterEntry(
+            name, incarnation, "127.0.0.1:1", "127.0.0.1:2", "d1", 1, "local"
+        )
+    )
+    refresh(entry, control)
+    return entry
+
+
+def refresh(entry, control):
+    """Brings an entry's view and lease up to date."""
+    if control.tables.revision == 0:
+        control.commit(commands.Apply("op", "test", 0, INVENTORY))
+    entry.view = json.loads(json.dumps(view.parts_since(control.tables, -1)))
+    entry.lease_until = float("inf")
+    entry.registered = True
+
+
+def said(identity, upstream, **extra):
+    """Returns an announcement."""
+    return {
+        "id": identity,
+        "incarnation": 1,
+        "sequence": 1,
+        "address": "127.0.0.1:9",
+        "upstream": upstream,
+        "version": "v1",
+        "instance": f"i-{identity}",
+        "domain": "d1",
+        "instance_class": "c",
+        "role": "mixed",
+        "adapters": [],
+        "slots": 4,
+        "running": 0,
+        "cache_tokens": 4096,
+        "fence": 0,
+        "leaving": False,
+        "leave_in_s": 0.0,
+        "echo": True,
+        **extra,
+    }
+
+
+__all__ = [
+    "Client",
+    "Control",
+    "make_entry",
+    "refresh",
+    "said",
+    "virtual",
+]
