Fuzz streams over failing runners, model-check the core protocols

Cause: nothing showed that answers are never spliced, that crashing requests cost two runners at most, or that innocent requests are never refused.

Found by the stream machine, each with its trace, and mended: - requests hung for want of retry budget when there was little traffic; the budget now also grows with time, and work lost with its upstream is free; - an innocent suspect was convicted because an unknown crashing request ran beside it: a suspect now runs alone on its upstream, which every entry has acknowledged before it starts; - a guilty request escaped because its connection was seen to end after the death had been reported; broken attempts are now part of the report; - reservations leaked when an upstream was replaced; a request now knows its own reservation; - an entry that missed a restart reported the incarnation before it.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	$(BIN)/python tools/demo.py
 
 test: $(STAMP)
-	$(BIN)/python -m pytest
+	PYTHONHASHSEED=0 $(BIN)/python -m pytest
 
 lint: $(STAMP)
 	$(BIN)/python -m ruff format --check .
--- a/src/_arbutuswalk/control/leases.py
+++ b/src/_arbutuswalk/control/leases.py
@@ -17,12 +17,14 @@
     Attributes:
         until: Leader's time at which every stamp given has run out.
         revision: Revision the entry last said it serves.
+        view_version: Version of the view it last said it has.
         synced_at: Leader's time of its last request.
         report: Entry's last report.
     """
 
     until: float
     revision: int
+    view_version: int
     synced_at: float
     report: dict
 
@@ -44,7 +46,7 @@
 
     def find(self, entry: str, incarnation: int) -> Grant:
         """Returns the grant of an entry, assumed if none is known."""
-        unknown = Grant(self.since + LEASE_S, 0, self.since, {})
+        unknown = Grant(self.since + LEASE_S, 0, 0, self.since, {})
         return self.grants.get((entry, incarnation), unknown)
 
     def grant(
@@ -53,12 +55,15 @@
         incarnation: int,
         *,
         revision: int,
+        view_version: int,
         report: dict,
         now: float,
     ) -> None:
         """Notes a stamp given at ``now``."""
         key = (entry, incarnation)
-        self.grants[key] = Grant(now + LEASE_S, revision, now, report)
+        self.grants[key] = Grant(
+            now + LEASE_S, revision, view_version, now, report
+        )
 
     def behind(
         self, tables: rows.Tables, revision: int, now: float
@@ -73,6 +78,25 @@
                 late.append(entry)
         return late
 
+    def is_alone(self, tables: rows.Tables, upstream: str) -> bool:
+        """Tells whether nothing runs on an upstream that was reserved.
+
+        Every entry has to have seen the reservation and to have said since
+        that it runs nothing there.
+        """
+        isolation = tables.isolations.get(upstream)
+        if isolation is None:
+            return False
+        for entry, row in tables.entries.items():
+            if row.state == entries.GONE:
+                continue
+            grant = self.find(entry, row.incarnation)
+            if grant.view_version < isolation.index:
+                return False
+            if grant.report.get("active", {}).get(upstream, 0):
+                return False
+        return True
+
     def lost(self, tables: rows.Tables, now: float) -> list[tuple[str, int]]:
         """Returns entries that have not asked for a stamp for too long."""
         return [
--- a/src/_arbutuswalk/control/service.py
+++ b/src/_arbutuswalk/control/service.py
@@ -107,6 +107,7 @@
             message.entry,
             message.incarnation,
             revision=message.revision,
+            view_version=message.view_version,
             report=json.loads(message.report or b"{}"),
             now=member.now(),
         )
@@ -158,6 +159,7 @@
             "entries": self._entries,
             "inventory": lambda _: self.member.tables.inventory,
             "call": self._call,
+            "alone": self._alone,
             "replace": self._replace,
         }
 
@@ -218,6 +220,10 @@
         found = ledger.find(self.member.tables, workspace, key)
         return outcomes.to_json(found)
 
+    def _alone(self, argument: str) -> dict[str, Any]:
+        tables = self.member.tables
+        return {"alone": self.leases.is_alone(tables, argument)}
+
     def _replace(self, argument: str) -> dict[str, Any]:
         """Orders the replacement of the voter at an address."""
         replica = self.member.replica
--- a/src/_arbutuswalk/entry/announcing.py
+++ b/src/_arbutuswalk/entry/announcing.py
@@ -1,5 +1,6 @@
 """Upstreams announce themselves at any entry; entries tell each other."""
 
+import asyncio
 import json
 from typing import Any
 
@@ -12,12 +13,15 @@
 from _arbutuswalk.entry import http
 from _arbutuswalk.entry import placing
 from _arbutuswalk.entry import requests
+from _arbutuswalk.entry import suspicion
 from _arbutuswalk.entry import transfers
 from _arbutuswalk.routing import announcements
 from _arbutuswalk.routing import upstreams
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
 MAX_CACHE_BLOCKS = 4096
+RESTART_S = 3.0
+"""How long after its connections broke a restarted upstream announces."""
 ANNOUNCEMENT = "announcement"
 CACHE_EVENT = "cache"
 
@@ -76,6 +80,8 @@
             events.Event.UPSTREAM_JOINED, said["id"], said["incarnation"]
         )
         _mark_known_leaving(entry, outcome.row)
+        suspicion.follow_isolations(entry)
+        _look_back(entry, outcome.replaced)
     elif outcome.now_leaving:
         transfers.on_leaving(entry, outcome.row)
     placing.pump(entry, said["upstream"])
@@ -99,6 +105,26 @@
         entry.link_to(row["link_address"]).post(message)
 
 
+def _look_back(entry: core.Entry, replaced: upstreams.Row | None) -> None:
+    """Reports the death of an incarnation that came back before it was seen.
+
+    Its connections broke off, but a probe met the one that replaced it.
+    """
+    if replaced is None:
+        return
+    oldest = entry.now() - RESTART_S
+    replaced.broken |= {
+        fingerprint
+        for fingerprint, at in replaced.spared.items()
+        if at > oldest
+    }
+    if not (replaced.broken or replaced.active):
+        return
+    if replaced.health(replaced.heard_at) is not upstreams.Health.LEAVING:
+        report = suspicion.report_death(entry, replaced)
+        entry.hold(asyncio.ensure_future(report))
+
+
 def _mark_known_leaving(entry: core.Entry, row: upstreams.Row) -> None:
     leaving = set(entry.view.get("leaving", ()))
     if row.said["instance"] in leaving:
--- a/src/_arbutuswalk/entry/calls.py
+++ b/src/_arbutuswalk/entry/calls.py
@@ -115,7 +115,7 @@
 ) -> Outcome | None:
     """Sends a granted call; None when it never left and was withdrawn."""
     row.sent += 1
-    row.active.add(call.call_id)
+    row.active[call.call_id] = None
     started = entry.now()
     try:
         result = await exchange.run(
@@ -125,7 +125,7 @@
         )
     finally:
         row.ended += 1
-        row.active.discard(call.call_id)
+        row.active.pop(call.call_id, None)
         entry.note_usage(
             row.said["instance"], call.workspace, entry.now() - started
         )
--- a/src/_arbutuswalk/entry/core.py
+++ b/src/_arbutuswalk/entry/core.py
@@ -126,7 +126,11 @@
 
     def budget_of(self, name: str) -> budget.Budget:
         """Returns the retry budget of an upstream name."""
-        return self.budgets.setdefault(name, budget.Budget())
+        found = self.budgets.get(name)
+        if found is None:
+            found = budget.Budget(now=self.now())
+            self.budgets[name] = found
+        return found
 
     def link_to(self, address: str) -> link.Link:
         """Returns the link to another entry."""
--- a/src/_arbutuswalk/entry/models.py
+++ b/src/_arbutuswalk/entry/models.py
@@ -194,6 +194,9 @@
 async def _run(entry: core.Entry, request: requests.ModelRequest) -> None:
     try:
         await running.run(entry, request)
+    except Exception as error:  # noqa: BLE001
+        # A fault of ours must not leave the caller without an answer.
+        events.warn(events.Event.TASK_FAILED, request.request_id, repr(error))
     finally:
         if not request.answer.ended:
             request.answer.fail(
--- a/src/_arbutuswalk/entry/placing.py
+++ b/src/_arbutuswalk/entry/placing.py
@@ -138,7 +138,7 @@
 def reserve(row: upstreams.Row, request: requests.ModelRequest) -> None:
     """Counts a request on an upstream."""
     row.sent += 1
-    row.active.add(request.request_id)
+    row.active[request.request_id] = None
     row.index.note(request.features.blocks)
 
 
@@ -147,7 +147,7 @@
 ) -> None:
     """Ends a reservation and places what waited for it."""
     row.ended += 1
-    row.active.discard(request.request_id)
+    row.active.pop(request.request_id, None)
     pump(entry, row.name)
 
 
--- a/src/_arbutuswalk/entry/requests.py
+++ b/src/_arbutuswalk/entry/requests.py
@@ -57,6 +57,7 @@
         attempts: Attempts sent so far.
         sent: Whether any byte may have reached an upstream.
         copied: Events that the peer entry has.
+        isolation: Id of the upstream reserved for it, or empty.
         move: Set to make the running attempt go elsewhere.
         history: Why it went where it went, for ``explain``.
         task: The task that runs it.
@@ -96,6 +97,7 @@
         self.attempts = 0
         self.sent = False
         self.copied = 0
+        self.isolation = ""
         self.move = asyncio.Event()
         self.history: list[str] = []
         self.task: asyncio.Task | None = None
--- a/src/_arbutuswalk/entry/running.py
+++ b/src/_arbutuswalk/entry/running.py
@@ -64,7 +64,7 @@
     entry, request = state.entry, state.request
     budget = entry.budget_of(request.upstream)
     while entry.now() < request.deadline:
-        if state.free_retry or budget.withdraw():
+        if state.free_retry or budget.withdraw(entry.now()):
             state.free_retry = False
             return True
         await asyncio.sleep(BUDGET_PAUSE_S)
@@ -105,9 +105,10 @@
 
     try:
         result = await _run_or_move(state, row, feed)
+        if isinstance(result, attempts.Broke | attempts.Silent):
+            row.broken.add(request.fingerprint)
     except asyncio.CancelledError:
-        if row.isolated == request.fingerprint:
-            suspicion.release_later(entry, row, request)
+        suspicion.release_later(entry, request)
         raise
     finally:
         placing.release(entry, row, request)
@@ -177,24 +178,25 @@
 ) -> None:
     """Decides what an attempt's result means for the request."""
     entry, request = state.entry, state.request
-    isolated = row.isolated == request.fingerprint
     if isinstance(result, attempts.Completed):
         request.answer.finish()
-        if isolated:
-            await suspicion.release(entry, row, request, cleared=True)
+        await suspicion.release(entry, request, cleared=True)
         return
     reason = f"{type(result).__name__}: {result}"
     events.log(events.Event.ATTEMPT_FAILED, request.request_id, row.key, reason)
     entry.metrics.count("attempts_failed", f'kind="{type(result).__name__}"')
     _explain(state, f"ended by {type(result).__name__}")
-    state.free_retry = _was_announced(state, row, result)
-    blamed = await _look_for_death(state, row, result)
+    died, blamed = await _look_for_death(state, row, result)
+    if not died and request.fingerprint in row.broken:
+        row.broken.discard(request.fingerprint)
+        row.spared[request.fingerprint] = entry.now()
+    # Work lost with its upstream is no sign of overload.
+    state.free_retry = died or _was_announced(state, row, result)
     if blamed == request.fingerprint:
         until_ms = entry.convicted_until_ms(request.fingerprint)
         request.answer.fail(suspicion.convicted_problem(request, until_ms))
         return
-    if isolated and not blamed:
-        await suspicion.release(entry, row, request, cleared=False)
+    await suspicion.release(entry, request, cleared=False)
     _choose_next(state, row, result)
 
 
@@ -228,17 +230,21 @@
 
 async def _look_for_death(
     state: Run, row: upstreams.Row, result: attempts.Result
-) -> str:
-    """Reports an unannounced death; returns the fingerprint blamed."""
+) -> tuple[bool, str]:
+    """Reports an unannounced death.
+
+    Returns:
+        Whether the upstream died unannounced, and the fingerprint blamed.
+    """
     if not isinstance(result, attempts.Broke | attempts.Silent):
-        return ""
+        return False, ""
     if row.health(state.entry.now()) is upstreams.Health.LEAVING:
-        return ""
-    if not await suspicion.is_dead(row):
-        return ""
+        return False, ""
+    if not await suspicion.is_dead(state.entry, row):
+        return False, ""
     if row.health(state.entry.now()) is upstreams.Health.LEAVING:
-        return ""
-    return await suspicion.report_death(state.entry, row, state.request)
+        return False, ""
+    return True, await suspicion.report_death(state.entry, row)
 
 
 def _was_announced(
--- a/src/_arbutuswalk/entry/services.py
+++ b/src/_arbutuswalk/entry/services.py
@@ -197,7 +197,7 @@
 
 async def _take_retry(entry: core.Entry, budget, deadline: float) -> bool:
     while entry.now() < deadline:
-        if budget.withdraw():
+        if budget.withdraw(entry.now()):
             return True
         await asyncio.sleep(PAUSE_S)
     return False
@@ -230,7 +230,7 @@
     session: aiohttp.ClientSession,
 ) -> exchange.Result:
     row.sent += 1
-    row.active.add(call.call_id)
+    row.active[call.call_id] = None
     started = entry.now()
     timeout_s = min(entry.values["service_timeout_s"], call.deadline - started)
     try:
@@ -239,7 +239,7 @@
         )
     finally:
         row.ended += 1
-        row.active.discard(call.call_id)
+        row.active.pop(call.call_id, None)
         entry.note_usage(
             row.said["instance"], call.workspace, entry.now() - started
         )
--- a/src/_arbutuswalk/entry/suspicion.py
+++ b/src/_arbutuswalk/entry/suspicion.py
@@ -4,6 +4,7 @@
 
 from _arbutuswalk.base import clock
 from _arbutuswalk.base import events
+from _arbutuswalk.entry import control_client
 from _arbutuswalk.entry import core
 from _arbutuswalk.entry import placing
 from _arbutuswalk.entry import requests
@@ -15,24 +16,69 @@
 PROBE_TIMEOUT_S = 0.5
 REPORT_TIMEOUT_S = 5.0
 PAUSE_S = 0.05
+ALONE_LIMIT_S = 3.0
+MAX_ISOLATED = 0.34
+"""Part of an upstream name's instances that suspects may hold at a time."""
+_REFUSED, _OPEN, _NO_ANSWER = "refused", "open", "no answer"
 
 
-async def is_dead(row: upstreams.Row) -> bool:
-    """Tells whether nothing listens at an upstream's address any more."""
-    host, _, port = row.said["address"].rpartition(":")
+async def is_dead(entry: core.Entry, row: upstreams.Row) -> bool:
+    """Tells whether an upstream's process is gone.
+
+    A refused connection proves it, and so does a newer incarnation. Where
+    nothing answers at all, only silence towards every entry does: this entry
+    alone may be cut off.
+    """
+    broke_at = entry.now()
+    probe = await _probe(row.said["address"])
+    if probe == _REFUSED:
+        return True
+    if probe == _OPEN and not row.isolated:
+        return _is_replaced(entry, row)  # by a newer incarnation
+    if probe == _OPEN:
+        return await _was_restarted(entry, row, broke_at)
+    while entry.now() - row.heard_at < upstreams.SUSPECT_AFTER_S:
+        if row.heard_at > broke_at:
+            return False
+        await asyncio.sleep(PAUSE_S)
+    return row.heard_at <= broke_at
+
+
+async def _was_restarted(
+    entry: core.Entry, row: upstreams.Row, broke_at: float
+) -> bool:
+    """Waits for the next word of an upstream on which a suspect ran.
+
+    A process that died and was started again at once answers a probe.
+    """
+    while entry.now() - broke_at < upstreams.GONE_AFTER_S:
+        if _is_replaced(entry, row):
+            return True
+        if row.heard_at > broke_at:
+            return False
+        await asyncio.sleep(PAUSE_S)
+    return True
+
+
+async def _probe(address: str) -> str:
+    host, _, port = address.rpartition(":")
     try:
         _, writer = await asyncio.wait_for(
             asyncio.open_connection(host, int(port)), PROBE_TIMEOUT_S
         )
+    except ConnectionRefusedError:
+        return _REFUSED
     except (TimeoutError, OSError):
-        return True
+        return _NO_ANSWER
     writer.close()
-    return False
+    return _OPEN
 
 
-async def report_death(
-    entry: core.Entry, row: upstreams.Row, request: requests.ModelRequest
-) -> str:
+def _is_replaced(entry: core.Entry, row: upstreams.Row) -> bool:
+    return entry.upstreams.rows.get(row.said["id"]) is not row
+
+
+async def report_death(entry: core.Entry, row: upstreams.Row) -> str:
     """Reports an unannounced death once, for all that ran there.
 
     Returns:
@@ -40,21 +86,22 @@
     """
     report = entry.reported.get(row.key)
     if report is None:
-        report = asyncio.ensure_future(_report(entry, row, request))
+        report = asyncio.ensure_future(_report(entry, row))
         entry.reported[row.key] = report
     return await asyncio.shield(report)
 
 
-async def _report(
-    entry: core.Entry, row: upstreams.Row, request: requests.ModelRequest
-) -> str:
-    running = {request.fingerprint}
+async def _report(entry: core.Entry, row: upstreams.Row) -> str:
+    # Attempts that broke off before this report was made count as well: the
+    # guilty one need not be the first whose connection was seen to end.
+    running = set(row.broken)
     for request_id in row.active:
         other = entry.requests.get(request_id)
         if other is not None:
             running.add(other.fingerprint)
     entry.suspects |= running
-    entry.upstreams.remove(row.said["id"])
+    if entry.upstreams.rows.get(row.said["id"]) is row:
+        entry.upstreams.remove(row.said["id"])
     events.warn(events.Event.UPSTREAM_GONE, row.said["id"], "died")
     outcome = await entry.control.submit(
         commands.ReportDeath(
@@ -81,55 +128,117 @@
 ) -> upstreams.Row | answer.Problem | None:
     """Reserves an upstream for a suspect; None when time runs out."""
     while entry.now() < request.deadline:
-        rows = placing.candidates(
-            entry, request.upstream, request.route, request.request_id
-        )
-        rows.sort(key=lambda row: (row.key in avoid, len(row.active), row.load))
-        for row in rows:
+        rows = _free_for_isolation(entry, request)
+        rows.sort(key=lambda row: (row.key in avoid, row.load))
+        if rows:
+            row = rows[0]
             outcome = await _isolate(entry, row, request)
-            if isinstance(outcome, outcomes.Granted):
-                row.isolated = request.fingerprint
-                placing.reserve(row, request)
-                return row
             if isinstance(outcome, outcomes.Convicted):
                 return convicted_problem(request, outcome.until_ms)
+            if isinstance(outcome, outcomes.Granted):
+                if await _becomes_alone(entry, row, request):
+                    placing.reserve(row, request)
+                    return row
+                await release(entry, request, cleared=False)
         await asyncio.sleep(PAUSE_S)
     return None
 
 
+def _free_for_isolation(
+    entry: core.Entry, request: requests.ModelRequest
+) -> list[upstreams.Row]:
+    """Returns upstreams that may be reserved, a part of all at most."""
+    rows = placing.candidates(
+        entry, request.upstream, request.route, request.request_id
+    )
+    named = entry.upstreams.named(request.upstream)
+    taken = sum(bool(row.isolated) for row in named)
+    most = max(1, int(len(named) * MAX_ISOLATED))
+    return rows if taken < most else []
+
+
+async def _becomes_alone(
+    entry: core.Entry, row: upstreams.Row, request: requests.ModelRequest
+) -> bool:
+    """Waits until no entry runs anything else on a reserved upstream.
+
+    Only then does a second death there prove anything.
+    """
+    deadline = entry.now() + ALONE_LIMIT_S
+    try:
+        while entry.now() < deadline:
+            found = await entry.control.read(
+                "alone", row.said["id"], timeout_s=REPORT_TIMEOUT_S
+            )
+            if _is_replaced(entry, row):
+                return False
+            if row.health(entry.now()) is not upstreams.Health.USABLE:
+                return False
+            if isinstance(found, dict) and found["alone"]:
+                return True
+            await asyncio.sleep(PAUSE_S)
+    except asyncio.CancelledError:
+        release_later(entry, request)
+        raise
+    return False
+
+
+def follow_isolations(entry: core.Entry) -> None:
+    """Clears reserved upstreams of this entry's other requests."""
+    isolations = entry.view.get("quarantine", {}).get("isolations", {})
+    for identity, row in entry.upstreams.rows.items():
+        row.isolated = isolations.get(identity, "")
+        if not row.isolated:
+            continue
+        for request_id in row.active:
+            request = entry.requests.get(request_id)
+            if request and request.fingerprint != row.isolated:
+                request.move.set()
+
+
 async def _isolate(
     entry: core.Entry, row: upstreams.Row, request: requests.ModelRequest
 ) -> object:
-    return await entry.control.submit(
+    request.isolation = row.said["id"]
+    outcome = await entry.control.submit(
         commands.Isolate(request.fingerprint, row.said["id"], entry.name),
         timeout_s=REPORT_TIMEOUT_S,
     )
+    if isinstance(outcome, outcomes.Granted):
+        row.isolated = request.fingerprint
+    elif isinstance(outcome, control_client.Unreachable):
+        await release(entry, request, cleared=False)
+    else:
+        request.isolation = ""
+    return outcome
 
 
 async def release(
-    entry: core.Entry,
-    row: upstreams.Row,
-    request: requests.ModelRequest,
-    *,
-    cleared: bool,
+    entry: core.Entry, request: requests.ModelRequest, *, cleared: bool
 ) -> None:
-    """Ends the isolation of a suspect that did not bring its upstream down."""
-    row.isolated = ""
+    """Ends the isolation of a request, if it has one.
+
+    After a death the report has ended it already; saying so again is no
+    harm, while one that stays would keep the upstream from everybody.
+    """
+    identity, request.isolation = request.isolation, ""
+    if not identity:
+        return
+    row = entry.upstreams.rows.get(identity)
+    if row is not None and row.isolated == request.fingerprint:
+        row.isolated = ""
     if cleared:
         entry.suspects.discard(request.fingerprint)
     await entry.control.submit(
-        commands.Release(request.fingerprint, row.said["id"], cleared),
+        commands.Release(request.fingerprint, identity, cleared),
         timeout_s=REPORT_TIMEOUT_S,
     )
 
 
-def release_later(
-    entry: core.Entry, row: upstreams.Row, request: requests.ModelRequest
-) -> None:
+def release_later(entry: core.Entry, request: requests.ModelRequest) -> None:
     """Ends the isolation of a request that was cancelled."""
-    entry.hold(
-        asyncio.ensure_future(release(entry, row, request, cleared=False))
-    )
+    task = asyncio.ensure_future(release(entry, request, cleared=False))
+    entry.hold(task)
 
 
 def convicted_problem(
--- a/src/_arbutuswalk/entry/syncing.py
+++ b/src/_arbutuswalk/entry/syncing.py
@@ -9,6 +9,7 @@
 from _arbutuswalk.entry import control_client
 from _arbutuswalk.entry import core
 from _arbutuswalk.entry import placing
+from _arbutuswalk.entry import suspicion
 from _arbutuswalk.entry import transfers
 from _arbutuswalk.routing import evidence
 from _arbutuswalk.routing import upstreams
@@ -86,6 +87,8 @@
         entry.control.relays = [
             row["link_address"] for row in entry.peers.values()
         ]
+    if "quarantine" in parts:
+        suspicion.follow_isolations(entry)
     if "moves" in parts:
         _forget_cuts(entry)
     if "leaving" in parts:
@@ -132,6 +135,11 @@
         "upstreams": known,
         "evidence": entry.evidence.report(),
         "cut": ["|".join(side) for side in entry.evidence.cut],
+        "active": {
+            row.said["id"]: len(row.active)
+            for row in entry.upstreams.rows.values()
+            if row.active
+        },
         "usage": entry.usage,
         "waiting": {name: len(q) for name, q in entry.queues.items() if q},
     }
--- a/src/_arbutuswalk/routing/evidence.py
+++ b/src/_arbutuswalk/routing/evidence.py
@@ -8,6 +8,8 @@
 BASELINE_KEPT = 200
 CUT_ERRORS = 3
 CUT_WINDOW = 10
+CUT_FACTOR = 2.0
+"""How many times the old version's recent rate of errors is too much."""
 
 
 class Side(NamedTuple):
@@ -83,12 +85,23 @@
                 side, collections.deque(maxlen=BASELINE_KEPT)
             )
             kept.append(latency_s)
-        if on_trial and sum(counts.recent) >= CUT_ERRORS:
+        if on_trial and self._should_cut(counts, baseline):
             fresh = side not in self.cut
             self.cut.add(side)
             return fresh
         return False
 
+    def _should_cut(self, counts: Counts, baseline: Side | None) -> bool:
+        """Tells whether recent errors are too many, and not shared."""
+        errors = sum(counts.recent)
+        if errors < CUT_ERRORS:
+            return False
+        old = self.counts.get(baseline)
+        if old is None or not old.recent:
+            return True
+        own_rate = errors / len(counts.recent)
+        return own_rate > CUT_FACTOR * sum(old.recent) / len(old.recent)
+
     def _is_slow(self, baseline: Side, latency_s: float) -> bool:
         known = self.latencies.get(baseline, ())
         if len(known) < MIN_BASELINE:
--- a/src/_arbutuswalk/routing/upstreams.py
+++ b/src/_arbutuswalk/routing/upstreams.py
@@ -30,6 +30,10 @@
         sent: Attempts sent since the load report it carries.
         ended: Attempts ended since that report.
         active: Ids of this entry's attempts that run there now.
+        broken: Fingerprints of attempts that broke off there, while it is
+            not known whether the upstream died.
+        spared: When a broken attempt's upstream was found alive, in seconds,
+            by fingerprint.
         isolated: Fingerprint it is reserved for, or empty.
         index: Prefixes its cache probably holds.
         price: Micro-units an hour, zero if unknown.
@@ -42,7 +46,9 @@
         self.leaves_at = float("inf")
         self.sent = 0
         self.ended = 0
-        self.active: set[str] = set()
+        self.active: dict[str, None] = {}
+        self.broken: set[str] = set()
+        self.spared: dict[str, float] = {}
         self.isolated = ""
         self.index = prefixes.PrefixIndex(capacity_tokens=said["cache_tokens"])
         self.price = 0
--- a/src/_arbutuswalk/state/quarantine.py
+++ b/src/_arbutuswalk/state/quarantine.py
@@ -21,15 +21,20 @@
         return outcomes.Convicted(
             fingerprint=command.fingerprint, until_ms=until_ms
         )
-    wanted = rows.IsolationRow(command.fingerprint, command.entry)
-    for upstream, row in tables.isolations.items():
-        same_upstream = upstream == command.upstream
-        same_request = row.fingerprint == command.fingerprint
-        if (same_upstream or same_request) and (
-            not same_upstream or row != wanted
+    held = tables.isolations.get(command.upstream)
+    if held is not None:
+        if (held.fingerprint, held.entry) == (
+            command.fingerprint,
+            command.entry,
         ):
+            return outcomes.Granted()
+        return outcomes.Occupied(fingerprint=held.fingerprint)
+    for row in tables.isolations.values():
+        if row.fingerprint == command.fingerprint:
             return outcomes.Occupied(fingerprint=row.fingerprint)
-    tables.isolations[command.upstream] = wanted
+    tables.isolations[command.upstream] = rows.IsolationRow(
+        command.fingerprint, command.entry, tables.applied
+    )
     return outcomes.Granted()
 
 
@@ -57,21 +62,29 @@
 ) -> outcomes.Outcome:
     """Convicts the isolated suspect, or makes all that ran there suspect.
 
-    Several entries report the same death, each with the requests it had
-    there. Only the report that names the isolated suspect as still running
-    convicts it; what other entries had there waits for that report, whichever
-    comes first.
+    A suspect is convicted only if it ran alone: the report of the entry that
+    isolated it names nothing else, and no other entry reported anything
+    before. Otherwise all that ran there are suspects, also those that other
+    entries reported while the isolated one's part was not known.
     """
     death = f"{command.upstream}/{command.incarnation}"
     row = tables.deaths.get(death, rows.DeathRow(tables.time_ms, "", []))
     isolation = tables.isolations.get(command.upstream)
-    if isolation and isolation.fingerprint in command.fingerprints:
+    alone = isolation and command.fingerprints == [isolation.fingerprint]
+    if alone and not row.waiting:
         del tables.isolations[command.upstream]
         row = _convict(tables, row, isolation.fingerprint)
+    elif isolation and isolation.fingerprint in command.fingerprints:
+        del tables.isolations[command.upstream]
+        _suspect(tables, [*command.fingerprints, *row.waiting])
+        row = row._replace(waiting=[])
     elif isolation:
         row = row._replace(waiting=[*row.waiting, *command.fingerprints])
-    elif not row.blamed:
+    elif command.fingerprints != [row.blamed]:
+        # Where a suspect ran alone, nothing else can have: these ran on a
+        # newer incarnation that the reporting entry had not heard of yet.
         _suspect(tables, command.fingerprints)
+        row = row._replace(blamed="")
     tables.deaths[death] = row
     if row.blamed:
         until_ms = tables.convicted.get(row.blamed, tables.time_ms)
--- a/src/_arbutuswalk/state/tables.py
+++ b/src/_arbutuswalk/state/tables.py
@@ -64,10 +64,17 @@
 
 
 class IsolationRow(NamedTuple):
-    """An upstream reserved for one suspect, by the entry that runs it."""
+    """An upstream reserved for one suspect.
+
+    Attributes:
+        fingerprint: The suspect.
+        entry: Entry that runs it.
+        index: Log index of the reservation.
+    """
 
     fingerprint: str
     entry: str
+    index: int
 
 
 class DeathRow(NamedTuple):
--- a/src/_arbutuswalk/state/view.py
+++ b/src/_arbutuswalk/state/view.py
@@ -23,6 +23,7 @@
     commands.RegisterEntry: (ENTRIES,),
     commands.SetEntryState: (ENTRIES,),
     commands.ReportDeath: (QUARANTINE,),
+    commands.Isolate: (QUARANTINE,),
     commands.Release: (QUARANTINE,),
     commands.MarkInstance: (LEAVING,),
 }
@@ -76,6 +77,10 @@
     return {
         "suspects": list(tables.suspects),
         "convicted": dict(tables.convicted),
+        "isolations": {
+            upstream: row.fingerprint
+            for upstream, row in tables.isolations.items()
+        },
     }
 
 
--- a/testing/agreement_machine.py
+++ b/testing/agreement_machine.py
@@ -67,6 +67,32 @@
             self.cut_one_way(i, j)
             self.cut_one_way(j, i)
 
+    @stateful.rule(restarted=st.integers(0, 2))
+    def cut_off_the_leader_and_restart_another(self, restarted):
+        """While the old leader's lease runs, no other may decide."""
+        leader = self.cluster.leader()
+        if leader is None:
+            return
+        nodes = list(self.cluster.nodes.values())
+        self.isolate(nodes.index(leader))
+        others = [node for node in nodes if node is not leader and node.up]
+        for other in others[:restarted]:
+            other.crash()
+            other.start()
+        self.cluster.run(0.8)
+
+    @stateful.rule(seconds=st.sampled_from([0.5, 0.8, 1.2, 2.0]))
+    def freeze_the_leader(self, seconds):
+        """Answers that waited for a frozen leader renew no lease."""
+        leader = self.cluster.leader()
+        if leader is None:
+            return
+        leader.paused = True
+        self.cluster.run(seconds)
+        self.isolate(list(self.cluster.nodes.values()).index(leader))
+        leader.paused = False
+        self.cluster.run(0.3)
+
     @stateful.rule()
     def heal(self):
         self.cluster.cut.clear()
@@ -95,13 +121,11 @@
 
     @stateful.rule(i=NODES)
     def lose_disk(self, i):
-        """Loses one disk of a whole group, and a second right after."""
-        assert self.cluster.settle() is not None, "no leader after healing"
-        self.cluster.run(2)
+        """Loses one disk of a whole group, and a second after the repair."""
+        assert self.cluster.repair(), "the group is not whole again"
         self.node(i).lose_disk()
         self.node(i).start()
-        assert self.cluster.settle() is not None, "no leader after repair"
-        self.cluster.run(2)
+        assert self.cluster.repair(), "a lost disk was not made good"
         self.node((i + 1) % 3).lose_disk()
         self.node((i + 1) % 3).start()
 
--- a/testing/conftest.py
+++ b/testing/conftest.py
@@ -11,6 +11,7 @@
     database=None,
     max_examples=60,
     stateful_step_count=60,
+    phases=[hypothesis.Phase.explicit, hypothesis.Phase.generate],
     suppress_health_check=list(hypothesis.HealthCheck),
     print_blob=True,
 )
--- a/testing/fakes.py
+++ b/testing/fakes.py
@@ -51,7 +51,6 @@
     def sync(self, name):
         if not self.skip_sync:
             self.durable[name] = self.files[name]
-        return None
 
     def truncate(self, name, size):
         self.files[name] = self.files[name][:size]
@@ -70,7 +69,6 @@
     def sync_folder(self):
         if not self.skip_sync:
             self.synced_names = set(self.files)
-        return None
 
     def crash(self, rng):
         """Loses what was not synced, but for a random part of the tail."""
@@ -208,9 +206,12 @@
                 del self.waiting[node.address, applied.index]
                 self.acked[waiting[1]] = (applied.index, applied.outcome)
             made = core.due_snapshot()
-            if made is not None:
-                assert core.wal.save_snapshot(made) is None
-                core.keep_snapshot(made)
+            if made is None:
+                continue
+            if core.wal.save_snapshot(made) is not None:
+                node.crash()
+                return
+            core.keep_snapshot(made)
 
     def _check_applied(self, node, applied):
         """No two members ever apply different entries at one index."""
@@ -271,6 +272,18 @@
                 return leader
         return None
 
+    def repair(self, seconds=30.0):
+        """Waits until the group has three voters, each with its disk."""
+        for _ in range(int(seconds / 0.5)):
+            leader = self.settle()
+            assert leader is not None, "no leader after healing"
+            self.run(0.5)
+            members = leader.core.replica.log.members
+            present = {n.core.replica.member for n in self.nodes.values()}
+            if len(members.voters) == 3 and present.issuperset(members.voters):
+                return True
+        return False
+
     def propose(self, command, tag, node=None):
         """Proposes a command at a node that leads; returns whether it did."""
         for each in [node] if node else list(self.nodes.values()):
--- /dev/null
+++ b/testing/stream_machine.py
@@ -0,0 +1,315 @@
+"""Stateful fuzzing of model requests over dying, silent, leaving runners."""
+
+import asyncio
+import json
+import random
+
+import hypothesis.strategies as st
+import virtual
+import worlds
+from hypothesis import stateful
+
+from _arbutuswalk.entry import announcing
+from _arbutuswalk.entry import models
+from _arbutuswalk.entry import requests
+from _arbutuswalk.entry import suspicion
+from _arbutuswalk.entry import transfers
+from _arbutuswalk.load import checks
+from _arbutuswalk.load import workload
+from _arbutuswalk.routing import upstreams
+from _arbutuswalk.standin import engine
+from _arbutuswalk.state import view
+from _arbutuswalk.streams import answer
+from _arbutuswalk.streams import attempts
+
+TOKEN_S = 0.05
+MAX_TOKENS = 12
+RUNNERS = 5
+MODES = ["good", "good", "good", "broke", "silent", "cross", "error", "down"]
+POISON = "poison"
+
+
+class Runner:
+    """A runner that announces itself and generates checkable tokens."""
+
+    def __init__(self, identity, incarnation):
+        self.identity = identity
+        self.incarnation = incarnation
+        self.alive = True
+        self.leaving = False
+        self.sequence = 0
+        self.running = 0
+
+    def said(self):
+        self.sequence += 1
+        return worlds.said(
+            self.identity,
+            "model",
+            incarnation=self.incarnation,
+            sequence=self.sequence,
+            address=f"127.0.0.1:{9000 + int(self.identity[1:])}",
+            instance=f"{self.identity}-{self.incarnation}",
+            leaving=self.leaving,
+            leave_in_s=2.0 if self.leaving else 0.0,
+        )
+
+
+class Fleet:
+    """The runners, and what their connections do."""
+
+    def __init__(self, loop, rng):
+        self.loop = loop
+        self.rng = rng
+        self.modes = ["good"]
+        self.runners = {}
+        self.incarnation = 0
+        self.killed_by = {}
+        for i in range(RUNNERS):
+            self.start(f"u{i}")
+
+    def start(self, identity):
+        self.incarnation += 1
+        self.runners[identity] = Runner(identity, self.incarnation)
+
+    def at(self, address):
+        return self.runners[f"u{int(address.rpartition(':')[2]) - 9000}"]
+
+    def die(self, runner, reference=None):
+        if runner.alive:
+            runner.alive = False
+            # One that is leaving is lost already, whatever ends it.
+            if reference and not runner.leaving:
+                seen = self.killed_by.get(reference, 0)
+                self.killed_by[reference] = seen + 1
+
+    async def run(self, session, order, deadlines, feed):
+        runner = self.at(order.address)
+        mode = self.rng.choice(self.modes)
+        await asyncio.sleep(0.002)
+        if not runner.alive or mode == "down":
+            return attempts.NotConnected(reason="refused")
+        if mode == "cross":
+            return attempts.Crossed(got="another")
+        if mode == "error":
+            return attempts.Declined(status=500, detail="fault")
+        return await self._generate(runner, order, deadlines, feed, mode)
+
+    async def _generate(self, runner, order, deadlines, feed, mode):
+        prompt = requests.prompt_of(order.body)
+        reference = engine.reference_of(prompt)
+        nonce, place = engine.start_of(order.body.get("continue_from"))
+        stop = self.rng.randint(place, MAX_TOKENS)
+        while place < order.body["max_tokens"]:
+            await asyncio.sleep(TOKEN_S)
+            if POISON in prompt and place >= 3:
+                self.die(runner, reference)
+            if not runner.alive:
+                return attempts.Broke(reason="reset")
+            if place == stop and mode == "broke":
+                return attempts.Broke(reason="cut")
+            if place == stop and mode == "silent":
+                await asyncio.sleep(deadlines.gap_s)
+                return attempts.Silent(after_s=deadlines.gap_s)
+            word = engine.token(reference, nonce, place)
+            choice = {"index": 0, "text": word}
+            body = json.dumps({"choices": [choice]}).encode()
+            feed([b"data: " + body])
+            place += 1
+        feed([b"data: [DONE]"])
+        return attempts.Completed(cached_tokens=0)
+
+
+class StreamMachine(stateful.RuleBasedStateMachine):
+    """Two entries, five runners, callers that resend crashing requests."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop = virtual.VirtualLoop()
+        self.saved = (attempts.run, suspicion._probe, transfers.export_cache)
+        self.sent = []
+        self.poisoned = []
+        self.number = 0
+
+    @stateful.initialize(seed=st.integers(0, 2**16))
+    def begin(self, seed):
+        self.rng = random.Random(seed)
+        self.control = worlds.Control(self.loop, self.rng)
+        self.fleet = Fleet(self.loop, self.rng)
+        self.entries = [
+            worlds.make_entry(self.loop, self.control, name)
+            for name in ("a", "b")
+        ]
+        attempts.run = self.fleet.run
+        suspicion._probe = self._probe
+        transfers.export_cache = self._no_export
+        for entry in self.entries:
+            entry.start_request = lambda request, entry=entry: (
+                models.start_task(entry, request)
+            )
+        self.background = self.loop.create_task(self._upkeep())
+
+    async def _probe(self, address):
+        await asyncio.sleep(0.001)
+        return "open" if self.fleet.at(address).alive else "refused"
+
+    async def _no_export(self, entry, row, request):
+        await asyncio.sleep(0.01)
+
+    async def _upkeep(self):
+        """Heartbeats, views and expiry, as processes run them."""
+        while True:
+            for entry in self.entries:
+                entry.view = json.loads(
+                    json.dumps(view.parts_since(self.control.tables, -1))
+                )
+                suspicion.follow_isolations(entry)
+                self._report_active(entry)
+                for runner in self.fleet.runners.values():
+                    if runner.alive:
+                        self._announce(entry, runner)
+                upstreams.expire(entry.upstreams, self.loop.time())
+            await asyncio.sleep(0.3)
+
+    def _report_active(self, entry):
+        """What the entry's next request for a stamp tells the leader."""
+        self.control.seen[entry.name] = (
+            self.control.index,
+            {
+                row.said["id"]
+                for row in entry.upstreams.rows.values()
+                if row.active
+            },
+        )
+
+    def _announce(self, entry, runner):
+        announcing.take(entry, runner.said(), age_s=0.0)
+
+    def _pass(self, seconds):
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+    def _send(self, entry, reference, text):
+        self.number += 1
+        body = {
+            "model": "model",
+            "prompt": f"{text} ref:{reference}",
+            "max_tokens": MAX_TOKENS,
+            "stream": True,
+        }
+        raw = json.dumps(body).encode()
+        request = requests.ModelRequest(
+            request_id=f"{entry.name}~{self.number}",
+            workspace="w",
+            weight=1,
+            key="",
+            route="completions",
+            raw=raw,
+            body=body,
+            deadline=self.loop.time() + 120,
+            priority=5,
+            now=self.loop.time(),
+        )
+
+        async def start():
+            models.start(entry, request)
+
+        self.loop.run_until_complete(start())
+        return request
+
+    @stateful.rule(i=st.integers(0, 1), count=st.integers(1, 4))
+    def send(self, i, count):
+        for _ in range(count):
+            reference = f"r{self.number}"
+            request = self._send(self.entries[i], reference, "hello")
+            self.sent.append((reference, request))
+
+    @stateful.precondition(lambda self: len(self.poisoned) < 2)
+    @stateful.rule(i=st.integers(0, 1))
+    def send_crashing(self, i):
+        reference = f"p{len(self.poisoned)}"
+        request = self._send(self.entries[i], reference, POISON)
+        self.poisoned.append((reference, [request]))
+
+    @stateful.precondition(lambda self: self.poisoned)
+    @stateful.rule(i=st.integers(0, 1))
+    def resend_crashing(self, i):
+        """The caller sends it again once it was told that it failed."""
+        reference, tries = self.poisoned[-1]
+        if tries[-1].answer.ended and not self._is_convicted(tries[-1], i):
+            request = self._send(self.entries[i], reference, POISON)
+            tries.append(request)
+
+    def _is_convicted(self, request, i):
+        return self.entries[i].convicted_until_ms(request.fingerprint) > 0
+
+    @stateful.rule(
+        modes=st.lists(st.sampled_from(MODES), min_size=3, max_size=6)
+    )
+    def change_faults(self, modes):
+        self.fleet.modes = modes
+
+    @stateful.rule(seconds=st.sampled_from([0.05, 0.3, 1.0, 4.0]))
+    def time_passes(self, seconds):
+        self._pass(seconds)
+
+    @stateful.rule(i=st.integers(0, RUNNERS - 1))
+    def reclaim_with_notice(self, i):
+        runner = self.fleet.runners[f"u{i}"]
+        if runner.alive and not runner.leaving:
+            runner.leaving = True
+            for entry in self.entries:
+                self.loop.run_until_complete(self._tell(entry, runner))
+            self.loop.call_later(2.0, self.fleet.die, runner)
+
+    async def _tell(self, entry, runner):
+        self._announce(entry, runner)
+
+    @stateful.rule()
+    def reclaim_a_domain(self):
+        """A wave: three of five on two seconds of notice."""
+        for i in range(3):
+            self.reclaim_with_notice(i)
+
+    @stateful.rule(i=st.integers(0, RUNNERS - 1))
+    def replace(self, i):
+        if not self.fleet.runners[f"u{i}"].alive:
+            self.fleet.start(f"u{i}")
+
+    @stateful.invariant()
+    def crashing_requests_take_two_runners_at_most(self):
+        if hasattr(self, "fleet"):
+            for reference, count in self.fleet.killed_by.items():
+                assert count <= 2, (reference, count)
+
+    def teardown(self):
+        try:
+            if hasattr(self, "fleet"):
+                self.fleet.modes = ["good"]
+                self._pass(3)  # whatever is leaving goes
+                for i in range(RUNNERS):
+                    self.replace(i)
+                self._pass(100)
+                self._check()
+        finally:
+            attempts.run, suspicion._probe, transfers.export_cache = self.saved
+            for task in asyncio.all_tasks(self.loop):
+                task.cancel()
+            self.loop.run_until_complete(asyncio.sleep(0))
+            self.loop.close()
+
+    def _check(self):
+        self.crashing_requests_take_two_runners_at_most()
+        for reference, request in self.sent:
+            result = request.answer
+            assert result.ended, f"{reference} hangs: {request.history}"
+            if result.problem is not None:
+                self._check_problem(reference, request)
+                continue
+            item = workload.Item(
+                **dict.fromkeys(workload.Item._fields, "")
+            )._replace(ref=reference, max_tokens=MAX_TOKENS)
+            assert checks.check_text(item, result.text()) == ""
+
+    def _check_problem(self, reference, request):
+        """An innocent request fails only by its version's own errors."""
+        problem: answer.Problem = request.answer.problem
+        assert problem.title == "upstream error", (problem, request.history)
--- a/testing/worlds.py
+++ b/testing/worlds.py
@@ -14,6 +14,7 @@
 from _arbutuswalk.state import outcomes
 from _arbutuswalk.state import tables as rows
 from _arbutuswalk.state import view
+from _arbutuswalk.wire import link
 
 VALUES = {
     "address": "127.0.0.1:1",
@@ -91,6 +92,15 @@
         self.tables = rows.Tables()
         self.index = 0
         self.modes = ["ok"]
+        self.seen = {}
+
+    def is_alone(self, upstream):
+        """What the leader concludes from the entries' reports."""
+        isolation = self.tables.isolations.get(upstream)
+        return isolation is not None and all(
+            version >= isolation.index and upstream not in active
+            for version, active in self.seen.values()
+        )
 
     def commit(self, command):
         self.index += 1
@@ -129,6 +139,9 @@
         return control_client.Unreachable(reason=mode)
 
     async def read(self, query, argument="", *, timeout_s):
+        if query == "alone":
+            await asyncio.sleep(0.002)
+            return {"alone": self.control.is_alone(argument)}
         assert query == "call"
         await asyncio.sleep(0.002)
         if self.control.rng.choice(self.control.modes) == "lost":
@@ -139,6 +152,16 @@
         return outcomes.to_json(found)
 
 
+class DeafLink:
+    """A link to another entry that never opens."""
+
+    async def call(self, message, *, timeout_s):
+        return link.LinkDown(reason="deaf", sent=False)
+
+    def post(self, message):
+        return False
+
+
 def make_entry(loop, control, name, incarnation=1):
     """Returns an entry that is registered, leased and configured."""
     entry = core.Entry(
@@ -150,6 +173,7 @@
         wall=loop.time,
     )
     entry.control = control.client()
+    entry.link_to = lambda address: DeafLink()
     control.commit(
         commands.RegisterEntry(
             name, incarnation, "127.0.0.1:1", "127.0.0.1:2", "d1", 1, "local"
