--- a/src/_arbutuswalk/control/leases.py
+++ b/src/_arbutuswalk/control/leases.py
@@ -93,7 +93,7 @@
             grant = self.find(entry, row.incarnation)
             if grant.view_version < isolation.index:
                 return False
-            if grant.report.get("active", {}).get(upstream, 0):
+            if upstream in grant.report.get("active", ()):
                 return False
         return True
 
--- a/src/_arbutuswalk/entry/models.py
+++ b/src/_arbutuswalk/entry/models.py
@@ -12,6 +12,7 @@
 from _arbutuswalk.entry import requests
 from _arbutuswalk.entry import running
 from _arbutuswalk.entry import suspicion
+from _arbutuswalk.limits import fair
 from _arbutuswalk.state import inventory as inventories
 from _arbutuswalk.streams import answer
 from _arbutuswalk.streams import framing
@@ -188,12 +189,15 @@
 
 def start_task(entry: core.Entry, request: requests.ModelRequest) -> None:
     """Runs a request in a task of its own."""
-    request.task = asyncio.ensure_future(_run(entry, request))
+    ticket = placing.enqueue(entry, request)
+    request.task = asyncio.ensure_future(_run(entry, request, ticket))
 
 
-async def _run(entry: core.Entry, request: requests.ModelRequest) -> None:
+async def _run(
+    entry: core.Entry, request: requests.ModelRequest, ticket: fair.Ticket
+) -> None:
     try:
-        await running.run(entry, request)
+        await running.run(entry, request, ticket)
     except Exception as error:  # noqa: BLE001
         # A fault of ours must not leave the caller without an answer.
         events.warn(events.Event.TASK_FAILED, request.request_id, repr(error))
--- a/src/_arbutuswalk/entry/placing.py
+++ b/src/_arbutuswalk/entry/placing.py
@@ -1,6 +1,7 @@
 """Placing requests on upstreams: fair queues and early refusals."""
 
 import asyncio
+from typing import NamedTuple
 
 from _arbutuswalk.entry import core
 from _arbutuswalk.entry import requests
@@ -16,8 +17,8 @@
 SERVICE_S = 0.5
 
 
-class Waiting:
-    """What waits for a place.
+class Waiting(NamedTuple):
+    """A request in a queue.
 
     Attributes:
         request: The request.
@@ -25,16 +26,9 @@
         future: Gets the row, reserved for the request.
     """
 
-    def __init__(
-        self,
-        *,
-        request: requests.ModelRequest,
-        avoid: frozenset[str],
-        future: asyncio.Future,
-    ):
-        self.request = request
-        self.avoid = avoid
-        self.future = future
+    request: requests.ModelRequest
+    avoid: frozenset[str]
+    future: asyncio.Future
 
 
 def candidates(
@@ -88,32 +82,49 @@
     return None
 
 
-async def place(
+def enqueue(
     entry: core.Entry,
     request: requests.ModelRequest,
     *,
     avoid: frozenset[str] = frozenset(),
-) -> upstreams.Row | None:
-    """Waits for an upstream; None when the deadline passes first."""
+) -> fair.Ticket:
+    """Puts a request into its queue and places what can be placed.
+
+    A new request is put there when it is accepted, so that those which come
+    at the same moment see it before them.
+    """
     future = asyncio.get_running_loop().create_future()
-    waiting = Waiting(request=request, avoid=avoid, future=future)
-    ticket = _ticket(request, waiting)
-    queue = entry.queue_of(request.upstream)
-    queue.push(ticket)
+    ticket = _ticket(request, Waiting(request, avoid, future))
+    entry.queue_of(request.upstream).push(ticket)
     pump(entry, request.upstream)
+    return ticket
+
+
+async def place(
+    entry: core.Entry, request: requests.ModelRequest, ticket: fair.Ticket
+) -> upstreams.Row | None:
+    """Waits for an upstream; None when the deadline passes first."""
+    future = ticket.payload.future
     try:
         left_s = request.deadline - entry.now()
         return await asyncio.wait_for(future, max(0.0, left_s))
     except TimeoutError:
         return None
     except asyncio.CancelledError:
-        if future.done() and not future.cancelled():
-            release(entry, future.result(), request)
+        forget(entry, ticket)
         raise
     finally:
         ticket.cancelled = True
 
 
+def forget(entry: core.Entry, ticket: fair.Ticket) -> None:
+    """Takes a request out of its queue, or gives its place back."""
+    ticket.cancelled = True
+    waiting = ticket.payload
+    if waiting.future.done() and not waiting.future.cancelled():
+        release(entry, waiting.future.result(), waiting.request)
+
+
 def pump(entry: core.Entry, name: str) -> None:
     """Places whatever waits for an upstream name, in fair order."""
     entry.queue_of(name).serve(lambda ticket: _place_one(entry, ticket))
--- a/src/_arbutuswalk/entry/running.py
+++ b/src/_arbutuswalk/entry/running.py
@@ -9,6 +9,7 @@
 from _arbutuswalk.entry import requests
 from _arbutuswalk.entry import suspicion
 from _arbutuswalk.entry import transfers
+from _arbutuswalk.limits import fair
 from _arbutuswalk.routing import evidence
 from _arbutuswalk.routing import upstreams
 from _arbutuswalk.routing import versions
@@ -30,20 +31,38 @@
         declined: Attempts that were answered with an error.
         again: Row to try once more on a new connection, or None.
         free_retry: Whether the next attempt is not charged to the budget.
+        ticket: Its place in the queue, before the first attempt.
     """
 
-    def __init__(self, *, entry: core.Entry, request: requests.ModelRequest):
+    def __init__(
+        self,
+        *,
+        entry: core.Entry,
+        request: requests.ModelRequest,
+        ticket: fair.Ticket | None,
+    ):
         self.entry = entry
         self.request = request
         self.avoid: set[str] = set()
         self.declined = 0
         self.again: upstreams.Row | None = None
         self.free_retry = True
+        self.ticket = ticket
 
 
-async def run(entry: core.Entry, request: requests.ModelRequest) -> None:
-    """Runs ``request`` until its answer has ended."""
-    state = Run(entry=entry, request=request)
+async def run(
+    entry: core.Entry,
+    request: requests.ModelRequest,
+    ticket: fair.Ticket | None = None,
+) -> None:
+    """Runs ``request`` until its answer has ended.
+
+    Args:
+        entry: The entry.
+        request: The request.
+        ticket: Its place in the queue, if it has one already.
+    """
+    state = Run(entry=entry, request=request, ticket=ticket)
     entry.budget_of(request.upstream).deposit()
     while not request.answer.ended:
         if not await _may_try(state):
@@ -78,13 +97,18 @@
         return suspicion.convicted_problem(request, until_ms)
     avoid = frozenset(state.avoid)
     again, state.again = state.again, None
+    ticket, state.ticket = state.ticket, None
     if entry.is_suspect(request.fingerprint):
+        if ticket is not None:
+            placing.forget(entry, ticket)
         return await suspicion.place_alone(entry, request, avoid=avoid)
     now = entry.now()
     if again and again.health(now) is upstreams.Health.USABLE:
         placing.reserve(again, request)
         return again
-    return await placing.place(entry, request, avoid=avoid)
+    if ticket is None:
+        ticket = placing.enqueue(entry, request, avoid=avoid)
+    return await placing.place(entry, request, ticket)
 
 
 async def _attempt(state: Run, row: upstreams.Row) -> None:
--- a/src/_arbutuswalk/entry/suspicion.py
+++ b/src/_arbutuswalk/entry/suspicion.py
@@ -183,6 +183,19 @@
     return False
 
 
+def occupied(entry: core.Entry) -> list[str]:
+    """Returns the upstreams on which this entry runs anything.
+
+    An attempt that broke off counts until it is known whether its upstream
+    died: its part in a death is still to be told.
+    """
+    return [
+        identity
+        for identity, row in entry.upstreams.rows.items()
+        if row.active or row.broken
+    ]
+
+
 def follow_isolations(entry: core.Entry) -> None:
     """Clears reserved upstreams of this entry's other requests."""
     isolations = entry.view.get("quarantine", {}).get("isolations", {})
@@ -201,7 +214,12 @@
 ) -> object:
     request.isolation = row.said["id"]
     outcome = await entry.control.submit(
-        commands.Isolate(request.fingerprint, row.said["id"], entry.name),
+        commands.Isolate(
+            request.fingerprint,
+            row.said["id"],
+            row.said["incarnation"],
+            entry.name,
+        ),
         timeout_s=REPORT_TIMEOUT_S,
     )
     if isinstance(outcome, outcomes.Granted):
@@ -210,6 +228,8 @@
         await release(entry, request, cleared=False)
     else:
         request.isolation = ""
+    if isinstance(outcome, outcomes.Stale) and not _is_replaced(entry, row):
+        entry.upstreams.remove(row.said["id"])  # its death is known
     return outcome
 
 
--- a/src/_arbutuswalk/entry/syncing.py
+++ b/src/_arbutuswalk/entry/syncing.py
@@ -135,11 +135,7 @@
         "upstreams": known,
         "evidence": entry.evidence.report(),
         "cut": ["|".join(side) for side in entry.evidence.cut],
-        "active": {
-            row.said["id"]: len(row.active)
-            for row in entry.upstreams.rows.values()
-            if row.active
-        },
+        "active": suspicion.occupied(entry),
         "usage": entry.usage,
         "waiting": {name: len(q) for name, q in entry.queues.items() if q},
     }
--- a/src/_arbutuswalk/state/commands.py
+++ b/src/_arbutuswalk/state/commands.py
@@ -86,6 +86,7 @@
 
     fingerprint: str
     upstream: str
+    incarnation: int
     entry: str
 
 
--- a/src/_arbutuswalk/state/quarantine.py
+++ b/src/_arbutuswalk/state/quarantine.py
@@ -21,6 +21,8 @@
         return outcomes.Convicted(
             fingerprint=command.fingerprint, until_ms=until_ms
         )
+    if f"{command.upstream}/{command.incarnation}" in tables.deaths:
+        return outcomes.Stale(what=f"upstream {command.upstream}")
     held = tables.isolations.get(command.upstream)
     if held is not None:
         if (held.fingerprint, held.entry) == (
@@ -71,7 +73,7 @@
     row = tables.deaths.get(death, rows.DeathRow(tables.time_ms, "", []))
     isolation = tables.isolations.get(command.upstream)
     alone = isolation and command.fingerprints == [isolation.fingerprint]
-    if alone and not row.waiting:
+    if alone and not row.waiting and not row.blamed:
         del tables.isolations[command.upstream]
         row = _convict(tables, row, isolation.fingerprint)
     elif isolation and isolation.fingerprint in command.fingerprints:
--- /dev/null
+++ b/testing/asgi.py
@@ -0,0 +1,62 @@
+"""Calls an ASGI application without a socket."""
+
+import asyncio
+import json
+from typing import NamedTuple
+
+
+class Response(NamedTuple):
+    """A whole response."""
+
+    status: int
+    headers: dict
+    body: bytes
+
+    @property
+    def json(self):
+        return json.loads(self.body)
+
+
+async def call(app, method, path, *, headers=None, body=b"", leave_at=None):
+    """Sends one request; ``leave_at`` disconnects after so many parts."""
+    target, _, query = path.partition("?")
+    scope = {
+        "type": "http",
+        "asgi": {"version": "3.0"},
+        "http_version": "1.1",
+        "method": method,
+        "scheme": "http",
+        "path": target,
+        "raw_path": target.encode(),
+        "query_string": query.encode(),
+        "root_path": "",
+        "headers": [
+            (name.lower().encode(), value.encode("latin-1"))
+            for name, value in (headers or {}).items()
+        ],
+        "client": ("127.0.0.1", 1),
+        "server": ("127.0.0.1", 2),
+    }
+    gone = asyncio.Event()
+    parts = [{"type": "http.request", "body": body, "more_body": False}]
+    sent = []
+
+    async def receive():
+        if parts:
+            return parts.pop(0)
+        await gone.wait()
+        return {"type": "http.disconnect"}
+
+    async def send(message):
+        sent.append(message)
+        if leave_at is not None and len(sent) > leave_at:
+            gone.set()
+
+    await app(scope, receive, send)
+    start = next(m for m in sent if m["type"] == "http.response.start")
+    found = {
+        name.decode().lower(): value.decode()
+        for name, value in start.get("headers", [])
+    }
+    data = b"".join(m.get("body", b"") for m in sent)
+    return Response(start["status"], found, data)
--- a/testing/ledger_machine.py
+++ b/testing/ledger_machine.py
@@ -224,7 +224,4 @@
                 self._check_answers()
         finally:
             exchange.run = self.original
-            for task in asyncio.all_tasks(self.loop):
-                task.cancel()
-            self.loop.run_until_complete(asyncio.sleep(0))
-            self.loop.close()
+            virtual.close(self.loop)
--- a/testing/stream_machine.py
+++ b/testing/stream_machine.py
@@ -174,11 +174,7 @@
         """What the entry's next request for a stamp tells the leader."""
         self.control.seen[entry.name] = (
             self.control.index,
-            {
-                row.said["id"]
-                for row in entry.upstreams.rows.values()
-                if row.active
-            },
+            suspicion.occupied(entry),
         )
 
     def _announce(self, entry, runner):
@@ -291,10 +287,7 @@
                 self._check()
         finally:
             attempts.run, suspicion._probe, transfers.export_cache = self.saved
-            for task in asyncio.all_tasks(self.loop):
-                task.cancel()
-            self.loop.run_until_complete(asyncio.sleep(0))
-            self.loop.close()
+            virtual.close(self.loop)
 
     def _check(self):
         self.crashing_requests_take_two_runners_at_most()
--- /dev/null
+++ b/testing/test_entry.py
@@ -0,0 +1,469 @@
+"""An entry's HTTP edge: bad input, refusals, streams, resumption."""
+
+import asyncio
+import json
+import random
+
+import asgi
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+import stream_machine
+import virtual
+import worlds
+
+from _arbutuswalk.entry import app
+from _arbutuswalk.entry import http
+from _arbutuswalk.entry import links
+from _arbutuswalk.entry import syncing
+from _arbutuswalk.entry import upkeep
+from _arbutuswalk.load import checks
+from _arbutuswalk.load import workload
+from _arbutuswalk.state import commands
+from _arbutuswalk.streams import attempts
+from _arbutuswalk.wire.gen.arbutus import ttypes
+
+AUTH = {"Authorization": "Bearer t"}
+CHAT = "/v1/chat/completions"
+PLAIN = "/v1/completions"
+
+
+class Edge:
+    """One entry with fake runners on virtual time."""
+
+    def __init__(self):
+        self.loop = virtual.VirtualLoop()
+        self.rng = random.Random(5)
+        self.control = worlds.Control(self.loop, self.rng)
+        self.fleet = stream_machine.Fleet(self.loop, self.rng)
+        self.entry = worlds.make_entry(self.loop, self.control, "a")
+        self.app = app.make(self.entry)
+        for runner in self.fleet.runners.values():
+            from_runner = runner.said()
+            self.announce(from_runner)
+
+    def announce(self, said):
+        return self.post("/v1/upstreams/announce", said, headers={})
+
+    def run(self, coroutine):
+        return self.loop.run_until_complete(coroutine)
+
+    def post(self, path, body, headers=AUTH, **options):
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        return self.run(
+            asgi.call(
+                self.app, "POST", path, headers=headers, body=data, **options
+            )
+        )
+
+    def get(self, path, headers=AUTH):
+        return self.run(asgi.call(self.app, "GET", path, headers=headers))
+
+    def close(self):
+        virtual.close(self.loop)
+
+
+@pytest.fixture
+def edge(monkeypatch):
+    made = Edge()
+    monkeypatch.setattr(attempts, "run", made.fleet.run)
+    yield made
+    made.close()
+
+
+def ask(reference="r1", **extra):
+    return {
+        "model": "model",
+        "prompt": f"ref:{reference}",
+        "max_tokens": 6,
+        "stream": True,
+        **extra,
+    }
+
+
+def events_of(response):
+    parts = response.body.split(b"\n\n")
+    assert parts.pop() == b""
+    return [part for part in parts if not part.startswith(b":")]
+
+
+def text_of(events):
+    return checks.text_of_events([e.split(b"\n", 1)[1] for e in events])
+
+
+def check_whole(reference, text, tokens=6):
+    item = workload.Item(**dict.fromkeys(workload.Item._fields, ""))
+    item = item._replace(ref=reference, max_tokens=tokens)
+    assert checks.check_text(item, text) == ""
+
+
+class TestBadInput:
+    @pytest.mark.parametrize(
+        ("body", "status", "title"),
+        [
+            pytest.param(b"{", 400, "malformed JSON", id="not-json"),
+            pytest.param(b"[]", 400, "malformed JSON", id="not-an-object"),
+            pytest.param(b"{}", 400, "missing model", id="no-model"),
+            pytest.param(
+                {"model": "model"}, 400, "missing prompt", id="no-prompt"
+            ),
+            pytest.param(
+                ask(model="moon"), 404, "unknown model", id="unknown-model"
+            ),
+            pytest.param(
+                ask(model="claims"), 404, "unknown model", id="a-service"
+            ),
+            pytest.param(
+                ask(max_tokens=0), 400, "bad max_tokens", id="no-tokens"
+            ),
+            pytest.param(
+                ask(max_tokens="6"), 400, "bad max_tokens", id="text-tokens"
+            ),
+            pytest.param(ask(stream=1), 400, "bad stream", id="stream"),
+            pytest.param(
+                ask(continue_from={}), 400, "unknown key", id="continue"
+            ),
+            pytest.param(b"[" * 100_000, 400, "malformed JSON", id="deep"),
+        ],
+    )
+    def test_body(self, edge, body, status, title):
+        response = edge.post(PLAIN, body)
+        assert response.status == status
+        assert response.headers["content-type"] == http.PROBLEM_TYPE
+        assert response.json["title"] == title
+        assert response.json["ran"] == "no"
+
+    @pytest.mark.parametrize(
+        ("name", "value"),
+        [
+            ("X-Deadline-Ms", "soon"),
+            ("X-Deadline-Ms", "-5"),
+            ("X-Deadline-Ms", "0"),
+            ("X-Deadline-Ms", "\u00b2"),
+            ("X-Priority", "12"),
+            ("X-Priority", ""),
+            ("Idempotency-Key", "k" * 200),
+            ("Idempotency-Key", "a\x07b"),
+            ("Last-Event-ID", "nonsense"),
+        ],
+    )
+    def test_header(self, edge, name, value):
+        response = edge.post(PLAIN, ask(), headers={**AUTH, name: value})
+        assert response.status == 400
+        assert name in response.json["detail"]
+        assert response.json["ran"] == "no"
+
+    @pytest.mark.parametrize(
+        "headers", [{}, {"Authorization": "Bearer x"}, {"Authorization": "t"}]
+    )
+    def test_token(self, edge, headers):
+        assert edge.post(PLAIN, ask(), headers=headers).status == 401
+
+    def test_messages(self, edge):
+        body = {"model": "model", "messages": [{"role": "user"}]}
+        response = edge.post(CHAT, body)
+        assert "messages[0]" in response.json["detail"]
+
+    def test_oversized_body(self, edge):
+        response = edge.post(PLAIN, b"x" * (http.MAX_BODY_BYTES + 1))
+        assert response.status == 413
+
+    def test_unknown_path_and_method(self, edge):
+        assert edge.get("/v2/nothing").status == 404
+        assert edge.get(PLAIN).json["ran"] == "no"
+
+    @pytest.mark.parametrize(
+        "said",
+        [
+            {},
+            [],
+            {"id": "u0"},
+            worlds.said("", "model"),
+            worlds.said("x", "model", address="nowhere"),
+        ],
+    )
+    def test_announcement(self, edge, said):
+        assert edge.announce(said).status == 400
+
+    def test_announcement_with_anothers_identity(self, edge):
+        before = edge.entry.upstreams.rows["u0"].said["address"]
+        said = worlds.said(
+            "u0", "model", address="127.0.0.1:77", incarnation=1, sequence=50
+        )
+        assert edge.announce(said).status == 409
+        assert edge.entry.upstreams.rows["u0"].said["address"] == before
+
+    @hypothesis.given(
+        method=st.sampled_from(["GET", "POST", "PUT", "DELETE", "X"]),
+        path=st.sampled_from(
+            [
+                PLAIN,
+                CHAT,
+                "/v1/services/claims/claims",
+                "/v1/services/claims/lots/1",
+                "/v1/services//",
+                "/v1/entries",
+                "/v1/requests/x",
+                "/v1/upstreams/announce",
+                "/v1/upstreams/events",
+                "/metrics",
+                "/",
+            ]
+        ),
+        headers=st.dictionaries(
+            st.sampled_from(
+                [
+                    "Authorization",
+                    "X-Deadline-Ms",
+                    "X-Priority",
+                    "Idempotency-Key",
+                    "Last-Event-ID",
+                    "Content-Type",
+                ]
+            ),
+            st.text(st.characters(max_codepoint=255), max_size=12)
+            | st.sampled_from(["Bearer t", "50", "a~1:3"]),
+        ),
+        body=st.binary(max_size=40)
+        | st.sampled_from(
+            [json.dumps(ask()).encode(), b'{"id": 1}', b"null", b'"x"']
+        ),
+    )
+    @hypothesis.settings(max_examples=150)
+    def test_anything_gets_a_clear_answer(self, method, path, headers, body):
+        made = Edge()
+        original = attempts.run
+        attempts.run = made.fleet.run
+        try:
+            response = made.run(
+                asgi.call(made.app, method, path, headers=headers, body=body)
+            )
+            assert 200 <= response.status < 600
+            if response.status >= 400:
+                assert response.json["ran"] in ("no", "unknown", "yes")
+            assert made.get("/v1/entries").status == 200
+        finally:
+            attempts.run = original
+            made.close()
+
+
+class TestStreams:
+    def test_events_are_numbered_and_whole(self, edge):
+        response = edge.post(PLAIN, ask())
+        events = events_of(response)
+        ids = [e.split(b"\n")[0].decode() for e in events]
+        request_id = response.headers["x-request-id"]
+        assert ids == [f"id: {request_id}:{i}" for i in range(7)]
+        assert events[-1].endswith(b"data: [DONE]")
+        check_whole("r1", text_of(events))
+
+    def test_whole_answer(self, edge):
+        response = edge.post(PLAIN, ask(stream=False))
+        check_whole("r1", response.json["choices"][0]["text"])
+
+    def test_chat(self, edge):
+        body = ask(stream=False)
+        prompt = body.pop("prompt")
+        body["messages"] = [{"role": "user", "content": prompt}]
+        response = edge.post(CHAT, body)
+        assert response.json["object"] == "chat.completion"
+
+    def test_resend_with_the_key_gets_the_same_answer(self, edge):
+        headers = {**AUTH, "Idempotency-Key": "k"}
+        first = edge.post(PLAIN, ask(), headers=headers)
+        second = edge.post(PLAIN, ask(), headers=headers)
+        assert second.body == first.body
+        assert len(edge.entry.requests) == 1
+
+    def test_key_with_another_body_is_refused(self, edge):
+        headers = {**AUTH, "Idempotency-Key": "k"}
+        edge.post(PLAIN, ask(), headers=headers)
+        response = edge.post(PLAIN, ask("r2"), headers=headers)
+        assert (response.status, response.json["ran"]) == (409, "no")
+
+    def test_key_of_another_workspace_is_another_key(self, edge):
+        headers = {**AUTH, "Idempotency-Key": "k"}
+        edge.post(PLAIN, ask(), headers=headers)
+        other = {"Authorization": "Bearer b", "Idempotency-Key": "k"}
+        response = edge.post(PLAIN, ask("r2"), headers=other)
+        check_whole("r2", text_of(events_of(response)))
+
+    def test_resumption_goes_on_after_the_last_event(self, edge):
+        first = edge.post(PLAIN, ask(), leave_at=3)
+        seen = events_of(first)
+        assert 0 < len(seen) < 7
+        last = seen[-1].split(b"\n")[0].removeprefix(b"id: ").decode()
+        headers = {**AUTH, "Last-Event-ID": last}
+        rest = events_of(edge.post(PLAIN, ask(), headers=headers))
+        check_whole("r1", text_of(seen + rest))
+
+    def test_lost_generation_is_reset_and_never_spliced(self, edge):
+        headers = {**AUTH, "Last-Event-ID": "b~gone:4"}
+        response = edge.post(PLAIN, ask(), headers=headers)
+        events = events_of(response)
+        assert events[0].startswith(b"event: reset")
+        check_whole("r1", text_of(events[1:]))
+
+    def test_vanished_caller_cancels_the_work(self, edge):
+        edge.post(PLAIN, ask(max_tokens=2000), leave_at=2)
+        (request,) = edge.entry.requests.values()
+        task = asyncio.ensure_future(upkeep.run(edge.entry), loop=edge.loop)
+        edge.run(asyncio.sleep(8))
+        assert request.answer.ended
+        assert request.task.done()
+        task.cancel()
+
+    def test_no_upstream_is_a_true_refusal_with_a_time(self, edge):
+        for identity in list(edge.entry.upstreams.rows):
+            edge.entry.upstreams.remove(identity)
+        response = edge.post(PLAIN, ask())
+        assert response.status == 503
+        assert response.json["ran"] == "no"
+        assert "retry-after" in response.headers
+
+    def test_deadline_that_cannot_be_met_is_refused_at_once(self, edge):
+        async def flood():
+            calls = [
+                asgi.call(
+                    edge.app,
+                    "POST",
+                    PLAIN,
+                    headers={**AUTH, "X-Deadline-Ms": "4000"},
+                    body=json.dumps(ask(f"x{i}", max_tokens=400)).encode(),
+                )
+                for i in range(60)
+            ]
+            started = edge.loop.time()
+            tasks = [asyncio.ensure_future(call) for call in calls]
+            await asyncio.sleep(0.5)
+            refused = [t.result() for t in tasks if t.done()]
+            for task in tasks:
+                task.cancel()
+            assert edge.loop.time() - started < 1
+            return refused
+
+        refused = edge.run(flood())
+        assert refused
+        assert {r.status for r in refused} == {429}
+        assert {r.json["ran"] for r in refused} == {"no"}
+
+
+class TestLease:
+    def test_without_a_lease_new_work_is_refused_and_others_named(self, edge):
+        edge.entry.lease_until = edge.loop.time() - 1
+        edge.entry.view["entries"]["b"] = {"address": "127.0.0.1:55"}
+        response = edge.post(PLAIN, ask())
+        assert (response.status, response.json["ran"]) == (503, "no")
+        assert "127.0.0.1:55" in response.json["detail"]
+
+    def test_running_work_goes_on_without_a_lease(self, edge):
+        async def lose_lease():
+            call = asyncio.ensure_future(
+                asgi.call(
+                    edge.app,
+                    "POST",
+                    PLAIN,
+                    headers=AUTH,
+                    body=json.dumps(ask()).encode(),
+                )
+            )
+            await asyncio.sleep(0.1)
+            edge.entry.lease_until = float("-inf")
+            return await call
+
+        response = edge.run(lose_lease())
+        check_whole("r1", text_of(events_of(response)))
+
+    def test_lease_counts_from_before_the_asking(self, edge):
+        async def slow(message, *, timeout_s):
+            await asyncio.sleep(2.0)
+            return ttypes.SyncReply(
+                status=ttypes.Status.OK,
+                lease_ms=3000,
+                view_version=99,
+                view=b"{}",
+            )
+
+        edge.entry.control.call = slow
+        asked_at = edge.loop.time()
+        edge.run(syncing._sync(edge.entry))
+        assert edge.entry.lease_until == asked_at + 3.0
+
+    def test_view_never_goes_back(self, edge):
+        async def stale(message, *, timeout_s):
+            old = {"configuration": {"revision": 0, "inventory": None}}
+            return ttypes.SyncReply(
+                status=ttypes.Status.OK,
+                lease_ms=3000,
+                view_version=1,
+                view=json.dumps(old).encode(),
+            )
+
+        edge.entry.view_version = 50
+        edge.entry.lease_until = -1.0
+        edge.entry.control.call = stale
+        edge.run(syncing._sync(edge.entry))
+        assert edge.entry.revision == 1
+        assert not edge.entry.admits
+
+
+class TestEntries:
+    def test_draining_entry_leaves_the_list(self, edge):
+        assert len(edge.get("/v1/entries").json["entries"]) == 1
+        edge.control.commit(
+            commands.SetEntryState("a", edge.entry.incarnation, "draining")
+        )
+        worlds.refresh(edge.entry, edge.control)
+        listed = edge.get("/v1/entries").json
+        assert listed["entries"] == []
+        assert listed["ttl_s"] == app.ENTRIES_TTL_S
+
+
+class TestServices:
+    def test_key_is_required_where_calls_may_not_be_repeated(self, edge):
+        response = edge.post("/v1/services/claims/claims", {})
+        assert (response.status, response.json["title"]) == (
+            400,
+            "missing key",
+        )
+
+    def test_unknown_route_names_the_known_ones(self, edge):
+        response = edge.post("/v1/services/claims/other", {})
+        assert response.status == 404
+        assert "POST /claims" in response.json["detail"]
+
+    def test_no_upstream_means_not_run(self, edge):
+        headers = {**AUTH, "Idempotency-Key": "k"}
+        response = edge.post("/v1/services/claims/claims", {}, headers)
+        assert (response.status, response.json["ran"]) == (503, "no")
+
+
+class TestStatusAndDump:
+    def test_status_of_a_request(self, edge):
+        headers = {**AUTH, "Idempotency-Key": "k"}
+        edge.post(PLAIN, ask(), headers=headers)
+        status = edge.get("/v1/requests/k").json
+        assert (status["state"], status["attempts"]) == ("done", 1)
+
+    def test_unknown_key(self, edge):
+        assert edge.get("/v1/requests/none").status == 404
+
+    def test_metrics_are_text(self, edge):
+        edge.post(PLAIN, ask())
+        text = edge.get("/metrics").body.decode()
+        assert 'arbutuswalk_answers{outcome="whole"} 1' in text
+        assert "arbutuswalk_first_token_seconds" in text
+
+    def test_dump_is_json(self, edge):
+        edge.post(PLAIN, ask())
+        dumped = json.loads(json.dumps(links.dump(edge.entry)))
+        assert dumped["role"] == "entry"
+        assert len(dumped["upstreams"]) == stream_machine.RUNNERS
+
+    def test_explain_tells_each_attempt(self, edge):
+        edge.post(PLAIN, ask())
+        (request_id,) = edge.entry.requests
+        handle = links.handler(edge.entry)
+        message = ttypes.Read(query="explain", argument=request_id)
+        reply = edge.run(handle(message))
+        assert "attempt 1" in json.loads(reply.result)["history"][0]
--- a/testing/test_state.py
+++ b/testing/test_state.py
@@ -119,14 +119,14 @@
 
     def test_second_death_convicts_the_one_that_ran_alone(self, tables):
         report(tables, "u", "f", "g")
-        apply(tables, commands.Isolate("f", "v", "e"))
+        apply(tables, commands.Isolate("f", "v", 1, "e"))
         outcome = report(tables, "v", "f")
         assert isinstance(outcome, outcomes.Convicted)
         assert set(tables.convicted) == {"f"}
         assert set(tables.suspects) == {"g"}
 
     def test_two_at_the_death_convict_neither(self, tables):
-        apply(tables, commands.Isolate("f", "v", "e"))
+        apply(tables, commands.Isolate("f", "v", 1, "e"))
         report(tables, "v", "f", "other")
         assert tables.convicted == {}
         assert set(tables.suspects) == {"f", "other"}
@@ -141,13 +141,25 @@
         assert set(tables.suspects) == {"x", "y"}
 
     def test_report_of_another_entry_comes_first(self, tables):
-        apply(tables, commands.Isolate("f", "v", "e"))
+        apply(tables, commands.Isolate("f", "v", 1, "e"))
         report(tables, "v", "other")
         assert tables.suspects == {}
         report(tables, "v", "f")
         assert tables.convicted == {}
         assert set(tables.suspects) == {"f", "other"}
 
+    def test_dead_incarnation_cannot_be_reserved(self, tables):
+        report(tables, "v", "f")
+        assert isinstance(isolate(tables, "f", "v"), outcomes.Stale)
+
+    def test_one_death_convicts_one(self, tables):
+        isolate(tables, "f", "v")
+        report(tables, "v", "f")
+        later = commands.Isolate("g", "v", 2, "e")
+        apply(tables, later)
+        report(tables, "v", "g")
+        assert set(tables.convicted) == {"f"}
+
     def test_one_suspect_an_upstream_and_one_upstream_a_suspect(self, tables):
         assert isolate(tables, "f", "u") == outcomes.Granted()
         assert isolate(tables, "f", "u") == outcomes.Granted()
@@ -175,7 +187,7 @@
 
 
 def isolate(tables, fingerprint, upstream):
-    return apply(tables, commands.Isolate(fingerprint, upstream, "e"))
+    return apply(tables, commands.Isolate(fingerprint, upstream, 1, "e"))
 
 
 def start_order(name="o1", fence=1):
--- a/testing/virtual.py
+++ b/testing/virtual.py
@@ -31,6 +31,18 @@
         return self.virtual.now
 
 
+def close(loop):
+    """Cancels what still runs on a loop, lets it end, and closes it."""
+    for _ in range(5):
+        tasks = asyncio.all_tasks(loop)
+        if not tasks:
+            break
+        for task in tasks:
+            task.cancel()
+        loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+    loop.close()
+
+
 def run(coroutine):
     """Runs a coroutine to its end on virtual time."""
     loop = VirtualLoop()
