--- a/src/_arbutuswalk/storage/records.py
+++ b/src/_arbutuswalk/storage/records.py
@@ -41,11 +41,12 @@
     payloads: list[bytes] = []
     offset = 0
     while offset < len(data):
-        rest = len(data) - offset
-        if rest < HEADER.size or not any(data[offset:]):
+        if len(data) - offset < HEADER.size:
             return Scan(payloads, offset, torn=True, fault="")
         length, head, body = HEADER.unpack_from(data, offset)
         if zlib.crc32(struct.pack(">I", length)) != head:
+            if not any(data[offset:]):  # never written, only allocated
+                return Scan(payloads, offset, torn=True, fault="")
             return Scan(payloads, offset, torn=False, fault="bad header")
         start = offset + HEADER.size
         payload = data[start : start + length]
