--- a/src/_arbutuswalk/entry/core.py
+++ b/src/_arbutuswalk/entry/core.py
@@ -17,6 +17,11 @@
 from _arbutuswalk.state import inventory as inventories
 from _arbutuswalk.wire import link
 
+FIRST_SPEED = 16.0
+"""Tokens a second that a slot is taken to give before any was seen."""
+SPEED_GAIN = 0.1
+LEAST_TOKENS = 8
+
 
 class Entry:
     """Everything one entry process knows.
@@ -47,6 +52,7 @@
         metrics: Counters and histograms.
         control: Client of the control group.
         start_request: Starts to run a request that was taken over.
+        speeds: Tokens a second that a slot gives, learnt, by upstream name.
         usage: Slot milliseconds by instance and workspace since the start.
         tasks: Background tasks that have to be held on to.
     """
@@ -87,6 +93,7 @@
         self.copies: dict[str, Any] = {}
         self.news_links: dict[str, link.Link] = {}
         self.tasks: set[asyncio.Future] = set()
+        self.speeds: dict[str, float] = {}
         self.usage: dict[str, dict[str, int]] = {}
         self.metrics = metrics.Metrics()
         self.control = control_client.ControlClient(
@@ -146,6 +153,17 @@
         spent_ms = int(seconds * clock.MS_PER_S)
         of_instance[workspace] = of_instance.get(workspace, 0) + spent_ms
 
+    def speed_of(self, name: str) -> float:
+        """Returns the tokens a second that a slot of an upstream gives."""
+        return self.speeds.get(name, FIRST_SPEED)
+
+    def learn_speed(self, name: str, tokens: int, seconds: float) -> None:
+        """Notes how fast one attempt was."""
+        if tokens < LEAST_TOKENS or seconds <= 0:
+            return
+        old = self.speed_of(name)
+        self.speeds[name] = old + SPEED_GAIN * (tokens / seconds - old)
+
     def hold(self, task: asyncio.Future) -> None:
         """Keeps a background task alive until it is done."""
         self.tasks.add(task)
--- a/src/_arbutuswalk/entry/placing.py
+++ b/src/_arbutuswalk/entry/placing.py
@@ -12,9 +12,7 @@
 from _arbutuswalk.routing import versions
 from _arbutuswalk.streams import answer
 
-TOKENS_PER_S_PER_SLOT = 16.0
 RETRY_AFTER_S = 1
-SERVICE_S = 0.5
 
 
 class Waiting(NamedTuple):
@@ -68,7 +66,7 @@
     queue = entry.queue_of(request.upstream)
     ticket = _ticket(request, None)
     ahead = queue.cost_ahead(ticket, _total_weight(entry))
-    speed = max(1, slots) * TOKENS_PER_S_PER_SLOT
+    speed = max(1, slots) * entry.speed_of(request.upstream)
     wait_s = ahead / speed
     left_s = request.deadline - entry.now()
     if ahead and wait_s + request.max_tokens / speed > left_s:
--- a/src/_arbutuswalk/entry/running.py
+++ b/src/_arbutuswalk/entry/running.py
@@ -139,6 +139,11 @@
         entry.note_usage(
             row.said["instance"], request.workspace, entry.now() - started
         )
+    entry.learn_speed(
+        request.upstream,
+        len(request.answer.events) - before,
+        entry.now() - started,
+    )
     _count_recomputed(state, result, before)
     _note_evidence(state, row, result, first_token)
     await _settle(state, row, result)
--- a/src/_arbutuswalk/entry/transfers.py
+++ b/src/_arbutuswalk/entry/transfers.py
@@ -44,7 +44,7 @@
     entry: core.Entry, row: upstreams.Row, request: requests.ModelRequest
 ) -> bool:
     left_s = row.leaves_at - entry.now() - MARGIN_S
-    needed_s = request.remaining_tokens / placing.TOKENS_PER_S_PER_SLOT
+    needed_s = request.remaining_tokens / entry.speed_of(row.name)
     return needed_s < left_s
 
 
--- a/src/_arbutuswalk/standin/runner.py
+++ b/src/_arbutuswalk/standin/runner.py
@@ -3,8 +3,6 @@
 import asyncio
 import json
 import os
-import random
-import time
 from typing import Any
 
 from starlette import applications
@@ -14,20 +12,11 @@
 
 from _arbutuswalk.base import settings
 from _arbutuswalk.entry import requests as shapes
-from _arbutuswalk.standin import announcer
 from _arbutuswalk.standin import engine as engines
-from _arbutuswalk.standin import faults
-from _arbutuswalk.standin import server as servers
+from _arbutuswalk.standin import unit as units
 
 FIELDS = (
-    settings.Field("id", "a name", settings.is_text),
-    settings.Field("address", "IP:port", settings.is_address),
-    settings.Field("entries", "a list of IP:port", settings.is_address_list),
-    settings.Field("upstream", "a name", settings.is_text),
-    settings.Field("version", "a name", settings.is_text),
-    settings.Field("instance", "a name", settings.is_text),
-    settings.Field("domain", "a failure domain", settings.is_text),
-    settings.Field("instance_class", "a class", settings.is_text),
+    *units.FIELDS,
     settings.Field("slots", "a whole number", settings.is_natural, 8),
     settings.Field("token_s", "seconds", settings.is_positive, 0.02),
     settings.Field(
@@ -37,79 +26,30 @@
         "cache_tokens", "a whole number", settings.is_natural, 65536
     ),
 )
-ECHOED = ("x-request-id", "x-attempt-id")
 
 
-class Runner:
+class Runner(units.Unit):
     """One stand-in runner.
 
     Attributes:
-        values: Settings.
         engine: Its engine.
-        faults: How it misbehaves.
-        incarnation: Higher with each start.
-        leaving_at: When it will be gone, or None.
         kill: Ends the process, or the runner in a shared process.
     """
 
     def __init__(self, *, values: dict[str, Any], kill=None):
-        self.values = values
         self.engine = engines.Engine(
             slots=values["slots"],
             token_s=values["token_s"],
             prefill_tokens_per_s=values["prefill_tokens_per_s"],
             cache_tokens=values["cache_tokens"],
         )
-        self.faults = faults.none(time.monotonic())
-        self.rng = random.Random(values["id"])
-        self.incarnation = time.time_ns() // 1_000_000
-        self.leaving_at: float | None = None
         self.kill = kill or (lambda: os._exit(1))
-        self.server = servers.make(self._app(), values["address"])
-        self.announcer = announcer.Announcer(
-            entries=values["entries"],
-            fixed=self._fixed(),
-            describe=self._describe,
+        super().__init__(
+            values=values,
+            app=self._app(),
+            running=lambda: self.engine.running + self.engine.waiting,
             cache_event=self.engine.take_cache_event,
         )
-        self.announcing: asyncio.Task | None = None
-
-    async def start(self) -> None:
-        """Listens and begins to announce."""
-        await self.server.begin()
-        self.announcing = asyncio.ensure_future(self.announcer.run())
-
-    async def cut(self) -> None:
-        """Disappears as if the instance were gone."""
-        if self.announcing is not None:
-            self.announcing.cancel()
-        await self.server.cut()
-
-    def leave(self, notice_s: float) -> None:
-        """Announces that it will be gone after ``notice_s``."""
-        self.leaving_at = time.monotonic() + notice_s
-        self.announcer.hurry()
-
-    def _fixed(self) -> dict[str, Any]:
-        keys = (
-            "id",
-            "address",
-            "upstream",
-            "version",
-            "instance",
-            "domain",
-            "instance_class",
-            "slots",
-            "cache_tokens",
-        )
-        fixed = {key: self.values[key] for key in keys}
-        return {**fixed, "incarnation": self.incarnation}
-
-    def _describe(self) -> dict[str, Any]:
-        leaving = self.leaving_at is not None
-        left_s = max(0.0, self.leaving_at - time.monotonic()) if leaving else 0
-        running = self.engine.running + self.engine.waiting
-        return {"running": running, "leaving": leaving, "leave_in_s": left_s}
 
     def _app(self) -> applications.Starlette:
         post = ["POST"]
@@ -127,7 +67,7 @@
                 ),
                 routing.Route("/v1/cache/{request}", self._export),
                 routing.Route("/v1/cache", self._import, methods=["PUT"]),
-                routing.Route("/standin/faults", self._set, methods=post),
+                routing.Route("/standin/faults", self.set_faults, methods=post),
                 routing.Route("/standin/leave", self._leave, methods=post),
                 routing.Route("/standin/stats", self._stats),
             ]
@@ -148,10 +88,10 @@
         prompt = shapes.prompt_of(body)
         values = self.faults.values
         running = self.engine.running
-        faulty = self.faults.active(route, running, time.monotonic())
+        faulty = self.is_faulty(route, running)
         if faulty and values["die_on"] and values["die_on"] in prompt:
             self.kill()
-        echo = {name: request.headers.get(name, "") for name in ECHOED}
+        echo = units.echo_of(request)
         if faulty and self.faults.fails(self.rng):
             text = '{"error": "stand-in fault"}'
             return responses.Response(text, status_code=500, headers=echo)
@@ -215,15 +155,6 @@
         self.engine.store((await request.json())["text"])
         return responses.JSONResponse({})
 
-    async def _set(self, request: http_requests.Request) -> responses.Response:
-        values = settings.check(
-            await request.json(), faults.FIELDS, where="faults"
-        )
-        if isinstance(values, settings.BadSettings):
-            return responses.JSONResponse(values.problems, status_code=400)
-        self.faults = faults.Faults(values=values, since=time.monotonic())
-        return responses.JSONResponse({})
-
     async def _leave(
         self, request: http_requests.Request
     ) -> responses.Response:
--- a/testing/test_agreement.py
+++ b/testing/test_agreement.py
@@ -4,9 +4,8 @@
 
 import agreement_machine
 import fakes
-import hypothesis
 import pytest
-from hypothesis import stateful
+import twins
 
 from _arbutuswalk.agreement import election
 from _arbutuswalk.agreement import raftlog
@@ -179,25 +178,13 @@
         assert len(laggard.core.tables.entries) == 60
 
 
-def run_twin():
-    """Runs the machine long enough to catch a planted fault."""
-    settings = hypothesis.settings(
-        hypothesis.settings.get_profile("ci"),
-        max_examples=400,
-        phases=[hypothesis.Phase.generate],
-    )
-    stateful.run_state_machine_as_test(
-        agreement_machine.AgreementMachine, settings=settings
-    )
-
-
 class TestPlantedFaults:
     """Each fault below is one the oracle has to see."""
 
     def test_no_sync_before_an_acknowledgement(self, monkeypatch):
         monkeypatch.setattr(fakes.FakeFolder, "sync", lambda self, name: None)
         with pytest.raises(AssertionError):
-            run_twin()
+            twins.run(agreement_machine.AgreementMachine)
 
     def test_restart_that_forgets_the_leader_it_heard(self, monkeypatch):
         made = replicas.Replica.__init__
@@ -209,7 +196,7 @@
 
         monkeypatch.setattr(replicas.Replica, "__init__", forgetful)
         with pytest.raises(AssertionError):
-            run_twin()
+            twins.run(agreement_machine.AgreementMachine)
 
     def test_lease_from_the_time_of_receipt(self, monkeypatch):
         taken = replication.on_append_reply
@@ -220,7 +207,7 @@
 
         monkeypatch.setitem(step._HANDLERS, ttypes.AppendReply, from_receipt)
         with pytest.raises(AssertionError):
-            run_twin()
+            twins.run(agreement_machine.AgreementMachine)
 
     def test_disk_loss_that_keeps_the_member_id(self, monkeypatch):
         monkeypatch.setattr(
@@ -229,7 +216,7 @@
             lambda self: f"{self.identity.address}/same",
         )
         with pytest.raises(AssertionError):
-            run_twin()
+            twins.run(agreement_machine.AgreementMachine)
 
     def test_promises_kept_over_a_change_of_term(self):
         """An acknowledgement queued before a new term must not go out."""
--- a/testing/test_ledger.py
+++ b/testing/test_ledger.py
@@ -1,9 +1,8 @@
 """Non-repeatable calls run at most once; the oracle counts runs."""
 
-import hypothesis
 import ledger_machine
 import pytest
-from hypothesis import stateful
+import twins
 
 from _arbutuswalk.entry import calls
 from _arbutuswalk.state import commands
@@ -99,17 +98,6 @@
         assert state.time_ms == 5000
 
 
-def run_twin():
-    settings = hypothesis.settings(
-        hypothesis.settings.get_profile("ci"),
-        max_examples=300,
-        phases=[hypothesis.Phase.generate],
-    )
-    stateful.run_state_machine_as_test(
-        ledger_machine.LedgerMachine, settings=settings
-    )
-
-
 class TestPlantedFaults:
     """Each fault below is one the oracle has to see."""
 
@@ -119,7 +107,7 @@
 
         monkeypatch.setattr(calls, "_resolve", try_again)
         with pytest.raises(AssertionError):
-            run_twin()
+            twins.run(ledger_machine.LedgerMachine)
 
     def test_unknown_call_granted_to_a_resend(self, monkeypatch):
         real = ledger.begin
@@ -133,7 +121,7 @@
 
         monkeypatch.setitem(machine._HANDLERS, commands.BeginCall, forgiving)
         with pytest.raises(AssertionError):
-            run_twin()
+            twins.run(ledger_machine.LedgerMachine)
 
     def test_send_without_waiting_for_the_grant(self, monkeypatch):
         async def eager(entry, call, attempt, outcome):
@@ -143,14 +131,14 @@
 
         monkeypatch.setattr(calls, "_not_granted", eager)
         with pytest.raises(AssertionError):
-            run_twin()
+            twins.run(ledger_machine.LedgerMachine)
 
     def test_records_that_expire_too_soon(self, monkeypatch):
         monkeypatch.setattr(ledger, "RECORD_KEPT_MS", 3000)
         with pytest.raises(AssertionError):
-            run_twin()
+            twins.run(ledger_machine.LedgerMachine)
 
     def test_refusal_that_lies(self, monkeypatch):
         monkeypatch.setattr(calls, "_unknown", calls._not_run)
         with pytest.raises(AssertionError):
-            run_twin()
+            twins.run(ledger_machine.LedgerMachine)
--- a/testing/test_streams.py
+++ b/testing/test_streams.py
@@ -4,7 +4,7 @@
 import hypothesis.strategies as st
 import pytest
 import stream_machine
-from hypothesis import stateful
+import twins
 
 from _arbutuswalk.entry import running
 from _arbutuswalk.entry import suspicion
@@ -16,17 +16,6 @@
     """Runs the machine with the profile in force."""
 
 
-def run_twin():
-    settings = hypothesis.settings(
-        hypothesis.settings.get_profile("ci"),
-        max_examples=300,
-        phases=[hypothesis.Phase.generate],
-    )
-    stateful.run_state_machine_as_test(
-        stream_machine.StreamMachine, settings=settings
-    )
-
-
 class TestPlantedFaults:
     """Each fault below is one the oracle has to see."""
 
@@ -40,7 +29,7 @@
 
         monkeypatch.setattr(running, "_order", forgetful)
         with pytest.raises(AssertionError):
-            run_twin()
+            twins.run(stream_machine.StreamMachine)
 
     def test_suspects_that_run_beside_each_other(self, monkeypatch):
         monkeypatch.setattr(
@@ -49,7 +38,7 @@
             lambda self, fingerprint: False,
         )
         with pytest.raises(AssertionError):
-            run_twin()
+            twins.run(stream_machine.StreamMachine)
 
     def test_reclaim_taken_for_a_crash(self, monkeypatch):
         async def report_all(state, row, result):
@@ -58,7 +47,7 @@
 
         monkeypatch.setattr(running, "_look_for_death", report_all)
         with pytest.raises(AssertionError):
-            run_twin()
+            twins.run(stream_machine.StreamMachine)
 
 
 class TestFramer:
