Refuse intents that come after their withdrawal; move quiet routes in time

A route is now watched for two seconds first, and a small share that brings no evidence in its time grows to the next small one. One ledger test used the attempt that the change now refuses; it checks the same with another and the record too.

--- a/src/_arbutuswalk/state/ledger.py
+++ b/src/_arbutuswalk/state/ledger.py
@@ -13,6 +13,9 @@
 RECORD_KEPT_MS = 24 * 3600 * 1000
 """How long a record is kept in log time; callers must resend sooner."""
 
+WITHDRAWN_KEPT_MS = 600_000
+"""How long a withdrawn attempt's intent may still be on its way."""
+
 
 def call_id(workspace: str, key: str) -> str:
     """Returns the id of a call's row."""
@@ -21,6 +24,8 @@
 
 def begin(tables: rows.Tables, command: commands.BeginCall) -> outcomes.Outcome:
     """Grants a call to one attempt, or tells what became of it."""
+    if command.attempt in tables.withdrawn:
+        return outcomes.Stale(what=f"attempt {command.attempt}")
     call = call_id(command.workspace, command.key)
     row = tables.calls.get(call)
     if row is None:
@@ -59,7 +64,13 @@
 def withdraw(
     tables: rows.Tables, command: commands.WithdrawCall
 ) -> outcomes.Outcome:
-    """Removes an intent whose call never left its entry."""
+    """Removes an intent whose call never left its entry.
+
+    The intent may still be on its way: committed after this, it would stay
+    ``running`` for nobody and keep the key from its caller. So the attempt is
+    remembered and its intent refused when it comes.
+    """
+    tables.withdrawn[command.attempt] = tables.time_ms
     call = call_id(command.workspace, command.key)
     row = tables.calls.get(call)
     if row is None or row.attempt != command.attempt:
@@ -124,6 +135,11 @@
         expired.append(call)
     for call in expired:
         del tables.calls[call]
+    oldest = tables.time_ms - WITHDRAWN_KEPT_MS
+    for attempt, at_ms in list(tables.withdrawn.items()):
+        if at_ms >= oldest:
+            return
+        del tables.withdrawn[attempt]
 
 
 def _state(row: rows.CallRow) -> outcomes.CallState:
--- a/src/_arbutuswalk/state/moveplan.py
+++ b/src/_arbutuswalk/state/moveplan.py
@@ -22,6 +22,8 @@
 """Shares of routes that may not be repeated."""
 REPEATABLE_FIRST = 500
 """Share that repeatable routes must have before the others begin."""
+OBSERVE_MS = 2000
+"""How long a route is watched before its first share is chosen."""
 SMALL_STEPS = 3
 """How many of the steps count as a small share."""
 LEAST_OUTCOMES = 3
@@ -238,7 +240,7 @@
         )
         if not row.shares[name]:
             shares[name] = _first_share(trial, pace, steps, now_ms)
-        elif _earned(trial, pace):
+        elif _earned(trial, pace) or _stays_small(later[0], steps, pace):
             shares[name] = later[0]
     if shares != row.shares:
         for name, share in shares.items():
@@ -270,12 +272,24 @@
     outcomes = trial.errors.old_ran + trial.errors.new_ran
     expected = outcomes / elapsed_ms * pace.allotted_ms
     small = steps[:SMALL_STEPS]
+    if elapsed_ms < min(OBSERVE_MS, pace.allotted_ms):
+        return 0  # too early to know how busy the route is
     if not expected:
         return small[0]
     needed = MARGIN * LEAST_OUTCOMES / expected * moves.FULL
     return next((share for share in small if share >= needed), small[-1])
 
 
+def _stays_small(share: int, steps: tuple[int, ...], pace: Pace) -> bool:
+    """Tells whether a share may grow for want of evidence.
+
+    A route that turns out quieter than it looked gets its evidence from a
+    larger share, as long as that is a small one.
+    """
+    small = share in steps[:SMALL_STEPS]
+    return small and pace.waited_ms >= pace.allotted_ms
+
+
 def _earned(trial: RouteTrial, pace: Pace) -> bool:
     """Tells whether a route's share may grow by a step.
 
--- a/src/_arbutuswalk/state/tables.py
+++ b/src/_arbutuswalk/state/tables.py
@@ -151,6 +151,7 @@
         versions: Version in full use by upstream name.
         entries: Entries by id.
         calls: Non-repeatable calls by ``workspace`` + newline + ``key``.
+        withdrawn: Log time at which an attempt was withdrawn, by attempt.
         suspects: Suspect requests by fingerprint.
         isolations: Suspect that an upstream is reserved for, by upstream id.
         convicted: Log time until which a fingerprint is refused.
@@ -176,6 +177,7 @@
         self.versions: dict[str, str] = {}
         self.entries: dict[str, EntryRow] = {}
         self.calls: dict[str, CallRow] = {}
+        self.withdrawn: dict[str, int] = {}
         self.suspects: dict[str, SuspectRow] = {}
         self.isolations: dict[str, IsolationRow] = {}
         self.convicted: dict[str, int] = {}
--- a/testing/ledger_machine.py
+++ b/testing/ledger_machine.py
@@ -215,6 +215,11 @@
             else:
                 assert result.body == f"done {call.key}".encode()
 
+    def _check_records(self):
+        """A record that stays running for nobody blocks its key for good."""
+        for call, row in self.control.tables.calls.items():
+            assert row.state != "running", (call, row)
+
     def teardown(self):
         try:
             if hasattr(self, "exchange"):
@@ -222,6 +227,7 @@
                 self._pass(80)
                 self.no_key_ran_twice()
                 self._check_answers()
+                self._check_records()
         finally:
             exchange.run = self.original
             virtual.close(self.loop)
--- a/testing/test_ledger.py
+++ b/testing/test_ledger.py
@@ -67,10 +67,17 @@
         apply(state, commands.WithdrawCall("w", "k", "a1"))
         assert apply(state, begin("a2")) == outcomes.Granted()
 
+    def test_intent_that_comes_after_its_withdrawal_is_refused(self, state):
+        apply(state, commands.WithdrawCall("w", "k", "a1"))
+        assert isinstance(apply(state, begin()), outcomes.Stale)
+        assert ledger.find(state, "w", "k") == outcomes.Absent()
+        assert apply(state, begin("a2")) == outcomes.Granted()
+
     def test_another_attempt_cannot_withdraw(self, state):
         apply(state, begin())
         apply(state, commands.WithdrawCall("w", "k", "a2"))
-        assert apply(state, begin("a2")).state == "running"
+        assert apply(state, begin("a3")).state == "running"
+        assert ledger.find(state, "w", "k").state == "running"
 
     def test_entry_death_makes_running_unknown(self, state):
         apply(state, begin())
--- a/testing/test_moves.py
+++ b/testing/test_moves.py
@@ -133,6 +133,16 @@
         world.run(DEADLINE_S)
         assert world.move().state == "done", world.move()
 
+    def test_route_that_is_quiet_when_the_move_begins_still_moves(self):
+        """The first share must not follow from a moment without traffic."""
+        world = World(rate=0)
+        world.apply(model="v2")
+        world.up.add(("model", "v2"))
+        world.run(3)
+        world.rate = 4
+        world.run(DEADLINE_S)
+        assert world.move().state == "done", world.move()
+
     def test_shared_incident_is_not_its_fault(self):
         world = World()
         world.apply(model="v2")
