--- a/bench/moves.py
+++ b/bench/moves.py
@@ -187,7 +187,6 @@
                     "|".join(s): [c.ran, c.errors, c.slow, c.timed]
                     for s, c in entry.counts.items()
                 },
-                "cut": ["|".join(s) for s in entry.cut],
                 "upstreams": {"u": ["model", "v2", "i", "d", "c", 4, 0, True]},
             }
             for i, entry in enumerate(entries)
--- a/src/_arbutuswalk/state/moveplan.py
+++ b/src/_arbutuswalk/state/moveplan.py
@@ -33,8 +33,6 @@
 LOG_THRESHOLD = math.log(1000)
 """Evidence at which a version is taken back; one good move in a thousand is
 by each test."""
-LOG_THRESHOLD_CUT = math.log(20)
-"""Evidence that suffices once an entry has cut the version off by itself."""
 CAREFUL_FACTOR = 2
 
 
@@ -47,20 +45,6 @@
     timed: int = 0
 
 
-class Seen(NamedTuple):
-    """What the entries' reports add up to.
-
-    Attributes:
-        sums: Outcomes by ``upstream|version|route``.
-        present: (upstream, version) of all usable upstreams.
-        cut: Sides that an entry sends no more work.
-    """
-
-    sums: dict[str, Sums]
-    present: set[tuple[str, str]]
-    cut: set[str]
-
-
 class RouteTrial:
     """Evidence on one route of a move.
 
@@ -141,19 +125,12 @@
     now_ms: int,
 ) -> list[commands.StepMove]:
     """Returns the steps that are due."""
-    seen = Seen(
-        sums=sum_reports(reports),
-        present=present_versions(reports),
-        cut={
-            side
-            for report in reports.values()
-            for side in report.get("cut", ())
-        },
-    )
+    sums = sum_reports(reports)
+    present = present_versions(reports)
     steps = []
     for move, row in tables.moves.items():
         if row.state in moves.LIVE:
-            step = _decide_one(tables, move, row, seen, trials, now_ms)
+            step = _decide_one(tables, move, row, sums, present, trials, now_ms)
             if step is not None:
                 steps.append(step)
     live = {
@@ -168,21 +145,22 @@
     tables: rows.Tables,
     move: str,
     row: rows.MoveRow,
-    seen: Seen,
+    sums: dict[str, Sums],
+    present: set[tuple[str, str]],
     trials: Trials,
     now_ms: int,
 ) -> commands.StepMove | None:
     upstream = inventories.find_upstream(tables.inventory, row.upstream)
     if upstream is None:
         return None
-    fault = _collect(move, row, seen, trials, now_ms)
+    fault = _collect(move, row, sums, trials, now_ms)
     if fault:
         return _step(move, row, moves.TAKEN_BACK, {}, fault)
     if now_ms >= row.deadline_ms:
         reason = f"deadline passed while {row.state}: {row.reason}"
         return _step(move, row, moves.TAKEN_BACK, {}, reason)
     if row.state == "waiting":
-        if (row.upstream, row.new) in seen.present:
+        if (row.upstream, row.new) in present:
             return _step(move, row, "growing", row.shares, "instances are up")
         return None
     if row.state == "growing":
@@ -195,26 +173,21 @@
 def _collect(
     move: str,
     row: rows.MoveRow,
-    seen: Seen,
+    sums: dict[str, Sums],
     trials: Trials,
     now_ms: int,
 ) -> str:
     """Feeds new outcomes to the tests; returns a fault they prove."""
     for route in row.shares:
-        side = f"{row.upstream}|{row.new}|{route}"
-        old = seen.sums.get(f"{row.upstream}|{row.old}|{route}", Sums())
-        new = seen.sums.get(side, Sums())
+        old = sums.get(f"{row.upstream}|{row.old}|{route}", Sums())
+        new = sums.get(f"{row.upstream}|{row.new}|{route}", Sums())
         trial = trials.routes.get((move, route))
         if trial is None:
             trial = RouteTrial(old=old, new=new, now_ms=now_ms)
             trials.routes[move, route] = trial
         _feed(trial, old, new)
-        enough = LOG_THRESHOLD_CUT if side in seen.cut else LOG_THRESHOLD
-        for name, test, least in (
-            ("errors", trial.errors, enough),
-            ("slow", trial.slow, LOG_THRESHOLD),
-        ):
-            if test.log_evidence >= least:
+        for name, test in (("errors", trial.errors), ("slow", trial.slow)):
+            if test.log_evidence >= LOG_THRESHOLD:
                 return (
                     f"{name} on {route}: {test.new_failed} of {test.new_ran}"
                     f" new, {test.old_failed} of {test.old_ran} old"
