Pass the platform's reclaim notices on, whoever ordered the instance

Cause: found by reading: a notice was recorded only for instances that control had ordered, which it does not do yet, so only an upstream's own word that it leaves reached the entries. Now each notice is in the view within a tick and a push, with its seconds, so that caches are still moved. Also removed: a setting and client calls of the planner that is not built. Before: no test of a notice's way; after: tables, view and entry table tested.

--- a/src/_arbutuswalk/control/main.py
+++ b/src/_arbutuswalk/control/main.py
@@ -44,7 +44,6 @@
     settings.Field(
         "interval_s", "seconds between charges", settings.is_positive, 10.0
     ),
-    settings.Field("plan_fleet", "true or false", settings.is_flag, False),
     settings.Field("log_level", "an absl log level", settings.is_text, "info"),
 )
 
--- a/src/_arbutuswalk/control/platform.py
+++ b/src/_arbutuswalk/control/platform.py
@@ -10,7 +10,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Refused:
-    """The platform refused, or the order's fence was old."""
+    """The platform refused."""
 
     status: int
     reason: str
@@ -18,34 +18,18 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class NoAnswer:
-    """Nobody knows whether the order was carried out."""
+    """The platform did not answer."""
 
     reason: str
 
 
 class Platform:
-    """Orders, notices, prices and bills at one address."""
+    """Notices and bills at one address."""
 
     def __init__(self, *, address: str):
         self.base = f"http://{address}/v1"
         self.session: aiohttp.ClientSession | None = None
 
-    async def start(self, spec: dict[str, Any]) -> int | Refused | NoAnswer:
-        """Starts an instance; returns its price in micro-units an hour."""
-        answer = await self._call("POST", "/instances", spec)
-        return answer["price"] if isinstance(answer, dict) else answer
-
-    async def stop(
-        self, instance: str, fence: int
-    ) -> dict | Refused | NoAnswer:
-        """Stops an instance; stopping one that is gone is no error."""
-        path = f"/instances/{instance}?fence={fence}"
-        return await self._call("DELETE", path)
-
-    async def instances(self) -> dict | Refused | NoAnswer:
-        """Returns every instance by id."""
-        return await self._call("GET", "/instances")
-
     async def notices(self, since: int) -> list | Refused | NoAnswer:
         """Returns reclaim notices from number ``since`` on."""
         return await self._call("GET", f"/notices?since={since}")
@@ -54,10 +38,6 @@
         """Returns micro-units billed so far by instance."""
         return await self._call("GET", "/bill")
 
-    async def prices(self) -> dict | Refused | NoAnswer:
-        """Returns prices by class."""
-        return await self._call("GET", "/prices")
-
     async def close(self) -> None:
         """Closes connections."""
         if self.session is not None:
--- a/src/_arbutuswalk/control/systems.py
+++ b/src/_arbutuswalk/control/systems.py
@@ -10,7 +10,6 @@
 from _arbutuswalk.control import service as services
 from _arbutuswalk.state import commands
 from _arbutuswalk.state import entries
-from _arbutuswalk.state import fleet
 from _arbutuswalk.state import moveplan
 from _arbutuswalk.state import outcomes
 
@@ -107,12 +106,10 @@
             return
         for notice in notices:
             self.notices += 1
-            await self._mark(notice["instance"])
-
-    async def _mark(self, instance: str) -> None:
-        row = self.service.member.tables.instances.get(instance)
-        if row is not None and row.state == fleet.RUNNING:
-            await self.submit(commands.MarkInstance(instance, fleet.LEAVING))
+            instance = notice["instance"]
+            if instance in self.service.member.tables.leaving:
+                continue
+            await self.submit(commands.MarkInstance(instance, notice["in_s"]))
 
     async def _charge(self) -> None:
         """Settles an interval from the platform's bill."""
--- a/src/_arbutuswalk/entry/announcing.py
+++ b/src/_arbutuswalk/entry/announcing.py
@@ -79,7 +79,7 @@
         events.log(
             events.Event.UPSTREAM_JOINED, said["id"], said["incarnation"]
         )
-        _mark_known_leaving(entry, outcome.row)
+        _mark_known_leaving(entry)
         suspicion.follow_isolations(entry)
         _look_back(entry, outcome.replaced)
     elif outcome.now_leaving:
@@ -125,10 +125,9 @@
         entry.hold(asyncio.ensure_future(report))
 
 
-def _mark_known_leaving(entry: core.Entry, row: upstreams.Row) -> None:
-    leaving = set(entry.view.get("leaving", ()))
-    if row.said["instance"] in leaving:
-        row.leaves_at = entry.now()
+def _mark_known_leaving(entry: core.Entry) -> None:
+    leaving = entry.view.get("leaving", {})
+    upstreams.mark_leaving(entry.upstreams, leaving, entry.now())
 
 
 async def _read_json(request: http_requests.Request) -> Any:
--- a/src/_arbutuswalk/entry/syncing.py
+++ b/src/_arbutuswalk/entry/syncing.py
@@ -93,7 +93,7 @@
         _forget_cuts(entry)
     if "leaving" in parts:
         marked = upstreams.mark_leaving(
-            entry.upstreams, set(parts["leaving"]), entry.now()
+            entry.upstreams, parts["leaving"], entry.now()
         )
         for row in marked:
             transfers.on_leaving(entry, row)
--- a/src/_arbutuswalk/routing/upstreams.py
+++ b/src/_arbutuswalk/routing/upstreams.py
@@ -188,14 +188,23 @@
     return gone
 
 
-def mark_leaving(table: Table, instances: set[str], now: float) -> list[Row]:
-    """Marks upstreams on leaving instances; returns the newly marked."""
+def mark_leaving(
+    table: Table, instances: dict[str, float], now: float
+) -> list[Row]:
+    """Marks upstreams on leaving instances; returns the newly marked.
+
+    Args:
+        table: The table.
+        instances: Seconds of notice by instance.
+        now: When the notice was heard.
+    """
     marked = []
     for row in table.rows.values():
-        on_it = row.said["instance"] in instances
-        if on_it and row.health(now) is not Health.LEAVING:
-            row.leaves_at = now
-            marked.append(row)
+        notice_s = instances.get(row.said["instance"])
+        if notice_s is None or row.health(now) is Health.LEAVING:
+            continue
+        row.leaves_at = now + notice_s
+        marked.append(row)
     return marked
 
 
--- a/src/_arbutuswalk/state/commands.py
+++ b/src/_arbutuswalk/state/commands.py
@@ -147,10 +147,15 @@
 
 
 class MarkInstance(NamedTuple):
-    """Sets the state of an instance: running, leaving or gone."""
+    """Records that the platform reclaims an instance.
+
+    Attributes:
+        instance: The instance, whoever ordered it.
+        leave_in_s: Seconds of notice.
+    """
 
     instance: str
-    state: str
+    leave_in_s: float
 
 
 class Charge(NamedTuple):
--- a/src/_arbutuswalk/state/fleet.py
+++ b/src/_arbutuswalk/state/fleet.py
@@ -70,19 +70,22 @@
 def mark(
     tables: rows.Tables, command: commands.MarkInstance
 ) -> outcomes.Outcome:
-    """Records that an instance leaves or is gone."""
+    """Records a reclaim notice, also for an instance nobody here ordered."""
+    tables.leaving[command.instance] = [tables.time_ms, command.leave_in_s]
     row = tables.instances.get(command.instance)
-    if row is None or row.state == GONE:
-        return outcomes.Absent()
-    tables.instances[command.instance] = row._replace(
-        state=command.state, at_ms=tables.time_ms
-    )
+    if row is not None and row.state != GONE:
+        tables.instances[command.instance] = row._replace(
+            state=LEAVING, at_ms=tables.time_ms
+        )
     return outcomes.Accepted()
 
 
 def expire(tables: rows.Tables) -> None:
     """Forgets ended instances and settled orders."""
     oldest = tables.time_ms - KEPT_MS
+    for name, (at_ms, _) in list(tables.leaving.items()):
+        if at_ms < oldest:
+            del tables.leaving[name]
     for name, row in list(tables.instances.items()):
         if row.state == GONE and row.at_ms < oldest:
             del tables.instances[name]
--- a/src/_arbutuswalk/state/tables.py
+++ b/src/_arbutuswalk/state/tables.py
@@ -158,6 +158,7 @@
         deaths: Unannounced deaths by upstream id + ``/`` + incarnation.
         moves: Moves by id.
         instances: Instances by id.
+        leaving: Reclaimed instances: (log time of the notice, its seconds).
         orders: Orders by id.
         charges: Micro-units by account.
         billed_micro: Sum of all bills.
@@ -184,6 +185,7 @@
         self.deaths: dict[str, DeathRow] = {}
         self.moves: dict[str, MoveRow] = {}
         self.instances: dict[str, InstanceRow] = {}
+        self.leaving: dict[str, list[float]] = {}
         self.orders: dict[str, OrderRow] = {}
         self.charges: dict[str, int] = {}
         self.billed_micro = 0
--- a/src/_arbutuswalk/state/view.py
+++ b/src/_arbutuswalk/state/view.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 from _arbutuswalk.state import commands
-from _arbutuswalk.state import fleet
 from _arbutuswalk.state import moves
 from _arbutuswalk.state import tables as rows
 
@@ -84,12 +83,8 @@
     }
 
 
-def _leaving(tables: rows.Tables) -> list[str]:
-    return [
-        name
-        for name, row in tables.instances.items()
-        if row.state == fleet.LEAVING
-    ]
+def _leaving(tables: rows.Tables) -> dict[str, float]:
+    return {name: in_s for name, (_, in_s) in tables.leaving.items()}
 
 
 _MAKERS = {
--- a/testing/test_routing.py
+++ b/testing/test_routing.py
@@ -98,9 +98,10 @@
         assert not upstreams.usable(table, "model", 10.5)
 
     def test_platform_notice_marks_all_on_the_instance(self, table):
-        marked = upstreams.mark_leaving(table, {"i-u"}, 10.0)
-        assert len(marked) == 1
-        assert upstreams.mark_leaving(table, {"i-u"}, 10.0) == []
+        (marked,) = upstreams.mark_leaving(table, {"i-u": 3.0}, 10.0)
+        assert marked.leaves_at == 13.0
+        assert upstreams.mark_leaving(table, {"i-u": 3.0}, 10.0) == []
+        assert not upstreams.usable(table, "model", 10.0)
 
     def test_load_is_the_report_and_what_was_sent_since(self, table):
         one = table.rows["u"]
--- a/testing/test_state.py
+++ b/testing/test_state.py
@@ -204,6 +204,13 @@
         assert tables.instances["i1"].state == "running"
         assert tables.instances["i1"].price_micro_per_hour == 77
 
+    def test_notice_reaches_the_view_whoever_ordered(self, tables):
+        apply(tables, commands.MarkInstance("theirs", 2.5))
+        parts = view.parts_since(tables, 0)
+        assert parts == {"leaving": {"theirs": 2.5}}
+        apply(tables, commands.Tick(), at_ms=700_000)
+        assert tables.leaving == {}
+
     def test_old_fence_is_stale(self, tables):
         apply(tables, start_order("o1", fence=5))
         outcome = apply(tables, start_order("o2", fence=4))
