--- a/tools/demo.py
+++ b/tools/demo.py
@@ -2,8 +2,9 @@
 
 Starts three control processes, four entries in three failure domains, a
 platform with runners, and plain services; applies the Restwaarde inventory;
-sends its workload; reclaims an instance in the middle of streams; moves one
-version. Exits with 1 if a promise was broken. Ends only what it started.
+sends its workload; reclaims an instance in the middle of streams and kills
+another; moves one version. Exits with 1 if a promise was broken. Ends only
+what it started.
 """
 
 import asyncio
@@ -32,9 +33,12 @@
 LIMIT_S = 110
 RECLAIM_AT_S = 6.0
 NOTICE_S = 2.0
+KILL_AFTER_S = 5.0
 MOVE_AT_S = 2.0
-SPEED = 0.5
-"""Half as fast as recorded, so that traffic lasts as long as the move."""
+REPEATS = 3
+"""How often the workload is sent, so that traffic lasts as long as the move."""
+LENGTH_MS = 18_000
+WORKLOAD = ROOT / "examples/restwaarde/workload.jsonl"
 
 
 class Demo:
@@ -216,15 +220,30 @@
     return sums
 
 
+def repeat_workload(demo):
+    """Writes the workload several times over, each time with its own keys."""
+    lines = []
+    for number in range(REPEATS):
+        for line in WORKLOAD.read_text(encoding="utf-8").splitlines():
+            item = json.loads(line)
+            item["at_ms"] += number * LENGTH_MS
+            item["ref"] += f"-{number}"
+            if item.get("key"):
+                item["key"] += f"-{number}"
+            lines.append(json.dumps(item))
+    path = demo.folder / "workload.jsonl"
+    path.write_text("\n".join(lines) + "\n", encoding="utf-8")
+
+
 def load_settings(demo):
     """Writes the settings of the load tool."""
+    repeat_workload(demo)
     return demo.write(
         "load",
         {
             "entries": ENTRIES,
-            "workload": str(ROOT / "examples/restwaarde/workload.jsonl"),
+            "workload": str(demo.folder / "workload.jsonl"),
             "report": str(demo.folder / "report.json"),
-            "speed": SPEED,
             "tokens": {name: f"token-{name}" for name in WORKSPACES},
         },
     )
@@ -284,6 +303,12 @@
             f"http://{PLATFORM}/standin/reclaim", json=body
         ) as response:
             response.raise_for_status()
+        await asyncio.sleep(KILL_AFTER_S)
+        killed, lost = await busiest(session)
+        async with session.post(
+            f"http://{PLATFORM}/standin/kill", json={"instance": killed}
+        ) as response:
+            response.raise_for_status()
         await asyncio.to_thread(load.wait, LIMIT_S)
         moved_result, move_code, _ = await move
         await asyncio.sleep(3.5)
@@ -291,13 +316,20 @@
         sums = await counters(session)
     report = json.loads((demo.folder / "report.json").read_text())
     return table(
-        demo, report, sums, (victim, streams), moved_result, move_code, charges
+        demo,
+        report,
+        sums,
+        (victim, streams),
+        (killed, lost),
+        moved_result,
+        move_code,
+        charges,
     )
 
 
-def table(demo, report, sums, reclaimed, moved, move_code, charges):
+def table(demo, report, sums, reclaimed, killed, moved, move_code, charges):
     """Returns the rows to print and the promises that were broken."""
-    workload = ROOT / "examples/restwaarde/workload.jsonl"
+    workload = demo.folder / "workload.jsonl"
     items = [json.loads(line) for line in workload.read_text().splitlines()]
     once = {
         item["key"]
@@ -324,6 +356,7 @@
         ("answered whole", report["whole"]),
         ("refused, truly not run", report["refused"]),
         ("reclaimed in mid-stream", f"{reclaimed[0]}, {reclaimed[1]} streams"),
+        ("killed without notice", f"{killed[0]}, {killed[1]} streams"),
         ("streams resumed elsewhere", counted("resumed")),
         ("caches moved", counted("caches_moved")),
         ("recomputed tokens", counted("recomputed_tokens")),
