--- a/src/_arbutuswalk/cli/differences.py
+++ b/src/_arbutuswalk/cli/differences.py
@@ -2,8 +2,6 @@
 
 from typing import Any
 
-NAMED = ("classes", "workspaces", "upstreams", "routes")
-
 
 def describe(old: dict[str, Any] | None, new: dict[str, Any]) -> list[str]:
     """Returns one line for each changed value, by its path."""
--- a/src/_arbutuswalk/entry/exchange.py
+++ b/src/_arbutuswalk/entry/exchange.py
@@ -9,7 +9,6 @@
 from _arbutuswalk.streams import attempts
 
 MAX_REPLY_BYTES = 8 * 1024 * 1024
-HOP_HEADERS = ("connection", "transfer-encoding", "keep-alive")
 
 
 class Order(NamedTuple):
--- a/src/_arbutuswalk/entry/running.py
+++ b/src/_arbutuswalk/entry/running.py
@@ -53,27 +53,27 @@
 async def run(
     entry: core.Entry,
     request: requests.ModelRequest,
-    ticket: fair.Ticket | None = None,
+    ticket: fair.Ticket,
 ) -> None:
     """Runs ``request`` until its answer has ended.
 
     Args:
         entry: The entry.
         request: The request.
-        ticket: Its place in the queue, if it has one already.
+        ticket: Its place in the queue.
     """
     state = Run(entry=entry, request=request, ticket=ticket)
     entry.budget_of(request.upstream).deposit()
     while not request.answer.ended:
         if not await _may_try(state):
-            _give_up(state, "deadline passed")
+            _give_up(state)
             return
         row = await _place(state)
         if isinstance(row, answer.Problem):
             request.answer.fail(row)
             return
         if row is None:
-            _give_up(state, "deadline passed")
+            _give_up(state)
             return
         await _attempt(state, row)
 
@@ -338,14 +338,14 @@
     state.request.history.append(f"{at:.3f} s: {text}")
 
 
-def _give_up(state: Run, reason: str) -> None:
+def _give_up(state: Run) -> None:
     request = state.request
     ran = "unknown" if request.sent else "no"
     request.answer.fail(
         answer.Problem(
             504 if request.sent else 503,
             "deadline cannot be met",
-            f"{reason}; {request.attempts} attempts were made",
+            f"deadline passed; {request.attempts} attempts were made",
             ran,
             placing.RETRY_AFTER_S,
         )
--- a/src/_arbutuswalk/entry/syncing.py
+++ b/src/_arbutuswalk/entry/syncing.py
@@ -11,7 +11,6 @@
 from _arbutuswalk.entry import placing
 from _arbutuswalk.entry import suspicion
 from _arbutuswalk.entry import transfers
-from _arbutuswalk.routing import evidence
 from _arbutuswalk.routing import upstreams
 from _arbutuswalk.state import commands
 from _arbutuswalk.state import outcomes
@@ -139,8 +138,3 @@
         "usage": entry.usage,
         "waiting": {name: len(q) for name, q in entry.queues.items() if q},
     }
-
-
-def side_of(text: str) -> evidence.Side:
-    """Parses the form of a side that reports carry."""
-    return evidence.Side(*text.split("|"))
--- a/src/_arbutuswalk/standin/engine.py
+++ b/src/_arbutuswalk/standin/engine.py
@@ -14,7 +14,6 @@
 from _arbutuswalk.routing import prefixes
 
 REFERENCE = re.compile(r"ref:([A-Za-z0-9_-]+)")
-MAX_EVENTS = 10_000
 
 
 class Engine:
--- a/src/_arbutuswalk/state/tables.py
+++ b/src/_arbutuswalk/state/tables.py
@@ -3,8 +3,6 @@
 from typing import Any
 from typing import NamedTuple
 
-MICRO = 1_000_000
-
 
 class Operation(NamedTuple):
     """An operator's finished operation, kept to answer resends."""
--- a/src/_arbutuswalk/storage/records.py
+++ b/src/_arbutuswalk/storage/records.py
@@ -10,7 +10,6 @@
 from typing import NamedTuple
 
 HEADER = struct.Struct(">III")
-MAX_PAYLOAD_BYTES = 64 * 1024 * 1024
 
 
 class Scan(NamedTuple):
--- a/src/_arbutuswalk/streams/framing.py
+++ b/src/_arbutuswalk/streams/framing.py
@@ -5,7 +5,6 @@
 SEPARATOR = b"\n\n"
 DONE = b"data: [DONE]"
 ERROR_PREFIX = b'data: {"error"'
-COMMENT = b":"
 KEEP_ALIVE = b": keep-alive\n\n"
 MAX_EVENT_BYTES = 256 * 1024
 
