--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -1,9 +1,15 @@
 """Numbered log events; ``docs/events.md`` is their catalogue."""
 
 import enum
+import re
 
 from absl import logging
 
+from _arbutuswalk.base import clock
+from _arbutuswalk.base import lines
+
+_FIELD = re.compile(r"(\w+)=%s")
+
 
 class Event(enum.Enum):
     """An event's number and its message, with ``%s`` for each field."""
@@ -42,6 +48,55 @@
     VERSION_CUT_OFF = (610, "version cut off upstream=%s version=%s route=%s")
     ANNOUNCE_REFUSED = (611, "announcement refused id=%s reason=%s")
 
+    ENDPOINT_CHANGED = (
+        650,
+        "endpoint changed id=%s upstream=%s version=%s state=%s born=%s"
+        " sequence=%s address=%s",
+    )
+    ENDPOINT_FORGOTTEN = (651, "endpoint forgotten id=%s")
+    ROUTES_PUBLISHED = (652, "routes published version=%s outcome=%s")
+    ROUTES_IN_FORCE = (653, "routes in force version=%s before=%s source=%s")
+    ANSWERED = (
+        654,
+        "request answered request=%s route=%s upstream=%s endpoint=%s"
+        " status=%s runs=%s ms=%s",
+    )
+    FAILED = (
+        655,
+        "request failed request=%s route=%s upstream=%s endpoint=%s status=%s"
+        " reason=%s runs=%s ms=%s",
+    )
+    REFUSED = (
+        656,
+        "request refused request=%s route=%s status=%s reason=%s ms=%s"
+        " routes_version=%s",
+    )
+    ATTEMPT_ENDED = (
+        657,
+        "attempt ended request=%s endpoint=%s outcome=%s reason=%s ms=%s",
+    )
+    RESUMED = (658, "stream resumed request=%s endpoint=%s after=%s")
+    CALLER_LEFT = (659, "caller left request=%s route=%s endpoint=%s ms=%s")
+    BROKEN_OFF = (
+        660,
+        "answer broken off request=%s route=%s endpoint=%s reason=%s ms=%s",
+    )
+    CONTROL_LOST = (661, "control lost address=%s reason=%s")
+    CONTROL_FOUND = (662, "control found address=%s term=%s")
+    DUTY_CALL = (
+        663,
+        "duty call duty=%s subject=%s fence=%s value=%s outcome=%s",
+    )
+    ROLLOUT_STEPPED = (
+        664,
+        "rollout stepped upstream=%s target=%s state=%s share=%s reason=%s",
+    )
+    OPERATOR_CALL = (665, "operator call name=%s outcome=%s detail=%s")
+    ENDPOINT_SUSPECT = (666, "endpoint suspect id=%s reason=%s")
+    SETTINGS_RELOADED = (667, "settings reloaded outcome=%s")
+    DISK_REFUSED = (668, "disk refused a write reason=%s")
+    ANNOUNCEMENT_BAD = (669, "announcement unreadable id=%s reason=%s")
+
     @property
     def number(self) -> int:
         """The event's stable number."""
@@ -61,3 +116,18 @@
 def warn(event: Event, *fields: object) -> None:
     """Logs ``event`` at warning level with its number."""
     logging.warning("E%d " + event.message, event.number, *fields)
+
+
+def record(event: Event, *fields: object) -> None:
+    """Writes ``event`` as one structured line, if a structured log is on."""
+    writer = lines.current()
+    if writer is None:
+        return
+    names = _FIELD.findall(event.message)
+    line = {
+        "at": round(clock.wall(), 3),
+        "event": event.number,
+        "name": event.name.lower(),
+        **dict(zip(names, fields, strict=True)),
+    }
+    writer.write(event.number, line)
--- /dev/null
+++ b/src/_arbutuswalk/control/hub.py
@@ -0,0 +1,239 @@
+"""What control tells entries, and what entries tell control.
+
+Every control process keeps a directory of endpoints of its own, fed by
+announcements that reach it and by those the other members pass on. Entries
+watch every member, so that a leader change or a lost member leaves no gap.
+None of this is replicated: endpoints announce themselves again within seconds.
+"""
+
+import asyncio
+import contextlib
+import json
+import secrets
+from typing import Any
+from typing import NamedTuple
+
+from _arbutuswalk.base import clock
+from _arbutuswalk.base import events
+from _arbutuswalk.base import metrics
+from _arbutuswalk.control import member as members
+from _arbutuswalk.routing import directory as directories
+from _arbutuswalk.wire.gen.arbutus import ttypes
+
+WATCH_WAIT_S = 0.4
+"""Longest time a watch waits for news; bounds the age of reported loads."""
+ENTRY_SILENT_S = 1.5
+"""Silence after which an entry is not named to callers: three watches."""
+ENTRY_KEPT_S = 60.0
+"""How long the last report of a silent entry counts, for usage."""
+ENDPOINT_KEPT_S = 20.0
+"""Silence after which an endpoint is forgotten: many missed heartbeats."""
+CONFIRM_WAIT_S = 0.4
+"""Longest wait for entries to learn that an endpoint leaves; the announcing
+side allows one second for the answer."""
+
+
+class EntryState(NamedTuple):
+    """An entry as this member knows it.
+
+    Attributes:
+        incarnation: Start of the entry's process.
+        revision: Revision of the directory it has.
+        report: Its last report.
+        seen_at: When it last asked, in seconds.
+    """
+
+    incarnation: int
+    revision: int
+    report: dict[str, Any]
+    seen_at: float
+
+
+class Hub:
+    """Directory of endpoints and entries at one control process.
+
+    Attributes:
+        member: The member of the control group in this process.
+        session: Random name of this start, which revisions belong to.
+        directory: Endpoints.
+        entries: State by entry id and incarnation.
+        directives: What the leader's systems want entries to know.
+        changed: Set and replaced when there is news.
+        metrics: Counters of this process.
+    """
+
+    def __init__(self, *, member: members.Member):
+        self.member = member
+        self.session = secrets.token_hex(8)
+        self.directory = directories.Directory()
+        self.entries: dict[tuple[str, int], EntryState] = {}
+        self.directives: dict[str, Any] = {}
+        self.changed = asyncio.Event()
+        self.now: clock.Clock = member.now
+        self.wall: clock.Clock = member.wall
+        self.metrics = metrics.Metrics()
+
+    def announce(self, said: directories.Endpoint) -> bool:
+        """Takes an announcement and passes it on to the other members."""
+        self._post_to_members(said)
+        return self.take(said)
+
+    def take(self, said: directories.Endpoint) -> bool:
+        """Takes an announcement, from an endpoint or another member."""
+        news = directories.announce(self.directory, said, self.now())
+        if news:
+            events.record(
+                events.Event.ENDPOINT_CHANGED,
+                said.id,
+                said.upstream,
+                said.version,
+                said.state,
+                said.born_ms,
+                said.sequence,
+                said.address,
+            )
+            self.wake()
+        return news
+
+    def leave(self, endpoint_id: str, born_ms: int | None) -> bool:
+        """Takes a deregistration; returns whether it was news."""
+        row = self.directory.rows.get(endpoint_id)
+        if row is None:
+            return False
+        if born_ms is not None and born_ms < row.endpoint.born_ms:
+            return False
+        return self.announce(row.endpoint._replace(state=directories.GONE))
+
+    async def confirm(self) -> bool:
+        """Waits until every entry in touch has the directory as it is now.
+
+        Returns:
+            Whether all of them have it.
+        """
+        revision = self.directory.revision
+        deadline = self.now() + CONFIRM_WAIT_S
+        while self._behind(revision):
+            left = deadline - self.now()
+            if left <= 0:
+                return False
+            await asyncio.sleep(min(left, members.TICK_S))
+        return True
+
+    def ready_entries(self) -> list[dict[str, Any]]:
+        """Returns the reports of entries that callers may use."""
+        return [
+            state.report
+            for state in self.live_entries().values()
+            if state.report.get("ready")
+        ]
+
+    def live_entries(self) -> dict[str, EntryState]:
+        """Returns the newest incarnation of each entry in touch, by id."""
+        oldest = self.now() - ENTRY_SILENT_S
+        found: dict[str, EntryState] = {}
+        for (name, _), state in self.entries.items():
+            if state.seen_at < oldest:
+                continue
+            known = found.get(name)
+            if known is None or known.incarnation < state.incarnation:
+                found[name] = state
+        return found
+
+    async def watch(self, message: ttypes.Watch) -> ttypes.WatchReply:
+        """Answers an entry when there is news for it, or after a while."""
+        revision = message.version if message.session == self.session else 0
+        self._note(message, revision)
+        if not self._has_news(message, revision):
+            changed = self.changed
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(changed.wait(), WATCH_WAIT_S)
+        return ttypes.WatchReply(
+            session=self.session,
+            version=self.directory.revision,
+            news=json.dumps(self._news(message, revision)).encode(),
+        )
+
+    def wake(self) -> None:
+        """Answers all waiting watches."""
+        changed, self.changed = self.changed, asyncio.Event()
+        changed.set()
+
+    def direct(self, directives: dict[str, Any]) -> None:
+        """Sets what the leader's systems want entries to know."""
+        if directives != self.directives:
+            self.directives = directives
+            self.wake()
+
+    def expire(self) -> None:
+        """Forgets what was not heard for long."""
+        now = self.now()
+        for name in directories.expire(self.directory, now, ENDPOINT_KEPT_S):
+            events.record(events.Event.ENDPOINT_FORGOTTEN, name)
+        for key, state in list(self.entries.items()):
+            if now - state.seen_at > ENTRY_KEPT_S:
+                del self.entries[key]
+
+    def loads(self) -> dict[str, int]:
+        """Returns the requests that all entries in touch run by endpoint."""
+        totals: dict[str, int] = {}
+        for state in self.live_entries().values():
+            for endpoint, count in state.report.get("running", {}).items():
+                totals[endpoint] = totals.get(endpoint, 0) + count
+        return totals
+
+    def wall_at(self, state: EntryState) -> float:
+        """Returns this process's time of day when an entry last asked."""
+        return self.wall() - (self.now() - state.seen_at)
+
+    def member_addresses(self) -> list[str]:
+        """Returns the link addresses of all members, own included."""
+        known = self.member.replica.log.members.addresses.values()
+        return sorted({self.member.address, *known})
+
+    def _behind(self, revision: int) -> bool:
+        return any(
+            state.revision < revision for state in self.live_entries().values()
+        )
+
+    def _note(self, message: ttypes.Watch, revision: int) -> None:
+        self.entries[message.entry, message.incarnation] = EntryState(
+            message.incarnation,
+            revision,
+            json.loads(message.report),
+            self.now(),
+        )
+
+    def _has_news(self, message: ttypes.Watch, revision: int) -> bool:
+        tables = self.member.tables
+        if message.session != self.session:
+            return True
+        if tables.routes_version > message.routes_version:
+            return True
+        return directories.has_news_since(self.directory, revision)
+
+    def _news(self, message: ttypes.Watch, revision: int) -> dict[str, Any]:
+        tables = self.member.tables
+        news = {
+            "endpoints": directories.since(self.directory, revision),
+            "members": self.member_addresses(),
+            "rollouts": tables.rollouts,
+            "loads": self.loads(),
+            "entries": len(self.live_entries()),
+            "wall": self.wall(),
+            "term": self._deciding_term(),
+            "directives": self.directives,
+        }
+        if tables.routes_version > message.routes_version:
+            news["routes"] = tables.routes
+        return news
+
+    def _deciding_term(self) -> int:
+        """Returns the term in which this member decides alone, or 0."""
+        return self.member.replica.term if self.member.holds_lease else 0
+
+    def _post_to_members(self, said: directories.Endpoint) -> None:
+        payload = json.dumps(said).encode()
+        message = ttypes.UpstreamNews(announcements=[payload])
+        for address in self.member_addresses():
+            if address != self.member.address:
+                self.member.link_to(address).post(message)
--- a/src/_arbutuswalk/control/main.py
+++ b/src/_arbutuswalk/control/main.py
@@ -6,19 +6,11 @@
 from typing import Any
 
 from _arbutuswalk.agreement import types
-from _arbutuswalk.base import clock
-from _arbutuswalk.base import events
 from _arbutuswalk.base import process
 from _arbutuswalk.base import settings
-from _arbutuswalk.control import member as members
+from _arbutuswalk.control import process as processes
 from _arbutuswalk.control import replicated
-from _arbutuswalk.control import service
-from _arbutuswalk.control import systems
-from _arbutuswalk.storage import errors
 from _arbutuswalk.storage import folder
-from _arbutuswalk.wire import link
-
-EXIT_STORAGE = 3
 
 FIELDS = (
     settings.Field("id", "a name", settings.is_text),
@@ -51,42 +43,8 @@
 """Leader's lease as a part of the election timeout."""
 
 
-async def run(values: dict[str, Any]) -> int:
-    """Runs the process until drained; returns its exit code."""
-    core = _make_core(values)
-    failure = core.recover(clock.monotonic())
-    if failure is not None:
-        events.warn(events.Event.STORAGE_FAILED, errors.describe(failure))
-        return EXIT_STORAGE
-    member = members.Member(core=core)
-    serving = service.Service(member=member, name=values["id"])
-    server = link.LinkServer(address=values["address"], handler=serving.handle)
-    await server.start()
-    stop = asyncio.Event()
-    process.on_signals(drain=stop.set, dump=serving.dump)
-    events.log(
-        events.Event.PROCESS_STARTED,
-        "control",
-        values["id"],
-        values["address"],
-    )
-    leader = systems.Systems(service=serving, values=values)
-    serving.extra_dump = leader.dump
-    running = asyncio.ensure_future(member.run())
-    deciding = asyncio.ensure_future(leader.run())
-    stopping = asyncio.ensure_future(stop.wait())
-    await asyncio.wait((running, stopping), return_when=asyncio.FIRST_COMPLETED)
-    for task in (running, deciding, stopping):
-        task.cancel()
-    await asyncio.gather(running, deciding, return_exceptions=True)
-    await leader.close()
-    await server.stop()
-    await member.stop()
-    events.log(events.Event.PROCESS_STOPPED, "control", values["id"])
-    return EXIT_STORAGE if member.failure else process.EXIT_OK
-
-
-def _make_core(values: dict[str, Any]) -> replicated.Replicated:
+def make_core(values: dict[str, Any]) -> replicated.Replicated:
+    """Returns the member's replica with its disk, not recovered yet."""
     return replicated.Replicated(
         data=folder.Folder(path=values["data"]),
         identity=replicated.Identity(
@@ -108,4 +66,4 @@
     """Runs the binary."""
     values = process.load_settings("arbutuswalk-control", FIELDS, sys.argv[1:])
     process.start_logging(values["log_level"])
-    sys.exit(asyncio.run(run(values)))
+    sys.exit(asyncio.run(processes.run(values, make_core(values))))
--- a/src/_arbutuswalk/control/member.py
+++ b/src/_arbutuswalk/control/member.py
@@ -24,6 +24,8 @@
 
 TICK_S = 0.02
 HELLO_S = 0.3
+DISK_FULL_PAUSE_S = 0.25
+"""Pause between two tries to write to a full disk."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -188,11 +190,25 @@
             self.failure = await loop.run_in_executor(
                 None, self.core.persist, ready
             )
+            while isinstance(self.failure, errors.DiskFull):
+                self.failure = await self._persist_again(ready)
             if self.failure is not None:
                 return
             self.core.saved(ready)
         self._send(ready.late)
 
+    async def _persist_again(
+        self, ready: types.Ready
+    ) -> errors.StorageError | None:
+        """Tries a full disk again; meanwhile nothing is promised.
+
+        Ending the process would help nobody: it would find the disk full.
+        """
+        events.record(events.Event.DISK_REFUSED, errors.describe(self.failure))
+        await asyncio.sleep(DISK_FULL_PAUSE_S)
+        loop = asyncio.get_running_loop()
+        return await loop.run_in_executor(None, self.core.persist, ready)
+
     async def _apply_committed(self) -> None:
         before = self.core.applied
         while self.failure is None:
--- a/src/_arbutuswalk/control/service.py
+++ b/src/_arbutuswalk/control/service.py
@@ -7,8 +7,10 @@
 
 from _arbutuswalk.base import events
 from _arbutuswalk.base import settings
+from _arbutuswalk.control import hub as hubs
 from _arbutuswalk.control import leases
 from _arbutuswalk.control import member as members
+from _arbutuswalk.routing import directory
 from _arbutuswalk.state import commands
 from _arbutuswalk.state import entries
 from _arbutuswalk.state import inventory as inventories
@@ -30,11 +32,15 @@
         member: The member behind it.
         leases: Grants, renewed whenever the role changes.
         name: Process id for the dump.
+        hub: Directory of endpoints and entries.
     """
 
-    def __init__(self, *, member: members.Member, name: str):
+    def __init__(
+        self, *, member: members.Member, name: str, hub: hubs.Hub | None = None
+    ):
         self.member = member
         self.name = name
+        self.hub = hub or hubs.Hub(member=member)
         self.leases = leases.Leases(since=member.now())
         self.term = -1
         self.extra_dump = dict
@@ -53,6 +59,12 @@
             return await self._sync(message)
         if isinstance(message, ttypes.Read):
             return await self._read(message)
+        if isinstance(message, ttypes.Watch):
+            return await self.hub.watch(message)
+        if isinstance(message, ttypes.UpstreamNews):
+            for said in message.announcements:
+                self.hub.take(directory.from_json(json.loads(said)))
+            return None
         if isinstance(message, ttypes.Dump):
             return ttypes.DumpReply(state=json.dumps(self.dump()).encode())
         self.member.receive(message)
@@ -165,6 +177,8 @@
             "inventory": lambda _: self.member.tables.inventory,
             "call": self._call,
             "alone": self._alone,
+            "published": self._published,
+            "rollout": self._rollout,
             "replace": self._replace,
         }
 
@@ -230,6 +244,17 @@
         tables = self.member.tables
         return {"alone": self.leases.is_alone(tables, argument)}
 
+    def _published(self, _: str) -> dict[str, Any]:
+        tables = self.member.tables
+        return {
+            "version": tables.routes_version,
+            "source": tables.routes_source,
+        }
+
+    def _rollout(self, argument: str) -> dict[str, Any]:
+        row = self.member.tables.rollouts.get(argument)
+        return row._asdict() if row is not None else {}
+
     def _replace(self, argument: str) -> dict[str, Any]:
         """Orders the replacement of the voter at an address."""
         replica = self.member.replica
--- /dev/null
+++ b/src/_arbutuswalk/relay/__init__.py
@@ -0,0 +1,1 @@
+"""The data path for requests that are relayed as they are."""
--- /dev/null
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -0,0 +1,239 @@
+"""Sends a request to one endpoint and follows what comes back."""
+
+import asyncio
+
+from _arbutuswalk.base import events
+from _arbutuswalk.relay import connection as connections
+from _arbutuswalk.relay import core
+from _arbutuswalk.relay import delivery
+from _arbutuswalk.relay import placing
+from _arbutuswalk.relay import pool
+from _arbutuswalk.relay import request as requests
+from _arbutuswalk.relay import results
+from _arbutuswalk.routing import directory
+from _arbutuswalk.state import routeconfig
+
+ANSWER_GRACE_S = 0.1
+"""How much longer than its time an endpoint's own time-out answer is awaited:
+below the quarter of a second by which an answer may be late."""
+STALL_S = 1.0
+"""Pause after which a stream is resumed elsewhere: half of the shortest pause
+after which callers abandon one."""
+MAX_RANK = 9
+
+
+class Attempt:
+    """One sending of a request.
+
+    Attributes:
+        delivery: Answer to the caller, shared by all attempts of a request.
+        endpoint: Where it goes.
+        version: Version of that endpoint's software.
+        exchange: Exchange on the connection.
+        started: When it began, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        relay: core.Relay,
+        to_caller: delivery.Delivery,
+        endpoint: directory.Endpoint,
+    ):
+        self.relay = relay
+        self.delivery = to_caller
+        self.request = to_caller.request
+        self.endpoint = endpoint
+        self.started = relay.now()
+        self.exchange = connections.Exchange(
+            request_id=self.request.id,
+            has_body=self.request.method != "HEAD",
+        )
+
+    async def run(self) -> results.Result:
+        """Sends the request and returns what became of it."""
+        relay, name = self.relay, self.endpoint.id
+        relay.running[name] = relay.running.get(name, 0) + 1
+        try:
+            result = await self._run()
+        finally:
+            relay.running[name] -= 1
+            if not relay.running[name]:
+                del relay.running[name]
+        self._note(result)
+        return result
+
+    async def _run(self) -> results.Result:
+        careful = not self.request.route.repeatable
+        opened = await self.relay.pool.take(
+            self.endpoint.address, careful=careful
+        )
+        if isinstance(opened, pool.NotOpened):
+            placing.suspect(self.relay, self.endpoint.id, opened.reason)
+            self.relay.pool.drop(self.endpoint.address)
+            return results.NotSent(reason=opened.reason)
+        left_s = self.request.deadline - self.relay.now()
+        if self.delivery.left or left_s < results.LEAST_LEFT_S:
+            self.relay.pool.give_back(opened)
+            if self.delivery.left:
+                return results.CallerLeft()
+            return results.NotSent(reason="no time left")
+        send = requests.Send(
+            endpoint=self.endpoint.id,
+            left_s=left_s,
+            last_event=self.delivery.last_event,
+            rank=min(MAX_RANK, self.request.priority),
+        )
+        data = self.relay.dialect.encode(self.request, send)
+        self.delivery.wake = self.exchange.news.set
+        opened.begin(data, self.exchange)
+        result = await self._follow(opened)
+        self._let_go(opened, result)
+        return result
+
+    def _let_go(
+        self, opened: connections.Connection, result: results.Result
+    ) -> None:
+        """Keeps a clean connection, closes any other at once."""
+        whole = isinstance(
+            result, results.Answered | results.Delivered | results.NotRun
+        )
+        if whole and self.exchange.complete:
+            self.relay.pool.give_back(opened)
+        else:
+            opened.abort()
+
+    async def _follow(self, opened: connections.Connection) -> results.Result:
+        """Waits for the answer's head, then for the rest in its way."""
+        deadline = self.request.deadline + ANSWER_GRACE_S
+        while self.exchange.reply is None and not self.exchange.over:
+            ended = await self._news(deadline)
+            if ended is not None:
+                return ended
+        reply = self.exchange.reply
+        if reply is None:
+            return self._lost(self.exchange.failure)
+        if reply.ran and reply.good and self._is_stream():
+            return await self._stream(opened, deadline)
+        return await self._whole(reply, deadline)
+
+    def _is_stream(self) -> bool:
+        return self.request.route.kind == routeconfig.STREAM
+
+    async def _whole(
+        self, reply: requests.Reply, deadline: float
+    ) -> results.Result:
+        """Collects a whole answer; nothing of it has gone out yet."""
+        while not self.exchange.over:
+            ended = await self._news(deadline)
+            if ended is not None:
+                return ended
+        if not reply.ran:
+            return results.NotRun(reason=f"status {self.exchange.status}")
+        if not self.exchange.complete:
+            return self._lost(self.exchange.failure)
+        self._count_begun(self.started)
+        return results.Answered(
+            status=self.exchange.status,
+            headers=self.exchange.headers,
+            body=self.exchange.take(),
+        )
+
+    async def _stream(
+        self, opened: connections.Connection, deadline: float
+    ) -> results.Result:
+        """Passes events on as they come."""
+        begun = False
+        await self.delivery.start(self.exchange.status, self.exchange.headers)
+        while True:
+            data = self.exchange.take()
+            opened.taken()
+            if data:
+                if not begun:
+                    self._count_begun(self.relay.now())
+                begun = True
+                await self.delivery.feed(data)
+            if self.exchange.over and not self.exchange.pieces:
+                break
+            ended = await self._news(deadline, stalls=begun)
+            if ended is not None:
+                return ended
+        if not self.exchange.complete:
+            return self._lost(self.exchange.failure)
+        await self.delivery.finish()
+        return results.Delivered()
+
+    async def _news(
+        self, deadline: float, *, stalls: bool = False
+    ) -> results.Result | None:
+        """Waits for news of the exchange; returns a result that ends it."""
+        now = self.relay.now()
+        until = deadline
+        may_resume = stalls and self.request.route.resumable
+        if may_resume:
+            until = min(until, self.exchange.heard_at + STALL_S)
+        if not self.delivery.left:
+            self.exchange.news.clear()
+            try:
+                async with asyncio.timeout(max(0.0, until - now)):
+                    await self.exchange.news.wait()
+            except TimeoutError:
+                if until < deadline:
+                    return self._lost("stream stalled")
+                return results.TimedOut(reason="no time left")
+        if self.delivery.left:
+            return results.CallerLeft()
+        return None
+
+    def _lost(self, reason: str) -> results.Lost:
+        placing.suspect(self.relay, self.endpoint.id, reason)
+        self.relay.pool.drop(self.endpoint.address)
+        return results.Lost(reason=reason)
+
+    def _count_begun(self, at: float) -> None:
+        workspace = self.request.workspace
+        if workspace is not None:
+            ago = self.relay.now() - at
+            self.relay.usage.count(workspace.name, self.relay.wall() - ago)
+
+    def _note(self, result: results.Result) -> None:
+        """Writes the attempt down, for the log and for rollouts."""
+        took = self.relay.now() - self.started
+        reason = getattr(result, "reason", "")
+        if isinstance(result, results.Answered):
+            reason = f"status {result.status}"
+        if not isinstance(result, results.Answered | results.Delivered):
+            events.record(
+                events.Event.ATTEMPT_ENDED,
+                self.request.id,
+                self.endpoint.id,
+                type(result).__name__,
+                reason,
+                round(took * 1000),
+            )
+        self.relay.metrics.record(
+            "attempt",
+            f'upstream="{self.request.upstream}",'
+            f'outcome="{type(result).__name__}"',
+            took,
+        )
+        self._note_outcome(result, took)
+
+    def _note_outcome(self, result: results.Result, took: float) -> None:
+        key = (self.request.upstream, self.endpoint.version)
+        outcomes = self.relay.outcomes.get(key)
+        if outcomes is None:
+            outcomes = self.relay.outcomes[key] = core.Outcomes()
+        if isinstance(
+            result, results.NotSent | results.NotRun | results.CallerLeft
+        ):
+            return
+        outcomes.ran += 1
+        good = isinstance(result, results.Delivered) or (
+            isinstance(result, results.Answered)
+            and result.status < results.FAILURE_STATUS
+        )
+        outcomes.failed += not good
+        if good:
+            outcomes.timed += 1
+            outcomes.slow += took > self.request.route.objective_s * 2
--- /dev/null
+++ b/src/_arbutuswalk/relay/core.py
@@ -0,0 +1,133 @@
+"""State of an entry that relays requests as they are."""
+
+import random
+from typing import NamedTuple
+
+from _arbutuswalk.base import clock
+from _arbutuswalk.base import metrics
+from _arbutuswalk.limits import quota
+from _arbutuswalk.limits import retries
+from _arbutuswalk.relay import pool
+from _arbutuswalk.relay import request as requests
+from _arbutuswalk.relay import usage
+from _arbutuswalk.routing import directory
+from _arbutuswalk.routing import routetable
+
+UNKNOWN_ENTRIES = 16
+"""Entries that share a bound until control has told how many there are."""
+
+
+class Options(NamedTuple):
+    """Settings of the data path.
+
+    Attributes:
+        retry_ratio: Retries as a part of the requests of a window.
+        retry_extra: Retries of a window beside that part.
+        retry_window_s: Length of that window.
+        usage_window_s: Length of a window of usage.
+        quota_window_s: Length of a window of quotas.
+    """
+
+    retry_ratio: float
+    retry_extra: float
+    retry_window_s: float
+    usage_window_s: float
+    quota_window_s: float
+
+
+class Outcomes:
+    """Outcomes of one version of an upstream at this entry.
+
+    Attributes:
+        ran: Requests that ran.
+        failed: Those of them that failed.
+        timed: Those that were compared with the objective.
+        slow: Those of them that took several times as long as usual.
+    """
+
+    def __init__(self):
+        self.ran = 0
+        self.failed = 0
+        self.timed = 0
+        self.slow = 0
+
+
+class Relay:
+    """Tables of one entry; the data path's functions run over them.
+
+    Attributes:
+        name: Entry's id.
+        incarnation: Start of this process, in milliseconds.
+        domain: Own failure domain.
+        dialect: How endpoints are spoken to.
+        pool: Connections to endpoints.
+        table: Configuration of routes, None before the first.
+        directory: Endpoints.
+        running: Own requests under way by endpoint.
+        others: Requests of other entries under way by endpoint.
+        suspects: Time until which an endpoint comes last, by id.
+        retries: Window of retries by upstream.
+        buckets: Quota bucket by workspace.
+        usage: Requests begun, by window and workspace.
+        outcomes: Outcomes by (upstream, version).
+        rollouts: Rollout rows by upstream, from control.
+        entries: Entries that share the bounds.
+        draining: Whether the process is leaving.
+        active: Requests under way.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        domain: str,
+        dialect: requests.Dialect,
+        options: Options,
+        now: clock.Clock = clock.monotonic,
+        wall: clock.Clock = clock.wall,
+        rng: random.Random | None = None,
+    ):
+        self.name = name
+        self.domain = domain
+        self.dialect = dialect
+        self.options = options
+        self.now = now
+        self.wall = wall
+        self.rng = rng or random.Random()
+        self.incarnation = int(wall() * clock.MS_PER_S)
+        self.pool = pool.Pool(read=dialect.read, now=now)
+        self.table: routetable.RouteTable | None = None
+        self.directory = directory.Directory()
+        self.running: dict[str, int] = {}
+        self.others: dict[str, int] = {}
+        self.suspects: dict[str, float] = {}
+        self.retries: dict[str, retries.RetryWindow] = {}
+        self.buckets: dict[str, quota.Bucket] = {}
+        self.usage = usage.Usage(window_s=options.usage_window_s)
+        self.outcomes: dict[tuple[str, str], Outcomes] = {}
+        self.rollouts: dict[str, list] = {}
+        self.entries = UNKNOWN_ENTRIES
+        self.draining = False
+        self.active = 0
+        self.metrics = metrics.Metrics()
+
+    @property
+    def routes_version(self) -> int:
+        """Version of the configuration that is served, 0 for none."""
+        return self.table.config.version if self.table else 0
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers should use this entry."""
+        return self.table is not None and not self.draining
+
+    def retry_window(self, upstream: str) -> retries.RetryWindow:
+        """Returns the upstream's window of retries."""
+        found = self.retries.get(upstream)
+        if found is None:
+            found = self.retries[upstream] = retries.RetryWindow(
+                ratio=self.options.retry_ratio,
+                extra=self.options.retry_extra,
+                window_s=self.options.retry_window_s,
+            )
+        return found
--- /dev/null
+++ b/src/_arbutuswalk/relay/delivery.py
@@ -0,0 +1,98 @@
+"""The answer to one caller, over all attempts that make it up.
+
+A resumed stream keeps the head of its first run, and only whole events go out,
+so that a run that broke off inside an event can be continued by another.
+"""
+
+from _arbutuswalk.relay import core
+from _arbutuswalk.relay import events as sse
+from _arbutuswalk.relay import request as requests
+
+
+class Delivery:
+    """What a caller has been sent.
+
+    Attributes:
+        request: The request.
+        caller: How to answer.
+        left: Whether the caller has gone.
+        started: Whether status and headers have gone out.
+        finished: Whether the answer was ended as complete.
+        last_event: Id of the last event that the caller has.
+        events: Events sent.
+        first_at: When the first event went out, in seconds.
+        wake: Called when the caller leaves.
+    """
+
+    def __init__(
+        self,
+        *,
+        relay: core.Relay,
+        request: requests.Request,
+        caller: requests.Caller,
+    ):
+        self.relay = relay
+        self.request = request
+        self.caller = caller
+        self.left = False
+        self.started = False
+        self.finished = False
+        self.last_event = request.last_event
+        self.events = 0
+        self.first_at = 0.0
+        self.cutter = sse.Cutter()
+        self.wake = lambda: None
+
+    def leave(self) -> None:
+        """Notes that the caller has closed the connection."""
+        self.left = True
+        self.wake()
+
+    async def start(self, status: int, headers: requests.Headers) -> None:
+        """Sends the head of the first run; later ones only go on."""
+        self.cutter = sse.Cutter()
+        if self.started:
+            return
+        self.started = True
+        await self.caller.head(
+            status, self.relay.dialect.answer_headers(headers)
+        )
+
+    async def feed(self, data: bytes) -> None:
+        """Passes on the events that ``data`` completes."""
+        fresh = []
+        for event in self.cutter.feed(data):
+            if not sse.is_after(event.id, self.last_event):
+                continue
+            self.last_event = event.id or self.last_event
+            fresh.append(event.data)
+        if not fresh:
+            return
+        if not self.events:
+            self.first_at = self.relay.now()
+        self.events += len(fresh)
+        await self.caller.body(b"".join(fresh))
+
+    async def finish(self) -> None:
+        """Ends a complete stream; what is left is no whole event."""
+        if self.cutter.rest:
+            await self.caller.body(self.cutter.rest)
+        self.finished = True
+        await self.caller.end()
+
+    async def whole(
+        self, status: int, headers: requests.Headers, body: bytes
+    ) -> None:
+        """Sends an endpoint's whole answer."""
+        await self.own(status, self.relay.dialect.answer_headers(headers), body)
+
+    async def own(
+        self, status: int, headers: requests.Headers, body: bytes
+    ) -> None:
+        """Sends a whole answer with the headers given."""
+        self.started = True
+        await self.caller.head(status, headers)
+        if body:
+            await self.caller.body(body)
+        self.finished = True
+        await self.caller.end()
--- /dev/null
+++ b/src/_arbutuswalk/relay/request.py
@@ -0,0 +1,145 @@
+"""A request as the data path sees it, whatever protocol brought it."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import NamedTuple
+
+from _arbutuswalk.state import routeconfig
+
+Headers = list[tuple[bytes, bytes]]
+"""Header names and values in order; names in lower case."""
+
+
+class Part(NamedTuple):
+    """One part of a prompt that other requests may share."""
+
+    id: str
+    tokens: int
+
+
+class Prompt(NamedTuple):
+    """What a caller says of a model request.
+
+    Attributes:
+        model: Name of the model.
+        tokens_in: Tokens of the prompt.
+        tokens_out: Most tokens of the answer.
+        parts: Parts of the prompt in order, the shared ones first.
+    """
+
+    model: str
+    tokens_in: int
+    tokens_out: int
+    parts: tuple[Part, ...]
+
+
+class Request(NamedTuple):
+    """One request of a caller.
+
+    Attributes:
+        id: Id of the caller's attempt.
+        method: HTTP method.
+        target: Path and query as they came.
+        headers: Headers to pass on.
+        body: Whole body.
+        route: Route it goes by.
+        upstream: Upstream that the route's weights picked.
+        workspace: Whose it is, None on an anonymous route.
+        came_at: When it was read, in seconds.
+        deadline: When the caller stops waiting.
+        prompt: Its prompt, if it is a model request.
+        last_event: Id of the last event that the caller has, or empty.
+    """
+
+    id: str
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    route: routeconfig.Route
+    upstream: str
+    workspace: routeconfig.Workspace | None
+    came_at: float
+    deadline: float
+    prompt: Prompt | None
+    last_event: str
+
+    @property
+    def tokens(self) -> int:
+        """Tokens in and out, 0 if nothing is known of them."""
+        if self.prompt is None:
+            return 0
+        return self.prompt.tokens_in + self.prompt.tokens_out
+
+    @property
+    def priority(self) -> int:
+        """Rank, 0 first; the workspace's goes before the route's."""
+        if self.workspace is not None and self.workspace.priority is not None:
+            return self.workspace.priority
+        return self.route.priority
+
+
+class Caller(NamedTuple):
+    """How to answer a caller.
+
+    Attributes:
+        head: Sends status and headers.
+        body: Sends a piece of the body; waits while the caller is slow.
+        end: Ends a complete answer.
+    """
+
+    head: Callable[[int, Headers], Awaitable[None]]
+    body: Callable[[bytes], Awaitable[None]]
+    end: Callable[[], Awaitable[None]]
+
+
+class Reply(NamedTuple):
+    """What an upstream's status and headers mean.
+
+    Attributes:
+        ran: False if the endpoint says that the request has not run.
+        request_id: Id of the request it answers, or empty.
+        good: Whether it is a success.
+        signed: Whether it bears the mark of an upstream's own answer.
+        idle_s: How long the endpoint keeps the connection, if it says so.
+        closing: Whether the endpoint closes the connection afterwards.
+        stream: Whether it is an event stream.
+    """
+
+    ran: bool
+    request_id: str
+    good: bool
+    signed: bool
+    idle_s: float | None
+    closing: bool
+    stream: bool
+
+
+class Send(NamedTuple):
+    """One sending of a request to an endpoint.
+
+    Attributes:
+        endpoint: Id that only the meant endpoint accepts.
+        left_s: Time that the endpoint may take.
+        last_event: Id of the last event that the caller has, or empty.
+        rank: Urgency of a model request from 0 to 9, None to leave it open.
+    """
+
+    endpoint: str
+    left_s: float
+    last_event: str
+    rank: int | None
+
+
+class Dialect(NamedTuple):
+    """How endpoints of a deployment are spoken to.
+
+    Attributes:
+        encode: Returns the bytes of a request for one sending.
+        read: Tells what an answer's status and headers mean.
+        answer_headers: Returns the headers that go on to the caller.
+    """
+
+    encode: Callable[[Request, Send], bytes]
+    read: Callable[[int, Headers], Reply]
+    answer_headers: Callable[[Headers], Headers]
--- /dev/null
+++ b/src/_arbutuswalk/relay/watching.py
@@ -0,0 +1,218 @@
+"""Follows control: endpoints, configuration of routes, rollouts, other entries.
+
+The entry watches every control process it knows of and merges what they say.
+While none answers it goes on with what it knows.
+"""
+
+import asyncio
+import json
+import statistics
+from collections.abc import Awaitable
+from typing import Any
+
+from _arbutuswalk.base import events
+from _arbutuswalk.relay import core
+from _arbutuswalk.routing import directory
+from _arbutuswalk.routing import routetable
+from _arbutuswalk.state import routeconfig
+from _arbutuswalk.wire import link
+from _arbutuswalk.wire.gen.arbutus import ttypes
+
+WATCH_TIMEOUT_S = 1.2
+"""Longest time for an answer: three times as long as control waits."""
+PAUSE_S = 0.2
+"""Pause after a failed watch."""
+FORGET_S = 20.0
+"""Silence after which an endpoint is forgotten, as at control."""
+STRANGER_S = 30.0
+"""How long a control process is watched that is no member and no seed."""
+
+
+class Feed:
+    """One control process that is watched.
+
+    Attributes:
+        session: Its start, which revisions belong to.
+        revision: Revision of its directory that was taken.
+        heard_at: When it last answered, in seconds.
+        term: Term in which it decides alone, 0 if it does not.
+        loads: Requests by endpoint over all entries, by its last answer.
+        reported: Own requests by endpoint that those loads include.
+    """
+
+    def __init__(self, *, address: str, now: float):
+        self.address = address
+        self.link = link.Link(address=address)
+        self.session = ""
+        self.revision = 0
+        self.heard_at = now
+        self.answered = False
+        self.term = 0
+        self.wall_offset: float | None = None
+        self.task: asyncio.Task | None = None
+
+
+class Watcher:
+    """All feeds of an entry.
+
+    Attributes:
+        relay: Tables that the news go into.
+        report: Returns what the entry says of itself.
+        seeds: Link addresses from the settings.
+        feeds: Feed by link address.
+    """
+
+    def __init__(self, *, relay: core.Relay, seeds: list[str], listens_on: str):
+        self.relay = relay
+        self.seeds = seeds
+        self.listens_on = listens_on
+        self.feeds: dict[str, Feed] = {}
+
+    def tick(self) -> None:
+        """Watches new members and stops watching those that are gone."""
+        now = self.relay.now()
+        for address in self.seeds:
+            self._follow(address)
+        for address, feed in list(self.feeds.items()):
+            lost = now - feed.heard_at > STRANGER_S
+            if lost and address not in self.seeds:
+                del self.feeds[address]
+                feed.task.cancel()
+                _spawn(feed.link.stop())
+        directory.expire(self.relay.directory, now, FORGET_S)
+
+    async def stop(self) -> None:
+        """Stops watching."""
+        for feed in self.feeds.values():
+            feed.task.cancel()
+        for feed in self.feeds.values():
+            await feed.link.stop()
+
+    def _follow(self, address: str) -> None:
+        if address not in self.feeds:
+            feed = Feed(address=address, now=self.relay.now())
+            self.feeds[address] = feed
+            feed.task = asyncio.ensure_future(self._run(feed))
+
+    async def _run(self, feed: Feed) -> None:
+        while True:
+            reply = await feed.link.call(
+                self._message(feed), timeout_s=WATCH_TIMEOUT_S
+            )
+            if isinstance(reply, ttypes.WatchReply):
+                self._take(feed, reply)
+                continue
+            if feed.answered:
+                feed.answered = False
+                reason = getattr(reply, "reason", "no answer")
+                events.record(events.Event.CONTROL_LOST, feed.address, reason)
+            feed.term = 0
+            if isinstance(reply, link.TimedOut):
+                # The connection may be silent for good while new ones work.
+                feed.link.close("timed out")
+            await asyncio.sleep(PAUSE_S)
+
+    def _message(self, feed: Feed) -> ttypes.Watch:
+        return ttypes.Watch(
+            entry=self.relay.name,
+            incarnation=self.relay.incarnation,
+            session=feed.session,
+            version=feed.revision,
+            routes_version=self.relay.routes_version,
+            report=json.dumps(self._report()).encode(),
+        )
+
+    def _report(self) -> dict[str, Any]:
+        relay = self.relay
+        return {
+            "entry": relay.name,
+            "address": self.listens_on,
+            "domain": relay.domain,
+            "ready": relay.ready,
+            "routes_version": relay.routes_version,
+            "running": relay.running,
+            "wall": relay.wall(),
+            "usage": relay.usage.counts,
+            "outcomes": [
+                [*key, o.ran, o.failed, o.timed, o.slow]
+                for key, o in relay.outcomes.items()
+            ],
+        }
+
+    def _take(self, feed: Feed, reply: ttypes.WatchReply) -> None:
+        now = self.relay.now()
+        news = json.loads(reply.news)
+        if not feed.answered:
+            feed.answered = True
+            events.record(
+                events.Event.CONTROL_FOUND, feed.address, news["term"]
+            )
+        feed.heard_at = now
+        feed.session, feed.revision = reply.session, reply.version
+        feed.term = news["term"]
+        feed.wall_offset = news["wall"] - self.relay.wall()
+        for fields in news["endpoints"]:
+            said = directory.from_json(fields)
+            directory.announce(self.relay.directory, said, now)
+        for address in news["members"]:
+            self._follow(address)
+        if "routes" in news:
+            take_routes(self.relay, news["routes"], feed.address)
+        self._take_rollouts(news["rollouts"])
+        self._take_loads(news["loads"])
+        self._count_entries(news["entries"])
+        self._agree_on_time()
+
+    def _take_rollouts(self, rollouts: dict[str, list]) -> None:
+        """Keeps the newest step of each rollout, whoever told of it."""
+        for upstream, row in rollouts.items():
+            known = self.relay.rollouts.get(upstream)
+            if known is None or _rollout_age(row) > _rollout_age(known):
+                self.relay.rollouts[upstream] = row
+
+    def _take_loads(self, loads: dict[str, int]) -> None:
+        """Takes other entries' loads: the sum less our own part of it."""
+        own = self.relay.running
+        self.relay.others = {
+            name: max(0, total - own.get(name, 0))
+            for name, total in loads.items()
+        }
+
+    def _count_entries(self, entries: int) -> None:
+        """Counts the entries that share bounds: the most anyone sees."""
+        if entries:
+            self.relay.entries = entries
+
+    def _agree_on_time(self) -> None:
+        """Corrects a clock that stepped by the median of all clocks."""
+        offsets = [
+            feed.wall_offset
+            for feed in self.feeds.values()
+            if feed.wall_offset is not None
+        ]
+        self.relay.usage.offset_s = statistics.median([0.0, *offsets])
+
+
+def take_routes(relay: core.Relay, values: dict[str, Any], source: str) -> None:
+    """Serves a configuration of routes, unless it is not a newer one."""
+    config = routeconfig.from_json(values)
+    before = relay.routes_version
+    if config.version <= before:
+        return
+    relay.table = routetable.RouteTable(config=config)
+    events.record(events.Event.ROUTES_IN_FORCE, config.version, before, source)
+
+
+def _rollout_age(row: list) -> tuple[int, int]:
+    started_ms, step = row[4], row[3]
+    return started_ms, step
+
+
+_tasks: set[asyncio.Task] = set()
+
+
+def _spawn(coroutine: Awaitable[None]) -> None:
+    """Runs a closing task to its end."""
+    task = asyncio.ensure_future(coroutine)
+    _tasks.add(task)
+    task.add_done_callback(_tasks.discard)
--- a/src/_arbutuswalk/state/commands.py
+++ b/src/_arbutuswalk/state/commands.py
@@ -172,6 +172,55 @@
     amounts: dict[str, int]
 
 
+class PublishRoutes(NamedTuple):
+    """Offers a configuration of routes; the highest version wins.
+
+    Attributes:
+        version: Its version.
+        config: Checked configuration as JSON values.
+        source: What the operator sent, deflated and in base 64.
+    """
+
+    version: int
+    config: dict[str, Any]
+    source: str
+
+
+class BeginRollout(NamedTuple):
+    """Asks that an upstream's traffic move to another version."""
+
+    upstream: str
+    target: str
+    duration_ms: int
+
+
+class StepRollout(NamedTuple):
+    """Changes a rollout's state and share.
+
+    Attributes:
+        upstream: Upstream that is rolled out.
+        target: Version it moves to.
+        seen_step: Step the decision was made on; a stale one is ignored.
+        state: New state.
+        share: Per mille of the traffic that the new version gets.
+        reason: Why, for the operator.
+    """
+
+    upstream: str
+    target: str
+    seen_step: int
+    state: str
+    share: int
+    reason: str
+
+
+class SettleUsage(NamedTuple):
+    """Fixes the counts of a closed usage window, by workspace."""
+
+    window: int
+    counts: dict[str, int]
+
+
 class Tick(NamedTuple):
     """Lets log time pass, so that records expire."""
 
@@ -192,6 +241,10 @@
     | SettleOrder
     | MarkInstance
     | Charge
+    | PublishRoutes
+    | BeginRollout
+    | StepRollout
+    | SettleUsage
     | Tick
 )
 
@@ -213,6 +266,10 @@
         SettleOrder,
         MarkInstance,
         Charge,
+        PublishRoutes,
+        BeginRollout,
+        StepRollout,
+        SettleUsage,
         Tick,
     )
 }
--- a/src/_arbutuswalk/state/machine.py
+++ b/src/_arbutuswalk/state/machine.py
@@ -11,8 +11,11 @@
 from _arbutuswalk.state import ledger
 from _arbutuswalk.state import moves
 from _arbutuswalk.state import outcomes
+from _arbutuswalk.state import published
 from _arbutuswalk.state import quarantine
+from _arbutuswalk.state import rollouts
 from _arbutuswalk.state import tables as rows
+from _arbutuswalk.state import usage
 from _arbutuswalk.state import view
 
 EXPIRY_MS = 1000
@@ -34,6 +37,10 @@
     commands.SettleOrder: fleet.settle,
     commands.MarkInstance: fleet.mark,
     commands.Charge: charges.settle,
+    commands.PublishRoutes: published.publish,
+    commands.BeginRollout: rollouts.begin,
+    commands.StepRollout: rollouts.step,
+    commands.SettleUsage: usage.settle,
 }
 
 _EXPIRY = (
@@ -55,6 +62,7 @@
     "deaths": rows.DeathRow,
     "instances": rows.InstanceRow,
     "orders": rows.OrderRow,
+    "rollouts": rows.RolloutRow,
 }
 
 
--- a/src/_arbutuswalk/state/tables.py
+++ b/src/_arbutuswalk/state/tables.py
@@ -137,6 +137,25 @@
     at_ms: int
 
 
+class RolloutRow(NamedTuple):
+    """A rollout of an upstream's version.
+
+    Attributes:
+        state: ``growing``, ``completed`` or ``reverted``.
+        share: Per mille of the traffic that the new version gets.
+        step: Counts the changes of this row.
+    """
+
+    target: str
+    state: str
+    share: int
+    step: int
+    started_ms: int
+    duration_ms: int
+    changed_ms: int
+    reason: str
+
+
 class Tables:
     """Every replicated table; each log entry changes all of them at once.
 
@@ -162,6 +181,11 @@
         billed_micro: Sum of all bills.
         intervals: Number of the last settled interval.
         highest_fence: Highest fence of any order.
+        routes_version: Version of the configuration of routes, 0 for none.
+        routes: That configuration as JSON values.
+        routes_source: What the operator sent for it, deflated, in base 64.
+        rollouts: Rollout by upstream name.
+        usage: Settled counts by workspace, by number of the window.
         expired_ms: Log time at which records were last expired.
         changed: Log index of the last change of each part of the view.
         applied: Index of the last log entry applied.
@@ -189,6 +213,11 @@
         self.billed_micro = 0
         self.intervals = 0
         self.highest_fence = 0
+        self.routes_version = 0
+        self.routes: dict[str, Any] | None = None
+        self.routes_source = ""
+        self.rollouts: dict[str, RolloutRow] = {}
+        self.usage: dict[str, dict[str, int]] = {}
         self.expired_ms = 0
         self.changed: dict[str, int] = {}
         self.applied = 0
--- a/src/_arbutuswalk/wire/arbutuswalk.thrift
+++ b/src/_arbutuswalk/wire/arbutuswalk.thrift
@@ -124,6 +124,24 @@
   4: optional string reason,
 }
 
+// Keeps an entry up to date. A control process answers at once if it has news
+// for the entry, else after a while. Entries watch every control process.
+
+struct Watch {
+  1: required string entry,
+  2: required i64 incarnation,
+  3: required string session, // control process's start that `version` is of
+  4: required i64 version, // last version of its directory that was taken
+  5: required i64 routes_version, // configuration of routes that is served
+  6: required binary report, // JSON
+}
+
+struct WatchReply {
+  1: required string session,
+  2: required i64 version,
+  3: required binary news, // JSON
+}
+
 // Between entries.
 
 struct UpstreamNews {
@@ -194,6 +212,8 @@
   19: Ping ping,
   22: TakeRequest take_request,
   23: TakeReply take_reply,
+  24: Watch watch,
+  25: WatchReply watch_reply,
 }
 
 struct Frame {
--- a/src/_arbutuswalk/wire/gen/arbutus/ttypes.py
+++ b/src/_arbutuswalk/wire/gen/arbutus/ttypes.py
@@ -1752,6 +1752,244 @@
         return not (self == other)
 
 
+class Watch(object):
+    """
+    Attributes:
+     - entry
+     - incarnation
+     - session
+     - version
+     - routes_version
+     - report
+
+    """
+
+    __slots__ = (
+        'entry',
+        'incarnation',
+        'session',
+        'version',
+        'routes_version',
+        'report',
+    )
+
+
+    def __init__(self, entry=None, incarnation=None, session=None, version=None, routes_version=None, report=None,):
+        self.entry = entry
+        self.incarnation = incarnation
+        self.session = session
+        self.version = version
+        self.routes_version = routes_version
+        self.report = report
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.entry = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.session = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.routes_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.report = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Watch')
+        if self.entry is not None:
+            oprot.writeFieldBegin('entry', TType.STRING, 1)
+            oprot.writeString(self.entry.encode('utf-8') if sys.version_info[0] == 2 else self.entry)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.session is not None:
+            oprot.writeFieldBegin('session', TType.STRING, 3)
+            oprot.writeString(self.session.encode('utf-8') if sys.version_info[0] == 2 else self.session)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 4)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.routes_version is not None:
+            oprot.writeFieldBegin('routes_version', TType.I64, 5)
+            oprot.writeI64(self.routes_version)
+            oprot.writeFieldEnd()
+        if self.report is not None:
+            oprot.writeFieldBegin('report', TType.STRING, 6)
+            oprot.writeBinary(self.report)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.entry is None:
+            raise TProtocolException(message='Required field entry is unset!')
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        if self.session is None:
+            raise TProtocolException(message='Required field session is unset!')
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
+        if self.routes_version is None:
+            raise TProtocolException(message='Required field routes_version is unset!')
+        if self.report is None:
+            raise TProtocolException(message='Required field report is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class WatchReply(object):
+    """
+    Attributes:
+     - session
+     - version
+     - news
+
+    """
+
+    __slots__ = (
+        'session',
+        'version',
+        'news',
+    )
+
+
+    def __init__(self, session=None, version=None, news=None,):
+        self.session = session
+        self.version = version
+        self.news = news
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.session = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.news = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('WatchReply')
+        if self.session is not None:
+            oprot.writeFieldBegin('session', TType.STRING, 1)
+            oprot.writeString(self.session.encode('utf-8') if sys.version_info[0] == 2 else self.session)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 2)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.news is not None:
+            oprot.writeFieldBegin('news', TType.STRING, 3)
+            oprot.writeBinary(self.news)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.session is None:
+            raise TProtocolException(message='Required field session is unset!')
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
+        if self.news is None:
+            raise TProtocolException(message='Required field news is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class UpstreamNews(object):
     """
     Attributes:
@@ -2518,6 +2756,8 @@
      - ping
      - take_request
      - take_reply
+     - watch
+     - watch_reply
 
     """
 
@@ -2545,10 +2785,12 @@
         'hello',
         'take_request',
         'take_reply',
+        'watch',
+        'watch_reply',
     )
 
 
-    def __init__(self, vote_request=None, vote_reply=None, append_request=None, append_reply=None, snapshot_offer=None, piece_request=None, piece=None, hello=None, submit=None, submit_reply=None, sync=None, sync_reply=None, read_request=None, read_reply=None, upstream_news=None, copy_request=None, copy_progress=None, done=None, dump=None, dump_reply=None, ping=None, take_request=None, take_reply=None,):
+    def __init__(self, vote_request=None, vote_reply=None, append_request=None, append_reply=None, snapshot_offer=None, piece_request=None, piece=None, hello=None, submit=None, submit_reply=None, sync=None, sync_reply=None, read_request=None, read_reply=None, upstream_news=None, copy_request=None, copy_progress=None, done=None, dump=None, dump_reply=None, ping=None, take_request=None, take_reply=None, watch=None, watch_reply=None,):
         self.vote_request = vote_request
         self.vote_reply = vote_reply
         self.append_request = append_request
@@ -2572,6 +2814,8 @@
         self.ping = ping
         self.take_request = take_request
         self.take_reply = take_reply
+        self.watch = watch
+        self.watch_reply = watch_reply
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2720,6 +2964,18 @@
                     self.take_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 24:
+                if ftype == TType.STRUCT:
+                    self.watch = Watch()
+                    self.watch.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 25:
+                if ftype == TType.STRUCT:
+                    self.watch_reply = WatchReply()
+                    self.watch_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2822,6 +3078,14 @@
             oprot.writeFieldBegin('take_reply', TType.STRUCT, 23)
             self.take_reply.write(oprot)
             oprot.writeFieldEnd()
+        if self.watch is not None:
+            oprot.writeFieldBegin('watch', TType.STRUCT, 24)
+            self.watch.write(oprot)
+            oprot.writeFieldEnd()
+        if self.watch_reply is not None:
+            oprot.writeFieldBegin('watch_reply', TType.STRUCT, 25)
+            self.watch_reply.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3067,6 +3331,23 @@
     (3, TType.STRING, 'leader', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'reason', 'UTF8', None, ),  # 4
 )
+all_structs.append(Watch)
+Watch.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'entry', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.STRING, 'session', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'version', None, None, ),  # 4
+    (5, TType.I64, 'routes_version', None, None, ),  # 5
+    (6, TType.STRING, 'report', 'BINARY', None, ),  # 6
+)
+all_structs.append(WatchReply)
+WatchReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'session', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.STRING, 'news', 'BINARY', None, ),  # 3
+)
 all_structs.append(UpstreamNews)
 UpstreamNews.thrift_spec = (
     None,  # 0
@@ -3143,6 +3424,8 @@
     (21, TType.STRUCT, 'hello', [Hello, None], None, ),  # 21
     (22, TType.STRUCT, 'take_request', [TakeRequest, None], None, ),  # 22
     (23, TType.STRUCT, 'take_reply', [TakeReply, None], None, ),  # 23
+    (24, TType.STRUCT, 'watch', [Watch, None], None, ),  # 24
+    (25, TType.STRUCT, 'watch_reply', [WatchReply, None], None, ),  # 25
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
--- a/src/_arbutuswalk/wire/link.py
+++ b/src/_arbutuswalk/wire/link.py
@@ -12,6 +12,7 @@
 from _arbutuswalk.base import clock
 from _arbutuswalk.base import events
 from _arbutuswalk.wire import codec
+from _arbutuswalk.wire import sockets
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
 HEARTBEAT_S = 0.5
@@ -110,6 +111,7 @@
             except (TimeoutError, OSError) as error:
                 reason = str(error) or "connect timed out"
                 return LinkDown(reason=reason, sent=False)
+            sockets.detect_silence(writer.get_extra_info("socket"))
             self.writer = writer
             self.heard_at = self.now()
             self._spawn(self._read(reader, writer))
@@ -218,6 +220,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.writers.add(writer)
+        sockets.detect_silence(writer.get_extra_info("socket"))
         try:
             while True:
                 decoded = await read_frame(reader)
