--- a/src/_arbutuswalk/control/member.py
+++ b/src/_arbutuswalk/control/member.py
@@ -64,6 +64,8 @@
         links: Link to each address.
         changed: Set and replaced whenever the tables or the role change.
         failure: Why storage made the member stop.
+        seeds: Addresses at which other members are looked for; those that
+            found the group are in ``core.identity`` and never change.
         on_role: Called when role or term change.
     """
 
@@ -85,6 +87,7 @@
         self.wake = asyncio.Event()
         self.failure: errors.StorageError | None = None
         self.hello_at = 0.0
+        self.seeds = core.identity.peers
         self.on_role: Callable[[], None] = lambda: None
 
     @property
@@ -287,7 +290,8 @@
     def _say_hello(self) -> None:
         message = membership.hello(self.replica)
         known = set(self.replica.log.members.addresses.values())
-        for address in {*self.core.identity.peers, *known} - {self.address}:
+        peers = self.core.identity.peers
+        for address in {*peers, *self.seeds, *known} - {self.address}:
             self.link_to(address).post(message)
 
     async def stop(self) -> None:
