--- a/src/_arbutuswalk/control/duties.py
+++ b/src/_arbutuswalk/control/duties.py
@@ -15,6 +15,7 @@
 from _arbutuswalk.control import process
 from _arbutuswalk.control import scaling
 from _arbutuswalk.control import usage_reports
+from _arbutuswalk.state import fleetplan
 
 TICK_S = 0.25
 MARGIN_S = 0.3
@@ -104,12 +105,12 @@
     """Fulfils the duties whenever this process holds them."""
     holder = Holder(parts=parts, options=options)
     reports = usage_reports.Reports(window_s=options.window_s)
-    fleet = scaling.Fleet()
+    fleets = scaling.Fleets()
     while True:
         await asyncio.sleep(TICK_S)
         if not holder.follow_term():
             reports.forget_sent()
-            fleet = scaling.Fleet()
+            fleets = scaling.Fleets()
             continue
         if not holder.may_act():
             continue
@@ -117,7 +118,7 @@
             if options.usage:
                 await _report_usage(holder, calls, reports)
             if options.scaling:
-                await _order(holder, calls, fleet)
+                await _order(holder, calls, fleets)
         except Exception as error:  # noqa: BLE001
             # One faulty duty must not end the others for good.
             events.warn(events.Event.TASK_FAILED, "duties", repr(error))
@@ -138,16 +139,22 @@
             reports.sent.add(window)
 
 
-async def _order(holder: Holder, calls: Calls, fleet: scaling.Fleet) -> None:
-    parts = holder.parts
-    for wanted in scaling.decide(parts, fleet):
+async def _order(holder: Holder, calls: Calls, fleets: scaling.Fleets) -> None:
+    member = holder.parts.member
+    for upstream, wanted in scaling.decide(holder.parts, fleets):
         if not holder.may_act():
             return
-        order = Order(*wanted, holder.term)
+        order = Order(upstream, *wanted, holder.term)
         outcome = await calls.order_endpoints(order)
-        subject = f"{order.upstream}/{order.domain}/{order.reclaimable}"
-        _note("scaling", subject, holder.term, order.count, outcome)
-        fleet.note(order, outcome == DONE, parts.member.now())
+        kind = "reclaimable" if wanted.reclaimable else "lasting"
+        subject = f"{upstream}/{wanted.domain}/{kind}"
+        _note("scaling", subject, holder.term, wanted.count, outcome)
+        fleetplan.note_outcome(
+            fleets.fleet(upstream),
+            wanted,
+            accepted=outcome == DONE,
+            now=member.now(),
+        )
 
 
 def _note(
--- a/src/_arbutuswalk/control/scaling.py
+++ b/src/_arbutuswalk/control/scaling.py
@@ -1,36 +1,75 @@
-"""Decides how many endpoints of which kind run in which failure domain."""
-
-from typing import Any
+"""Gathers what the fleet's decisions need, for every upstream that scales."""
 
 from _arbutuswalk.control import process
+from _arbutuswalk.routing import directory
+from _arbutuswalk.state import fleetplan
+from _arbutuswalk.state import routeconfig
 
-Wanted = tuple[str, str, bool, int]
-"""Upstream, failure domain, whether reclaimable, and number."""
+SILENT_S = 4.0
+"""Silence after which an endpoint does not count as serving: three missed
+heartbeats."""
 
 
-class Fleet:
-    """Orders of this holder.
+class Fleets:
+    """Fleet of each upstream, as long as this process holds the duty.
 
     Attributes:
-        ordered: Number that was last accepted, by upstream, domain and kind.
-        refused_at: When an order was last refused, by the same.
+        by_upstream: Fleet by upstream name.
+        config: Configuration the scaling comes from.
     """
 
     def __init__(self):
-        self.ordered: dict[tuple[str, str, bool], int] = {}
-        self.refused_at: dict[tuple[str, str, bool], float] = {}
-
-    def note(self, order: Any, accepted: bool, now: float) -> None:
-        """Notes the outcome of an order."""
-        key = (order.upstream, order.domain, order.reclaimable)
-        if accepted:
-            self.ordered[key] = order.count
-            self.refused_at.pop(key, None)
-        else:
-            self.refused_at[key] = now
-
-
-def decide(parts: process.Parts, fleet: Fleet) -> list[Wanted]:
-    """Returns the orders that are due."""
-    del parts, fleet
-    return []
+        self.by_upstream: dict[str, fleetplan.Fleet] = {}
+        self.version = 0
+        self.config: routeconfig.RouteConfig | None = None
+
+    def fleet(self, upstream: str) -> fleetplan.Fleet:
+        """Returns an upstream's fleet, empty at first."""
+        return self.by_upstream.setdefault(upstream, fleetplan.Fleet())
+
+
+def decide(
+    parts: process.Parts, fleets: Fleets
+) -> list[tuple[str, fleetplan.Order]]:
+    """Returns the orders that are due, with the upstream of each."""
+    now = parts.member.now()
+    due = []
+    for upstream in _scaling_upstreams(parts, fleets):
+        rows = [
+            row
+            for row in parts.hub.directory.rows.values()
+            if row.endpoint.upstream == upstream.name
+        ]
+        fleet = fleets.fleet(upstream.name)
+        loads = parts.hub.loads()
+        running = sum(loads.get(row.endpoint.id, 0) for row in rows)
+        fleetplan.note_load(fleet, running, now)
+        orders = fleetplan.decide(
+            fleet, upstream.scaling, _ready(rows, now), now
+        )
+        due += [(upstream.name, order) for order in orders]
+    return due
+
+
+def _scaling_upstreams(
+    parts: process.Parts, fleets: Fleets
+) -> list[routeconfig.Upstream]:
+    tables = parts.member.tables
+    if tables.routes is None:
+        return []
+    if fleets.version != tables.routes_version:
+        # Tables hold tuples until a restart turns them into lists.
+        fleets.config = routeconfig.from_json(tables.routes)
+        fleets.version = tables.routes_version
+    return [each for each in fleets.config.upstreams if each.scaling]
+
+
+def _ready(rows: list[directory.Row], now: float) -> dict[fleetplan.Key, int]:
+    counts: dict[fleetplan.Key, int] = {}
+    for row in rows:
+        said = row.endpoint
+        if said.state != directory.READY or now - row.heard_at > SILENT_S:
+            continue
+        key = (said.domain, said.reclaimable)
+        counts[key] = counts.get(key, 0) + 1
+    return counts
--- /dev/null
+++ b/src/_arbutuswalk/state/fleetplan.py
@@ -0,0 +1,237 @@
+"""How many endpoints of which kind an upstream needs in each failure domain.
+
+Reclaimable endpoints cost a small part of the others but may go, a whole
+failure domain at once, on a few seconds of notice. They carry the load, spread
+over the domains; endpoints that stay fill in for those that are missing, from
+the moment at which the notice comes until reclaimable ones serve again.
+"""
+
+import collections
+import math
+from typing import NamedTuple
+
+from _arbutuswalk.state import routeconfig
+
+REQUESTS_PER_ENDPOINT = 4.0
+"""Requests under way that one model engine is meant to have: above it the
+prompts of others delay the first event of each beyond its objective."""
+LOAD_WINDOW_S = 12.0
+"""Time over whose peak the number is chosen: three times a start-up."""
+LEARN_S = 5.0
+"""Time with load before fewer endpoints than at the start are ordered."""
+LEAST_ENDPOINTS = 2
+"""Fewest endpoints of an upstream, so that losing one is survived."""
+REFUSED_PAUSE_S = 2.0
+"""Pause after a refused order in a domain before the next."""
+BOOT_SLACK_S = 2.0
+"""Time beside the start-up after which an ordered endpoint is missing."""
+
+Key = tuple[str, bool]
+"""Failure domain, and whether reclaimable."""
+
+
+class Order(NamedTuple):
+    """A number of endpoints of one kind in one failure domain."""
+
+    domain: str
+    reclaimable: bool
+    count: int
+
+
+class Placed(NamedTuple):
+    """An order that was accepted."""
+
+    count: int
+    at: float
+
+
+class Fleet:
+    """Orders and load of one upstream, as its holder knows them.
+
+    Attributes:
+        placed: Last accepted order by domain and kind.
+        refused_at: When an order was last refused, by domain and kind.
+        loads: Times and requests under way, oldest first.
+        loaded_since: When the first load was seen, None before.
+        initial: Endpoints that were there at first, 0 before they are known.
+    """
+
+    def __init__(self):
+        self.placed: dict[Key, Placed] = {}
+        self.refused_at: dict[Key, float] = {}
+        self.loads: collections.deque[tuple[float, int]] = collections.deque()
+        self.loaded_since: float | None = None
+        self.initial = 0
+
+
+def note_load(fleet: Fleet, running: int, now: float) -> None:
+    """Notes how many requests are under way."""
+    fleet.loads.append((now, running))
+    while fleet.loads[0][0] < now - LOAD_WINDOW_S:
+        fleet.loads.popleft()
+    if running and fleet.loaded_since is None:
+        fleet.loaded_since = now
+
+
+def note_outcome(
+    fleet: Fleet, order: Order, *, accepted: bool, now: float
+) -> None:
+    """Notes whether an order was accepted."""
+    key = (order.domain, order.reclaimable)
+    if accepted:
+        fleet.placed[key] = Placed(order.count, now)
+        fleet.refused_at.pop(key, None)
+    else:
+        fleet.refused_at[key] = now
+
+
+def needed(fleet: Fleet, scaling: routeconfig.Scaling, now: float) -> int:
+    """Returns the number of endpoints that the load calls for."""
+    most = scaling.maximum * len(scaling.prices)
+    peak = max((running for _, running in fleet.loads), default=0)
+    count = max(LEAST_ENDPOINTS, math.ceil(peak / REQUESTS_PER_ENDPOINT))
+    since = fleet.loaded_since
+    if since is None or now - since < LEARN_S:
+        count = max(count, fleet.initial)
+    return min(most, count)
+
+
+def decide(
+    fleet: Fleet,
+    scaling: routeconfig.Scaling,
+    ready: dict[Key, int],
+    now: float,
+) -> list[Order]:
+    """Returns the orders that are due.
+
+    Args:
+        fleet: Orders and load so far.
+        scaling: Bounds and prices.
+        ready: Endpoints that serve and stay, by domain and kind.
+        now: Seconds.
+    """
+    _adopt(fleet, scaling, ready, now)
+    count = needed(fleet, scaling, now)
+    targets = _reclaimable_targets(fleet, scaling, ready, count, now)
+    targets |= _lasting_targets(fleet, scaling, ready, targets, count, now)
+    return [
+        Order(domain, reclaimable, target)
+        for (domain, reclaimable), target in sorted(targets.items())
+        if _is_due(fleet, scaling, ready, (domain, reclaimable), target, now)
+    ]
+
+
+def _adopt(
+    fleet: Fleet,
+    scaling: routeconfig.Scaling,
+    ready: dict[Key, int],
+    now: float,
+) -> None:
+    """Takes what runs for what was ordered, where no order is known."""
+    fleet.initial = fleet.initial or sum(ready.values())
+    for domain in scaling.prices:
+        for kind in (False, True):
+            key = (domain, kind)
+            if key not in fleet.placed:
+                long_ago = now - scaling.boot_s - BOOT_SLACK_S
+                fleet.placed[key] = Placed(ready.get(key, 0), long_ago)
+
+
+def _reclaimable_targets(
+    fleet: Fleet,
+    scaling: routeconfig.Scaling,
+    ready: dict[Key, int],
+    count: int,
+    now: float,
+) -> dict[Key, int]:
+    """Spreads the number over the domains that have reclaimable endpoints."""
+    if not scaling.reclaimable_price:
+        return {}
+    domains = sorted(scaling.prices, key=scaling.prices.get)
+    targets = {}
+    for place, domain in enumerate(domains):
+        key = (domain, True)
+        refused_at = fleet.refused_at.get(key, -math.inf)
+        if now - refused_at < REFUSED_PAUSE_S:
+            targets[key] = ready.get(key, 0)
+            continue
+        share = (count + len(domains) - 1 - place) // len(domains)
+        lasting = fleet.placed[domain, False].count
+        room = scaling.maximum - lasting
+        least = max(0, scaling.minimum - lasting)
+        targets[key] = max(least, min(share, room))
+    return targets
+
+
+def _lasting_targets(
+    fleet: Fleet,
+    scaling: routeconfig.Scaling,
+    ready: dict[Key, int],
+    reclaimable: dict[Key, int],
+    count: int,
+    now: float,
+) -> dict[Key, int]:
+    """Fills in for reclaimable endpoints that are missing.
+
+    More are ordered for those that nobody waits for; fewer only once
+    reclaimable ones serve in their place.
+    """
+    serving = sum(
+        min(ready.get(key, 0), target) for key, target in reclaimable.items()
+    )
+    coming = sum(
+        _coming(fleet, scaling, ready, key, now) for key in reclaimable
+    )
+    domains = sorted(scaling.prices, key=scaling.prices.get)
+    current = {d: fleet.placed[d, False].count for d in domains}
+    total = sum(current.values())
+    wanted = max(count - serving - coming, min(total, count - serving), 0)
+    targets = dict(current)
+    for domain in domains:
+        missing = wanted - sum(targets.values())
+        if missing > 0:
+            others = reclaimable.get((domain, True), 0)
+            room = scaling.maximum - others - targets[domain]
+            targets[domain] += max(0, min(missing, room))
+    for domain in reversed(domains):
+        spare = sum(targets.values()) - wanted
+        least = max(0, scaling.minimum - ready.get((domain, True), 0))
+        if spare > 0:
+            targets[domain] -= max(0, min(spare, targets[domain] - least))
+    for domain in domains:
+        least = scaling.minimum - reclaimable.get((domain, True), 0)
+        targets[domain] = max(targets[domain], least)
+    return {(domain, False): target for domain, target in targets.items()}
+
+
+def _coming(
+    fleet: Fleet,
+    scaling: routeconfig.Scaling,
+    ready: dict[Key, int],
+    key: Key,
+    now: float,
+) -> int:
+    """Returns how many ordered endpoints may still be starting."""
+    placed = fleet.placed[key]
+    if now - placed.at > scaling.boot_s + BOOT_SLACK_S:
+        return 0
+    return max(0, placed.count - ready.get(key, 0))
+
+
+def _is_due(
+    fleet: Fleet,
+    scaling: routeconfig.Scaling,
+    ready: dict[Key, int],
+    key: Key,
+    target: int,
+    now: float,
+) -> bool:
+    """Tells whether an order has to be sent, or sent again."""
+    refused_at = fleet.refused_at.get(key, -math.inf)
+    if now - refused_at < REFUSED_PAUSE_S:
+        return False
+    placed = fleet.placed[key]
+    if placed.count != target:
+        return True
+    overdue = now - placed.at > scaling.boot_s + BOOT_SLACK_S
+    return overdue and ready.get(key, 0) < target
