--- a/src/_arbutuswalk/control/hub.py
+++ b/src/_arbutuswalk/control/hub.py
@@ -173,6 +173,33 @@
             if now - state.seen_at > ENTRY_KEPT_S:
                 del self.entries[key]
 
+    def reports(self) -> list[dict[str, Any]]:
+        """Returns the last report of every start of every entry."""
+        return [state.report for state in self.entries.values()]
+
+    def known_entries(self) -> set[str]:
+        """Returns the entries that may be serving, in touch or not.
+
+        One that said that it leaves no longer counts.
+        """
+        newest: dict[str, EntryState] = {}
+        for (name, incarnation), state in self.entries.items():
+            if name not in newest or newest[name].incarnation < incarnation:
+                newest[name] = state
+        return {
+            name
+            for name, state in newest.items()
+            if not state.report.get("left")
+        }
+
+    def taken(self) -> dict[str, float]:
+        """Returns what all entries took of each workspace's quota."""
+        totals: dict[str, float] = {}
+        for state in self.entries.values():
+            for name, number in state.report.get("taken", {}).items():
+                totals[name] = totals.get(name, 0.0) + number
+        return totals
+
     def loads(self) -> dict[str, int]:
         """Returns the requests that all entries in touch run by endpoint."""
         totals: dict[str, int] = {}
@@ -213,12 +240,15 @@
 
     def _news(self, message: ttypes.Watch, revision: int) -> dict[str, Any]:
         tables = self.member.tables
+        known = self.known_entries()
         news = {
             "endpoints": directories.since(self.directory, revision),
             "members": self.member_addresses(),
             "rollouts": tables.rollouts,
             "loads": self.loads(),
-            "entries": len(self.live_entries()),
+            "taken": self.taken(),
+            "entries": len(known),
+            "silent": len(known - self.live_entries().keys()),
             "wall": self.wall(),
             "term": self._deciding_term(),
             "directives": self.directives,
--- a/src/_arbutuswalk/control/scaling.py
+++ b/src/_arbutuswalk/control/scaling.py
@@ -3,6 +3,7 @@
 from _arbutuswalk.control import process
 from _arbutuswalk.routing import directory
 from _arbutuswalk.state import fleetplan
+from _arbutuswalk.state import rollouts
 from _arbutuswalk.state import routeconfig
 
 SILENT_S = 4.0
@@ -35,6 +36,9 @@
     now = parts.member.now()
     due = []
     for upstream in _scaling_upstreams(parts, fleets):
+        if _is_rolling(parts, upstream.name):
+            # Two versions run beside each other; neither is a surplus.
+            continue
         rows = [
             row
             for row in parts.hub.directory.rows.values()
@@ -51,6 +55,11 @@
     return due
 
 
+def _is_rolling(parts: process.Parts, upstream: str) -> bool:
+    row = parts.member.tables.rollouts.get(upstream)
+    return row is not None and row.state == rollouts.GROWING
+
+
 def _scaling_upstreams(
     parts: process.Parts, fleets: Fleets
 ) -> list[routeconfig.Upstream]:
--- a/src/_arbutuswalk/limits/quota.py
+++ b/src/_arbutuswalk/limits/quota.py
@@ -1,16 +1,32 @@
-"""Quotas of workspaces: a token bucket that is this entry's share.
+"""Quotas of workspaces, shared by entries that hear of each other with a lag.
 
-The entries' shares add up to at most the whole quota, so that their sum keeps
-to it while some are out of touch.
+Every entry keeps an estimate of the one bucket that all of them draw from: its
+own takings count at once, those of the others when control tells of them, and
+what they probably took since then is held back. An entry that hears nothing
+keeps to an equal share, and the others leave that share to it.
 """
 
+LAG_LIMIT_S = 1.5
+"""Age of the last news from which an entry keeps to an equal share: three
+rounds of news."""
+RATE_WEIGHT = 0.3
+"""Weight of the newest news in the estimate of what others take."""
+
 
 class Bucket:
-    """A workspace's tokens at one entry.
+    """A workspace's bucket, as one entry sees it.
 
     Attributes:
-        level: Tokens that may be used now.
+        rate: Tokens a second for all entries together.
+        burst: Most tokens that may be there at once.
+        level: Tokens that are there by all that is known.
         filled_at: When the level was last brought up to date, in seconds.
+        part: Part of rate and burst that may be drawn on, below 1 while
+            entries cannot be heard.
+        taken: What this entry took since its start.
+        others: What the others were last said to have taken.
+        others_rate: What they take a second, estimated.
+        heard_at: When the others were last heard of.
     """
 
     def __init__(self, *, rate: float, burst: float, now: float):
@@ -18,6 +34,11 @@
         self.burst = burst
         self.level = burst
         self.filled_at = now
+        self.part = 1.0
+        self.taken = 0.0
+        self.others: float | None = None
+        self.others_rate = 0.0
+        self.heard_at = now
 
     def resize(self, rate: float, burst: float, now: float) -> None:
         """Takes a new rate and burst; never adds to the level."""
@@ -26,27 +47,64 @@
         self.burst = burst
         self.level = min(self.level, burst)
 
-    def take(self, cost: float, now: float) -> float:
+    def hear(self, others: float, now: float) -> None:
+        """Takes news of what the other entries took in all."""
+        self._fill(now)
+        passed = now - self.heard_at
+        self.heard_at = now
+        if self.others is None:
+            self.others = others
+            return
+        fresh = max(0.0, others - self.others)
+        self.others = max(self.others, others)
+        self.level = max(-self.burst, self.level - fresh)
+        if passed > 0:
+            gained = fresh / passed - self.others_rate
+            self.others_rate += RATE_WEIGHT * gained
+
+    def take(
+        self, cost: float, now: float, *, entries: int, silent: int
+    ) -> float:
         """Takes ``cost`` tokens.
 
         A request that is larger than the whole burst passes when the bucket
         is full, and is paid back afterwards.
 
+        Args:
+            cost: Tokens.
+            now: Seconds.
+            entries: Entries that draw from the bucket.
+            silent: Those of them that cannot be heard.
+
         Returns:
             Zero if they were there, else seconds until they will be.
         """
+        lag = now - self.heard_at
+        alone = lag > LAG_LIMIT_S and entries > 1
         self._fill(now)
-        needed = min(cost, self.burst)
-        if self.level >= needed:
+        self.part = _part(entries, silent, alone=alone)
+        self.level = min(self.level, self.burst * self.part)
+        held_back = 0.0 if alone else self.others_rate * lag
+        there = self.level - held_back
+        needed = min(cost, self.burst * self.part)
+        if there >= needed:
             self.level -= cost
+            self.taken += cost
             return 0.0
-        return (needed - self.level) / self.rate
-
-    def give_back(self, cost: float) -> None:
-        """Returns the tokens of a request that did not run."""
-        self.level = min(self.burst, self.level + cost)
+        return (needed - there) / (self.rate * self.part)
 
     def _fill(self, now: float) -> None:
-        gained = max(0.0, now - self.filled_at) * self.rate
-        self.level = min(self.burst, self.level + gained)
+        """Adds what the rate gave, for the part that this entry draws on."""
+        passed = max(0.0, now - self.filled_at)
+        most = self.burst * self.part
+        gained = passed * self.rate * self.part
+        self.level = min(max(most, self.level), self.level + gained)
         self.filled_at = now
+
+
+def _part(entries: int, silent: int, *, alone: bool) -> float:
+    """Returns the part of the bucket that an entry may draw on."""
+    if alone:
+        return 1 / entries
+    heard = max(1, entries - silent)
+    return heard / max(1, entries)
--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -31,6 +31,7 @@
         version: Version of that endpoint's software.
         exchange: Exchange on the connection.
         started: When it began, in seconds.
+        first_s: Seconds to the first byte of the answer, 0 before.
     """
 
     def __init__(
@@ -45,6 +46,7 @@
         self.request = to_caller.request
         self.endpoint = endpoint
         self.started = relay.now()
+        self.first_s = 0.0
         self.exchange = connections.Exchange(
             request_id=self.request.id,
             has_body=self.request.method != "HEAD",
@@ -110,6 +112,7 @@
             ended = await self._news(deadline)
             if ended is not None:
                 return ended
+        self.first_s = self.relay.now() - self.started
         reply = self.exchange.reply
         if reply is None:
             return self._lost(self.exchange.failure)
@@ -150,6 +153,7 @@
             opened.taken()
             if data:
                 if not begun:
+                    self.first_s = self.relay.now() - self.started
                     self._count_begun(self.relay.now())
                 begun = True
                 await self.delivery.feed(data)
@@ -235,5 +239,9 @@
         )
         outcomes.failed += not good
         if good:
+            rollout = self.relay.rollouts.get(self.request.upstream)
+            is_new = rollout is not None and rollout[0] == self.endpoint.version
             outcomes.timed += 1
-            outcomes.slow += took > self.request.route.objective_s * 2
+            outcomes.slow += self.relay.note_first_byte(
+                self.request.route.name, self.first_s or took, usual=not is_new
+            )
--- a/src/_arbutuswalk/relay/core.py
+++ b/src/_arbutuswalk/relay/core.py
@@ -16,6 +16,12 @@
 UNKNOWN_ENTRIES = 16
 """Entries that share a bound until control has told how many there are."""
 
+USUAL_WEIGHT = 0.05
+"""Weight of one more time in the usual one: some twenty requests count."""
+SLOW_TIMES = 3.0
+"""Times the usual time to the first byte from which an answer is slow: bad
+versions are several times slower."""
+
 
 class Options(NamedTuple):
     """Settings of the data path.
@@ -42,7 +48,8 @@
         ran: Requests that ran.
         failed: Those of them that failed.
         timed: Those that were compared with the objective.
-        slow: Those of them that took several times as long as usual.
+        slow: Those of them whose first byte took several times as long as
+            is usual on their route.
     """
 
     def __init__(self):
@@ -70,8 +77,10 @@
         buckets: Quota bucket by workspace.
         usage: Requests begun, by window and workspace.
         outcomes: Outcomes by (upstream, version).
+        usual_s: Usual time to the first byte by route.
         rollouts: Rollout rows by upstream, from control.
-        entries: Entries that share the bounds.
+        entries: Entries that share the bounds, those out of touch included.
+        silent: Those of them that control does not hear.
         draining: Whether the process is leaving.
         active: Requests under way.
     """
@@ -105,8 +114,10 @@
         self.buckets: dict[str, quota.Bucket] = {}
         self.usage = usage.Usage(window_s=options.usage_window_s)
         self.outcomes: dict[tuple[str, str], Outcomes] = {}
+        self.usual_s: dict[str, float] = {}
         self.rollouts: dict[str, list] = {}
         self.entries = UNKNOWN_ENTRIES
+        self.silent = 0
         self.draining = False
         self.active = 0
         self.metrics = metrics.Metrics()
@@ -121,6 +132,25 @@
         """Whether callers should use this entry."""
         return self.table is not None and not self.draining
 
+    def note_first_byte(
+        self, route: str, took_s: float, *, usual: bool
+    ) -> bool:
+        """Notes a time to the first byte.
+
+        Args:
+            route: Name of the route.
+            took_s: The time in seconds.
+            usual: Whether it shapes what is usual; a new version's does not.
+
+        Returns:
+            Whether it took several times as long as usual.
+        """
+        known = self.usual_s.get(route)
+        if usual:
+            before = took_s if known is None else known
+            self.usual_s[route] = before + USUAL_WEIGHT * (took_s - before)
+        return known is not None and took_s > SLOW_TIMES * known
+
     def retry_window(self, upstream: str) -> retries.RetryWindow:
         """Returns the upstream's window of retries."""
         found = self.retries.get(upstream)
--- a/src/_arbutuswalk/relay/intake.py
+++ b/src/_arbutuswalk/relay/intake.py
@@ -17,6 +17,8 @@
 STARTING_RETRY_S = 0.3
 """When to come back to an entry that has no configuration yet."""
 MAX_RETRY_AFTER_S = 5.0
+RETRY_SPREAD = 0.5
+"""Part of the wait over which returns are spread."""
 DEFAULT_DEADLINE_S = 60.0
 """Deadline of a caller that names none; the route's time-out is shorter."""
 
@@ -109,17 +111,14 @@
     if workspace is None or not workspace.rate_per_s:
         return None
     now = relay.now()
-    share = 1 / relay.entries
-    rate, burst = workspace.rate_per_s * share, workspace.burst * share
-    bucket = relay.buckets.get(workspace.name)
-    if bucket is None:
-        bucket = quota.Bucket(rate=rate, burst=burst, now=now)
-        relay.buckets[workspace.name] = bucket
-    elif (bucket.rate, bucket.burst) != (rate, burst):
-        bucket.resize(rate, burst, now)
-    wait_s = bucket.take(cost(request), now)
+    bucket = _bucket(relay, workspace, now)
+    wait_s = bucket.take(
+        cost(request), now, entries=relay.entries, silent=relay.silent
+    )
     if not wait_s:
         return None
+    # Spread out, so that those refused together do not return together.
+    wait_s *= 1 + RETRY_SPREAD * relay.rng.random()
     return Refusal(
         STATUS_OVER_QUOTA,
         f"quota of workspace {workspace.name} is used up",
@@ -127,6 +126,19 @@
     )
 
 
+def _bucket(
+    relay: core.Relay, workspace: routeconfig.Workspace, now: float
+) -> quota.Bucket:
+    rate, burst = workspace.rate_per_s, workspace.burst
+    bucket = relay.buckets.get(workspace.name)
+    if bucket is None:
+        bucket = quota.Bucket(rate=rate, burst=burst, now=now)
+        relay.buckets[workspace.name] = bucket
+    elif (bucket.rate, bucket.burst) != (rate, burst):
+        bucket.resize(rate, burst, now)
+    return bucket
+
+
 def cost(request: requests.Request) -> int:
     """Returns what a request takes of its workspace's quota."""
     if not request.workspace.by_tokens:
--- a/src/_arbutuswalk/relay/watching.py
+++ b/src/_arbutuswalk/relay/watching.py
@@ -36,8 +36,9 @@
         revision: Revision of its directory that was taken.
         heard_at: When it last answered, in seconds.
         term: Term in which it decides alone, 0 if it does not.
-        loads: Requests by endpoint over all entries, by its last answer.
-        reported: Own requests by endpoint that those loads include.
+        answered: Whether its last answer was good.
+        wall_offset: Its time of day less ours, None before it answered.
+        reported_taken: Own quota takings that it was last told, by workspace.
     """
 
     def __init__(self, *, address: str, now: float):
@@ -49,6 +50,7 @@
         self.answered = False
         self.term = 0
         self.wall_offset: float | None = None
+        self.reported_taken: dict[str, float] = {}
         self.task: asyncio.Task | None = None
 
 
@@ -113,13 +115,15 @@
             await asyncio.sleep(PAUSE_S)
 
     def _message(self, feed: Feed) -> ttypes.Watch:
+        report = self._report()
+        feed.reported_taken = report["taken"]
         return ttypes.Watch(
             entry=self.relay.name,
             incarnation=self.relay.incarnation,
             session=feed.session,
             version=feed.revision,
             routes_version=self.relay.routes_version,
-            report=json.dumps(self._report()).encode(),
+            report=json.dumps(report).encode(),
         )
 
     def _report(self) -> dict[str, Any]:
@@ -129,10 +133,14 @@
             "address": self.listens_on,
             "domain": relay.domain,
             "ready": relay.ready,
+            "left": relay.draining,
             "routes_version": relay.routes_version,
             "running": relay.running,
             "wall": relay.wall(),
             "usage": relay.usage.counts,
+            "taken": {
+                name: bucket.taken for name, bucket in relay.buckets.items()
+            },
             "outcomes": [
                 [*key, o.ran, o.failed, o.timed, o.slow]
                 for key, o in relay.outcomes.items()
@@ -160,7 +168,9 @@
             take_routes(self.relay, news["routes"], feed.address)
         self._take_rollouts(news["rollouts"])
         self._take_loads(news["loads"])
-        self._count_entries(news["entries"])
+        self._take_quotas(feed, news["taken"])
+        self.relay.entries = max(1, news["entries"])
+        self.relay.silent = news["silent"]
         self._agree_on_time()
 
     def _take_rollouts(self, rollouts: dict[str, list]) -> None:
@@ -178,10 +188,12 @@
             for name, total in loads.items()
         }
 
-    def _count_entries(self, entries: int) -> None:
-        """Counts the entries that share bounds: the most anyone sees."""
-        if entries:
-            self.relay.entries = entries
+    def _take_quotas(self, feed: Feed, taken: dict[str, float]) -> None:
+        """Takes what others drew: the sum less our own part of it."""
+        now = self.relay.now()
+        for name, bucket in self.relay.buckets.items():
+            own = feed.reported_taken.get(name, 0.0)
+            bucket.hear(taken.get(name, 0.0) - own, now)
 
     def _agree_on_time(self) -> None:
         """Corrects a clock that stepped by the median of all clocks."""
