--- a/src/_arbutuswalk/limits/quota.py
+++ b/src/_arbutuswalk/limits/quota.py
@@ -6,6 +6,8 @@
 keeps to an equal share, and the others leave that share to it.
 """
 
+from typing import NamedTuple
+
 LAG_LIMIT_S = 1.5
 """Age of the last news from which an entry keeps to an equal share: three
 rounds of news."""
@@ -13,6 +15,37 @@
 """Weight of the newest news in the estimate of what others take."""
 
 
+SLACK_PART = 0.5
+"""Part of the permitted overshoot that is given out; the rest covers what
+entries take before they hear of each other."""
+
+
+class Terms(NamedTuple):
+    """How exactly a quota has to be kept.
+
+    Attributes:
+        window_s: Length of the windows in which it is checked.
+        overshoot: Part by which a window may exceed rate and burst.
+        tolerance: Tokens by which it may exceed them besides.
+    """
+
+    window_s: float
+    overshoot: float
+    tolerance: float
+
+
+def loosen(rate: float, burst: float, terms: Terms) -> tuple[float, float]:
+    """Returns the rate and burst to use.
+
+    A refusal of what the quota would permit costs its caller more than a
+    small overshoot costs anyone, so part of the permitted one is given out,
+    half of it as rate and half as burst.
+    """
+    more = 1 + SLACK_PART * terms.overshoot
+    extra = SLACK_PART * terms.tolerance / 2
+    return rate * more + extra / terms.window_s, burst * more + extra
+
+
 class Bucket:
     """A workspace's bucket, as one entry sees it.
 
@@ -23,6 +56,9 @@
         filled_at: When the level was last brought up to date, in seconds.
         part: Part of rate and burst that may be drawn on, below 1 while
             entries cannot be heard.
+        entries: Entries that draw from the bucket.
+        told: Tokens of requests that this entry refused lately and told when
+            to come back.
         taken: What this entry took since its start.
         others: What the others were last said to have taken.
         others_rate: What they take a second, estimated.
@@ -35,6 +71,8 @@
         self.level = burst
         self.filled_at = now
         self.part = 1.0
+        self.entries = 1
+        self.told = 0.0
         self.taken = 0.0
         self.others: float | None = None
         self.others_rate = 0.0
@@ -82,6 +120,7 @@
         lag = now - self.heard_at
         alone = lag > LAG_LIMIT_S and entries > 1
         self._fill(now)
+        self.entries = max(1, entries)
         self.part = _part(entries, silent, alone=alone)
         self.level = min(self.level, self.burst * self.part)
         held_back = 0.0 if alone else self.others_rate * lag
@@ -91,7 +130,10 @@
             self.level -= cost
             self.taken += cost
             return 0.0
-        return (needed - there) / (self.rate * self.part)
+        # Those who were told to come back before have the first claim.
+        ahead = needed - there + self.told * entries
+        self.told += needed
+        return ahead / (self.rate * self.part)
 
     def _fill(self, now: float) -> None:
         """Adds what the rate gave, for the part that this entry draws on."""
@@ -99,6 +141,7 @@
         most = self.burst * self.part
         gained = passed * self.rate * self.part
         self.level = min(max(most, self.level), self.level + gained)
+        self.told = max(0.0, self.told - gained / self.entries)
         self.filled_at = now
 
 
--- a/src/_arbutuswalk/relay/core.py
+++ b/src/_arbutuswalk/relay/core.py
@@ -31,14 +31,14 @@
         retry_extra: Retries of a window beside that part.
         retry_window_s: Length of that window.
         usage_window_s: Length of a window of usage.
-        quota_window_s: Length of a window of quotas.
+        quota: How exactly quotas have to be kept.
     """
 
     retry_ratio: float
     retry_extra: float
     retry_window_s: float
     usage_window_s: float
-    quota_window_s: float
+    quota: quota.Terms
 
 
 class Outcomes:
--- a/src/_arbutuswalk/relay/intake.py
+++ b/src/_arbutuswalk/relay/intake.py
@@ -130,6 +130,8 @@
     relay: core.Relay, workspace: routeconfig.Workspace, now: float
 ) -> quota.Bucket:
     rate, burst = workspace.rate_per_s, workspace.burst
+    if workspace.by_tokens:
+        rate, burst = quota.loosen(rate, burst, relay.options.quota)
     bucket = relay.buckets.get(workspace.name)
     if bucket is None:
         bucket = quota.Bucket(rate=rate, burst=burst, now=now)
