--- a/src/_arbutuswalk/limits/quota.py
+++ b/src/_arbutuswalk/limits/quota.py
@@ -15,6 +15,10 @@
 """Weight of the newest news in the estimate of what others take."""
 
 
+LARGE_PART = 0.1
+"""Part of the burst from which a request counts as large."""
+RESERVE_PART = 0.3
+"""Part of the burst that large requests leave for small ones."""
 SLACK_PART = 0.5
 """Part of the permitted overshoot that is given out; the rest covers what
 entries take before they hear of each other."""
@@ -105,8 +109,8 @@
     ) -> float:
         """Takes ``cost`` tokens.
 
-        A request that is larger than the whole burst passes when the bucket
-        is full, and is paid back afterwards.
+        A large request passes when the bucket is about half full, and what
+        it takes beyond that is paid back afterwards.
 
         Args:
             cost: Tokens.
@@ -125,14 +129,14 @@
         self.level = min(self.level, self.burst * self.part)
         held_back = 0.0 if alone else self.others_rate * lag
         there = self.level - held_back
-        needed = min(cost, self.burst * self.part)
+        needed = _needed(cost, self.burst * self.part)
         if there >= needed:
             self.level -= cost
             self.taken += cost
             return 0.0
         # Those who were told to come back before have the first claim.
         ahead = needed - there + self.told * entries
-        self.told += needed
+        self.told += cost
         return ahead / (self.rate * self.part)
 
     def _fill(self, now: float) -> None:
@@ -145,6 +149,17 @@
         self.filled_at = now
 
 
+def _needed(cost: float, burst: float) -> float:
+    """Returns the level at which a request may pass.
+
+    Large requests leave a reserve, so that small ones, which take little and
+    are worth as much each, are not refused behind them. Among the large ones
+    size makes no difference, so that the largest are not refused for good.
+    """
+    size = min(1.0, cost / (LARGE_PART * burst))
+    return min(cost, LARGE_PART * burst) + size * RESERVE_PART * burst
+
+
 def _part(entries: int, silent: int, *, alone: bool) -> float:
     """Returns the part of the bucket that an entry may draw on."""
     if alone:
