--- a/src/_arbutuswalk/limits/quota.py
+++ b/src/_arbutuswalk/limits/quota.py
@@ -11,8 +11,10 @@
 LAG_LIMIT_S = 1.5
 """Age of the last news from which an entry keeps to an equal share: three
 rounds of news."""
-RATE_WEIGHT = 0.3
-"""Weight of the newest news in the estimate of what others take."""
+SPAN_S = 0.5
+"""Time over which what others take is measured: a round of news."""
+RATE_WEIGHT = 0.5
+"""Weight of the newest span in the estimate of what others take."""
 
 
 LARGE_PART = 0.1
@@ -66,6 +68,7 @@
         taken: What this entry took since its start.
         others: What the others were last said to have taken.
         others_rate: What they take a second, estimated.
+        span_taken: What others took since ``span_at``.
         heard_at: When the others were last heard of.
     """
 
@@ -80,6 +83,8 @@
         self.taken = 0.0
         self.others: float | None = None
         self.others_rate = 0.0
+        self.span_taken = 0.0
+        self.span_at = now
         self.heard_at = now
 
     def resize(self, rate: float, burst: float, now: float) -> None:
@@ -92,7 +97,6 @@
     def hear(self, others: float, now: float) -> None:
         """Takes news of what the other entries took in all."""
         self._fill(now)
-        passed = now - self.heard_at
         self.heard_at = now
         if self.others is None:
             self.others = others
@@ -100,9 +104,21 @@
         fresh = max(0.0, others - self.others)
         self.others = max(self.others, others)
         self.level = max(-self.burst, self.level - fresh)
-        if passed > 0:
-            gained = fresh / passed - self.others_rate
-            self.others_rate += RATE_WEIGHT * gained
+        self._estimate(fresh, now)
+
+    def _estimate(self, fresh: float, now: float) -> None:
+        """Estimates what others take a second, over spans of equal length.
+
+        News from several control processes come close behind each other, so
+        that a rate between two of them would say nothing.
+        """
+        self.span_taken += fresh
+        passed = now - self.span_at
+        if passed >= SPAN_S:
+            rate = self.span_taken / passed
+            self.others_rate += RATE_WEIGHT * (rate - self.others_rate)
+            self.span_taken = 0.0
+            self.span_at = now
 
     def take(
         self, cost: float, now: float, *, entries: int, silent: int
--- a/src/_arbutuswalk/relay/intake.py
+++ b/src/_arbutuswalk/relay/intake.py
@@ -121,7 +121,10 @@
     wait_s *= 1 + RETRY_SPREAD * relay.rng.random()
     return Refusal(
         STATUS_OVER_QUOTA,
-        f"quota of workspace {workspace.name} is used up",
+        f"quota of workspace {workspace.name} is used up:"
+        f" {bucket.level:.0f} of {bucket.burst:.0f} tokens, rate"
+        f" {bucket.rate:.0f}, part {bucket.part:.2f}, others take"
+        f" {bucket.others_rate:.0f}, heard {now - bucket.heard_at:.2f} s ago",
         min(MAX_RETRY_AFTER_S, wait_s),
     )
 
