--- a/src/_arbutuswalk/limits/quota.py
+++ b/src/_arbutuswalk/limits/quota.py
@@ -17,11 +17,14 @@
 """Weight of the newest span in the estimate of what others take."""
 
 
+EQUAL_WEIGHT = 0.5
+"""Weight of the assumption that all entries draw alike, as a part of the rate:
+it decides until their rates have been measured."""
 LARGE_PART = 0.1
 """Part of the burst from which a request counts as large."""
 RESERVE_PART = 0.3
 """Part of the burst that large requests leave for small ones."""
-SLACK_PART = 0.5
+SLACK_PART = 0.4
 """Part of the permitted overshoot that is given out; the rest covers what
 entries take before they hear of each other."""
 
@@ -68,6 +71,9 @@
         taken: What this entry took since its start.
         others: What the others were last said to have taken.
         others_rate: What they take a second, estimated.
+        own_rate: What this entry takes a second, estimated.
+        fresh: What this entry took since the last news.
+        fresh_before: What it took between that and the news before.
         span_taken: What others took since ``span_at``.
         heard_at: When the others were last heard of.
     """
@@ -83,7 +89,11 @@
         self.taken = 0.0
         self.others: float | None = None
         self.others_rate = 0.0
+        self.own_rate = 0.0
+        self.fresh = 0.0
+        self.fresh_before = 0.0
         self.span_taken = 0.0
+        self.span_own = 0.0
         self.span_at = now
         self.heard_at = now
 
@@ -98,14 +108,30 @@
         """Takes news of what the other entries took in all."""
         self._fill(now)
         self.heard_at = now
+        self.fresh_before, self.fresh = self.fresh, 0.0
         if self.others is None:
             self.others = others
             return
         fresh = max(0.0, others - self.others)
         self.others = max(self.others, others)
-        self.level = max(-self.burst, self.level - fresh)
+        self.level -= fresh
         self._estimate(fresh, now)
 
+    def _unheard(self, lag: float) -> float:
+        """Estimates what others took that was not told yet.
+
+        They draw when this entry does: where the bucket runs empty, all see
+        the same tokens come in and take them at the same time.
+        """
+        by_time = self.others_rate * lag
+        equal = self.rate / self.entries * EQUAL_WEIGHT
+        ratio = (self.others_rate + equal * (self.entries - 1)) / (
+            self.own_rate + equal
+        )
+        ratio = min(ratio, self.entries - 1)
+        by_own = (self.fresh + self.fresh_before) * ratio
+        return max(by_time, by_own)
+
     def _estimate(self, fresh: float, now: float) -> None:
         """Estimates what others take a second, over spans of equal length.
 
@@ -115,9 +141,12 @@
         self.span_taken += fresh
         passed = now - self.span_at
         if passed >= SPAN_S:
-            rate = self.span_taken / passed
-            self.others_rate += RATE_WEIGHT * (rate - self.others_rate)
+            others = self.span_taken / passed
+            own = (self.taken - self.span_own) / passed
+            self.others_rate += RATE_WEIGHT * (others - self.others_rate)
+            self.own_rate += RATE_WEIGHT * (own - self.own_rate)
             self.span_taken = 0.0
+            self.span_own = self.taken
             self.span_at = now
 
     def take(
@@ -143,12 +172,13 @@
         self.entries = max(1, entries)
         self.part = _part(entries, silent, alone=alone)
         self.level = min(self.level, self.burst * self.part)
-        held_back = 0.0 if alone else self.others_rate * lag
+        held_back = 0.0 if alone else self._unheard(lag)
         there = self.level - held_back
         needed = _needed(cost, self.burst * self.part)
         if there >= needed:
             self.level -= cost
             self.taken += cost
+            self.fresh += cost
             return 0.0
         # Those who were told to come back before have the first claim.
         ahead = needed - there + self.told * entries
--- /dev/null
+++ b/testing/test_directory.py
@@ -0,0 +1,121 @@
+"""Endpoints that announce themselves, in any order."""
+
+import itertools
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from _arbutuswalk.routing import directory
+
+
+def make_endpoint(**changes):
+    values = {
+        "id": "a",
+        "born_ms": 1000,
+        "sequence": 1,
+        "upstream": "llm",
+        "address": "10.0.0.1:80",
+        "domain": "d1",
+        "version": "v1",
+        "slots": 4,
+        "state": directory.READY,
+    }
+    return directory.Endpoint(**{**values, **changes})
+
+
+def state_of(found, name="a"):
+    return found.rows[name].endpoint.state
+
+
+class TestAnnounce:
+    def test_a_late_announcement_does_not_bring_a_leaving_one_back(self):
+        found = directory.Directory()
+        directory.announce(found, make_endpoint(sequence=1), 0.0)
+        leaving = make_endpoint(sequence=3, state=directory.LEAVING)
+        directory.announce(found, leaving, 1.0)
+        directory.announce(found, make_endpoint(sequence=2), 2.0)
+        directory.announce(found, make_endpoint(sequence=4), 2.0)
+        assert state_of(found) == directory.LEAVING
+
+    def test_leaving_counts_although_its_sequence_is_late(self):
+        found = directory.Directory()
+        directory.announce(found, make_endpoint(sequence=5), 0.0)
+        leaving = make_endpoint(sequence=4, state=directory.LEAVING)
+        assert directory.announce(found, leaving, 1.0)
+        assert state_of(found) == directory.LEAVING
+
+    def test_a_new_start_under_the_same_id_is_ready_again(self):
+        found = directory.Directory()
+        directory.announce(found, make_endpoint(), 0.0)
+        directory.leave(found, "a", None, 1.0)
+        directory.announce(found, make_endpoint(born_ms=2000), 2.0)
+        assert state_of(found) == directory.READY
+
+    def test_a_former_start_is_not_heard(self):
+        found = directory.Directory()
+        directory.announce(found, make_endpoint(born_ms=2000), 0.0)
+        late = make_endpoint(born_ms=1000, sequence=99, version="v0")
+        assert not directory.announce(found, late, 1.0)
+        assert found.rows["a"].endpoint.version == "v1"
+        assert found.rows["a"].heard_at == 0.0
+
+    def test_an_address_belongs_to_the_latest_start(self):
+        found = directory.Directory()
+        directory.announce(found, make_endpoint(), 0.0)
+        directory.announce(found, make_endpoint(id="b", born_ms=2000), 1.0)
+        assert state_of(found) == directory.GONE
+        late = make_endpoint(id="c", born_ms=1500)
+        assert not directory.announce(found, late, 2.0)
+        assert "c" not in found.rows
+
+    def test_a_higher_sequence_alone_is_no_news(self):
+        found = directory.Directory()
+        directory.announce(found, make_endpoint(), 0.0)
+        revision = found.revision
+        assert not directory.announce(found, make_endpoint(sequence=2), 1.0)
+        assert found.rows["a"].heard_at == 1.0
+        assert not directory.has_news_since(found, revision)
+        assert directory.since(found, revision)
+
+    @hypothesis.given(
+        order=strategies.permutations(range(5)),
+    )
+    def test_any_order_ends_in_the_same_state(self, order):
+        said = [
+            make_endpoint(sequence=1),
+            make_endpoint(sequence=2),
+            make_endpoint(sequence=3, state=directory.LEAVING),
+            make_endpoint(born_ms=2000, sequence=1, version="v2"),
+            make_endpoint(born_ms=2000, sequence=2, version="v2"),
+        ]
+        found = directory.Directory()
+        for index in order:
+            directory.announce(found, said[index], 0.0)
+        assert found.rows["a"].endpoint == said[4]
+
+
+class TestLeave:
+    @pytest.mark.parametrize("born_ms", [None, 1000, 1500])
+    def test_a_deregistration_is_final_for_the_start(self, born_ms):
+        found = directory.Directory()
+        directory.announce(found, make_endpoint(), 0.0)
+        assert directory.leave(found, "a", born_ms, 1.0)
+        assert state_of(found) == directory.GONE
+        assert not directory.leave(found, "a", born_ms, 1.0)
+
+    def test_one_of_a_former_start_is_ignored(self):
+        found = directory.Directory()
+        directory.announce(found, make_endpoint(), 0.0)
+        assert not directory.leave(found, "a", 999, 1.0)
+        assert state_of(found) == directory.READY
+
+
+class TestExpire:
+    def test_silent_rows_are_dropped_with_their_address(self):
+        found = directory.Directory()
+        for number, at in itertools.product([1], [0.0]):
+            directory.announce(found, make_endpoint(sequence=number), at)
+        assert directory.expire(found, 5.0, 4.0) == ["a"]
+        assert not found.rows
+        assert not found.holders
--- /dev/null
+++ b/testing/test_quota.py
@@ -0,0 +1,158 @@
+"""Quotas that entries share by hearsay."""
+
+import random
+
+import pytest
+
+from _arbutuswalk.limits import quota
+
+RATE = 1000.0
+BURST = 4000.0
+
+
+def make_bucket(now=0.0):
+    return quota.Bucket(rate=RATE, burst=BURST, now=now)
+
+
+def admit(bucket, cost, now, entries=1, silent=0):
+    return bucket.take(cost, now, entries=entries, silent=silent) == 0.0
+
+
+class World:
+    """Entries that draw from one quota and hear of each other with a lag."""
+
+    def __init__(self, entries, lag_s, rate=RATE, burst=BURST):
+        self.buckets = [
+            quota.Bucket(rate=rate, burst=burst, now=0.0)
+            for _ in range(entries)
+        ]
+        self.lag_s = lag_s
+        self.taken = []
+        self.told_at = [0.0] * entries
+
+    def step(self, now, cost, entry):
+        self.tell(now)
+        bucket = self.buckets[entry]
+        if admit(bucket, cost, now, entries=len(self.buckets)):
+            self.taken.append((now, cost))
+
+    def tell(self, now):
+        for index, bucket in enumerate(self.buckets):
+            if now - self.told_at[index] >= self.lag_s:
+                self.told_at[index] = now
+                others = sum(b.taken for b in self.buckets if b is not bucket)
+                bucket.hear(others, now)
+
+    def most_in_window(self, window_s):
+        return max(
+            sum(c for at, c in self.taken if start <= at < start + window_s)
+            for start, _ in self.taken
+        )
+
+
+class TestBucket:
+    def test_refuses_with_the_wait_until_the_tokens_are_there(self):
+        bucket = make_bucket()
+        while admit(bucket, 100, 0.0):
+            pass
+        wait = bucket.take(100, 0.0, entries=1, silent=0)
+        assert 0 < wait < BURST / RATE
+
+    def test_small_requests_pass_where_large_ones_leave_a_reserve(self):
+        bucket = make_bucket()
+        while admit(bucket, 400, 0.0):
+            pass
+        assert admit(bucket, 20, 0.0)
+
+    def test_the_largest_requests_pass_as_soon_as_large_ones_do(self):
+        bucket = make_bucket()
+        assert admit(bucket, 3 * BURST, 0.0)
+        assert not admit(bucket, 400, 1.0)
+        large_wait = bucket.take(400, 1.0, entries=1, silent=0)
+        bucket.told = 0.0
+        huge_wait = bucket.take(10 * BURST, 1.0, entries=1, silent=0)
+        assert huge_wait == pytest.approx(large_wait, rel=0.3)
+
+    def test_later_refusals_wait_behind_those_told_before(self):
+        bucket = make_bucket()
+        admit(bucket, 2 * BURST, 0.0)
+        first = bucket.take(400, 0.0, entries=1, silent=0)
+        second = bucket.take(400, 0.0, entries=1, silent=0)
+        assert second >= first + 400 / RATE
+
+    def test_a_smaller_quota_never_adds_tokens(self):
+        bucket = make_bucket()
+        bucket.take(3000, 0.0, entries=1, silent=0)
+        before = bucket.level
+        bucket.resize(RATE / 10, BURST / 10, 0.0)
+        assert bucket.level <= min(before, BURST / 10)
+
+    def test_news_milliseconds_apart_say_nothing_of_the_rate(self):
+        bucket = make_bucket()
+        bucket.hear(0.0, 0.0)
+        bucket.hear(500.0, 0.100)
+        bucket.hear(900.0, 0.101)
+        bucket.hear(1000.0, 1.0)
+        assert bucket.others_rate <= 1000.0
+
+    def test_totals_of_a_restarted_control_process_take_nothing_twice(self):
+        bucket = make_bucket()
+        bucket.hear(1000.0, 0.0)
+        bucket.hear(0.0, 0.1)
+        bucket.hear(1000.0, 0.2)
+        assert bucket.level == pytest.approx(BURST)
+
+
+class TestManyEntries:
+    @pytest.mark.parametrize("rate", [29_000.0, 270_000.0])
+    @pytest.mark.parametrize("seed", range(20))
+    def test_no_window_exceeds_what_is_permitted(self, rate, seed):
+        """A workspace sends four times its quota in large requests."""
+        rng = random.Random(seed)
+        terms = quota.Terms(window_s=8.0, overshoot=0.1, tolerance=110_000)
+        loosened = quota.loosen(rate, rate, terms)
+        world = World(8, 0.4, *loosened)
+        now, mean = 0.0, 9000
+        while now < 30.0:
+            now += rng.expovariate(4 * rate / mean)
+            cost = min(39_600, rng.lognormvariate(8.9, 0.7))
+            world.step(now, cost, rng.randrange(8))
+        permitted = (rate * 8 + rate) * 1.1 + 110_000
+        assert world.most_in_window(8.0) <= permitted
+        assert world.most_in_window(8.0) >= rate * 8
+
+    def test_an_entry_may_use_what_the_others_do_not_ask_for(self):
+        world = World(8, lag_s=0.3)
+        for tick in range(2000):
+            world.step(tick * 0.01, 9, 0)
+        assert len(world.taken) == 2000
+
+    def test_an_entry_that_hears_nothing_keeps_to_its_share(self):
+        bucket = make_bucket()
+        taken = 0
+        for tick in range(1, 3000):
+            now = 10.0 + tick * 0.01
+            taken += 50 * admit(bucket, 50, now, entries=4)
+        assert taken <= (RATE * 30 + BURST) / 4 + 50
+
+    def test_the_others_leave_a_silent_entrys_share_to_it(self):
+        bucket = make_bucket()
+        taken = 0
+        for tick in range(3000):
+            now = tick * 0.01
+            bucket.hear(0.0, now)
+            taken += 50 * admit(bucket, 50, now, entries=4, silent=1)
+        assert taken <= (RATE * 30 + BURST) * 3 / 4 + BURST
+
+
+class TestTerms:
+    def test_only_a_part_of_the_permitted_overshoot_is_given_out(self):
+        terms = quota.Terms(window_s=8.0, overshoot=0.1, tolerance=1600.0)
+        rate, burst = quota.loosen(RATE, BURST, terms)
+        permitted = (RATE * 8 + BURST) * 1.1 + 1600
+        given = rate * 8 + burst
+        base = RATE * 8 + BURST
+        assert given - base == pytest.approx(
+            (permitted - base) * quota.SLACK_PART
+        )
+        assert quota.SLACK_PART <= 0.5
--- /dev/null
+++ b/testing/test_routeconfig.py
@@ -0,0 +1,176 @@
+"""Configurations of routes: validity, JSON, look-ups, publishing."""
+
+import json
+import random
+
+import pytest
+
+from _arbutuswalk.routing import routetable
+from _arbutuswalk.state import commands
+from _arbutuswalk.state import machine
+from _arbutuswalk.state import outcomes
+from _arbutuswalk.state import routeconfig
+from _arbutuswalk.state import tables as rows
+
+
+def make_route(**changes):
+    values = {
+        "name": "r",
+        "host": "h.example",
+        "prefix": "/a/",
+        "kind": routeconfig.IDEMPOTENT,
+        "timeout_s": 1.0,
+        "objective_s": 0.3,
+        "priority": 0,
+        "targets": (routeconfig.Target("ops", 1),),
+        "max_attempts": 2,
+        "anonymous": False,
+        "affinity": False,
+        "resumable": False,
+        "gap_s": 0.0,
+    }
+    return routeconfig.Route(**{**values, **changes})
+
+
+def make_config(version=1, routes=None, workspaces=()):
+    return routeconfig.RouteConfig(
+        version=version,
+        routes=tuple(routes if routes is not None else [make_route()]),
+        upstreams=(
+            routeconfig.Upstream("ops", 100, None, None),
+            routeconfig.Upstream(
+                "llm",
+                370,
+                routeconfig.Engine(64, 500_000),
+                routeconfig.Scaling(1, 6, 4.0, 0.18, {"d1": 1.0, "d2": 0.8}),
+            ),
+        ),
+        workspaces=tuple(workspaces),
+        limits=routeconfig.Limits(1000, 15.0),
+    )
+
+
+def make_workspace(name, *keys):
+    return routeconfig.Workspace(name, keys, 1, True, 200, 1000.0, 1000.0)
+
+
+class TestCheck:
+    def test_a_good_configuration_has_no_problem(self):
+        assert routeconfig.check(make_config()) == []
+
+    @pytest.mark.parametrize(
+        ("routes", "part"),
+        [
+            ([make_route(timeout_s=0)], "time-out"),
+            ([make_route(kind="odd")], "kind"),
+            ([make_route(prefix="a/")], "prefix"),
+            (
+                [make_route(targets=(routeconfig.Target("gone", 1),))],
+                "unknown upstream",
+            ),
+            (
+                [make_route(targets=(routeconfig.Target("ops", 0),))],
+                "add up to 0",
+            ),
+            ([make_route(targets=())], "add up to 0"),
+            ([make_route(), make_route(name="r2")], "place is taken"),
+        ],
+    )
+    def test_each_fault_is_named(self, routes, part):
+        problems = routeconfig.check(make_config(routes=routes))
+        assert any(part in problem for problem in problems)
+
+    def test_workspaces_may_not_share_a_key(self):
+        shared = [make_workspace("a", "k"), make_workspace("b", "k")]
+        problems = routeconfig.check(make_config(workspaces=shared))
+        assert problems == ["workspaces a and b share a key"]
+
+
+class TestJson:
+    def test_a_round_trip_changes_nothing(self):
+        config = make_config(workspaces=[make_workspace("a", "k", "l")])
+        text = json.dumps(routeconfig.to_json(config))
+        assert routeconfig.from_json(json.loads(text)) == config
+
+
+class TestFind:
+    @pytest.mark.parametrize(
+        ("path", "name"),
+        [
+            ("/a/b/c", "long"),
+            ("/a/b/", "long"),
+            ("/a/b", "short"),
+            ("/a/", "short"),
+            ("/a", "root"),
+            ("/x/y", "root"),
+        ],
+    )
+    def test_the_longest_prefix_wins(self, path, name):
+        table = routetable.RouteTable(
+            config=make_config(
+                routes=[
+                    make_route(name="root", prefix="/"),
+                    make_route(name="short", prefix="/a/"),
+                    make_route(name="long", prefix="/a/b/"),
+                ]
+            )
+        )
+        assert routetable.find(table, "h.example", path).name == name
+
+    def test_another_host_has_no_route(self):
+        table = routetable.RouteTable(config=make_config())
+        assert routetable.find(table, "other.example", "/a/b") is None
+
+    def test_weights_split_the_requests(self):
+        targets = (
+            routeconfig.Target("ops", 90),
+            routeconfig.Target("llm", 10),
+        )
+        rng = random.Random(1)
+        route = make_route(targets=targets)
+        drawn = [routetable.pick_target(route, rng) for _ in range(2000)]
+        assert 120 < drawn.count("llm") < 280
+
+
+class TestPublish:
+    def publish(self, tables, version, source):
+        config = routeconfig.to_json(make_config(version=version))
+        command = commands.PublishRoutes(version, config, source)
+        payload = machine.stamp(command, 1000)
+        return machine.apply(tables, payload, tables.applied + 1)
+
+    def test_the_highest_version_wins_and_others_are_accepted(self):
+        tables = rows.Tables()
+        self.publish(tables, 5, "five")
+        assert self.publish(tables, 3, "three") == outcomes.Accepted(revision=5)
+        assert tables.routes_source == "five"
+
+    def test_other_content_under_the_version_held_is_not_taken(self):
+        tables = rows.Tables()
+        self.publish(tables, 5, "five")
+        self.publish(tables, 5, "other")
+        assert tables.routes_source == "five"
+
+    def test_a_snapshot_keeps_configuration_rollouts_and_usage(self):
+        tables = rows.Tables()
+        self.publish(tables, 5, "five")
+        for command in (
+            commands.BeginRollout("llm", "v2", 12000),
+            commands.SettleUsage(7, {"a": 3}),
+        ):
+            machine.apply(tables, machine.stamp(command, 1000), 9)
+        loaded = machine.load(machine.dump(tables))
+        assert loaded.routes_version == 5
+        assert loaded.rollouts == tables.rollouts
+        assert loaded.usage == {"7": {"a": 3}}
+        config = routeconfig.from_json(loaded.routes)
+        assert config == make_config(version=5)
+
+
+class TestUsage:
+    def test_the_first_settlement_of_a_window_stands(self):
+        tables = rows.Tables()
+        for counts in ({"a": 3}, {"a": 4}):
+            command = commands.SettleUsage(7, counts)
+            machine.apply(tables, machine.stamp(command, 1000), 1)
+        assert tables.usage == {"7": {"a": 3}}
