--- a/src/_arbutuswalk/agreement/replica.py
+++ b/src/_arbutuswalk/agreement/replica.py
@@ -99,6 +99,7 @@
         log: Entries held in memory.
         durable_index: Last own entry known to be durable.
         commit: Last entry known to be committed.
+        commit_taken: Commit index last handed out to be made durable.
         progress: Other members, on the leader.
         term_start: Index of the leader's first entry in its term.
         heartbeat_at: When the leader sends again.
@@ -122,6 +123,7 @@
         peers: tuple[str, ...] = (),
         vote: wal.Vote | None = None,
         log: raftlog.RaftLog | None = None,
+        commit: int = 0,
     ):
         self.member = member
         self.address = address
@@ -141,7 +143,8 @@
         self.votes: set[str] = set()
         self.log = log or raftlog.RaftLog()
         self.durable_index = self.log.last_index
-        self.commit = self.log.base_index
+        self.commit = max(self.log.base_index, commit)
+        self.commit_taken = self.commit
         self.progress: dict[str, Progress] = {}
         self.term_start = 0
         self.heartbeat_at = now
@@ -175,10 +178,14 @@
     outbox, replica.outbox = replica.outbox, []
     snapshot, replica.installed = replica.installed, None
     replica.vote_changed = False
+    commit = None
+    if replica.commit > replica.commit_taken:
+        commit = replica.commit_taken = replica.commit
     return types.Ready(
         early=[out for out in outbox if not out.after_sync],
         snapshot=snapshot,
         vote=vote,
         entries=replica.log.take_unsaved(),
         late=[out for out in outbox if out.after_sync],
+        commit=commit,
     )
--- a/src/_arbutuswalk/agreement/types.py
+++ b/src/_arbutuswalk/agreement/types.py
@@ -69,8 +69,9 @@
 class Ready(NamedTuple):
     """Work the caller has to do, in this order.
 
-    Send ``early``; make ``snapshot``, then ``vote`` and ``entries`` durable;
-    call ``replication.saved``; send ``late``.
+    Send ``early``; make ``snapshot``, then ``vote``, ``entries`` and
+    ``commit`` durable; call ``replication.saved``; send ``late``. Nothing
+    depends on ``commit`` being durable but how soon a restart knows its state.
     """
 
     early: list[Outgoing]
@@ -78,6 +79,7 @@
     vote: wal.Vote | None
     entries: list[wal.LogEntry]
     late: list[Outgoing]
+    commit: int | None = None
 
 
 def pack_members(members: Members) -> bytes:
--- a/src/_arbutuswalk/control/hub.py
+++ b/src/_arbutuswalk/control/hub.py
@@ -104,6 +104,11 @@
             return False
         return self.announce(row.endpoint._replace(state=directories.GONE))
 
+    def forget(self, endpoint_id: str) -> None:
+        """Drops an endpoint that was read back and not heard since."""
+        directories.forget(self.directory, endpoint_id)
+        events.record(events.Event.ENDPOINT_FORGOTTEN, endpoint_id)
+
     async def confirm(self) -> bool:
         """Waits until every entry in touch has the directory as it is now.
 
--- a/src/_arbutuswalk/control/member.py
+++ b/src/_arbutuswalk/control/member.py
@@ -188,7 +188,8 @@
         """Sends what may go, makes the rest durable, sends that too."""
         ready = self.core.take()
         self._send(ready.early)
-        if ready.snapshot or ready.vote or ready.entries:
+        unsaved = ready.snapshot or ready.vote or ready.entries
+        if unsaved or ready.commit is not None:
             loop = asyncio.get_running_loop()
             self.failure = await loop.run_in_executor(
                 None, self.core.persist, ready
--- a/src/_arbutuswalk/control/process.py
+++ b/src/_arbutuswalk/control/process.py
@@ -11,14 +11,18 @@
 from _arbutuswalk.base import process
 from _arbutuswalk.control import hub as hubs
 from _arbutuswalk.control import member as members
+from _arbutuswalk.control import remembered
 from _arbutuswalk.control import replicated
 from _arbutuswalk.control import service
 from _arbutuswalk.control import systems
+from _arbutuswalk.routing import directory
 from _arbutuswalk.storage import errors
 from _arbutuswalk.wire import link
 
 EXIT_STORAGE = 3
 EXPIRE_S = 1.0
+SAVE_S = 1.0
+"""Pause between two saves of the directory of endpoints."""
 
 
 class Parts(NamedTuple):
@@ -47,6 +51,9 @@
         return EXIT_STORAGE
     member = members.Member(core=core)
     hub = hubs.Hub(member=member)
+    remembered_ones = remembered.load(values["data"])
+    for said in remembered_ones:
+        hub.take(said)
     serving = service.Service(member=member, name=values["id"], hub=hub)
     server = link.LinkServer(address=values["address"], handler=serving.handle)
     await server.start()
@@ -61,9 +68,12 @@
     deciding = asyncio.ensure_future(leader.run())
     expiring = asyncio.ensure_future(_expire(hub))
     telling = asyncio.ensure_future(_tell(parts))
+    saving = asyncio.ensure_future(
+        _remember(hub, values["data"], remembered_ones)
+    )
     stopping = asyncio.ensure_future(stop.wait())
     await asyncio.wait((running, stopping), return_when=asyncio.FIRST_COMPLETED)
-    tasks = (running, deciding, expiring, telling, stopping)
+    tasks = (running, deciding, expiring, telling, saving, stopping)
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
@@ -82,6 +92,30 @@
         hub.expire()
 
 
+async def _remember(
+    hub: hubs.Hub, folder: str, read_back: list[directory.Endpoint]
+) -> None:
+    """Drops what was read back and not heard, then saves what changes."""
+    await asyncio.sleep(remembered.TRUSTED_S)
+    for name in remembered.unheard(hub.directory, read_back):
+        hub.forget(name)
+    saved = -1
+    loop = asyncio.get_running_loop()
+    while True:
+        news = max(
+            (row.news_revision for row in hub.directory.rows.values()),
+            default=0,
+        )
+        if news != saved:
+            failure = await loop.run_in_executor(
+                None, remembered.save, folder, hub.directory
+            )
+            if failure is not None:
+                events.record(events.Event.DISK_REFUSED, failure)
+            saved = news
+        await asyncio.sleep(SAVE_S)
+
+
 async def _tell(parts: Parts) -> None:
     """Tells entries when the tables or the leader changed."""
     while True:
--- /dev/null
+++ b/src/_arbutuswalk/control/remembered.py
@@ -0,0 +1,51 @@
+"""The directory of endpoints on disk, for the first seconds after a restart.
+
+Endpoints announce themselves again within seconds, so this is no state that
+has to survive; it spares callers those seconds. What is read back counts only
+until its endpoint should have been heard: a request to one that is gone is
+refused by its machine, or by the endpoint that has the address now.
+"""
+
+import json
+import pathlib
+
+from _arbutuswalk.routing import directory
+
+NAME = "endpoints.json"
+TRUSTED_S = 2.6
+"""How long an endpoint that was read back counts without being heard: two
+heartbeats."""
+
+
+def save(folder: str, found: directory.Directory) -> OSError | None:
+    """Writes the directory aside and renames it into place; may block."""
+    path = pathlib.Path(folder) / NAME
+    aside = path.with_suffix(".aside")
+    said = [row.endpoint for row in found.rows.values()]
+    try:
+        aside.write_text(json.dumps(said), encoding="utf-8")
+        aside.rename(path)
+    except OSError as error:
+        return error
+    return None
+
+
+def load(folder: str) -> list[directory.Endpoint]:
+    """Returns what was saved; nothing if it is missing or torn."""
+    path = pathlib.Path(folder) / NAME
+    try:
+        said = json.loads(path.read_text(encoding="utf-8"))
+        return [directory.from_json(fields) for fields in said]
+    except (OSError, ValueError, TypeError):
+        return []
+
+
+def unheard(
+    found: directory.Directory, remembered: list[directory.Endpoint]
+) -> list[str]:
+    """Returns the remembered endpoints that have not been heard since."""
+    return [
+        said.id
+        for said in remembered
+        if said.id in found.rows and found.rows[said.id].endpoint == said
+    ]
--- a/src/_arbutuswalk/control/replicated.py
+++ b/src/_arbutuswalk/control/replicated.py
@@ -114,6 +114,7 @@
             peers=self.identity.peers,
             vote=found.vote,
             log=log,
+            commit=found.commit,
         )
         if found.snapshot is not None:
             self.replica.snapshots[log.base_index] = found.snapshot.state
@@ -180,11 +181,12 @@
             failure = self.wal.save_snapshot(ready.snapshot)
             if failure is not None:
                 return failure
-        if ready.vote is None and not ready.entries:
+        written = (ready.vote, ready.commit)
+        if written == (None, None) and not ready.entries:
             return None
         self.counts["syncs"] += 1
         self.counts["entries"] += len(ready.entries)
-        return self.wal.write(ready.vote, ready.entries)
+        return self.wal.write(ready.vote, ready.entries, ready.commit)
 
     def saved(self, ready: types.Ready) -> None:
         """Notes that a round is durable."""
--- a/src/_arbutuswalk/relay/core.py
+++ b/src/_arbutuswalk/relay/core.py
@@ -1,6 +1,8 @@
 """State of an entry that relays requests as they are."""
 
+import asyncio
 import random
+from collections.abc import Callable
 from typing import NamedTuple
 
 from _arbutuswalk.base import clock
@@ -16,6 +18,11 @@
 UNKNOWN_ENTRIES = 16
 """Entries that share a bound until control has told how many there are."""
 
+LEARN_S = 3.0
+"""Time after the start in which requests wait for what is not known yet: by
+then every endpoint has announced itself twice."""
+MOST_WAIT_S = 1.0
+"""Longest such wait of one request."""
 USUAL_WEIGHT = 0.05
 """Weight of one more time in the usual one: some twenty requests count."""
 SLOW_TIMES = 3.0
@@ -83,6 +90,8 @@
         silent: Those of them that control does not hear.
         draining: Whether the process is leaving.
         active: Requests under way.
+        news: Set and replaced when control told something.
+        started_at: When the process started, in seconds.
     """
 
     def __init__(
@@ -120,6 +129,8 @@
         self.silent = 0
         self.draining = False
         self.active = 0
+        self.news = asyncio.Event()
+        self.started_at = now()
         self.metrics = metrics.Metrics()
 
     @property
@@ -132,6 +143,32 @@
         """Whether callers should use this entry."""
         return self.table is not None and not self.draining
 
+    def tell(self) -> None:
+        """Wakes all that wait for news from control."""
+        news, self.news = self.news, asyncio.Event()
+        news.set()
+
+    async def learn(self, known: Callable[[], bool]) -> bool:
+        """Waits, shortly after the start, until something is known.
+
+        A process that has just started may be able to serve in a moment; one
+        that has run for a while and knows nothing cannot.
+
+        Returns:
+            Whether it is known now.
+        """
+        until = self.started_at + LEARN_S
+        while not known():
+            left = min(until - self.now(), MOST_WAIT_S)
+            if left <= 0:
+                return False
+            try:
+                async with asyncio.timeout(left):
+                    await self.news.wait()
+            except TimeoutError:
+                return known()
+        return True
+
     def note_first_byte(
         self, route: str, took_s: float, *, usual: bool
     ) -> bool:
--- a/src/_arbutuswalk/relay/relaying.py
+++ b/src/_arbutuswalk/relay/relaying.py
@@ -9,6 +9,7 @@
 from _arbutuswalk.relay import placing
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import results
+from _arbutuswalk.routing import directory
 
 RETRY_AFTER_S = 0.5
 """When a refused caller may come back: about as long as a crowded or lost
@@ -38,6 +39,8 @@
     endpoint_id = ""
     while True:
         endpoint = placing.place(relay, request, tried)
+        if endpoint is None and not tried:
+            endpoint = await _await_endpoint(relay, request)
         if endpoint is None or not _may_arrive(relay, request, tally):
             break
         tried.add(endpoint.id)
@@ -65,6 +68,16 @@
     await _conclude(relay, to_caller, result, fallback, tally, endpoint_id)
 
 
+async def _await_endpoint(
+    relay: core.Relay, request: requests.Request
+) -> directory.Endpoint | None:
+    """Waits for an endpoint in the first seconds of the process."""
+    found = await relay.learn(
+        lambda: placing.place(relay, request, set()) is not None
+    )
+    return placing.place(relay, request, set()) if found else None
+
+
 def _may_arrive(
     relay: core.Relay, request: requests.Request, tally: results.Tally
 ) -> bool:
--- a/src/_arbutuswalk/relay/watching.py
+++ b/src/_arbutuswalk/relay/watching.py
@@ -172,6 +172,7 @@
         self.relay.entries = max(1, news["entries"])
         self.relay.silent = news["silent"]
         self._agree_on_time()
+        self.relay.tell()
 
     def _take_rollouts(self, rollouts: dict[str, list]) -> None:
         """Keeps the newest step of each rollout, whoever told of it."""
--- a/src/_arbutuswalk/routing/directory.py
+++ b/src/_arbutuswalk/routing/directory.py
@@ -119,12 +119,17 @@
         if now - row.heard_at > silent_s
     ]
     for name in old:
-        row = directory.rows.pop(name)
-        if directory.holders.get(row.endpoint.address) == name:
-            del directory.holders[row.endpoint.address]
+        forget(directory, name)
     return old
 
 
+def forget(directory: Directory, name: str) -> None:
+    """Drops one row."""
+    row = directory.rows.pop(name)
+    if directory.holders.get(row.endpoint.address) == name:
+        del directory.holders[row.endpoint.address]
+
+
 def since(directory: Directory, revision: int) -> list[Endpoint]:
     """Returns the endpoints whose rows changed after ``revision``."""
     return [
--- a/src/_arbutuswalk/storage/wal.py
+++ b/src/_arbutuswalk/storage/wal.py
@@ -18,9 +18,11 @@
 
 ENTRY_KIND = b"E"
 VOTE_KIND = b"V"
+COMMIT_KIND = b"C"
 IDENTITY_NAME = "identity"
 _ENTRY_HEAD = struct.Struct(">QQ")
 _VOTE_HEAD = struct.Struct(">Q")
+_COMMIT = struct.Struct(">Q")
 _SNAPSHOT_HEAD = struct.Struct(">QQ")
 
 
@@ -54,11 +56,14 @@
         vote: Last durable vote.
         snapshot: Newest good snapshot, if any.
         entries: Entries after the snapshot, without gaps.
+        commit: Index up to which entries were known to be committed; more of
+            them may be.
     """
 
     vote: Vote
     snapshot: Snapshot | None
     entries: list[LogEntry]
+    commit: int = 0
 
 
 class Wal:
@@ -69,6 +74,7 @@
         segment: Name of the file being appended to.
         segment_size: Its size in bytes.
         vote: Last vote written.
+        commit: Last commit index written.
         last_index: Index of the last entry written.
         last_of: Last entry index in each segment, for removal.
         base: Index of the snapshot that recovery started from.
@@ -80,6 +86,7 @@
         self.segment = ""
         self.segment_size = 0
         self.vote = Vote(0, "")
+        self.commit = 0
         self.last_index = 0
         self.last_of: dict[str, int] = {}
         self.base = 0
@@ -107,17 +114,28 @@
             return failure
         last = self.last_index
         events.log(events.Event.LOG_RECOVERED, base + 1, last, base)
-        return Recovered(self.vote, snapshot, entries)
+        self.commit = max(base, min(self.commit, last))
+        return Recovered(self.vote, snapshot, entries, self.commit)
 
     def write(
-        self, vote: Vote | None, entries: list[LogEntry]
+        self,
+        vote: Vote | None,
+        entries: list[LogEntry],
+        commit: int | None = None,
     ) -> errors.StorageError | None:
-        """Appends one batch and syncs once."""
+        """Appends one batch and syncs once.
+
+        A commit index follows the entries, so that it never survives a crash
+        that they do not.
+        """
         parts = []
         if vote is not None:
             self.vote = vote
             parts.append(records.pack(_pack_vote(vote)))
         parts += [records.pack(_pack_entry(entry)) for entry in entries]
+        if commit is not None:
+            self.commit = commit
+            parts.append(records.pack(_pack_commit(commit)))
         data = b"".join(parts)
         failure = self.folder.append(self.segment, data) or self.folder.sync(
             self.segment
@@ -211,6 +229,9 @@
         if payload[:1] == VOTE_KIND:
             self.vote = _unpack_vote(payload)
             return None
+        if payload[:1] == COMMIT_KIND:
+            (self.commit,) = _COMMIT.unpack_from(payload, 1)
+            return None
         entry = _unpack_entry(payload)
         while entries and entries[-1].index >= entry.index:
             entries.pop()
@@ -234,6 +255,7 @@
         self.segment = f"segment-{number:012d}.log"
         self.last_of[self.segment] = 0
         data = records.pack(_pack_vote(self.vote))
+        data += records.pack(_pack_commit(self.commit))
         self.segment_size = len(data)
         return (
             self.folder.append(self.segment, data)
@@ -271,6 +293,10 @@
     return VOTE_KIND + _VOTE_HEAD.pack(vote.term) + vote.voted_for.encode()
 
 
+def _pack_commit(commit: int) -> bytes:
+    return COMMIT_KIND + _COMMIT.pack(commit)
+
+
 def _unpack_vote(payload: bytes) -> Vote:
     (term,) = _VOTE_HEAD.unpack_from(payload, 1)
     return Vote(term, payload[1 + _VOTE_HEAD.size :].decode())
