--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -54,7 +54,6 @@
         " sequence=%s address=%s",
     )
     ENDPOINT_FORGOTTEN = (651, "endpoint forgotten id=%s")
-    ROUTES_PUBLISHED = (652, "routes published version=%s outcome=%s")
     ROUTES_IN_FORCE = (653, "routes in force version=%s before=%s source=%s")
     ANSWERED = (
         654,
--- a/testing/fakes.py
+++ b/testing/fakes.py
@@ -185,7 +185,8 @@
         if crash_at == "before_sync":
             node.crash()
             return
-        if ready.snapshot or ready.vote or ready.entries:
+        unsaved = ready.snapshot or ready.vote or ready.entries
+        if unsaved or ready.commit is not None:
             failure = core.persist(ready)
             if failure is not None:
                 node.crash()
