--- a/src/_arbutuswalk/relay/relaying.py
+++ b/src/_arbutuswalk/relay/relaying.py
@@ -100,7 +100,8 @@
     took_ms = round((relay.now() - request.came_at) * 1000)
     route = request.route.name
     if isinstance(result, results.Delivered):
-        _note_answer(relay, request, endpoint_id, 200, tally, took_ms)
+        first_ms = round((to_caller.first_at - request.came_at) * 1000)
+        _note_answer(relay, request, endpoint_id, 200, tally, took_ms, first_ms)
         return
     if to_caller.started:
         events.record(
@@ -227,7 +228,10 @@
     status: int,
     tally: results.Tally,
     took_ms: int,
+    first_ms: int | None = None,
 ) -> None:
+    if first_ms is None:
+        first_ms = took_ms
     relay.metrics.count("answered", f'status="{status}"')
     relay.metrics.record(
         "answer", f'route="{request.route.name}"', took_ms / 1000
@@ -241,5 +245,10 @@
         )
     else:
         events.record(
-            events.Event.ANSWERED, *fields, status, tally.runs, took_ms
+            events.Event.ANSWERED,
+            *fields,
+            status,
+            tally.runs,
+            first_ms,
+            took_ms,
         )
