--- a/src/_arbutuswalk/control/hub.py
+++ b/src/_arbutuswalk/control/hub.py
@@ -205,12 +205,13 @@
                 totals[name] = totals.get(name, 0.0) + number
         return totals
 
-    def loads(self) -> dict[str, int]:
-        """Returns the requests that all entries in touch run by endpoint."""
-        totals: dict[str, int] = {}
+    def loads(self) -> dict[str, tuple[int, int]]:
+        """Returns requests and unread tokens by endpoint, over all entries."""
+        totals: dict[str, tuple[int, int]] = {}
         for state in self.live_entries().values():
-            for endpoint, count in state.report.get("running", {}).items():
-                totals[endpoint] = totals.get(endpoint, 0) + count
+            for endpoint, load in state.report.get("loads", {}).items():
+                running, tokens = totals.get(endpoint, (0, 0))
+                totals[endpoint] = (running + load[0], tokens + load[1])
         return totals
 
     def wall_at(self, state: EntryState) -> float:
--- a/src/_arbutuswalk/control/scaling.py
+++ b/src/_arbutuswalk/control/scaling.py
@@ -46,7 +46,7 @@
         ]
         fleet = fleets.fleet(upstream.name)
         loads = parts.hub.loads()
-        running = sum(loads.get(row.endpoint.id, 0) for row in rows)
+        running = sum(loads.get(row.endpoint.id, (0, 0))[0] for row in rows)
         fleetplan.note_load(fleet, running, now)
         orders = fleetplan.decide(
             fleet, upstream.scaling, _ready(rows, now), now
--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -10,7 +10,6 @@
 from _arbutuswalk.relay import pool
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import results
-from _arbutuswalk.routing import directory
 from _arbutuswalk.state import routeconfig
 
 ANSWER_GRACE_S = 0.1
@@ -31,6 +30,7 @@
         version: Version of that endpoint's software.
         exchange: Exchange on the connection.
         started: When it began, in seconds.
+        unread: Tokens of the prompt that the endpoint has not read yet.
         first_s: Seconds to the first byte of the answer, 0 before.
     """
 
@@ -39,12 +39,13 @@
         *,
         relay: core.Relay,
         to_caller: delivery.Delivery,
-        endpoint: directory.Endpoint,
+        place: placing.Place,
     ):
         self.relay = relay
         self.delivery = to_caller
         self.request = to_caller.request
-        self.endpoint = endpoint
+        self.endpoint = place.endpoint
+        self.unread = place.tokens
         self.started = relay.now()
         self.first_s = 0.0
         self.exchange = connections.Exchange(
@@ -55,16 +56,20 @@
     async def run(self) -> results.Result:
         """Sends the request and returns what became of it."""
         relay, name = self.relay, self.endpoint.id
-        relay.running[name] = relay.running.get(name, 0) + 1
+        relay.add_load(name, 1, self.unread)
+        placing.sent(relay, self.request, name)
         try:
             result = await self._run()
         finally:
-            relay.running[name] -= 1
-            if not relay.running[name]:
-                del relay.running[name]
+            relay.add_load(name, -1, -self.unread)
         self._note(result)
         return result
 
+    def _read(self) -> None:
+        """Notes that the endpoint has read the prompt."""
+        self.relay.add_load(self.endpoint.id, 0, -self.unread)
+        self.unread = 0
+
     async def _run(self) -> results.Result:
         careful = not self.request.route.repeatable
         opened = await self.relay.pool.take(
@@ -154,6 +159,7 @@
             if data:
                 if not begun:
                     self.first_s = self.relay.now() - self.started
+                    self._read()
                     self._count_begun(self.relay.now())
                 begun = True
                 await self.delivery.feed(data)
--- a/src/_arbutuswalk/relay/core.py
+++ b/src/_arbutuswalk/relay/core.py
@@ -13,6 +13,7 @@
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import usage
 from _arbutuswalk.routing import directory
+from _arbutuswalk.routing import recent
 from _arbutuswalk.routing import routetable
 
 UNKNOWN_ENTRIES = 16
@@ -48,6 +49,13 @@
     quota: quota.Terms
 
 
+class Load(NamedTuple):
+    """Requests under way, and tokens of prompts that were not read yet."""
+
+    running: int = 0
+    waiting_tokens: int = 0
+
+
 class Outcomes:
     """Outcomes of one version of an upstream at this entry.
 
@@ -77,8 +85,9 @@
         pool: Connections to endpoints.
         table: Configuration of routes, None before the first.
         directory: Endpoints.
-        running: Own requests under way by endpoint.
-        others: Requests of other entries under way by endpoint.
+        loads: Own load by endpoint.
+        others: Load by other entries by endpoint.
+        recent: Endpoints that lately got shared parts of prompts.
         suspects: Time until which an endpoint comes last, by id.
         retries: Window of retries by upstream.
         buckets: Quota bucket by workspace.
@@ -116,8 +125,9 @@
         self.pool = pool.Pool(read=dialect.read, now=now)
         self.table: routetable.RouteTable | None = None
         self.directory = directory.Directory()
-        self.running: dict[str, int] = {}
-        self.others: dict[str, int] = {}
+        self.loads: dict[str, Load] = {}
+        self.others: dict[str, Load] = {}
+        self.recent = recent.Recent()
         self.suspects: dict[str, float] = {}
         self.retries: dict[str, retries.RetryWindow] = {}
         self.buckets: dict[str, quota.Bucket] = {}
@@ -143,6 +153,13 @@
         """Whether callers should use this entry."""
         return self.table is not None and not self.draining
 
+    def add_load(self, endpoint: str, running: int, tokens: int) -> None:
+        """Adds to the own load of an endpoint, or takes from it."""
+        before = self.loads.pop(endpoint, Load())
+        load = Load(before.running + running, before.waiting_tokens + tokens)
+        if load.running or load.waiting_tokens:
+            self.loads[endpoint] = load
+
     def tell(self) -> None:
         """Wakes all that wait for news from control."""
         news, self.news = self.news, asyncio.Event()
--- a/src/_arbutuswalk/relay/placing.py
+++ b/src/_arbutuswalk/relay/placing.py
@@ -1,6 +1,7 @@
 """Finds the endpoint for a request among those that announced themselves."""
 
 import zlib
+from typing import NamedTuple
 
 from _arbutuswalk.base import events
 from _arbutuswalk.relay import core
@@ -16,9 +17,16 @@
 PER_MILLE = 1000
 
 
+class Place(NamedTuple):
+    """Where a request goes, and the tokens to be read there."""
+
+    endpoint: directory.Endpoint
+    tokens: int
+
+
 def place(
     relay: core.Relay, request: requests.Request, tried: set[str]
-) -> directory.Endpoint | None:
+) -> Place | None:
     """Returns an endpoint that was not tried yet, or None."""
     now = relay.now()
     rows = [
@@ -29,11 +37,23 @@
         and row.endpoint.id not in tried
     ]
     allowed = _by_version(relay, request, rows)
-    candidates = [_candidate(relay, row, now) for row in allowed]
-    found = endpoints.choose(candidates, _affinity(request), relay.rng.random())
+    work = _work(request)
+    found = endpoints.choose(
+        [_candidate(relay, row, now) for row in allowed],
+        work,
+        relay.recent.holders(_last_part(work), now),
+        (relay.rng.random(), relay.rng.random()),
+    )
     if found is None:
         return None
-    return relay.directory.rows[found.id].endpoint
+    return Place(relay.directory.rows[found.id].endpoint, found.tokens)
+
+
+def sent(relay: core.Relay, request: requests.Request, endpoint: str) -> None:
+    """Notes that an endpoint now gets the request's parts."""
+    part = _last_part(_work(request))
+    if part:
+        relay.recent.note(part, endpoint, relay.now())
 
 
 def suspect(relay: core.Relay, endpoint: str, reason: str) -> None:
@@ -47,25 +67,33 @@
     relay: core.Relay, row: directory.Row, now: float
 ) -> endpoints.Candidate:
     name = row.endpoint.id
-    load = relay.running.get(name, 0) + relay.others.get(name, 0)
+    own, others = relay.loads.get(name), relay.others.get(name, (0, 0))
+    running, waiting = own or (0, 0)
     silent = now - row.heard_at > SILENT_S
     return endpoints.Candidate(
         id=name,
-        load=load,
+        running=running + others[0],
+        waiting_tokens=waiting + others[1],
         slots=row.endpoint.slots,
         near=row.endpoint.domain == relay.domain,
         doubtful=silent or relay.suspects.get(name, 0.0) > now,
     )
 
 
-def _affinity(request: requests.Request) -> str:
-    """Returns the last part that other requests may share.
+def _work(request: requests.Request) -> endpoints.Work | None:
+    """Returns what a model request brings, None for a plain one.
 
     The very last part is the request's own, unless it is the only one.
     """
-    if request.prompt is None or not request.prompt.parts:
-        return ""
-    return request.prompt.parts[-2:][0].id
+    if request.prompt is None:
+        return None
+    parts = request.prompt.parts
+    shared = parts[:-1] or parts
+    return endpoints.Work(request.prompt.tokens_in, shared)
+
+
+def _last_part(work: endpoints.Work | None) -> str:
+    return work.parts[-1][0] if work is not None and work.parts else ""
 
 
 def _by_version(
--- a/src/_arbutuswalk/relay/relaying.py
+++ b/src/_arbutuswalk/relay/relaying.py
@@ -9,7 +9,6 @@
 from _arbutuswalk.relay import placing
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import results
-from _arbutuswalk.routing import directory
 
 RETRY_AFTER_S = 0.5
 """When a refused caller may come back: about as long as a crowded or lost
@@ -38,13 +37,13 @@
     result: results.Result = results.NotSent(reason="no endpoint is ready")
     endpoint_id = ""
     while True:
-        endpoint = placing.place(relay, request, tried)
-        if endpoint is None and not tried:
-            endpoint = await _await_endpoint(relay, request)
-        if endpoint is None or not _may_arrive(relay, request, tally):
+        place = placing.place(relay, request, tried)
+        if place is None and not tried:
+            place = await _await_place(relay, request)
+        if place is None or not _may_arrive(relay, request, tally):
             break
-        tried.add(endpoint.id)
-        endpoint_id = endpoint.id
+        endpoint_id = place.endpoint.id
+        tried.add(endpoint_id)
         if to_caller.started:
             events.record(
                 events.Event.RESUMED,
@@ -53,7 +52,7 @@
                 to_caller.last_event,
             )
         attempt = attempts.Attempt(
-            relay=relay, to_caller=to_caller, endpoint=endpoint
+            relay=relay, to_caller=to_caller, place=place
         )
         result = await attempt.run()
         tally = results.add(tally, result)
@@ -68,9 +67,9 @@
     await _conclude(relay, to_caller, result, fallback, tally, endpoint_id)
 
 
-async def _await_endpoint(
+async def _await_place(
     relay: core.Relay, request: requests.Request
-) -> directory.Endpoint | None:
+) -> placing.Place | None:
     """Waits for an endpoint in the first seconds of the process."""
     found = await relay.learn(
         lambda: placing.place(relay, request, set()) is not None
--- a/src/_arbutuswalk/relay/watching.py
+++ b/src/_arbutuswalk/relay/watching.py
@@ -38,6 +38,7 @@
         term: Term in which it decides alone, 0 if it does not.
         answered: Whether its last answer was good.
         wall_offset: Its time of day less ours, None before it answered.
+        reported_loads: Own loads that it was last told, by endpoint.
         reported_taken: Own quota takings that it was last told, by workspace.
     """
 
@@ -51,6 +52,7 @@
         self.term = 0
         self.wall_offset: float | None = None
         self.reported_taken: dict[str, float] = {}
+        self.reported_loads: dict[str, core.Load] = {}
         self.task: asyncio.Task | None = None
 
 
@@ -117,6 +119,7 @@
     def _message(self, feed: Feed) -> ttypes.Watch:
         report = self._report()
         feed.reported_taken = report["taken"]
+        feed.reported_loads = dict(report["loads"])
         return ttypes.Watch(
             entry=self.relay.name,
             incarnation=self.relay.incarnation,
@@ -135,7 +138,7 @@
             "ready": relay.ready,
             "left": relay.draining,
             "routes_version": relay.routes_version,
-            "running": relay.running,
+            "loads": relay.loads,
             "wall": relay.wall(),
             "usage": relay.usage.counts,
             "taken": {
@@ -167,7 +170,7 @@
         if "routes" in news:
             take_routes(self.relay, news["routes"], feed.address)
         self._take_rollouts(news["rollouts"])
-        self._take_loads(news["loads"])
+        self._take_loads(feed, news["loads"])
         self._take_quotas(feed, news["taken"])
         self.relay.entries = max(1, news["entries"])
         self.relay.silent = news["silent"]
@@ -181,12 +184,15 @@
             if known is None or _rollout_age(row) > _rollout_age(known):
                 self.relay.rollouts[upstream] = row
 
-    def _take_loads(self, loads: dict[str, int]) -> None:
-        """Takes other entries' loads: the sum less our own part of it."""
-        own = self.relay.running
+    def _take_loads(self, feed: Feed, loads: dict[str, list[int]]) -> None:
+        """Takes other entries' loads: the sums less our own part of them."""
         self.relay.others = {
-            name: max(0, total - own.get(name, 0))
-            for name, total in loads.items()
+            name: core.Load(
+                max(0, running - own.running),
+                max(0, tokens - own.waiting_tokens),
+            )
+            for name, (running, tokens) in loads.items()
+            for own in [feed.reported_loads.get(name, core.Load())]
         }
 
     def _take_quotas(self, feed: Feed, taken: dict[str, float]) -> None:
