--- a/src/_arbutuswalk/limits/quota.py
+++ b/src/_arbutuswalk/limits/quota.py
@@ -17,6 +17,9 @@
 """Weight of the newest span in the estimate of what others take."""
 
 
+LATE_PART = 0.3
+"""Part of the burst that late requests leave for those that are on time: a
+workspace over its quota would else spend it on answers that come too late."""
 EQUAL_WEIGHT = 0.5
 """Weight of the assumption that all entries draw alike, as a part of the rate:
 it decides until their rates have been measured."""
@@ -150,7 +153,13 @@
             self.span_at = now
 
     def take(
-        self, cost: float, now: float, *, entries: int, silent: int
+        self,
+        cost: float,
+        now: float,
+        *,
+        entries: int,
+        silent: int,
+        late: bool = False,
     ) -> float:
         """Takes ``cost`` tokens.
 
@@ -162,6 +171,8 @@
             now: Seconds.
             entries: Entries that draw from the bucket.
             silent: Those of them that cannot be heard.
+            late: Whether the answer would be late already, so that requests
+                which can still be on time go first.
 
         Returns:
             Zero if they were there, else seconds until they will be.
@@ -174,7 +185,7 @@
         self.level = min(self.level, self.burst * self.part)
         held_back = 0.0 if alone else self._unheard(lag)
         there = self.level - held_back
-        needed = _needed(cost, self.burst * self.part)
+        needed = _needed(cost, self.burst * self.part, late=late)
         if there >= needed:
             self.level -= cost
             self.taken += cost
@@ -195,7 +206,7 @@
         self.filled_at = now
 
 
-def _needed(cost: float, burst: float) -> float:
+def _needed(cost: float, burst: float, *, late: bool) -> float:
     """Returns the level at which a request may pass.
 
     Large requests leave a reserve, so that small ones, which take little and
@@ -203,7 +214,8 @@
     size makes no difference, so that the largest are not refused for good.
     """
     size = min(1.0, cost / (LARGE_PART * burst))
-    return min(cost, LARGE_PART * burst) + size * RESERVE_PART * burst
+    reserve = size * RESERVE_PART + late * LATE_PART
+    return min(cost, LARGE_PART * burst) + reserve * burst
 
 
 def _part(entries: int, silent: int, *, alone: bool) -> float:
--- a/src/_arbutuswalk/relay/core.py
+++ b/src/_arbutuswalk/relay/core.py
@@ -9,6 +9,7 @@
 from _arbutuswalk.base import metrics
 from _arbutuswalk.limits import quota
 from _arbutuswalk.limits import retries
+from _arbutuswalk.relay import patience
 from _arbutuswalk.relay import pool
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import usage
@@ -87,6 +88,7 @@
         directory: Endpoints.
         loads: Own load by endpoint.
         others: Load by other entries by endpoint.
+        patience: How long callers of each route wait.
         recent: Endpoints that lately got shared parts of prompts.
         suspects: Time until which an endpoint comes last, by id.
         retries: Window of retries by upstream.
@@ -128,6 +130,7 @@
         self.loads: dict[str, Load] = {}
         self.others: dict[str, Load] = {}
         self.recent = recent.Recent()
+        self.patience = patience.Patience()
         self.suspects: dict[str, float] = {}
         self.retries: dict[str, retries.RetryWindow] = {}
         self.buckets: dict[str, quota.Bucket] = {}
--- a/src/_arbutuswalk/relay/intake.py
+++ b/src/_arbutuswalk/relay/intake.py
@@ -76,6 +76,7 @@
         if workspace is None:
             return Refusal(STATUS_NO_KEY, "unknown key")
     request = _request(relay, arrival, route, workspace)
+    relay.patience.note(route.name, arrival.deadline_s)
     refusal = _take_quota(relay, request)
     return refusal or request
 
@@ -100,6 +101,7 @@
         workspace=workspace,
         came_at=arrival.came_at,
         deadline=arrival.came_at + min(waits_s, route.timeout_s),
+        waits_s=waits_s,
         prompt=arrival.prompt,
         last_event=arrival.last_event,
     )
@@ -113,7 +115,11 @@
     now = relay.now()
     bucket = _bucket(relay, workspace, now)
     wait_s = bucket.take(
-        cost(request), now, entries=relay.entries, silent=relay.silent
+        cost(request),
+        now,
+        entries=relay.entries,
+        silent=relay.silent,
+        late=relay.patience.is_late(request, now),
     )
     if not wait_s:
         return None
--- a/src/_arbutuswalk/relay/request.py
+++ b/src/_arbutuswalk/relay/request.py
@@ -46,7 +46,8 @@
         upstream: Upstream that the route's weights picked.
         workspace: Whose it is, None on an anonymous route.
         came_at: When it was read, in seconds.
-        deadline: When the caller stops waiting.
+        deadline: When the caller or the route stops waiting.
+        waits_s: How long the caller waits from ``came_at`` on.
         prompt: Its prompt, if it is a model request.
         last_event: Id of the last event that the caller has, or empty.
     """
@@ -61,6 +62,7 @@
     workspace: routeconfig.Workspace | None
     came_at: float
     deadline: float
+    waits_s: float
     prompt: Prompt | None
     last_event: str
 
