--- a/src/_arbutuswalk/state/fleetplan.py
+++ b/src/_arbutuswalk/state/fleetplan.py
@@ -190,7 +190,11 @@
     for domain in domains:
         missing = wanted - sum(targets.values())
         if missing > 0:
-            others = reclaimable.get((domain, True), 0)
+            # What was ordered counts until a smaller order is accepted.
+            others = max(
+                reclaimable.get((domain, True), 0),
+                fleet.placed[domain, True].count,
+            )
             room = scaling.maximum - others - targets[domain]
             targets[domain] += max(0, min(missing, room))
     for domain in reversed(domains):
@@ -227,10 +231,12 @@
     now: float,
 ) -> bool:
     """Tells whether an order has to be sent, or sent again."""
+    placed = fleet.placed[key]
+    if target < placed.count:
+        return True
     refused_at = fleet.refused_at.get(key, -math.inf)
     if now - refused_at < REFUSED_PAUSE_S:
         return False
-    placed = fleet.placed[key]
     if placed.count != target:
         return True
     overdue = now - placed.at > scaling.boot_s + BOOT_SLACK_S
--- /dev/null
+++ b/testing/test_platform_messages.py
@@ -0,0 +1,294 @@
+"""The platform's messages: every field missing, of another type, or huge."""
+
+import json
+
+import hypothesis
+import pytest
+from arbutuswalk_platform import announcements
+from arbutuswalk_platform import headers
+from arbutuswalk_platform import operators
+from hypothesis import strategies
+
+from _arbutuswalk.relay import request as requests
+from _arbutuswalk.routing import directory
+from _arbutuswalk.state import routeconfig
+
+BEAT = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "khomas-a",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "cold_remaining_ms": 1500,
+    "sequence": 4,
+    "born": 1769526078061,
+}
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "Ficu95.example",
+            "path_prefix": "/pufi791/",
+            "route_kind": "streaming",
+            "timeout_ms": 3000,
+            "target_latency_ms": 500,
+            "priority": 0,
+            "service": "huvo11a",
+            "max_attempts": 1,
+            "anonymous": False,
+            "session_affinity": True,
+            "stream_resumption": False,
+            "gap_target_ms": 250,
+        },
+        {
+            "name": "r-2",
+            "host": "ficu95.example",
+            "path_prefix": "/lohu930/",
+            "route_kind": "non_idempotent",
+            "timeout_ms": 5000,
+            "traffic_split": [
+                {"service": "huvo11a", "weight": 90},
+                {"service": "wuno96b", "weight": 10},
+            ],
+        },
+    ],
+    "services": [
+        {
+            "name": "huvo11a",
+            "health_path": "/health",
+            "connection_limit": 370,
+            "inference_engine": {"slots": 64, "kv_cache_capacity": 588020},
+            "scaling": {
+                "minimum": 1,
+                "maximum": 6,
+                "boot_time_s": 4.0,
+                "spot_price": 0.18,
+                "zone_prices": {"khomas-a": 0.85, "khomas-b": 1.2},
+            },
+        },
+        {"name": "wuno96b", "connection_limit": 110},
+    ],
+    "limits": {"max_body_bytes": 4194304, "idle_timeout_ms": 15000},
+    "tenants": [
+        {
+            "name": "hule930",
+            "api_keys": ["k1", "k2"],
+            "priority": 1,
+            "unit": "tokens",
+            "uncached_tokens": 200,
+            "rate_per_s": 270667,
+            "burst_size": 270667,
+        }
+    ],
+}
+ODD = strategies.one_of(
+    strategies.none(),
+    strategies.booleans(),
+    strategies.integers(),
+    strategies.floats(),
+    strategies.text(max_size=5),
+    strategies.lists(strategies.integers(), max_size=2),
+    strategies.dictionaries(strategies.text(max_size=3), strategies.none()),
+    strategies.just("x" * 100_000),
+)
+
+
+def encode(said):
+    return json.dumps(said).encode()
+
+
+class TestHeartbeat:
+    def test_a_heartbeat_becomes_an_endpoint(self):
+        assert announcements.decode_heartbeat(
+            "i-1", encode(BEAT)
+        ) == directory.Endpoint(
+            id="i-1",
+            born_ms=1769526078061,
+            sequence=4,
+            upstream="huvo11a",
+            address="10.128.0.9:8080",
+            domain="khomas-a",
+            version="v1",
+            slots=64,
+            state=directory.READY,
+            reclaimable=False,
+            cold_s=1.5,
+        )
+
+    def test_draining_is_leaving(self):
+        said = {**BEAT, "state": "draining", "spot_instances": True}
+        found = announcements.decode_heartbeat("i-1", encode(said))
+        assert found.state == directory.LEAVING
+        assert found.reclaimable
+
+    @pytest.mark.parametrize(
+        "name",
+        [name for name in BEAT if name != "cold_remaining_ms"],
+    )
+    def test_a_missing_field_is_named(self, name):
+        said = {key: value for key, value in BEAT.items() if key != name}
+        found = announcements.decode_heartbeat("i-1", encode(said))
+        assert isinstance(found, str)
+        assert found.startswith(f"{name}:")
+
+    @hypothesis.given(name=strategies.sampled_from(sorted(BEAT)), value=ODD)
+    def test_no_value_breaks_the_decoder(self, name, value):
+        found = announcements.decode_heartbeat(
+            "i-1", encode({**BEAT, name: value})
+        )
+        assert isinstance(found, str | directory.Endpoint)
+
+    @hypothesis.given(body=strategies.binary(max_size=200))
+    def test_no_bytes_break_the_decoder(self, body):
+        announcements.decode_heartbeat("i-1", body)
+        announcements.decode_deregistration(body)
+
+    def test_nesting_without_end_is_unreadable(self):
+        body = b"[" * 100_000
+        assert isinstance(announcements.decode_heartbeat("i", body), str)
+        assert isinstance(operators.decode_config(body), str)
+
+
+class TestConfig:
+    def test_a_configuration_is_decoded_into_the_products_words(self):
+        config = operators.decode_config(encode(CONFIG))
+        assert routeconfig.check(config) == []
+        first, second = config.routes
+        assert first.host == "ficu95.example"
+        assert (first.kind, first.timeout_s) == (routeconfig.STREAM, 3.0)
+        assert second.kind == routeconfig.ONCE
+        assert second.targets == (
+            routeconfig.Target("huvo11a", 90),
+            routeconfig.Target("wuno96b", 10),
+        )
+        assert config.upstreams[0].scaling.reclaimable_price == 0.18
+        assert config.workspaces[0].keys == ("k1", "k2")
+        assert config.limits.idle_timeout_s == 15.0
+
+    @pytest.mark.parametrize(
+        ("where", "names"),
+        [
+            ((), ["version", "routes", "services"]),
+            (
+                ("routes", 0),
+                ["name", "host", "path_prefix", "route_kind", "timeout_ms"],
+            ),
+            (("services", 0), ["name"]),
+            (("tenants", 0), ["name"]),
+        ],
+    )
+    def test_a_missing_field_is_named(self, where, names):
+        for name in names:
+            said = json.loads(json.dumps(CONFIG))
+            inner = said
+            for step in where:
+                inner = inner[step]
+            del inner[name]
+            found = operators.decode_config(encode(said))
+            assert isinstance(found, str)
+            assert found.startswith(f"{name}:")
+
+    @hypothesis.given(
+        table=strategies.sampled_from(["routes", "services", "tenants"]),
+        data=strategies.data(),
+        value=ODD,
+    )
+    def test_no_value_breaks_the_decoder(self, table, data, value):
+        said = json.loads(json.dumps(CONFIG))
+        name = data.draw(strategies.sampled_from(sorted(said[table][0])))
+        said[table][0][name] = value
+        found = operators.decode_config(encode(said))
+        if isinstance(found, routeconfig.RouteConfig):
+            routeconfig.check(found)
+
+    def test_one_that_is_cut_short_is_unreadable(self):
+        body = encode(CONFIG)
+        for size in range(0, len(body), 97):
+            assert isinstance(operators.decode_config(body[:size]), str)
+
+
+class TestRollout:
+    def test_seconds_become_milliseconds(self):
+        said = {"service": "s", "target": "v2", "duration_s": 12}
+        assert operators.decode_rollout(encode(said)) == operators.Rollout(
+            "s", "v2", 12000
+        )
+
+    @hypothesis.given(
+        name=strategies.sampled_from(["service", "target", "duration_s"]),
+        value=ODD,
+    )
+    def test_no_value_breaks_the_decoder(self, name, value):
+        said = {"service": "s", "target": "v2", "duration_s": 12, name: value}
+        operators.decode_rollout(encode(said))
+
+
+class TestHeaders:
+    def test_what_only_the_system_may_set_is_dropped(self):
+        sent = [
+            (b"host", b"h"),
+            (b"x-attempt-id", b"a"),
+            (b"x-tenant", b"forged"),
+            (b"x-key", b"secret"),
+            (b"x-expected-instance", b"forged"),
+            (b"x-cache-retention", b"forged"),
+            (b"x-pin-duration-ms", b"1"),
+            (b"x-kv-replica", b"1"),
+            (b"kv-from", b"1"),
+            (b"kv-fetch", b"1"),
+            (b"x-request-priority", b"0"),
+            (b"connection", b"keep-alive, x-odd"),
+            (b"x-odd", b"1"),
+            (b"transfer-encoding", b"chunked"),
+            (b"x-model-name", b"m"),
+        ]
+        assert headers.to_pass_on(sent) == [
+            (b"host", b"h"),
+            (b"x-attempt-id", b"a"),
+            (b"x-model-name", b"m"),
+        ]
+
+    @pytest.mark.parametrize(
+        ("status", "extra", "ran"),
+        [
+            (200, [], True),
+            (500, [], True),
+            (503, [], True),
+            (503, [(b"x-not-executed", b"1")], False),
+            (429, [(b"x-not-executed", b"1")], False),
+            (421, [], False),
+        ],
+    )
+    def test_only_a_marked_answer_says_that_it_has_not_run(
+        self, status, extra, ran
+    ):
+        assert headers.read_answer(status, extra).ran == ran
+
+    def test_parts_of_a_prompt_are_read(self):
+        prompt = headers.read_prompt(
+            [
+                (b"x-model-name", b"m"),
+                (b"x-token-count", b"1460,80"),
+                (b"x-prefix-hash", b"5c1e:800,91bd:410,bad,e440:250"),
+            ]
+        )
+        assert (prompt.tokens_in, prompt.tokens_out) == (1460, 80)
+        assert prompt.parts == (
+            requests.Part("5c1e", 800),
+            requests.Part("91bd", 410),
+            requests.Part("e440", 250),
+        )
+
+    @hypothesis.given(
+        value=strategies.binary(max_size=60).filter(lambda b: b"\n" not in b)
+    )
+    def test_no_bytes_break_a_prompt(self, value):
+        headers.read_prompt(
+            [
+                (b"x-model-name", value or b"m"),
+                (b"x-token-count", value),
+                (b"x-prefix-hash", value),
+            ]
+        )
