--- a/src/_arbutuswalk/state/fleetplan.py
+++ b/src/_arbutuswalk/state/fleetplan.py
@@ -15,6 +15,9 @@
 REQUESTS_PER_ENDPOINT = 4.0
 """Requests under way that one model engine is meant to have: above it the
 prompts of others delay the first event of each beyond its objective."""
+LASTING_REQUESTS = 8.0
+"""The same for endpoints that are filled in at full price: the load is served
+with longer waits rather than at five times the price."""
 LOAD_WINDOW_S = 12.0
 """Time over whose peak the number is chosen: three times a start-up."""
 LEARN_S = 5.0
@@ -85,11 +88,23 @@
         fleet.refused_at[key] = now
 
 
-def needed(fleet: Fleet, scaling: routeconfig.Scaling, now: float) -> int:
-    """Returns the number of endpoints that the load calls for."""
+def needed(
+    fleet: Fleet,
+    scaling: routeconfig.Scaling,
+    now: float,
+    requests: float = REQUESTS_PER_ENDPOINT,
+) -> int:
+    """Returns the number of endpoints that the load calls for.
+
+    Args:
+        fleet: Load so far.
+        scaling: Bounds.
+        now: Seconds.
+        requests: Requests under way that one endpoint is meant to have.
+    """
     most = scaling.maximum * len(scaling.prices)
     peak = max((running for _, running in fleet.loads), default=0)
-    count = max(LEAST_ENDPOINTS, math.ceil(peak / REQUESTS_PER_ENDPOINT))
+    count = max(LEAST_ENDPOINTS, math.ceil(peak / requests))
     since = fleet.loaded_since
     if since is None or now - since < LEARN_S:
         count = max(count, fleet.initial)
@@ -113,7 +128,8 @@
     _adopt(fleet, scaling, ready, now)
     count = needed(fleet, scaling, now)
     targets = _reclaimable_targets(fleet, scaling, ready, count, now)
-    targets |= _lasting_targets(fleet, scaling, ready, targets, count, now)
+    least = needed(fleet, scaling, now, LASTING_REQUESTS)
+    targets |= _lasting_targets(fleet, scaling, ready, targets, least, now)
     return [
         Order(domain, reclaimable, target)
         for (domain, reclaimable), target in sorted(targets.items())
