--- a/src/_arbutuswalk/control/platform.py
+++ b/src/_arbutuswalk/control/platform.py
@@ -1,10 +1,9 @@
 """Client of the platform's API."""
 
 import dataclasses
+import importlib
 from typing import Any
 
-import aiohttp
-
 TIMEOUT_S = 5.0
 
 
@@ -28,7 +27,7 @@
 
     def __init__(self, *, address: str):
         self.base = f"http://{address}/v1"
-        self.session: aiohttp.ClientSession | None = None
+        self.session: Any = None
 
     async def notices(self, since: int) -> list | Refused | NoAnswer:
         """Returns reclaim notices from number ``since`` on."""
@@ -44,6 +43,9 @@
             await self.session.close()
 
     async def _call(self, method: str, path: str, body: Any = None) -> Any:
+        # Importing it takes a quarter of a second, which would delay the start
+        # of every control process, also of those that never call.
+        aiohttp = importlib.import_module("aiohttp")
         if self.session is None:
             timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
             self.session = aiohttp.ClientSession(timeout=timeout)
--- a/src/_arbutuswalk/control/remembered.py
+++ b/src/_arbutuswalk/control/remembered.py
@@ -7,6 +7,7 @@
 """
 
 import json
+import os
 import pathlib
 
 from _arbutuswalk.routing import directory
@@ -18,18 +19,34 @@
 
 
 def save(folder: str, found: directory.Directory) -> OSError | None:
-    """Writes the directory aside and renames it into place; may block."""
+    """Writes the directory aside, syncs it and renames it; may block.
+
+    Entries that found only the endpoints heard so far would send everything
+    to those few, so the file has to outlive a loss of power.
+    """
     path = pathlib.Path(folder) / NAME
     aside = path.with_suffix(".aside")
     said = [row.endpoint for row in found.rows.values()]
     try:
-        aside.write_text(json.dumps(said), encoding="utf-8")
+        with aside.open("w", encoding="utf-8") as file:
+            json.dump(said, file)
+            file.flush()
+            os.fsync(file.fileno())
         aside.rename(path)
+        _sync_folder(folder)
     except OSError as error:
         return error
     return None
 
 
+def _sync_folder(folder: str) -> None:
+    handle = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(handle)
+    finally:
+        os.close(handle)
+
+
 def load(folder: str) -> list[directory.Endpoint]:
     """Returns what was saved; nothing if it is missing or torn."""
     path = pathlib.Path(folder) / NAME
--- a/src/_arbutuswalk/relay/watching.py
+++ b/src/_arbutuswalk/relay/watching.py
@@ -22,6 +22,8 @@
 """Longest time for an answer: three times as long as control waits."""
 PAUSE_S = 0.2
 """Pause after a failed watch."""
+START_PAUSE_S = 0.05
+"""The same while nothing is known yet: control may start at the same moment."""
 FORGET_S = 20.0
 """Silence after which an endpoint is forgotten, as at control."""
 STRANGER_S = 30.0
@@ -114,7 +116,8 @@
             if isinstance(reply, link.TimedOut):
                 # The connection may be silent for good while new ones work.
                 feed.link.close("timed out")
-            await asyncio.sleep(PAUSE_S)
+            known = self.relay.table is not None
+            await asyncio.sleep(PAUSE_S if known else START_PAUSE_S)
 
     def _message(self, feed: Feed) -> ttypes.Watch:
         report = self._report()
