Count reclaims from the notice on; provide for the next one in dry spells

Now a notice counts at once, the largest domain counts as lost while none are to be had, and full price follows the usual load instead of its peak.

--- a/src/_arbutuswalk/control/scaling.py
+++ b/src/_arbutuswalk/control/scaling.py
@@ -17,11 +17,13 @@
     Attributes:
         by_upstream: Fleet by upstream name.
         config: Configuration the scaling comes from.
+        reclaimed: Leaving endpoints that were noted, by id and start.
     """
 
     def __init__(self):
         self.by_upstream: dict[str, fleetplan.Fleet] = {}
         self.version = 0
+        self.reclaimed: set[tuple[str, int]] = set()
         self.config: routeconfig.RouteConfig | None = None
 
     def fleet(self, upstream: str) -> fleetplan.Fleet:
@@ -45,6 +47,7 @@
             if row.endpoint.upstream == upstream.name
         ]
         fleet = fleets.fleet(upstream.name)
+        _note_reclaims(fleet, fleets.reclaimed, rows, now)
         loads = parts.hub.loads()
         running = sum(loads.get(row.endpoint.id, (0, 0))[0] for row in rows)
         fleetplan.note_load(fleet, running, now)
@@ -55,6 +58,35 @@
     return due
 
 
+def _note_reclaims(
+    fleet: fleetplan.Fleet,
+    reclaimed: set[tuple[str, int]],
+    rows: list[directory.Row],
+    now: float,
+) -> None:
+    """Notes domains whose endpoints leave without an order of ours.
+
+    Where fewer were ordered than there are, they leave for that.
+    """
+    for row in rows:
+        said = row.endpoint
+        key = (said.id, said.born_ms)
+        if not said.reclaimable or said.state == directory.READY:
+            continue
+        if key in reclaimed:
+            continue
+        reclaimed.add(key)
+        placed = fleet.placed.get((said.domain, True))
+        staying = sum(
+            other.endpoint.domain == said.domain
+            and other.endpoint.reclaimable
+            and other.endpoint.state == directory.READY
+            for other in rows
+        )
+        if placed is not None and placed.count > staying:
+            fleetplan.note_reclaim(fleet, said.domain, now)
+
+
 def _is_rolling(parts: process.Parts, upstream: str) -> bool:
     row = parts.member.tables.rollouts.get(upstream)
     return row is not None and row.state == rollouts.GROWING
--- a/src/_arbutuswalk/state/fleetplan.py
+++ b/src/_arbutuswalk/state/fleetplan.py
@@ -8,6 +8,7 @@
 
 import collections
 import math
+import statistics
 from typing import NamedTuple
 
 from _arbutuswalk.state import routeconfig
@@ -15,9 +16,15 @@
 REQUESTS_PER_ENDPOINT = 4.0
 """Requests under way that one model engine is meant to have: above it the
 prompts of others delay the first event of each beyond its objective."""
-LASTING_REQUESTS = 8.0
+LASTING_REQUESTS = 6.0
 """The same for endpoints that are filled in at full price: the load is served
 with longer waits rather than at five times the price."""
+SWING = 1.25
+"""Load to be ready for over the usual one, where a surplus costs full price:
+the usual one does not follow the short peaks that a loss itself makes."""
+DRY_S = 5.0
+"""Time after a refused order in which reclaimable endpoints count as not to be
+had: some tries of ``REFUSED_PAUSE_S``."""
 LOAD_WINDOW_S = 12.0
 """Time over whose peak the number is chosen: three times a start-up."""
 LEARN_S = 5.0
@@ -88,29 +95,37 @@
         fleet.refused_at[key] = now
 
 
-def needed(
-    fleet: Fleet,
-    scaling: routeconfig.Scaling,
-    now: float,
-    requests: float = REQUESTS_PER_ENDPOINT,
-) -> int:
-    """Returns the number of endpoints that the load calls for.
+def surplus(fleet: Fleet, scaling: routeconfig.Scaling, now: float) -> int:
+    """Returns the number of reclaimable endpoints, ready for load peaks."""
+    peak = max((running for _, running in fleet.loads), default=0)
+    return _bounded(fleet, scaling, peak / REQUESTS_PER_ENDPOINT, now)
 
-    Args:
-        fleet: Load so far.
-        scaling: Bounds.
-        now: Seconds.
-        requests: Requests under way that one endpoint is meant to have.
-    """
+
+def needed(fleet: Fleet, scaling: routeconfig.Scaling, now: float) -> int:
+    """Returns the number of endpoints that there must be at any price."""
+    loads = [running for _, running in fleet.loads] or [0]
+    usual = statistics.median(loads) * SWING
+    return _bounded(fleet, scaling, usual / LASTING_REQUESTS, now)
+
+
+def _bounded(
+    fleet: Fleet, scaling: routeconfig.Scaling, endpoints: float, now: float
+) -> int:
     most = scaling.maximum * len(scaling.prices)
-    peak = max((running for _, running in fleet.loads), default=0)
-    count = max(LEAST_ENDPOINTS, math.ceil(peak / requests))
+    count = max(LEAST_ENDPOINTS, math.ceil(endpoints))
     since = fleet.loaded_since
     if since is None or now - since < LEARN_S:
         count = max(count, fleet.initial)
     return min(most, count)
 
 
+def note_reclaim(fleet: Fleet, domain: str, now: float) -> None:
+    """Notes that the reclaimable endpoints of a domain are being taken."""
+    key = (domain, True)
+    fleet.placed[key] = Placed(0, now)
+    fleet.refused_at[key] = now
+
+
 def decide(
     fleet: Fleet,
     scaling: routeconfig.Scaling,
@@ -126,9 +141,9 @@
         now: Seconds.
     """
     _adopt(fleet, scaling, ready, now)
-    count = needed(fleet, scaling, now)
+    count = surplus(fleet, scaling, now)
     targets = _reclaimable_targets(fleet, scaling, ready, count, now)
-    least = needed(fleet, scaling, now, LASTING_REQUESTS)
+    least = needed(fleet, scaling, now)
     targets |= _lasting_targets(fleet, scaling, ready, targets, least, now)
     return [
         Order(domain, reclaimable, target)
@@ -192,9 +207,10 @@
     More are ordered for those that nobody waits for; fewer only once
     reclaimable ones serve in their place.
     """
-    serving = sum(
+    stay = [
         min(ready.get(key, 0), target) for key, target in reclaimable.items()
-    )
+    ]
+    serving = sum(stay) - _at_risk(fleet, stay, now)
     coming = sum(
         _coming(fleet, scaling, ready, key, now) for key in reclaimable
     )
@@ -224,6 +240,16 @@
     return {(domain, False): target for domain, target in targets.items()}
 
 
+def _at_risk(fleet: Fleet, stay: list[int], now: float) -> int:
+    """Returns the endpoints that the next reclaim may take for long.
+
+    While no reclaimable ones are to be had, a second domain that goes cannot
+    be replaced in time: a start takes longer than the notice.
+    """
+    refused_at = max(fleet.refused_at.values(), default=-math.inf)
+    return max(stay, default=0) if now - refused_at < DRY_S else 0
+
+
 def _coming(
     fleet: Fleet,
     scaling: routeconfig.Scaling,
--- a/testing/test_decisions.py
+++ b/testing/test_decisions.py
@@ -154,6 +154,7 @@
 
     def reclaim(self, domain, dry_s):
         self.ready[domain, True] = 0
+        fleetplan.note_reclaim(self.fleet, domain, self.now)
         for name in SCALING.prices:
             self.dry_until[name] = self.now + dry_s
 
@@ -202,18 +203,37 @@
         )
         assert lasting == 0
 
-    def test_one_reclaimed_domain_is_borne_but_for_its_minimum(self):
+    def test_in_a_dry_spell_the_next_reclaim_is_provided_for(self):
         world = make_fleet_world()
         for _ in range(80):
             world.step(running=60)
         world.reclaim("d1", dry_s=13.0)
+        least = 60 / fleetplan.LASTING_REQUESTS
         for _ in range(24):
             world.step(running=60)
-            assert world.total >= 60 / fleetplan.LASTING_REQUESTS
-        lasting = sum(
-            count for (_, kind), count in world.ready.items() if not kind
+            assert world.total >= least
+        for domain in ("d2", "d3"):
+            assert world.total - world.ready[domain, True] >= least
+
+    def test_a_short_peak_orders_nothing_at_full_price(self):
+        world = make_fleet_world()
+        for _ in range(80):
+            world.step(running=30)
+        before = fleetplan.needed(world.fleet, SCALING, world.now)
+        for _ in range(16):
+            world.step(running=200)
+        assert fleetplan.needed(world.fleet, SCALING, world.now) == before
+
+    def test_a_notice_counts_at_once(self):
+        world = make_fleet_world()
+        for _ in range(80):
+            world.step(running=60)
+        world.reclaim("d1", dry_s=13.0)
+        orders = fleetplan.decide(
+            world.fleet, SCALING, world.ready, world.now + 0.1
         )
-        assert lasting <= SCALING.minimum
+        assert sum(o.count for o in orders if not o.reclaimable) > 1
+        assert not any(o.domain == "d1" and o.reclaimable for o in orders)
 
     def test_bounds_of_a_domain_hold_for_both_kinds_together(self):
         world = make_fleet_world()
