Leave a place in each domain to find out whether reclaimable ones are back

Cause: lasting endpoints filled the domain, so no order was refused any more and the dry spell counted as over after five seconds; the test played it.

--- a/src/_arbutuswalk/state/fleetplan.py
+++ b/src/_arbutuswalk/state/fleetplan.py
@@ -22,6 +22,9 @@
 SWING = 1.25
 """Load to be ready for over the usual one, where a surplus costs full price:
 the usual one does not follow the short peaks that a loss itself makes."""
+PROBED = 1
+"""Places that lasting endpoints leave in a domain, so that it can be found out
+when there are reclaimable ones again."""
 DRY_S = 5.0
 """Time after a refused order in which reclaimable endpoints count as not to be
 had: some tries of ``REFUSED_PAUSE_S``."""
@@ -226,6 +229,7 @@
             others = max(
                 reclaimable.get((domain, True), 0),
                 fleet.placed[domain, True].count,
+                PROBED if reclaimable else 0,
             )
             room = scaling.maximum - others - targets[domain]
             targets[domain] += max(0, min(missing, room))
