--- a/src/_arbutuswalk/limits/quota.py
+++ b/src/_arbutuswalk/limits/quota.py
@@ -27,7 +27,7 @@
 """Part of the burst from which a request counts as large."""
 RESERVE_PART = 0.3
 """Part of the burst that large requests leave for small ones."""
-SLACK_PART = 0.4
+SLACK_PART = 0.6
 """Part of the permitted overshoot that is given out; the rest covers what
 entries take before they hear of each other."""
 
--- a/src/_arbutuswalk/state/fleetplan.py
+++ b/src/_arbutuswalk/state/fleetplan.py
@@ -32,6 +32,9 @@
 """Time over whose peak the number is chosen: three times a start-up."""
 LEARN_S = 5.0
 """Time with load before fewer endpoints than at the start are ordered."""
+START_SURPLUS = 1.7
+"""Reclaimable endpoints over those found at first, until the load is known:
+the traffic of a busy day against that of a quiet one."""
 LEAST_ENDPOINTS = 2
 """Fewest endpoints of an upstream, so that losing one is survived."""
 REFUSED_PAUSE_S = 2.0
@@ -101,7 +104,9 @@
 def surplus(fleet: Fleet, scaling: routeconfig.Scaling, now: float) -> int:
     """Returns the number of reclaimable endpoints, ready for load peaks."""
     peak = max((running for _, running in fleet.loads), default=0)
-    return _bounded(fleet, scaling, peak / REQUESTS_PER_ENDPOINT, now)
+    unknown = fleet.initial * START_SURPLUS if _learns(fleet, now) else 0
+    wanted = max(unknown, peak / REQUESTS_PER_ENDPOINT)
+    return _bounded(fleet, scaling, wanted, now)
 
 
 def needed(fleet: Fleet, scaling: routeconfig.Scaling, now: float) -> int:
@@ -116,12 +121,17 @@
 ) -> int:
     most = scaling.maximum * len(scaling.prices)
     count = max(LEAST_ENDPOINTS, math.ceil(endpoints))
-    since = fleet.loaded_since
-    if since is None or now - since < LEARN_S:
+    if _learns(fleet, now):
         count = max(count, fleet.initial)
     return min(most, count)
 
 
+def _learns(fleet: Fleet, now: float) -> bool:
+    """Tells whether the load has not been seen for long enough."""
+    since = fleet.loaded_since
+    return since is None or now - since < LEARN_S
+
+
 def note_reclaim(fleet: Fleet, domain: str, now: float) -> None:
     """Notes that the reclaimable endpoints of a domain are being taken."""
     key = (domain, True)
