Refuse requests that were there at the death of three endpoints

Nothing kept a request that crashes its endpoints from reaching further ones but the number of attempts of each try. A connection that breaks off makes a suspect, silence of its endpoint a death; control adds the entries' deaths up. Endpoints that reset connections and live on convict nobody.

--- a/src/_arbutuswalk/control/hub.py
+++ b/src/_arbutuswalk/control/hub.py
@@ -17,6 +17,7 @@
 from _arbutuswalk.base import events
 from _arbutuswalk.base import metrics
 from _arbutuswalk.control import member as members
+from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory as directories
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
@@ -57,7 +58,6 @@
         session: Random name of this start, which revisions belong to.
         directory: Endpoints.
         entries: State by entry id and incarnation.
-        directives: What the leader's systems want entries to know.
         changed: Set and replaced when there is news.
         metrics: Counters of this process.
     """
@@ -67,7 +67,6 @@
         self.session = secrets.token_hex(8)
         self.directory = directories.Directory()
         self.entries: dict[tuple[str, int], EntryState] = {}
-        self.directives: dict[str, Any] = {}
         self.changed = asyncio.Event()
         self.now: clock.Clock = member.now
         self.wall: clock.Clock = member.wall
@@ -163,12 +162,6 @@
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
 
-    def direct(self, directives: dict[str, Any]) -> None:
-        """Sets what the leader's systems want entries to know."""
-        if directives != self.directives:
-            self.directives = directives
-            self.wake()
-
     def expire(self) -> None:
         """Forgets what was not heard for long."""
         now = self.now()
@@ -257,7 +250,9 @@
             "silent": len(known - self.live_entries().keys()),
             "wall": self.wall(),
             "term": self._deciding_term(),
-            "directives": self.directives,
+            "refused": crashes.add_up(
+                [report.get("deaths", {}) for report in self.reports()]
+            ),
         }
         if tables.routes_version > message.routes_version:
             news["routes"] = tables.routes
--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -10,6 +10,7 @@
 from _arbutuswalk.relay import pool
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import results
+from _arbutuswalk.routing import crashes
 from _arbutuswalk.state import routeconfig
 
 ANSWER_GRACE_S = 0.1
@@ -196,6 +197,12 @@
         return None
 
     def _lost(self, reason: str) -> results.Lost:
+        crashes.note_lost(
+            self.relay.crashes,
+            self.request.fingerprint,
+            self.endpoint,
+            self.relay.now(),
+        )
         placing.suspect(self.relay, self.endpoint.id, reason)
         self.relay.pool.drop(self.endpoint.address)
         return results.Lost(reason=reason)
--- a/src/_arbutuswalk/relay/core.py
+++ b/src/_arbutuswalk/relay/core.py
@@ -13,6 +13,7 @@
 from _arbutuswalk.relay import pool
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import usage
+from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory
 from _arbutuswalk.routing import recent
 from _arbutuswalk.routing import routetable
@@ -88,6 +89,8 @@
         directory: Endpoints.
         loads: Own load by endpoint.
         others: Load by other entries by endpoint.
+        crashes: Requests that were there when endpoints died.
+        refused: Fingerprints of requests that control has refused.
         patience: How long callers of each route wait.
         recent: Endpoints that lately got shared parts of prompts.
         suspects: Time until which an endpoint comes last, by id.
@@ -131,6 +134,8 @@
         self.others: dict[str, Load] = {}
         self.recent = recent.Recent()
         self.patience = patience.Patience()
+        self.crashes = crashes.Crashes()
+        self.refused: frozenset[str] = frozenset()
         self.suspects: dict[str, float] = {}
         self.retries: dict[str, retries.RetryWindow] = {}
         self.buckets: dict[str, quota.Bucket] = {}
--- a/src/_arbutuswalk/relay/intake.py
+++ b/src/_arbutuswalk/relay/intake.py
@@ -5,6 +5,7 @@
 from _arbutuswalk.limits import quota
 from _arbutuswalk.relay import core
 from _arbutuswalk.relay import request as requests
+from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import routetable
 from _arbutuswalk.state import routeconfig
 
@@ -76,6 +77,9 @@
         if workspace is None:
             return Refusal(STATUS_NO_KEY, "unknown key")
     request = _request(relay, arrival, route, workspace)
+    if request.fingerprint in relay.refused:
+        reason = f"it crashed {crashes.DEATHS} endpoints"
+        return Refusal(STATUS_UNAVAILABLE, reason, crashes.KEPT_S)
     relay.patience.note(route.name, arrival.deadline_s)
     refusal = _take_quota(relay, request)
     return refusal or request
@@ -104,6 +108,9 @@
         waits_s=waits_s,
         prompt=arrival.prompt,
         last_event=arrival.last_event,
+        fingerprint=crashes.fingerprint(
+            workspace.name if workspace else "", arrival.target, arrival.body
+        ),
     )
 
 
--- a/src/_arbutuswalk/relay/request.py
+++ b/src/_arbutuswalk/relay/request.py
@@ -50,6 +50,7 @@
         waits_s: How long the caller waits from ``came_at`` on.
         prompt: Its prompt, if it is a model request.
         last_event: Id of the last event that the caller has, or empty.
+        fingerprint: What it is known by when it comes again.
     """
 
     id: str
@@ -65,6 +66,7 @@
     waits_s: float
     prompt: Prompt | None
     last_event: str
+    fingerprint: str
 
     @property
     def tokens(self) -> int:
--- a/src/_arbutuswalk/relay/watching.py
+++ b/src/_arbutuswalk/relay/watching.py
@@ -12,6 +12,7 @@
 
 from _arbutuswalk.base import events
 from _arbutuswalk.relay import core
+from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory
 from _arbutuswalk.routing import routetable
 from _arbutuswalk.state import routeconfig
@@ -86,6 +87,11 @@
                 feed.task.cancel()
                 _spawn(feed.link.stop())
         directory.expire(self.relay.directory, now, FORGET_S)
+        guilty = crashes.review(self.relay.crashes, self.relay.directory, now)
+        for suspect in guilty:
+            events.record(
+                events.Event.DEATH_NOTED, suspect.fingerprint, suspect.endpoint
+            )
 
     async def stop(self) -> None:
         """Stops watching."""
@@ -143,6 +149,10 @@
             "routes_version": relay.routes_version,
             "loads": relay.loads,
             "wall": relay.wall(),
+            "deaths": {
+                name: sorted(known)
+                for name, known in relay.crashes.deaths.items()
+            },
             "usage": relay.usage.counts,
             "taken": {
                 name: bucket.taken for name, bucket in relay.buckets.items()
@@ -177,6 +187,7 @@
         self._take_quotas(feed, news["taken"])
         self.relay.entries = max(1, news["entries"])
         self.relay.silent = news["silent"]
+        self.relay.refused = frozenset(news["refused"])
         self._agree_on_time()
         self.relay.tell()
 
--- a/testing/relays.py
+++ b/testing/relays.py
@@ -93,6 +93,7 @@
         "waits_s": route.timeout_s,
         "prompt": None,
         "last_event": "",
+        "fingerprint": "f",
     }
     return requests.Request(**{**values, **changes})
 
--- /dev/null
+++ b/testing/test_crashes.py
@@ -0,0 +1,111 @@
+"""Requests that crash endpoints, and innocent ones beside them."""
+
+import relays
+
+from _arbutuswalk.relay import intake
+from _arbutuswalk.relay import relaying
+from _arbutuswalk.routing import crashes
+from _arbutuswalk.routing import directory
+
+
+def make_endpoint(name, **changes):
+    values = {
+        "id": name,
+        "born_ms": 1,
+        "sequence": 1,
+        "upstream": "ops",
+        "address": f"10.0.0.1:{1000 + ord(name)}",
+        "domain": "d1",
+        "version": "v1",
+        "slots": 4,
+        "state": directory.READY,
+    }
+    return directory.Endpoint(**{**values, **changes})
+
+
+class TestReview:
+    def lose(self, found, known, endpoint, at):
+        directory.announce(found, endpoint, at - 0.5)
+        crashes.note_lost(known, "f", endpoint, at)
+
+    def test_an_endpoint_that_is_not_heard_again_has_died(self):
+        found, known = directory.Directory(), crashes.Crashes()
+        self.lose(found, known, make_endpoint("a"), 10.0)
+        assert crashes.review(known, found, 11.0) == []
+        assert len(crashes.review(known, found, 12.0)) == 1
+        assert known.deaths == {"f": {"a/1": 10.0}}
+
+    def test_one_that_only_resets_connections_has_not(self):
+        found, known = directory.Directory(), crashes.Crashes()
+        self.lose(found, known, make_endpoint("a"), 10.0)
+        directory.announce(found, make_endpoint("a", sequence=2), 11.0)
+        assert crashes.review(known, found, 12.0) == []
+        assert known.deaths == {}
+
+    def test_one_that_started_again_has_died(self):
+        found, known = directory.Directory(), crashes.Crashes()
+        self.lose(found, known, make_endpoint("a"), 10.0)
+        directory.announce(found, make_endpoint("a", born_ms=2), 11.0)
+        assert len(crashes.review(known, found, 12.0)) == 1
+
+    def test_one_that_leaves_has_not(self):
+        found, known = directory.Directory(), crashes.Crashes()
+        self.lose(found, known, make_endpoint("a"), 10.0)
+        directory.leave(found, "a", None, 11.0)
+        assert crashes.review(known, found, 12.0) == []
+
+    def test_deaths_are_forgotten(self):
+        found, known = directory.Directory(), crashes.Crashes()
+        self.lose(found, known, make_endpoint("a"), 10.0)
+        crashes.review(known, found, 12.0)
+        crashes.review(known, found, 12.0 + crashes.KEPT_S)
+        assert known.deaths == {}
+
+
+class TestAddUp:
+    def test_one_death_seen_by_many_entries_counts_once(self):
+        reports = [{"f": ["a/1"]}] * 5
+        assert crashes.add_up(reports) == []
+
+    def test_deaths_at_several_entries_add_up(self):
+        reports = [{"f": ["a/1"], "g": ["a/1"]}, {"f": ["b/1"]}]
+        reports.append({"f": ["c/1"], "g": ["c/1"]})
+        assert crashes.add_up(reports) == ["f"]
+
+
+class TestRelay:
+    async def test_a_refused_request_reaches_no_endpoint(self):
+        relay = relays.make_relay()
+        arrival = intake.Arrival(
+            id="attempt-1",
+            method="POST",
+            host="h.example",
+            path="/a/x",
+            target="/a/x",
+            key="key",
+            deadline_s=1.0,
+            headers=[],
+            body=b"poison",
+            prompt=None,
+            last_event="",
+            came_at=relay.now(),
+        )
+        admitted = intake.admit(relay, arrival)
+        relay.refused = frozenset([admitted.fingerprint])
+        refusal = intake.admit(relay, arrival)
+        assert refusal.status == 503
+        assert refusal.retry_after_s > 0
+        other = intake.admit(relay, arrival._replace(body=b"innocent"))
+        assert not isinstance(other, intake.Refusal)
+
+    async def test_a_lost_connection_makes_a_suspect(self):
+        relay = relays.make_relay()
+        broken = relays.raw(b"", reset=True)
+        endpoint = await relays.Endpoint(broken, broken).start(relay)
+        request = relays.make_request(relay)
+        caller = relays.Caller()
+        await relaying.relay_request(
+            relay, request, caller.deliver(relay, request)
+        )
+        endpoint.stop()
+        assert [each.endpoint for each in relay.crashes.suspects] == ["e1"]
