--- a/testing/test_wal.py
+++ b/testing/test_wal.py
@@ -217,3 +217,25 @@
 
     def test_garbage_is_corrupt(self):
         assert records.scan(b"\x01" * 40).fault
+
+
+class TestCommit:
+    def test_a_restart_knows_what_was_committed(self, opened):
+        make(opened).write(wal.Vote(3, "x"), entries(1, 5), 4)
+        assert reopen(opened).commit == 4
+
+    def test_segments_that_go_take_no_commit_with_them(self, opened):
+        log = make(opened, segment_bytes=200)
+        for index in range(1, 20):
+            log.write(None, entries(index, index), index)
+        assert reopen(opened).commit == 19
+
+    @pytest.mark.parametrize("cut", [1, 20, 40, 60, 90])
+    def test_it_never_lies_beyond_the_entries(self, opened, cut):
+        log = make(opened)
+        log.write(None, entries(1, 5), 5)
+        path = opened.path / log.segment
+        path.write_bytes(path.read_bytes()[:-cut])
+        found = reopen(opened)
+        last = found.entries[-1].index if found.entries else 0
+        assert found.commit <= last
