--- a/src/_arbutuswalk/cli/main.py
+++ b/src/_arbutuswalk/cli/main.py
@@ -9,6 +9,7 @@
 from _arbutuswalk.base import settings
 from _arbutuswalk.cli import apply
 from _arbutuswalk.cli import common
+from _arbutuswalk.cli import platform
 from _arbutuswalk.cli import remote
 from _arbutuswalk.entry import requests
 
@@ -168,6 +169,7 @@
         Explain,
         Dump,
         Replace,
+        *platform.COMMANDS,
     ):
         made.add(kind())
     return made
--- /dev/null
+++ b/src/_arbutuswalk/control/queries.py
@@ -0,0 +1,58 @@
+"""What operators ask of the parts that relayed requests go by."""
+
+from collections.abc import Callable
+from typing import Any
+
+from _arbutuswalk.control import hub as hubs
+from _arbutuswalk.state import routeconfig
+from _arbutuswalk.state import tables as rows
+
+
+def make(tables: rows.Tables, hub: hubs.Hub) -> dict[str, Callable[[str], Any]]:
+    """Returns the answer to each query, by its name."""
+    return {
+        "published": lambda _: _published(tables),
+        "routes": lambda _: _routes(tables),
+        "endpoints": lambda _: _endpoints(hub),
+        "rollout": lambda upstream: _rollout(tables, upstream),
+        "rollouts": lambda _: {
+            upstream: row._asdict() for upstream, row in tables.rollouts.items()
+        },
+        "usage": lambda _: tables.usage,
+    }
+
+
+def _published(tables: rows.Tables) -> dict[str, Any]:
+    return {"version": tables.routes_version, "source": tables.routes_source}
+
+
+def _routes(tables: rows.Tables) -> dict[str, Any]:
+    """Returns routes without the workspaces, whose keys are secret."""
+    if tables.routes is None:
+        return {"version": 0, "routes": []}
+    config = routeconfig.from_json(tables.routes)
+    described = [
+        route._replace(
+            targets=", ".join(f"{t.upstream} {t.weight}" for t in route.targets)
+        )._asdict()
+        for route in config.routes
+    ]
+    return {"version": config.version, "routes": described}
+
+
+def _endpoints(hub: hubs.Hub) -> dict[str, Any]:
+    loads = hub.loads()
+    now = hub.now()
+    return {
+        name: {
+            **row.endpoint._asdict(),
+            "running": loads.get(name, (0, 0))[0],
+            "age_s": now - row.heard_at,
+        }
+        for name, row in hub.directory.rows.items()
+    }
+
+
+def _rollout(tables: rows.Tables, upstream: str) -> dict[str, Any]:
+    row = tables.rollouts.get(upstream)
+    return row._asdict() if row is not None else {}
--- a/src/_arbutuswalk/control/service.py
+++ b/src/_arbutuswalk/control/service.py
@@ -10,6 +10,7 @@
 from _arbutuswalk.control import hub as hubs
 from _arbutuswalk.control import leases
 from _arbutuswalk.control import member as members
+from _arbutuswalk.control import queries
 from _arbutuswalk.routing import directory
 from _arbutuswalk.state import commands
 from _arbutuswalk.state import entries
@@ -177,8 +178,7 @@
             "inventory": lambda _: self.member.tables.inventory,
             "call": self._call,
             "alone": self._alone,
-            "published": self._published,
-            "rollout": self._rollout,
+            **queries.make(self.member.tables, self.hub),
             "replace": self._replace,
         }
 
@@ -244,17 +244,6 @@
         tables = self.member.tables
         return {"alone": self.leases.is_alone(tables, argument)}
 
-    def _published(self, _: str) -> dict[str, Any]:
-        tables = self.member.tables
-        return {
-            "version": tables.routes_version,
-            "source": tables.routes_source,
-        }
-
-    def _rollout(self, argument: str) -> dict[str, Any]:
-        row = self.member.tables.rollouts.get(argument)
-        return row._asdict() if row is not None else {}
-
     def _replace(self, argument: str) -> dict[str, Any]:
         """Orders the replacement of the voter at an address."""
         replica = self.member.replica
@@ -299,6 +288,8 @@
 def _dump_tables(member: members.Member) -> bytes:
     values = dict(vars(member.tables))
     values["calls"] = len(member.tables.calls)
+    # Both hold the workspaces' keys.
+    del values["routes"], values["routes_source"]
     return json.dumps(values).encode()
 
 
--- a/testing/test_platform_processes.py
+++ b/testing/test_platform_processes.py
@@ -263,6 +263,29 @@
         assert len(world.endpoint.heads) == arrived
 
 
+class TestCommandLine:
+    async def test_it_shows_what_requests_go_by(self, world):
+        await world.begin("/a/")
+        binary = pathlib.Path(sys.executable).parent / "arbutuswalk"
+        control = ",".join(f"{ip}:{world.link}" for ip in world.controls)
+        for command, part in (
+            ("status", "voters"),
+            ("routes", "r0: h.example/a/ idempotent to ops 1, 3 s"),
+            ("endpoints", "i-1: ops v1 ready at"),
+            ("rollouts", "no rollouts"),
+            ("usage", "window"),
+        ):
+            done = await asyncio.to_thread(
+                subprocess.run,
+                [binary, command, "--control", control],
+                capture_output=True,
+                text=True,
+                check=False,
+            )
+            assert done.returncode == 0, done.stderr
+            assert part in done.stdout
+
+
 class TestLosses:
     async def test_acknowledged_configurations_survive_losses(self, world):
         """Kills all of control at once, then one loses its disk."""
