Let endpoints that fail with good health come last

Cause: endpoints that answered 500 to two fifths of their requests got as many as the others; only lost connections made one doubtful, for 1.5 s. Failures are now scored against the best endpoint of the upstream and fade in seconds.

--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -251,6 +251,9 @@
             and result.status < results.FAILURE_STATUS
         )
         outcomes.failed += not good
+        self.relay.health.note(
+            self.endpoint.id, failed=not good, now=self.relay.now()
+        )
         if good:
             rollout = self.relay.rollouts.get(self.request.upstream)
             is_new = rollout is not None and rollout[0] == self.endpoint.version
--- a/src/_arbutuswalk/relay/core.py
+++ b/src/_arbutuswalk/relay/core.py
@@ -15,6 +15,7 @@
 from _arbutuswalk.relay import usage
 from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory
+from _arbutuswalk.routing import health
 from _arbutuswalk.routing import recent
 from _arbutuswalk.routing import routetable
 
@@ -89,6 +90,7 @@
         directory: Endpoints.
         loads: Own load by endpoint.
         others: Load by other entries by endpoint.
+        health: Failures of endpoints that say they are well.
         crashes: Requests that were there when endpoints died.
         refused: Fingerprints of requests that control has refused.
         patience: How long callers of each route wait.
@@ -135,6 +137,7 @@
         self.recent = recent.Recent()
         self.patience = patience.Patience()
         self.crashes = crashes.Crashes()
+        self.health = health.Health()
         self.refused: frozenset[str] = frozenset()
         self.suspects: dict[str, float] = {}
         self.retries: dict[str, retries.RetryWindow] = {}
--- a/src/_arbutuswalk/relay/placing.py
+++ b/src/_arbutuswalk/relay/placing.py
@@ -38,8 +38,9 @@
     ]
     allowed = _by_version(relay, request, rows)
     work = _work(request)
+    failing = relay.health.doubtful([row.endpoint.id for row in allowed], now)
     found = endpoints.choose(
-        [_candidate(relay, row, now) for row in allowed],
+        [_candidate(relay, row, now, failing) for row in allowed],
         work,
         relay.recent.holders(_last_part(work), now),
         (relay.rng.random(), relay.rng.random()),
@@ -64,19 +65,19 @@
 
 
 def _candidate(
-    relay: core.Relay, row: directory.Row, now: float
+    relay: core.Relay, row: directory.Row, now: float, failing: set[str]
 ) -> endpoints.Candidate:
     name = row.endpoint.id
     own, others = relay.loads.get(name), relay.others.get(name, (0, 0))
     running, waiting = own or (0, 0)
-    silent = now - row.heard_at > SILENT_S
+    doubtful = now - row.heard_at > SILENT_S or name in failing
     return endpoints.Candidate(
         id=name,
         running=running + others[0],
         waiting_tokens=waiting + others[1],
         slots=row.endpoint.slots,
         near=row.endpoint.domain == relay.domain,
-        doubtful=silent or relay.suspects.get(name, 0.0) > now,
+        doubtful=doubtful or relay.suspects.get(name, 0.0) > now,
     )
 
 
--- a/testing/relays.py
+++ b/testing/relays.py
@@ -171,7 +171,11 @@
                 await step(head, writer)
                 if writer.is_closing():
                     return
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (
+            asyncio.IncompleteReadError,
+            asyncio.CancelledError,
+            ConnectionError,
+        ):
             self.lost.set()
         finally:
             writer.close()
