--- a/src/_arbutuswalk/control/duties.py
+++ b/src/_arbutuswalk/control/duties.py
@@ -146,7 +146,7 @@
             return
         order = Order(upstream, *wanted, holder.term)
         outcome = await calls.order_endpoints(order)
-        kind = "reclaimable" if wanted.reclaimable else "lasting"
+        kind = "reclaimable" if wanted.reclaimable else "on-demand"
         subject = f"{upstream}/{wanted.domain}/{kind}"
         _note("scaling", subject, holder.term, wanted.count, outcome)
         fleetplan.note_outcome(
--- a/src/_arbutuswalk/control/hub.py
+++ b/src/_arbutuswalk/control/hub.py
@@ -109,7 +109,7 @@
         events.record(events.Event.ENDPOINT_FORGOTTEN, endpoint_id)
 
     async def confirm(self) -> bool:
-        """Waits until every entry in touch has the directory as it is now.
+        """Waits until every reachable entry has the directory as it is now.
 
         Returns:
             Whether all of them have it.
@@ -132,7 +132,7 @@
         ]
 
     def live_entries(self) -> dict[str, EntryState]:
-        """Returns the newest incarnation of each entry in touch, by id."""
+        """Returns the newest incarnation of each reachable entry, by id."""
         oldest = self.now() - ENTRY_SILENT_S
         found: dict[str, EntryState] = {}
         for (name, _), state in self.entries.items():
@@ -176,7 +176,7 @@
         return [state.report for state in self.entries.values()]
 
     def known_entries(self) -> set[str]:
-        """Returns the entries that may be serving, in touch or not.
+        """Returns the entries that may be serving, reachable or not.
 
         One that said that it leaves no longer counts.
         """
--- a/src/_arbutuswalk/control/usage_reports.py
+++ b/src/_arbutuswalk/control/usage_reports.py
@@ -12,8 +12,8 @@
 from _arbutuswalk.state import commands
 
 SETTLE_AFTER_S = 3.0
-"""Time after a window's end at which its counts are settled: entries that are
-in touch report at least every half second, and those cut off for a short time
+"""Time after a window's end at which its counts are settled: reachable
+entries report at least every half second, and those cut off for a short time
 get the rest to return."""
 SUBMIT_S = 1.5
 OLDEST_WINDOWS = 6
@@ -30,7 +30,6 @@
     def __init__(self, *, window_s: float):
         self.window_s = window_s
         self.sent: set[int] = set()
-        self.first: int | None = None
 
     def forget_sent(self) -> None:
         """Forgets what was sent in a term that is over."""
@@ -80,7 +79,7 @@
 
 
 def true_time(parts: process.Parts) -> float:
-    """Returns the time of day by the median clock of those in touch.
+    """Returns the time of day by the median clock of those that are reachable.
 
     A single clock may have stepped by seconds.
     """
--- a/src/_arbutuswalk/relay/core.py
+++ b/src/_arbutuswalk/relay/core.py
@@ -102,7 +102,7 @@
         outcomes: Outcomes by (upstream, version).
         usual_s: Usual time to the first byte by route.
         rollouts: Rollout rows by upstream, from control.
-        entries: Entries that share the bounds, those out of touch included.
+        entries: Entries that share the bounds, unreachable ones included.
         silent: Those of them that control does not hear.
         draining: Whether the process is leaving.
         active: Requests under way.
--- a/src/_arbutuswalk/relay/delivery.py
+++ b/src/_arbutuswalk/relay/delivery.py
@@ -7,6 +7,7 @@
 from _arbutuswalk.relay import core
 from _arbutuswalk.relay import events as sse
 from _arbutuswalk.relay import request as requests
+from _arbutuswalk.streams import framing
 
 
 class Delivery:
@@ -40,7 +41,7 @@
         self.last_event = request.last_event
         self.events = 0
         self.first_at = 0.0
-        self.cutter = sse.Cutter()
+        self.framer = framing.Framer()
         self.wake = lambda: None
 
     def leave(self) -> None:
@@ -50,7 +51,7 @@
 
     async def start(self, status: int, headers: requests.Headers) -> None:
         """Sends the head of the first run; later ones only go on."""
-        self.cutter = sse.Cutter()
+        self.framer = framing.Framer()
         if self.started:
             return
         self.started = True
@@ -61,11 +62,12 @@
     async def feed(self, data: bytes) -> None:
         """Passes on the events that ``data`` completes."""
         fresh = []
-        for event in self.cutter.feed(data):
-            if not sse.is_after(event.id, self.last_event):
+        for event in self.framer.feed(data):
+            event_id = sse.id_of(event)
+            if not sse.is_after(event_id, self.last_event):
                 continue
-            self.last_event = event.id or self.last_event
-            fresh.append(event.data)
+            self.last_event = event_id or self.last_event
+            fresh.append(event + framing.SEPARATOR)
         if not fresh:
             return
         if not self.events:
@@ -75,8 +77,8 @@
 
     async def finish(self) -> None:
         """Ends a complete stream; what is left is no whole event."""
-        if self.cutter.rest:
-            await self.caller.body(self.cutter.rest)
+        if self.framer.rest:
+            await self.caller.body(self.framer.rest)
         self.finished = True
         await self.caller.end()
 
--- a/src/_arbutuswalk/state/fleetplan.py
+++ b/src/_arbutuswalk/state/fleetplan.py
@@ -16,16 +16,16 @@
 REQUESTS_PER_ENDPOINT = 4.0
 """Requests under way that one model engine is meant to have: above it the
 prompts of others delay the first event of each beyond its objective."""
-LASTING_REQUESTS = 6.0
+ON_DEMAND_REQUESTS = 6.0
 """The same for endpoints that are filled in at full price: the load is served
 with longer waits rather than at five times the price."""
 SWING = 1.25
 """Load to be ready for over the usual one, where a surplus costs full price:
 the usual one does not follow the short peaks that a loss itself makes."""
 PROBED = 1
-"""Places that lasting endpoints leave in a domain, so that it can be found out
-when there are reclaimable ones again."""
-DRY_S = 5.0
+"""Places that on-demand endpoints leave in a domain, so that orders show when
+there are reclaimable ones again."""
+SCARCE_S = 5.0
 """Time after a refused order in which reclaimable endpoints count as not to be
 had: some tries of ``REFUSED_PAUSE_S``."""
 LOAD_WINDOW_S = 12.0
@@ -113,7 +113,7 @@
     """Returns the number of endpoints that there must be at any price."""
     loads = [running for _, running in fleet.loads] or [0]
     usual = statistics.median(loads) * SWING
-    return _bounded(fleet, scaling, usual / LASTING_REQUESTS, now)
+    return _bounded(fleet, scaling, usual / ON_DEMAND_REQUESTS, now)
 
 
 def _bounded(
@@ -157,7 +157,7 @@
     count = surplus(fleet, scaling, now)
     targets = _reclaimable_targets(fleet, scaling, ready, count, now)
     least = needed(fleet, scaling, now)
-    targets |= _lasting_targets(fleet, scaling, ready, targets, least, now)
+    targets |= _on_demand_targets(fleet, scaling, ready, targets, least, now)
     return [
         Order(domain, reclaimable, target)
         for (domain, reclaimable), target in sorted(targets.items())
@@ -200,14 +200,14 @@
             targets[key] = ready.get(key, 0)
             continue
         share = (count + len(domains) - 1 - place) // len(domains)
-        lasting = fleet.placed[domain, False].count
-        room = scaling.maximum - lasting
-        least = max(0, scaling.minimum - lasting)
+        on_demand = fleet.placed[domain, False].count
+        room = scaling.maximum - on_demand
+        least = max(0, scaling.minimum - on_demand)
         targets[key] = max(least, min(share, room))
     return targets
 
 
-def _lasting_targets(
+def _on_demand_targets(
     fleet: Fleet,
     scaling: routeconfig.Scaling,
     ready: dict[Key, int],
@@ -261,7 +261,7 @@
     be replaced in time: a start takes longer than the notice.
     """
     refused_at = max(fleet.refused_at.values(), default=-math.inf)
-    return max(stay, default=0) if now - refused_at < DRY_S else 0
+    return max(stay, default=0) if now - refused_at < SCARCE_S else 0
 
 
 def _coming(
--- a/testing/test_decisions.py
+++ b/testing/test_decisions.py
@@ -212,15 +212,15 @@
 
 
 class TestFleet:
-    def test_reclaimable_endpoints_take_the_place_of_lasting_ones(self):
+    def test_reclaimable_endpoints_take_the_place_of_on_demand_ones(self):
         world = make_fleet_world()
         for _ in range(80):
             world.step(running=20)
             assert world.total >= 5
-        lasting = sum(
+        on_demand = sum(
             count for (_, kind), count in world.ready.items() if not kind
         )
-        assert lasting == 0
+        assert on_demand == 0
         assert world.total >= 20 / fleetplan.REQUESTS_PER_ENDPOINT
 
     def test_it_costs_less_than_the_fleet_it_found(self):
@@ -238,21 +238,21 @@
         world.reclaim("d3", dry_s=13.0)
         for _ in range(24):
             world.step(running=60)
-        assert world.total >= 60 / fleetplan.LASTING_REQUESTS
+        assert world.total >= 60 / fleetplan.ON_DEMAND_REQUESTS
         assert sum(c for (_, kind), c in world.ready.items() if not kind) > 0
         for _ in range(120):
             world.step(running=60)
-        lasting = sum(
+        on_demand = sum(
             count for (_, kind), count in world.ready.items() if not kind
         )
-        assert lasting == 0
+        assert on_demand == 0
 
-    def test_in_a_dry_spell_the_next_reclaim_is_provided_for(self):
+    def test_in_a_shortage_the_next_reclaim_is_provided_for(self):
         world = make_fleet_world()
         for _ in range(80):
             world.step(running=60)
         world.reclaim("d1", dry_s=13.0)
-        least = 60 / fleetplan.LASTING_REQUESTS
+        least = 60 / fleetplan.ON_DEMAND_REQUESTS
         for _ in range(24):
             world.step(running=60)
             assert world.total >= least
--- a/testing/test_routeconfig.py
+++ b/testing/test_routeconfig.py
@@ -4,6 +4,7 @@
 import random
 
 import pytest
+import relays
 
 from _arbutuswalk.routing import routetable
 from _arbutuswalk.state import commands
@@ -13,29 +14,10 @@
 from _arbutuswalk.state import tables as rows
 
 
-def make_route(**changes):
-    values = {
-        "name": "r",
-        "host": "h.example",
-        "prefix": "/a/",
-        "kind": routeconfig.IDEMPOTENT,
-        "timeout_s": 1.0,
-        "objective_s": 0.3,
-        "priority": 0,
-        "targets": (routeconfig.Target("ops", 1),),
-        "max_attempts": 2,
-        "anonymous": False,
-        "affinity": False,
-        "resumable": False,
-        "gap_s": 0.0,
-    }
-    return routeconfig.Route(**{**values, **changes})
-
-
 def make_config(version=1, routes=None, workspaces=()):
     return routeconfig.RouteConfig(
         version=version,
-        routes=tuple(routes if routes is not None else [make_route()]),
+        routes=tuple(routes if routes is not None else [relays.make_route()]),
         upstreams=(
             routeconfig.Upstream("ops", 100, None, None),
             routeconfig.Upstream(
@@ -61,19 +43,22 @@
     @pytest.mark.parametrize(
         ("routes", "part"),
         [
-            ([make_route(timeout_s=0)], "time-out"),
-            ([make_route(kind="odd")], "kind"),
-            ([make_route(prefix="a/")], "prefix"),
+            ([relays.make_route(timeout_s=0)], "time-out"),
+            ([relays.make_route(kind="odd")], "kind"),
+            ([relays.make_route(prefix="a/")], "prefix"),
             (
-                [make_route(targets=(routeconfig.Target("gone", 1),))],
+                [relays.make_route(targets=(routeconfig.Target("gone", 1),))],
                 "unknown upstream",
             ),
             (
-                [make_route(targets=(routeconfig.Target("ops", 0),))],
+                [relays.make_route(targets=(routeconfig.Target("ops", 0),))],
                 "add up to 0",
             ),
-            ([make_route(targets=())], "add up to 0"),
-            ([make_route(), make_route(name="r2")], "place is taken"),
+            ([relays.make_route(targets=())], "add up to 0"),
+            (
+                [relays.make_route(), relays.make_route(name="r2")],
+                "place is taken",
+            ),
         ],
     )
     def test_each_fault_is_named(self, routes, part):
@@ -109,9 +94,9 @@
         table = routetable.RouteTable(
             config=make_config(
                 routes=[
-                    make_route(name="root", prefix="/"),
-                    make_route(name="short", prefix="/a/"),
-                    make_route(name="long", prefix="/a/b/"),
+                    relays.make_route(name="root", prefix="/"),
+                    relays.make_route(name="short", prefix="/a/"),
+                    relays.make_route(name="long", prefix="/a/b/"),
                 ]
             )
         )
@@ -127,7 +112,7 @@
             routeconfig.Target("llm", 10),
         )
         rng = random.Random(1)
-        route = make_route(targets=targets)
+        route = relays.make_route(targets=targets)
         drawn = [routetable.pick_target(route, rng) for _ in range(2000)]
         assert 120 < drawn.count("llm") < 280
 
