Keep endpoints while control is away; bound a wait once; fix the metrics port

Causes, found by reading: entries forgot every endpoint 20 s after the last control process was lost, although they have to go on with what they know; the longest wait of a request at the start began anew with each news; the metrics port followed the internal ports, which change daily, while the deploy file names one.

--- a/src/_arbutuswalk/control/duties.py
+++ b/src/_arbutuswalk/control/duties.py
@@ -134,7 +134,7 @@
             return
         report = UsageReport(window, counts, holder.term)
         outcome = await calls.report_usage(report)
-        _note("usage", window, holder.term, counts, outcome)
+        _note(holder, "usage", window, counts, outcome)
         if outcome == DONE:
             reports.sent.add(window)
 
@@ -148,7 +148,7 @@
         outcome = await calls.order_endpoints(order)
         kind = "reclaimable" if wanted.reclaimable else "on-demand"
         subject = f"{upstream}/{wanted.domain}/{kind}"
-        _note("scaling", subject, holder.term, wanted.count, outcome)
+        _note(holder, "scaling", subject, wanted.count, outcome)
         fleetplan.note_outcome(
             fleets.fleet(upstream),
             wanted,
@@ -158,6 +158,11 @@
 
 
 def _note(
-    duty: str, subject: Any, fence: int, value: Any, outcome: str
+    holder: Holder, duty: str, subject: Any, value: Any, outcome: str
 ) -> None:
-    events.record(events.Event.DUTY_CALL, duty, subject, fence, value, outcome)
+    events.record(
+        events.Event.DUTY_CALL, duty, subject, holder.term, value, outcome
+    )
+    holder.parts.hub.metrics.count(
+        "duty_calls", f'duty="{duty}",outcome="{outcome}"'
+    )
--- a/src/_arbutuswalk/control/hub.py
+++ b/src/_arbutuswalk/control/hub.py
@@ -80,6 +80,7 @@
     def take(self, said: directories.Endpoint) -> bool:
         """Takes an announcement, from an endpoint or another member."""
         news = directories.announce(self.directory, said, self.now())
+        self.metrics.count("announcements", f'news="{news}"')
         if news:
             events.record(
                 events.Event.ENDPOINT_CHANGED,
@@ -145,6 +146,7 @@
 
     async def watch(self, message: ttypes.Watch) -> ttypes.WatchReply:
         """Answers an entry when there is news for it, or after a while."""
+        self.metrics.count("watches")
         revision = message.version if message.session == self.session else 0
         self._note(message, revision)
         if not self._has_news(message, revision):
--- a/src/_arbutuswalk/relay/core.py
+++ b/src/_arbutuswalk/relay/core.py
@@ -185,9 +185,9 @@
         Returns:
             Whether it is known now.
         """
-        until = self.started_at + LEARN_S
+        until = min(self.started_at + LEARN_S, self.now() + MOST_WAIT_S)
         while not known():
-            left = min(until - self.now(), MOST_WAIT_S)
+            left = until - self.now()
             if left <= 0:
                 return False
             try:
--- a/src/_arbutuswalk/relay/watching.py
+++ b/src/_arbutuswalk/relay/watching.py
@@ -67,6 +67,8 @@
         report: Returns what the entry says of itself.
         seeds: Link addresses from the settings.
         feeds: Feed by link address.
+        hears_since: Since when some control process has answered without a
+            gap, None while none does.
     """
 
     def __init__(self, *, relay: core.Relay, seeds: list[str], listens_on: str):
@@ -74,6 +76,7 @@
         self.seeds = seeds
         self.listens_on = listens_on
         self.feeds: dict[str, Feed] = {}
+        self.hears_since: float | None = None
 
     def tick(self) -> None:
         """Watches new members and stops watching those that are gone."""
@@ -86,13 +89,26 @@
                 del self.feeds[address]
                 feed.task.cancel()
                 _spawn(feed.link.stop())
-        directory.expire(self.relay.directory, now, FORGET_S)
+        self._forget_silent(now)
         guilty = crashes.review(self.relay.crashes, self.relay.directory, now)
         for suspect in guilty:
             events.record(
                 events.Event.DEATH_NOTED, suspect.fingerprint, suspect.endpoint
             )
 
+    def _forget_silent(self, now: float) -> None:
+        """Drops silent endpoints, but only if they could have been heard.
+
+        Without control the entry goes on with the endpoints that it knows.
+        """
+        if not any(feed.answered for feed in self.feeds.values()):
+            self.hears_since = None
+            return
+        if self.hears_since is None:
+            self.hears_since = now
+        if now - self.hears_since > FORGET_S:
+            directory.expire(self.relay.directory, now, FORGET_S)
+
     async def stop(self) -> None:
         """Stops watching."""
         for feed in self.feeds.values():
--- a/testing/test_platform_processes.py
+++ b/testing/test_platform_processes.py
@@ -54,8 +54,8 @@
 
     def __init__(self, folder):
         self.folder = folder
-        ports = processes.free_ports(7)
-        self.link, _, self.metrics = ports[0], None, None
+        ports = processes.free_ports(5)
+        self.link = ports[0]
         self.operators, self.lookups = ports[1], ports[2]
         self.callers, self.readiness = ports[3], ports[4]
         self.controls = ["127.0.1.1", "127.0.1.2", "127.0.1.3"]
@@ -263,6 +263,18 @@
         assert len(world.endpoint.heads) == arrived
 
 
+class TestMetrics:
+    async def test_both_programs_serve_their_counters(self, world):
+        await world.begin("/a/")
+        for ip, part in (
+            (world.entries[0], b"arbutuswalk_answered"),
+            (world.controls[0], b"arbutuswalk_watches"),
+        ):
+            status, data = await world.call("GET", f"http://{ip}:9464/metrics")
+            assert status == 200
+            assert part in data
+
+
 class TestCommandLine:
     async def test_it_shows_what_requests_go_by(self, world):
         await world.begin("/a/")
