--- a/testing/test_watching.py
+++ b/testing/test_watching.py
@@ -1,10 +1,12 @@
 """An entry that follows control, and goes on without it."""
 
+import asyncio
 import json
 
 import relays
 import test_crashes
 
+from _arbutuswalk.relay import core
 from _arbutuswalk.relay import watching
 from _arbutuswalk.routing import directory
 from _arbutuswalk.wire.gen.arbutus import ttypes
@@ -72,6 +74,21 @@
         assert "a" not in watcher.relay.directory.rows
 
 
+class TestLearning:
+    async def test_the_longest_wait_does_not_begin_anew_with_each_news(self):
+        watcher, _ = make_watcher()
+        relay = watcher.relay
+        waiting = asyncio.ensure_future(relay.learn(lambda: False))
+        for _ in range(3):
+            await asyncio.sleep(0)
+            relay.now.time += 0.6 * core.MOST_WAIT_S
+            relay.tell()
+            await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert waiting.done()
+        assert waiting.result() is False
+
+
 class TestNews:
     def test_an_older_configuration_is_not_taken(self):
         watcher, feed = make_watcher()
