--- a/testing/test_platform_processes.py
+++ b/testing/test_platform_processes.py
@@ -83,7 +83,6 @@
             "operators": f"{ip}:{self.operators}",
             "lookups": f"{ip}:{self.lookups}",
             "data": str(self.folder / ip),
-            "founding": True,
         }
         self.start(ip, "control.py", values)
 
