--- a/src/_arbutuswalk/control/process.py
+++ b/src/_arbutuswalk/control/process.py
@@ -21,6 +21,8 @@
 
 EXIT_STORAGE = 3
 EXPIRE_S = 1.0
+HEARTBEAT_S = 1.0
+"""Interval of endpoints' heartbeats where the settings name none."""
 SAVE_S = 1.0
 """Pause between two saves of the directory of endpoints."""
 
@@ -68,9 +70,7 @@
     deciding = asyncio.ensure_future(leader.run())
     expiring = asyncio.ensure_future(_expire(hub))
     telling = asyncio.ensure_future(_tell(parts))
-    saving = asyncio.ensure_future(
-        _remember(hub, values["data"], remembered_ones)
-    )
+    saving = asyncio.ensure_future(_remember(hub, values, remembered_ones))
     stopping = asyncio.ensure_future(stop.wait())
     await asyncio.wait((running, stopping), return_when=asyncio.FIRST_COMPLETED)
     tasks = (running, deciding, expiring, telling, saving, stopping)
@@ -93,10 +93,11 @@
 
 
 async def _remember(
-    hub: hubs.Hub, folder: str, read_back: list[directory.Endpoint]
+    hub: hubs.Hub, values: dict[str, Any], read_back: list[directory.Endpoint]
 ) -> None:
     """Drops what was read back and not heard, then saves what changes."""
-    await asyncio.sleep(remembered.TRUSTED_S)
+    heartbeat_s = values.get("endpoint_heartbeat_s", HEARTBEAT_S)
+    await asyncio.sleep(remembered.TRUSTED_HEARTBEATS * heartbeat_s)
     for name in remembered.unheard(hub.directory, read_back):
         hub.forget(name)
     saved = -1
@@ -108,7 +109,7 @@
         )
         if news != saved:
             failure = await loop.run_in_executor(
-                None, remembered.save, folder, hub.directory
+                None, remembered.save, values["data"], hub.directory
             )
             if failure is not None:
                 events.record(events.Event.DISK_REFUSED, failure)
--- a/src/_arbutuswalk/control/remembered.py
+++ b/src/_arbutuswalk/control/remembered.py
@@ -13,9 +13,8 @@
 from _arbutuswalk.routing import directory
 
 NAME = "endpoints.json"
-TRUSTED_S = 2.6
-"""How long an endpoint that was read back counts without being heard: two
-heartbeats."""
+TRUSTED_HEARTBEATS = 2.2
+"""Heartbeats for which an endpoint that was read back counts unheard."""
 
 
 def save(folder: str, found: directory.Directory) -> OSError | None:
--- a/src/_arbutuswalk/control/scaling.py
+++ b/src/_arbutuswalk/control/scaling.py
@@ -8,7 +8,7 @@
 
 SILENT_S = 4.0
 """Silence after which an endpoint does not count as serving: three missed
-heartbeats."""
+heartbeats of 1.2 s."""
 
 
 class Fleets:
--- a/src/_arbutuswalk/relay/core.py
+++ b/src/_arbutuswalk/relay/core.py
@@ -43,6 +43,7 @@
         retry_window_s: Length of that window.
         usage_window_s: Length of a window of usage.
         quota: How exactly quotas have to be kept.
+        heartbeat_s: Interval of endpoints' heartbeats.
     """
 
     retry_ratio: float
@@ -50,6 +51,7 @@
     retry_window_s: float
     usage_window_s: float
     quota: quota.Terms
+    heartbeat_s: float
 
 
 class Load(NamedTuple):
--- a/src/_arbutuswalk/relay/placing.py
+++ b/src/_arbutuswalk/relay/placing.py
@@ -12,8 +12,9 @@
 SUSPECT_S = 1.5
 """How long an endpoint that failed comes last: longer than a heartbeat takes
 to tell that it lives, or is gone."""
-SILENT_S = 4.0
-"""Silence of an endpoint after which it comes last: three heartbeats."""
+SILENT_HEARTBEATS = 3.3
+"""Heartbeats after whose lack an endpoint comes last: one may be lost and the
+next be late."""
 PER_MILLE = 1000
 
 
@@ -70,7 +71,8 @@
     name = row.endpoint.id
     own, others = relay.loads.get(name), relay.others.get(name, (0, 0))
     running, waiting = own or (0, 0)
-    doubtful = now - row.heard_at > SILENT_S or name in failing
+    silent_s = SILENT_HEARTBEATS * relay.options.heartbeat_s
+    doubtful = now - row.heard_at > silent_s or name in failing
     return endpoints.Candidate(
         id=name,
         running=running + others[0],
--- a/src/_arbutuswalk/relay/watching.py
+++ b/src/_arbutuswalk/relay/watching.py
@@ -90,7 +90,12 @@
                 feed.task.cancel()
                 _spawn(feed.link.stop())
         self._forget_silent(now)
-        guilty = crashes.review(self.relay.crashes, self.relay.directory, now)
+        guilty = crashes.review(
+            self.relay.crashes,
+            self.relay.directory,
+            now,
+            self.relay.options.heartbeat_s,
+        )
         for suspect in guilty:
             events.record(
                 events.Event.DEATH_NOTED, suspect.fingerprint, suspect.endpoint
--- a/src/_arbutuswalk/routing/crashes.py
+++ b/src/_arbutuswalk/routing/crashes.py
@@ -12,9 +12,9 @@
 
 from _arbutuswalk.routing import directory
 
-CONFIRM_S = 1.8
-"""Silence after a lost connection that shows that its endpoint died: one
-heartbeat and a half."""
+CONFIRM_HEARTBEATS = 1.5
+"""Heartbeats for which an endpoint is silent after a lost connection if it has
+died."""
 KEPT_S = 60.0
 """How long a death counts against a request."""
 DEATHS = 3
@@ -61,13 +61,17 @@
 
 
 def review(
-    crashes: Crashes, found: directory.Directory, now: float
+    crashes: Crashes,
+    found: directory.Directory,
+    now: float,
+    heartbeat_s: float,
 ) -> list[Suspect]:
     """Decides on suspects whose time is up; returns those at a death."""
+    confirm_s = CONFIRM_HEARTBEATS * heartbeat_s
     guilty = []
     waiting = []
     for suspect in crashes.suspects:
-        if now - suspect.at < CONFIRM_S:
+        if now - suspect.at < confirm_s:
             waiting.append(suspect)
         elif _has_died(suspect, found):
             guilty.append(suspect)
--- a/testing/test_crashes.py
+++ b/testing/test_crashes.py
@@ -31,34 +31,34 @@
     def test_an_endpoint_that_is_not_heard_again_has_died(self):
         found, known = directory.Directory(), crashes.Crashes()
         self.lose(found, known, make_endpoint("a"), 10.0)
-        assert crashes.review(known, found, 11.0) == []
-        assert len(crashes.review(known, found, 12.0)) == 1
+        assert crashes.review(known, found, 11.0, 1.2) == []
+        assert len(crashes.review(known, found, 12.0, 1.2)) == 1
         assert known.deaths == {"f": {"a/1": 10.0}}
 
     def test_one_that_only_resets_connections_has_not(self):
         found, known = directory.Directory(), crashes.Crashes()
         self.lose(found, known, make_endpoint("a"), 10.0)
         directory.announce(found, make_endpoint("a", sequence=2), 11.0)
-        assert crashes.review(known, found, 12.0) == []
+        assert crashes.review(known, found, 12.0, 1.2) == []
         assert known.deaths == {}
 
     def test_one_that_started_again_has_died(self):
         found, known = directory.Directory(), crashes.Crashes()
         self.lose(found, known, make_endpoint("a"), 10.0)
         directory.announce(found, make_endpoint("a", born_ms=2), 11.0)
-        assert len(crashes.review(known, found, 12.0)) == 1
+        assert len(crashes.review(known, found, 12.0, 1.2)) == 1
 
     def test_one_that_leaves_has_not(self):
         found, known = directory.Directory(), crashes.Crashes()
         self.lose(found, known, make_endpoint("a"), 10.0)
         directory.leave(found, "a", None, 11.0)
-        assert crashes.review(known, found, 12.0) == []
+        assert crashes.review(known, found, 12.0, 1.2) == []
 
     def test_deaths_are_forgotten(self):
         found, known = directory.Directory(), crashes.Crashes()
         self.lose(found, known, make_endpoint("a"), 10.0)
-        crashes.review(known, found, 12.0)
-        crashes.review(known, found, 12.0 + crashes.KEPT_S)
+        crashes.review(known, found, 12.0, 1.2)
+        crashes.review(known, found, 12.0 + crashes.KEPT_S, 1.2)
         assert known.deaths == {}
 
 
