--- a/src/_arbutuswalk/control/hub.py
+++ b/src/_arbutuswalk/control/hub.py
@@ -135,14 +135,13 @@
     def live_entries(self) -> dict[str, EntryState]:
         """Returns the newest incarnation of each reachable entry, by id."""
         oldest = self.now() - ENTRY_SILENT_S
-        found: dict[str, EntryState] = {}
-        for (name, _), state in self.entries.items():
-            if state.seen_at < oldest:
-                continue
-            known = found.get(name)
-            if known is None or known.incarnation < state.incarnation:
-                found[name] = state
-        return found
+        return _newest(
+            {
+                key: state
+                for key, state in self.entries.items()
+                if state.seen_at >= oldest
+            }
+        )
 
     async def watch(self, message: ttypes.Watch) -> ttypes.WatchReply:
         """Answers an entry when there is news for it, or after a while."""
@@ -182,13 +181,9 @@
 
         One that said that it leaves no longer counts.
         """
-        newest: dict[str, EntryState] = {}
-        for (name, incarnation), state in self.entries.items():
-            if name not in newest or newest[name].incarnation < incarnation:
-                newest[name] = state
         return {
             name
-            for name, state in newest.items()
+            for name, state in _newest(self.entries).items()
             if not state.report.get("left")
         }
 
@@ -270,3 +265,14 @@
         for address in self.member_addresses():
             if address != self.member.address:
                 self.member.link_to(address).post(message)
+
+
+def _newest(
+    entries: dict[tuple[str, int], EntryState],
+) -> dict[str, EntryState]:
+    """Returns the state of each entry's newest incarnation, by id."""
+    newest: dict[str, EntryState] = {}
+    for (name, incarnation), state in entries.items():
+        if name not in newest or newest[name].incarnation < incarnation:
+            newest[name] = state
+    return newest
--- a/src/_arbutuswalk/control/scaling.py
+++ b/src/_arbutuswalk/control/scaling.py
@@ -36,6 +36,7 @@
 ) -> list[tuple[str, fleetplan.Order]]:
     """Returns the orders that are due, with the upstream of each."""
     now = parts.member.now()
+    loads = parts.hub.loads()
     due = []
     for upstream in _scaling_upstreams(parts, fleets):
         if _is_rolling(parts, upstream.name):
@@ -48,7 +49,6 @@
         ]
         fleet = fleets.fleet(upstream.name)
         _note_reclaims(fleet, fleets.reclaimed, rows, now)
-        loads = parts.hub.loads()
         running = sum(loads.get(row.endpoint.id, (0, 0))[0] for row in rows)
         fleetplan.note_load(fleet, running, now)
         orders = fleetplan.decide(
--- a/src/_arbutuswalk/relay/connection.py
+++ b/src/_arbutuswalk/relay/connection.py
@@ -68,7 +68,6 @@
     Attributes:
         address: ``IP:port`` of the endpoint.
         exchange: Exchange under way, None while idle.
-        used: Exchanges begun.
         idle_since: When the last exchange ended.
         idle_s: How long the endpoint keeps an idle connection, if known.
         usable: Whether another exchange may begin.
@@ -85,7 +84,6 @@
         self.read = read
         self.on_close = on_close
         self.exchange: Exchange | None = None
-        self.used = 0
         self.idle_since = clock.monotonic()
         self.idle_s: float | None = None
         self.usable = True
@@ -107,7 +105,6 @@
     def begin(self, data: bytes, exchange: Exchange) -> None:
         """Sends a request whose answer goes to ``exchange``."""
         self.exchange = exchange
-        self.used += 1
         self.parser = httptools.HttpResponseParser(self)
         self.transport.write(data)
 
--- a/src/_arbutuswalk/relay/delivery.py
+++ b/src/_arbutuswalk/relay/delivery.py
@@ -18,7 +18,6 @@
         caller: How to answer.
         left: Whether the caller has gone.
         started: Whether status and headers have gone out.
-        finished: Whether the answer was ended as complete.
         last_event: Id of the last event that the caller has.
         events: Events sent.
         first_at: When the first event went out, in seconds.
@@ -37,7 +36,6 @@
         self.caller = caller
         self.left = False
         self.started = False
-        self.finished = False
         self.last_event = request.last_event
         self.events = 0
         self.first_at = 0.0
@@ -79,7 +77,6 @@
         """Ends a complete stream; what is left is no whole event."""
         if self.framer.rest:
             await self.caller.body(self.framer.rest)
-        self.finished = True
         await self.caller.end()
 
     async def whole(
@@ -96,5 +93,4 @@
         await self.caller.head(status, headers)
         if body:
             await self.caller.body(body)
-        self.finished = True
         await self.caller.end()
--- a/src/_arbutuswalk/routing/routetable.py
+++ b/src/_arbutuswalk/routing/routetable.py
@@ -11,9 +11,7 @@
     Attributes:
         config: The configuration.
         routes: Route by host and prefix.
-        hosts: All hosts.
         holders: Workspace by key.
-        upstreams: Upstream by name.
     """
 
     def __init__(self, *, config: routeconfig.RouteConfig):
@@ -21,15 +19,11 @@
         self.routes = {
             (route.host, route.prefix): route for route in config.routes
         }
-        self.hosts = {route.host for route in config.routes}
         self.holders = {
             key: workspace
             for workspace in config.workspaces
             for key in workspace.keys
         }
-        self.upstreams = {
-            upstream.name: upstream for upstream in config.upstreams
-        }
 
 
 def find(table: RouteTable, host: str, path: str) -> routeconfig.Route | None:
