--- a/src/_arbutuswalk/entry/announcing.py
+++ b/src/_arbutuswalk/entry/announcing.py
@@ -11,6 +11,7 @@
 from _arbutuswalk.base import settings
 from _arbutuswalk.entry import core
 from _arbutuswalk.entry import http
+from _arbutuswalk.entry import news
 from _arbutuswalk.entry import placing
 from _arbutuswalk.entry import requests
 from _arbutuswalk.entry import suspicion
@@ -22,8 +23,6 @@
 MAX_CACHE_BLOCKS = 4096
 RESTART_S = 3.0
 """How long after its connections broke a restarted upstream announces."""
-ANNOUNCEMENT = "announcement"
-CACHE_EVENT = "cache"
 
 
 def announce_route(entry: core.Entry):
@@ -43,7 +42,9 @@
             )
             detail = f"{said['id']} is {refused.reason}"
             return _refuse("announcement refused", detail, 409)
-        tell_others(entry, {"kind": ANNOUNCEMENT, "said": said, "age_s": 0.0})
+        news.tell_others(
+            entry, {"kind": news.ANNOUNCEMENT, "said": said, "age_s": 0.0}
+        )
         peers = [row["address"] for row in entry.peers.values()]
         return responses.JSONResponse({"entries": peers})
 
@@ -61,7 +62,7 @@
             detail = "give id, incarnation, sequence, stored and removed"
             return _refuse("bad cache event", detail, 400)
         _take_cache_event(entry, raw)
-        tell_others(entry, {"kind": CACHE_EVENT, "event": raw})
+        news.tell_others(entry, {"kind": news.CACHE_EVENT, "event": raw})
         return responses.JSONResponse({})
 
     return cache_events
@@ -91,18 +92,13 @@
 def on_news(entry: core.Entry, message: ttypes.UpstreamNews) -> None:
     """Takes what another entry was told."""
     for item in message.announcements:
-        news = json.loads(item)
-        if news["kind"] == ANNOUNCEMENT:
-            take(entry, news["said"], age_s=news["age_s"])
-        elif news["kind"] == CACHE_EVENT:
-            _take_cache_event(entry, news["event"])
-
-
-def tell_others(entry: core.Entry, news: dict[str, Any]) -> None:
-    """Passes news on to every other entry."""
-    message = ttypes.UpstreamNews(announcements=[json.dumps(news).encode()])
-    for row in entry.peers.values():
-        entry.link_to(row["link_address"]).post(message)
+        told = json.loads(item)
+        if told["kind"] == news.ANNOUNCEMENT:
+            take(entry, told["said"], age_s=told["age_s"])
+        elif told["kind"] == news.CACHE_EVENT:
+            _take_cache_event(entry, told["event"])
+        elif told["kind"] == news.SUSPECTS:
+            suspicion.on_suspects(entry, told["fingerprints"])
 
 
 def _look_back(entry: core.Entry, replaced: upstreams.Row | None) -> None:
--- a/src/_arbutuswalk/entry/core.py
+++ b/src/_arbutuswalk/entry/core.py
@@ -44,6 +44,8 @@
         calls: Futures of non-repeatable calls that run here, by (workspace,
             key).
         suspects: Fingerprints known to be suspect, ahead of the view.
+        heard_suspects: Time until which another entry's word of a suspect
+            counts, by fingerprint.
         reported: Death reports by upstream key.
         copies: Requests held for other entries, by request id.
         news_links: Links to other entries.
@@ -89,6 +91,7 @@
         self.by_key: dict[tuple[str, str], str] = {}
         self.calls: dict[tuple[str, str], Any] = {}
         self.suspects: set[str] = set()
+        self.heard_suspects: dict[str, float] = {}
         self.reported: dict[str, Any] = {}
         self.copies: dict[str, Any] = {}
         self.news_links: dict[str, link.Link] = {}
@@ -172,6 +175,9 @@
     def is_suspect(self, fingerprint: str) -> bool:
         """Tells whether a request ran where an upstream died."""
         known = self.view.get("quarantine", {}).get("suspects", ())
+        heard_until = self.heard_suspects.get(fingerprint, 0.0)
+        if heard_until > self.now():
+            return True
         return fingerprint in self.suspects or fingerprint in known
 
     def convicted_until_ms(self, fingerprint: str) -> int:
--- a/src/_arbutuswalk/entry/placing.py
+++ b/src/_arbutuswalk/entry/placing.py
@@ -49,12 +49,17 @@
     """Refuses a new request whose deadline cannot be met.
 
     The estimate counts what its workspace has waiting and the share that
-    others get meanwhile.
+    others get meanwhile. A request waits while all upstreams are reserved for
+    suspects.
     """
     rows = candidates(
         entry, request.upstream, request.route, request.request_id
     )
     if not rows:
+        if upstreams.only_reserved(
+            entry.upstreams, request.upstream, entry.now()
+        ):
+            return None
         return answer.Problem(
             503,
             "no upstream",
--- a/src/_arbutuswalk/entry/suspicion.py
+++ b/src/_arbutuswalk/entry/suspicion.py
@@ -6,6 +6,7 @@
 from _arbutuswalk.base import events
 from _arbutuswalk.entry import control_client
 from _arbutuswalk.entry import core
+from _arbutuswalk.entry import news
 from _arbutuswalk.entry import placing
 from _arbutuswalk.entry import requests
 from _arbutuswalk.routing import upstreams
@@ -14,9 +15,15 @@
 from _arbutuswalk.streams import answer
 
 PROBE_TIMEOUT_S = 0.5
+PROBE_PAUSE_S = 0.01
+"""Pause between probes of an upstream that accepts and does not answer."""
+PROBE = b"HEAD / HTTP/1.1\r\nHost: probe\r\nConnection: close\r\n\r\n"
 REPORT_TIMEOUT_S = 5.0
 PAUSE_S = 0.05
 ALONE_LIMIT_S = 3.0
+HEARSAY_S = 2.0
+"""How long another entry's word of a suspect counts: longer than a report
+takes to be committed and to show in every view."""
 MAX_ISOLATED = 0.34
 """Part of an upstream name's instances that suspects may hold at a time."""
 _REFUSED, _OPEN, _NO_ANSWER = "refused", "open", "no answer"
@@ -61,19 +68,35 @@
 
 
 async def _probe(address: str) -> str:
+    """Asks an upstream's HTTP server for any answer at all.
+
+    A process that is just ending still accepts connections for a moment, so
+    that only an answer shows that it runs.
+    """
     host, _, port = address.rpartition(":")
     try:
-        _, writer = await asyncio.wait_for(
-            asyncio.open_connection(host, int(port)), PROBE_TIMEOUT_S
-        )
+        async with asyncio.timeout(PROBE_TIMEOUT_S):
+            while not await _answers(host, int(port)):
+                await asyncio.sleep(PROBE_PAUSE_S)
     except ConnectionRefusedError:
         return _REFUSED
     except (TimeoutError, OSError):
         return _NO_ANSWER
-    writer.close()
     return _OPEN
 
 
+async def _answers(host: str, port: int) -> bool:
+    """Tells whether a new connection brings a byte before it ends."""
+    reader, writer = await asyncio.open_connection(host, port)
+    try:
+        writer.write(PROBE)
+        return bool(await reader.read(1))
+    except ConnectionResetError:
+        return False
+    finally:
+        writer.close()
+
+
 def _is_replaced(entry: core.Entry, row: upstreams.Row) -> bool:
     return entry.upstreams.rows.get(row.said["id"]) is not row
 
@@ -100,6 +123,9 @@
         if other is not None:
             running.add(other.fingerprint)
     entry.suspects |= running
+    news.tell_others(
+        entry, {"kind": news.SUSPECTS, "fingerprints": sorted(running)}
+    )
     if entry.upstreams.rows.get(row.said["id"]) is row:
         entry.upstreams.remove(row.said["id"])
     events.warn(events.Event.UPSTREAM_GONE, row.said["id"], "died")
@@ -120,6 +146,24 @@
     return ""
 
 
+def on_suspects(entry: core.Entry, fingerprints: list[str]) -> None:
+    """Takes suspects of a death that another entry reports just now.
+
+    Until the report is committed and shows in the view, a resend that comes
+    here would run beside others on a second upstream.
+    """
+    until = entry.now() + HEARSAY_S
+    entry.heard_suspects |= dict.fromkeys(fingerprints, until)
+
+
+def forget_hearsay(entry: core.Entry) -> None:
+    """Forgets suspects whose word from another entry has run out."""
+    now = entry.now()
+    for fingerprint, until in list(entry.heard_suspects.items()):
+        if until <= now:
+            del entry.heard_suspects[fingerprint]
+
+
 async def place_alone(
     entry: core.Entry,
     request: requests.ModelRequest,
--- a/src/_arbutuswalk/entry/upkeep.py
+++ b/src/_arbutuswalk/entry/upkeep.py
@@ -7,6 +7,7 @@
 from _arbutuswalk.entry import core
 from _arbutuswalk.entry import models
 from _arbutuswalk.entry import placing
+from _arbutuswalk.entry import suspicion
 from _arbutuswalk.routing import upstreams
 
 TICK_S = 0.1
@@ -24,6 +25,7 @@
         _forget_answers(entry)
         _adopt_orphaned_copies(entry)
         copies.expire(entry)
+        suspicion.forget_hearsay(entry)
         for name in list(entry.queues):
             placing.pump(entry, name)
         if had_lease and not entry.admits:
--- a/src/_arbutuswalk/routing/upstreams.py
+++ b/src/_arbutuswalk/routing/upstreams.py
@@ -215,3 +215,12 @@
         for row in table.named(name)
         if row.health(now) is Health.USABLE and not row.isolated
     ]
+
+
+def only_reserved(table: Table, name: str, now: float) -> bool:
+    """Tells whether all that are up are reserved for suspects, for a moment.
+
+    A reservation ends once its suspect has completed or is convicted.
+    """
+    up = [row for row in table.named(name) if row.health(now) is Health.USABLE]
+    return bool(up) and all(row.isolated for row in up)
--- a/testing/conftest.py
+++ b/testing/conftest.py
@@ -3,6 +3,8 @@
 import os
 
 import hypothesis
+import processes
+import pytest
 
 hypothesis.settings.register_profile(
     "ci",
@@ -24,3 +26,17 @@
     print_blob=True,
 )
 hypothesis.settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
+
+
+@pytest.fixture
+def group(tmp_path):
+    made = processes.Group(tmp_path)
+    yield made
+    made.end()
+
+
+@pytest.fixture
+async def world(group):
+    made = processes.World(group)
+    yield made
+    await made.client.stop()
