--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -19,6 +19,9 @@
 STALL_S = 1.0
 """Pause after which a stream is resumed elsewhere: half of the shortest pause
 after which callers abandon one."""
+MAX_WHOLE_BYTES = 8 * 1024 * 1024
+"""Largest answer that is held whole: a tenth of what a process may use of the
+smallest instances' memory, beside its own 30 MB."""
 MAX_RANK = 9
 
 
@@ -124,16 +127,26 @@
             return self._lost(self.exchange.failure)
         if reply.ran and reply.good and self._is_stream():
             return await self._stream(opened, deadline)
-        return await self._whole(reply, deadline)
+        return await self._whole(opened, reply, deadline)
 
     def _is_stream(self) -> bool:
         return self.request.route.kind == routeconfig.STREAM
 
     async def _whole(
-        self, reply: requests.Reply, deadline: float
+        self,
+        opened: connections.Connection,
+        reply: requests.Reply,
+        deadline: float,
     ) -> results.Result:
         """Collects a whole answer; nothing of it has gone out yet."""
-        while not self.exchange.over:
+        body = bytearray()
+        while True:
+            body += self.exchange.take()
+            opened.taken()
+            if len(body) > MAX_WHOLE_BYTES:
+                return self._lost(f"answer over {MAX_WHOLE_BYTES} bytes")
+            if self.exchange.over:
+                break
             ended = await self._news(deadline)
             if ended is not None:
                 return ended
@@ -145,7 +158,7 @@
         return results.Answered(
             status=self.exchange.status,
             headers=self.exchange.headers,
-            body=self.exchange.take(),
+            body=bytes(body),
         )
 
     async def _stream(
--- a/testing/test_relay.py
+++ b/testing/test_relay.py
@@ -5,6 +5,8 @@
 import pytest
 import relays
 
+from _arbutuswalk.relay import attempts
+from _arbutuswalk.relay import connection
 from _arbutuswalk.relay import relaying
 from _arbutuswalk.routing import directory
 from _arbutuswalk.state import routeconfig
@@ -62,6 +64,20 @@
         )
         assert 300 < int(line.partition(":")[2]) <= 500
 
+    async def test_an_answer_larger_than_what_may_wait_comes_whole(self):
+        """Reading pauses for slow callers only, not before they get a byte."""
+        body = b"x" * (4 * connection.PAUSE_BYTES)
+        relay = relays.make_relay()
+        caller = await run(relay, relays.Endpoint(relays.answer(body)))
+        assert (caller.status, caller.data) == (200, body)
+
+    async def test_an_answer_larger_than_may_be_held_is_none(self, monkeypatch):
+        monkeypatch.setattr(attempts, "MAX_WHOLE_BYTES", 1000)
+        relay = relays.make_relay()
+        endpoints = [relays.Endpoint(relays.answer(b"x" * 1001))]
+        caller = await run(relay, *endpoints, route=ONCE)
+        assert caller.status == 502
+
     async def test_an_answer_without_length_ends_with_its_connection(self):
         relay = relays.make_relay()
         unframed = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: attempt-1\r\n\r\nrest"
