--- a/src/_arbutuswalk/entry/calls.py
+++ b/src/_arbutuswalk/entry/calls.py
@@ -119,9 +119,10 @@
     started = entry.now()
     try:
         result = await exchange.run(
-            entry.fresh_session,
+            entry.pool,
             services.order_of(call, row),
             timeout_s=entry.values["service_timeout_s"],
+            fresh=True,
         )
     finally:
         row.ended += 1
@@ -197,7 +198,7 @@
         echo=rows[0].said["echo"],
     )
     result = await exchange.run(
-        entry.fresh_session, order, timeout_s=STATUS_TIMEOUT_S
+        entry.pool, order, timeout_s=STATUS_TIMEOUT_S, fresh=True
     )
     if isinstance(result, exchange.Reply) and result.status == 200:
         return result
--- a/src/_arbutuswalk/entry/core.py
+++ b/src/_arbutuswalk/entry/core.py
@@ -15,6 +15,8 @@
 from _arbutuswalk.routing import evidence
 from _arbutuswalk.routing import upstreams
 from _arbutuswalk.state import inventory as inventories
+from _arbutuswalk.streams import attempts
+from _arbutuswalk.streams import pool
 from _arbutuswalk.wire import link
 
 FIRST_SPEED = 16.0
@@ -49,8 +51,8 @@
         reported: Death reports by upstream key.
         copies: Requests held for other entries, by request id.
         news_links: Links to other entries.
-        session: Pooled connections to upstreams.
-        fresh_session: Connections that are used once.
+        pool: Connections to upstreams for calls.
+        session: Client for moving caches between upstreams.
         metrics: Counters and histograms.
         control: Client of the control group.
         start_request: Starts to run a request that was taken over.
@@ -65,7 +67,6 @@
         values: dict[str, Any],
         incarnation: int,
         session: aiohttp.ClientSession,
-        fresh_session: aiohttp.ClientSession,
         now: clock.Clock = clock.monotonic,
         wall: clock.Clock = clock.wall,
         rng: random.Random | None = None,
@@ -77,7 +78,9 @@
         self.wall = wall
         self.rng = rng or random.Random()
         self.session = session
-        self.fresh_session = fresh_session
+        self.pool = pool.Pool(
+            read=attempts.read_reply, connect_s=values["connect_s"], now=now
+        )
         self.view: dict[str, Any] = {}
         self.view_version = 0
         self.registered = False
--- a/src/_arbutuswalk/entry/exchange.py
+++ b/src/_arbutuswalk/entry/exchange.py
@@ -1,13 +1,17 @@
 """One whole exchange with a plain service."""
 
-import asyncio
 import dataclasses
 from typing import NamedTuple
 
-import aiohttp
+import yarl
 
+from _arbutuswalk.base import clock
 from _arbutuswalk.streams import attempts
+from _arbutuswalk.streams import connection as connections
+from _arbutuswalk.streams import pool as pools
+from _arbutuswalk.streams import replies
 
+BODY_METHODS = ("POST", "PUT", "PATCH")
 MAX_REPLY_BYTES = 8 * 1024 * 1024
 
 
@@ -65,42 +69,79 @@
 Result = Reply | NotOpened | Lost
 
 
-def open_tracer() -> aiohttp.TraceConfig:
-    """Returns a trace that notes on the request when a connection is had."""
-    tracer = aiohttp.TraceConfig()
-
-    async def opened(_session, context, _params) -> None:
-        if context.trace_request_ctx is not None:
-            context.trace_request_ctx.append(True)
-
-    tracer.on_connection_create_end.append(opened)
-    tracer.on_connection_reuseconn.append(opened)
-    return tracer
-
-
 async def run(
-    session: aiohttp.ClientSession, order: Order, *, timeout_s: float
+    pool: pools.Pool, order: Order, *, timeout_s: float, fresh: bool
 ) -> Result:
     """Sends one call and reads its whole answer.
 
-    ``session`` must have been made with ``open_tracer``. A failure before the
-    connection was had is ``NotOpened``; any later one is ``Lost``.
+    Args:
+        pool: Connections to upstreams.
+        order: What to send.
+        timeout_s: Time for all of it.
+        fresh: Whether the call needs a connection that was never used, which
+            cannot be silent from an earlier use.
     """
-    opened: list[bool] = []
+    until = clock.monotonic() + timeout_s
+    if fresh:
+        opened = await pool.open(order.address)
+    else:
+        opened = await pool.take(order.address, careful=False)
+    if isinstance(opened, pools.NotOpened):
+        return NotOpened(reason=opened.reason)
+    exchange = connections.Exchange(
+        sent_id=order.attempt_id, has_body=order.method != "HEAD"
+    )
+    opened.begin(encode(order), exchange)
     try:
-        async with asyncio.timeout(timeout_s):
-            return await _exchange(session, order, opened)
-    except (TimeoutError, aiohttp.ClientError, OSError) as error:
-        reason = f"{type(error).__name__}: {error}"
-    if opened:
-        return Lost(reason=reason)
-    return NotOpened(reason=reason)
+        result = await _follow(opened, exchange, order, until)
+    except BaseException:
+        opened.abort()
+        raise
+    if isinstance(result, Reply):
+        pool.give_back(opened)
+    else:
+        opened.abort()
+    return result
+
+
+async def _follow(
+    opened: connections.Connection,
+    exchange: connections.Exchange,
+    order: Order,
+    until: float,
+) -> Result:
+    """Collects a whole answer whose end can be told from a cut."""
+    body = bytearray()
+    while True:
+        body += exchange.take()
+        opened.taken()
+        if attempts.crossed(exchange, order.echo):
+            got = exchange.crossed_id
+            return Lost(reason=f"answer to another attempt: {got!r}")
+        if opened.until_close:
+            return Lost(reason="answer without length or end marker")
+        if len(body) > MAX_REPLY_BYTES:
+            return Lost(reason="answer too large")
+        if exchange.over:
+            break
+        left_s = until - clock.monotonic()
+        if not await attempts.news_within(exchange, left_s):
+            return Lost(reason="no whole answer in time")
+    if not exchange.complete:
+        return Lost(reason=exchange.failure)
+    content_type = replies.first(exchange.headers, b"content-type")
+    return Reply(
+        status=exchange.status,
+        content_type=content_type.decode("latin-1"),
+        body=bytes(body),
+    )
 
 
-async def _exchange(
-    session: aiohttp.ClientSession, order: Order, opened: list[bool]
-) -> Result:
+def encode(order: Order) -> bytes:
+    """Returns the bytes of a call."""
+    target = yarl.URL(f"http://{order.address}{order.path}").raw_path_qs
     headers = {
+        "Host": order.address,
         **order.headers,
         attempts.REQUEST_HEADER: order.request_id,
         attempts.ATTEMPT_HEADER: order.attempt_id,
@@ -108,39 +149,9 @@
     }
     if order.key:
         headers["Idempotency-Key"] = order.key
-    async with session.request(
-        order.method,
-        f"http://{order.address}{order.path}",
-        data=order.body,
-        headers=headers,
-        allow_redirects=False,
-        trace_request_ctx=opened,
-    ) as response:
-        echoed = response.headers.get(attempts.ATTEMPT_HEADER, "")
-        if echoed != order.attempt_id and (echoed or order.echo):
-            response.close()
-            return Lost(reason=f"answer to another attempt: {echoed!r}")
-        if not _has_end(response):
-            response.close()
-            return Lost(reason="answer without length or end marker")
-        body = await response.content.read(MAX_REPLY_BYTES + 1)
-        while len(body) <= MAX_REPLY_BYTES and not response.content.at_eof():
-            body += await response.content.read(MAX_REPLY_BYTES + 1)
-        if len(body) > MAX_REPLY_BYTES:
-            response.close()
-            return Lost(reason="answer too large")
-        return Reply(
-            status=response.status,
-            content_type=response.headers.get("Content-Type", ""),
-            body=body,
-        )
-
-
-def _has_end(response: aiohttp.ClientResponse) -> bool:
-    """Tells whether the end of the answer can be told from a cut."""
-    chunked = response.headers.get("Transfer-Encoding", "").lower()
-    return (
-        "chunked" in chunked
-        or "Content-Length" in response.headers
-        or response.status in (204, 304)
-    )
+    if order.body or order.method in BODY_METHODS:
+        headers["Content-Length"] = str(len(order.body))
+    lines = [f"{order.method} {target} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    head = "\r\n".join(lines) + "\r\n\r\n"
+    return head.encode("latin-1") + order.body
--- a/src/_arbutuswalk/entry/main.py
+++ b/src/_arbutuswalk/entry/main.py
@@ -14,7 +14,6 @@
 from _arbutuswalk.base import settings
 from _arbutuswalk.entry import app
 from _arbutuswalk.entry import core
-from _arbutuswalk.entry import exchange
 from _arbutuswalk.entry import links
 from _arbutuswalk.entry import syncing
 from _arbutuswalk.entry import upkeep
@@ -71,32 +70,26 @@
 
 async def run(values: dict[str, Any]) -> int:
     """Runs the process until drained; returns its exit code."""
-    async with (
-        _session(values, pooled=True) as session,
-        _session(values, pooled=False) as fresh,
-    ):
+    async with _session(values) as session:
         entry = core.Entry(
             values=values,
             incarnation=int(clock.wall() * clock.MS_PER_S),
             session=session,
-            fresh_session=fresh,
         )
-        return await _serve(entry)
+        try:
+            return await _serve(entry)
+        finally:
+            entry.pool.close()
 
 
-def _session(values: dict[str, Any], *, pooled: bool) -> aiohttp.ClientSession:
-    if pooled:
-        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=POOL_IDLE_S)
-    else:
-        connector = aiohttp.TCPConnector(limit=0, force_close=True)
+def _session(values: dict[str, Any]) -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
-        connector=connector,
+        connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=POOL_IDLE_S),
         auto_decompress=False,
         read_bufsize=2**16,
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=values["connect_s"]
         ),
-        trace_configs=[exchange.open_tracer()],
     )
 
 
--- a/src/_arbutuswalk/entry/services.py
+++ b/src/_arbutuswalk/entry/services.py
@@ -5,7 +5,6 @@
 from typing import Any
 from typing import NamedTuple
 
-import aiohttp
 from starlette import responses
 
 from _arbutuswalk.entry import calls
@@ -178,7 +177,7 @@
         row = await wait_for_upstream(entry, call, frozenset(avoid))
         if row is None:
             break
-        result = await _attempt(entry, call, row, entry.session)
+        result = await _attempt(entry, call, row)
         if isinstance(result, exchange.Reply):
             if result.status < 500:
                 return result
@@ -227,7 +226,6 @@
     entry: core.Entry,
     call: ServiceCall,
     row: upstreams.Row,
-    session: aiohttp.ClientSession,
 ) -> exchange.Result:
     row.sent += 1
     row.active[call.call_id] = None
@@ -235,7 +233,10 @@
     timeout_s = min(entry.values["service_timeout_s"], call.deadline - started)
     try:
         result = await exchange.run(
-            session, order_of(call, row), timeout_s=max(0.01, timeout_s)
+            entry.pool,
+            order_of(call, row),
+            timeout_s=max(0.01, timeout_s),
+            fresh=False,
         )
     finally:
         row.ended += 1
--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -3,15 +3,16 @@
 import asyncio
 
 from _arbutuswalk.base import events
-from _arbutuswalk.relay import connection as connections
 from _arbutuswalk.relay import core
 from _arbutuswalk.relay import delivery
 from _arbutuswalk.relay import placing
-from _arbutuswalk.relay import pool
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import results
 from _arbutuswalk.routing import crashes
 from _arbutuswalk.state import routeconfig
+from _arbutuswalk.streams import connection as connections
+from _arbutuswalk.streams import pool
+from _arbutuswalk.streams import replies
 
 ANSWER_GRACE_S = 0.1
 """How much longer than its time an endpoint's own time-out answer is awaited:
@@ -53,7 +54,7 @@
         self.started = relay.now()
         self.first_s = 0.0
         self.exchange = connections.Exchange(
-            request_id=self.request.id,
+            sent_id=self.request.id,
             has_body=self.request.method != "HEAD",
         )
 
@@ -135,7 +136,7 @@
     async def _whole(
         self,
         opened: connections.Connection,
-        reply: requests.Reply,
+        reply: replies.Reply,
         deadline: float,
     ) -> results.Result:
         """Collects a whole answer; nothing of it has gone out yet."""
--- a/src/_arbutuswalk/relay/core.py
+++ b/src/_arbutuswalk/relay/core.py
@@ -10,7 +10,6 @@
 from _arbutuswalk.limits import quota
 from _arbutuswalk.limits import retries
 from _arbutuswalk.relay import patience
-from _arbutuswalk.relay import pool
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import usage
 from _arbutuswalk.routing import crashes
@@ -18,6 +17,7 @@
 from _arbutuswalk.routing import health
 from _arbutuswalk.routing import recent
 from _arbutuswalk.routing import routetable
+from _arbutuswalk.streams import pool
 
 UNKNOWN_ENTRIES = 16
 """Entries that share a bound until control has told how many there are."""
--- a/src/_arbutuswalk/relay/delivery.py
+++ b/src/_arbutuswalk/relay/delivery.py
@@ -8,6 +8,7 @@
 from _arbutuswalk.relay import events as sse
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.streams import framing
+from _arbutuswalk.streams import replies
 
 
 class Delivery:
@@ -47,7 +48,7 @@
         self.left = True
         self.wake()
 
-    async def start(self, status: int, headers: requests.Headers) -> None:
+    async def start(self, status: int, headers: replies.Headers) -> None:
         """Sends the head of the first run; later ones only go on."""
         self.framer = framing.Framer()
         if self.started:
@@ -80,13 +81,13 @@
         await self.caller.end()
 
     async def whole(
-        self, status: int, headers: requests.Headers, body: bytes
+        self, status: int, headers: replies.Headers, body: bytes
     ) -> None:
         """Sends an endpoint's whole answer."""
         await self.own(status, self.relay.dialect.answer_headers(headers), body)
 
     async def own(
-        self, status: int, headers: requests.Headers, body: bytes
+        self, status: int, headers: replies.Headers, body: bytes
     ) -> None:
         """Sends a whole answer with the headers given."""
         self.started = True
--- a/src/_arbutuswalk/relay/intake.py
+++ b/src/_arbutuswalk/relay/intake.py
@@ -8,6 +8,7 @@
 from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import routetable
 from _arbutuswalk.state import routeconfig
+from _arbutuswalk.streams import replies
 
 STATUS_BAD_REQUEST = 400
 STATUS_NO_KEY = 401
@@ -43,7 +44,7 @@
     target: str
     key: str
     deadline_s: float | None
-    headers: requests.Headers
+    headers: replies.Headers
     body: bytes
     prompt: requests.Prompt | None
     last_event: str
--- a/src/_arbutuswalk/relay/relaying.py
+++ b/src/_arbutuswalk/relay/relaying.py
@@ -9,6 +9,7 @@
 from _arbutuswalk.relay import placing
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import results
+from _arbutuswalk.streams import replies
 
 RETRY_AFTER_S = 0.5
 """When a refused caller may come back: about as long as a crowded or lost
@@ -188,7 +189,7 @@
 
 def problem(
     status: int, reason: str, retry_after_s: float = 0.0
-) -> tuple[int, requests.Headers, bytes]:
+) -> tuple[int, replies.Headers, bytes]:
     """Returns status, headers and body of an answer of our own."""
     body = json.dumps({"status": status, "detail": reason}).encode()
     headers = [
--- a/src/_arbutuswalk/relay/request.py
+++ b/src/_arbutuswalk/relay/request.py
@@ -5,9 +5,7 @@
 from typing import NamedTuple
 
 from _arbutuswalk.state import routeconfig
-
-Headers = list[tuple[bytes, bytes]]
-"""Header names and values in order; names in lower case."""
+from _arbutuswalk.streams import replies
 
 
 class Part(NamedTuple):
@@ -40,7 +38,7 @@
         id: Id of the caller's attempt.
         method: HTTP method.
         target: Path and query as they came.
-        headers: Headers to pass on.
+        headers: replies.Headers to pass on.
         body: Whole body.
         route: Route it goes by.
         upstream: Upstream that the route's weights picked.
@@ -56,7 +54,7 @@
     id: str
     method: str
     target: str
-    headers: Headers
+    headers: replies.Headers
     body: bytes
     route: routeconfig.Route
     upstream: str
@@ -92,33 +90,11 @@
         end: Ends a complete answer.
     """
 
-    head: Callable[[int, Headers], Awaitable[None]]
+    head: Callable[[int, replies.Headers], Awaitable[None]]
     body: Callable[[bytes], Awaitable[None]]
     end: Callable[[], Awaitable[None]]
 
 
-class Reply(NamedTuple):
-    """What an upstream's status and headers mean.
-
-    Attributes:
-        ran: False if the endpoint says that the request has not run.
-        request_id: Id of the request it answers, or empty.
-        good: Whether it is a success.
-        signed: Whether it bears the mark of an upstream's own answer.
-        idle_s: How long the endpoint keeps the connection, if it says so.
-        closing: Whether the endpoint closes the connection afterwards.
-        stream: Whether it is an event stream.
-    """
-
-    ran: bool
-    request_id: str
-    good: bool
-    signed: bool
-    idle_s: float | None
-    closing: bool
-    stream: bool
-
-
 class Send(NamedTuple):
     """One sending of a request to an endpoint.
 
@@ -145,5 +121,5 @@
     """
 
     encode: Callable[[Request, Send], bytes]
-    read: Callable[[int, Headers], Reply]
-    answer_headers: Callable[[Headers], Headers]
+    read: Callable[[int, replies.Headers], replies.Reply]
+    answer_headers: Callable[[replies.Headers], replies.Headers]
--- a/src/_arbutuswalk/streams/attempts.py
+++ b/src/_arbutuswalk/streams/attempts.py
@@ -7,9 +7,13 @@
 from typing import Any
 from typing import NamedTuple
 
-from _arbutuswalk.streams import connection
+from _arbutuswalk.base import clock
+from _arbutuswalk.streams import connection as connections
 from _arbutuswalk.streams import framing
+from _arbutuswalk.streams import pool
+from _arbutuswalk.streams import replies
 
+STATUS_OK = 200
 REQUEST_HEADER = "X-Request-Id"
 ATTEMPT_HEADER = "X-Attempt-Id"
 CACHED_HEADER = "X-Cached-Tokens"
@@ -109,26 +113,31 @@
 
     Attributes:
         feed: Takes complete events.
+        echo: Whether the upstream echoes ids.
+        exchange: Exchange whose body is read.
         framer: Cuts the body into events.
         result: Result, once it is known.
-        usable: Whether the headers allow the body to be used.
         refusal: Body of an answer that is no stream.
+        stop: Ends the connection once the result is known.
     """
 
-    def __init__(self, *, feed: Feed):
+    def __init__(self, *, feed: Feed, attempt_id: str, echo: bool):
         self.feed = feed
+        self.echo = echo
+        self.exchange = connections.Exchange(
+            sent_id=attempt_id, has_body=True, feed=self.take
+        )
         self.framer = framing.Framer()
         self.result: Result | None = None
-        self.usable = False
         self.refusal = b""
         self.stop = lambda: None
 
     def take(self, data: bytes) -> None:
         """Takes a piece of the body."""
-        if not self.usable:
+        if self.exchange.status != STATUS_OK:
             self.refusal += data[:READ_BYTES]
             return
-        if self.result is not None:
+        if self.result is not None or crossed(self.exchange, self.echo):
             return
         events = self.framer.feed(data)
         if len(self.framer.rest) > framing.MAX_EVENT_BYTES:
@@ -156,68 +165,96 @@
         self.stop()
 
 
+def read_reply(status: int, headers: replies.Headers) -> replies.Reply:
+    """Tells what an upstream's status and headers mean."""
+    echoed = replies.first(headers, ATTEMPT_HEADER.lower().encode())
+    connection = replies.first(headers, b"connection").lower()
+    return replies.Reply(
+        ran=True,
+        answers=echoed.decode("latin-1"),
+        good=status == STATUS_OK,
+        idle_s=None,
+        closing=b"close" in connection,
+    )
+
+
 async def run(order: Order, deadlines: Deadlines, feed: Feed) -> Result:
-    """Runs one attempt and feeds each event that comes in."""
-    reading = Reading(feed=feed)
-    try:
-        stream = await connection.open_connection(
-            order.address,
-            _request(order),
-            lambda stream: _check_headers(stream, reading, order),
-            reading.take,
-            timeout_s=deadlines.connect_s,
-        )
-    except TimeoutError:
-        return NotConnected(reason="connect timed out")
-    except OSError as error:
-        return NotConnected(reason=str(error))
+    """Runs one attempt and feeds each event that comes in.
+
+    It has a connection of its own, so that none can be silent from an earlier
+    use.
+    """
+    reading = Reading(feed=feed, attempt_id=order.attempt_id, echo=order.echo)
+    opened = await pool.connect(
+        order.address, read=read_reply, timeout_s=deadlines.connect_s
+    )
+    if isinstance(opened, pool.NotOpened):
+        return NotConnected(reason=opened.reason)
+    reading.stop = opened.abort
+    opened.begin(_request(order), reading.exchange)
     try:
-        return await _follow(stream, reading, order, deadlines)
+        return await _follow(reading, deadlines)
     finally:
-        stream.end("left")
-
-
-def _check_headers(
-    stream: connection.StreamConnection, reading: Reading, order: Order
-) -> None:
-    """Decides, before the body, whether this is the answer asked for."""
-    echoed = stream.headers.get(ATTEMPT_HEADER.lower(), "")
-    if echoed != order.attempt_id and (echoed or order.echo):
-        reading.result = Crossed(got=echoed)
-        stream.end("answer to another attempt")
-        return
-    reading.usable = stream.status == 200
-    reading.stop = lambda: stream.end("")
-
-
-async def _follow(
-    stream: connection.StreamConnection,
-    reading: Reading,
-    order: Order,
-    deadlines: Deadlines,
-) -> Result:
+        opened.abort()
+
+
+async def _follow(reading: Reading, deadlines: Deadlines) -> Result:
     """Waits for the end of an answer, or for a silence too long."""
-    await asyncio.wait((stream.started,), timeout=deadlines.first_byte_s)
-    if not stream.started.done():
+    exchange = reading.exchange
+    if not await _await_head(exchange, deadlines.first_byte_s):
         return Silent(after_s=deadlines.first_byte_s)
-    loop = stream.loop
-    while not stream.ended.done():
-        left_s = stream.heard_at + deadlines.gap_s - loop.time()
+    if crossed(exchange, reading.echo):
+        return Crossed(got=exchange.crossed_id)
+    while not exchange.over:
+        left_s = exchange.heard_at + deadlines.gap_s - clock.monotonic()
         if left_s <= 0:
-            return _with_cached(stream, Silent(after_s=deadlines.gap_s))
-        await asyncio.wait((stream.ended,), timeout=left_s)
+            return _with_cached(exchange, Silent(after_s=deadlines.gap_s))
+        await news_within(exchange, left_s)
     if reading.result is not None:
-        return _with_cached(stream, reading.result)
-    if stream.status and stream.status != 200:
+        return _with_cached(exchange, reading.result)
+    if exchange.status and exchange.status != STATUS_OK:
         detail = reading.refusal[:500].decode(errors="replace")
-        return Declined(status=stream.status, detail=detail)
-    reason = stream.reason or "closed before the end marker"
-    return _with_cached(stream, Broke(reason=reason))
+        return Declined(status=exchange.status, detail=detail)
+    reason = exchange.failure or "closed before the end marker"
+    return _with_cached(exchange, Broke(reason=reason))
+
+
+async def _await_head(exchange: connections.Exchange, timeout_s: float) -> bool:
+    """Waits for status and headers, or the end; false if time runs out."""
+    until = clock.monotonic() + timeout_s
+    while not (exchange.reply or exchange.crossed_id or exchange.over):
+        if not await news_within(exchange, until - clock.monotonic()):
+            return False
+    return True
+
+
+async def news_within(exchange: connections.Exchange, left_s: float) -> bool:
+    """Waits until something new is known of an exchange."""
+    exchange.news.clear()
+    try:
+        async with asyncio.timeout(max(0.0, left_s)):
+            await exchange.news.wait()
+    except TimeoutError:
+        return False
+    return True
+
+
+def crossed(exchange: connections.Exchange, echo: bool) -> bool:
+    """Tells whether the answer belongs to another attempt.
+
+    Args:
+        exchange: Exchange whose head has come.
+        echo: Whether the upstream echoes ids.
+    """
+    if exchange.crossed_id:
+        return True
+    return bool(exchange.reply) and echo and not exchange.reply.answers
 
 
-def _with_cached(stream: connection.StreamConnection, result: Result) -> Result:
+def _with_cached(exchange: connections.Exchange, result: Result) -> Result:
     """Adds how many tokens the upstream found in its cache."""
-    text = stream.headers.get(CACHED_HEADER.lower(), "0")
+    name = CACHED_HEADER.lower().encode()
+    text = replies.first(exchange.headers, name)
     if not hasattr(result, "cached_tokens") or not text.isdigit():
         return result
     return dataclasses.replace(result, cached_tokens=int(text))
--- a/src/_arbutuswalk/relay/pool.py
+++ b/src/_arbutuswalk/streams/pool.py
@@ -1,6 +1,6 @@
-"""Connections to endpoints: few, kept while they are useful, never doubted.
+"""Connections to upstreams: few, kept while they are useful, never doubted.
 
-Endpoints accept a bounded number of connections from all entries together, and
+Upstreams accept a bounded number of connections from all entries together, and
 each new one costs them time.
 """
 
@@ -9,8 +9,8 @@
 from collections.abc import Callable
 
 from _arbutuswalk.base import clock
-from _arbutuswalk.relay import connection as connections
-from _arbutuswalk.relay import request as requests
+from _arbutuswalk.streams import connection as connections
+from _arbutuswalk.streams import replies
 
 CONNECT_S = 0.6
 """Time a connection may take to open: a lost first packet is sent again only
@@ -41,22 +41,22 @@
     """Idle and busy connections by address.
 
     Attributes:
+        read: Tells what an answer's status and headers mean.
+        connect_s: Time a connection may take to open.
         idle: Idle connections by address, the one used last at the end.
-        open: Number of open connections by address.
-        opened: Connections opened so far.
     """
 
     def __init__(
         self,
         *,
-        read: Callable[[int, requests.Headers], requests.Reply],
+        read: Callable[[int, replies.Headers], replies.Reply],
+        connect_s: float = CONNECT_S,
         now: clock.Clock = clock.monotonic,
     ):
         self.read = read
+        self.connect_s = connect_s
         self.now = now
         self.idle: dict[str, list[connections.Connection]] = {}
-        self.open: dict[str, int] = {}
-        self.opened = 0
 
     async def take(
         self, address: str, *, careful: bool
@@ -75,7 +75,7 @@
             if found.usable and now - found.idle_since < _limit(found, careful):
                 return found
             found.abort()
-        return await self._open(address)
+        return await self.open(address)
 
     def give_back(self, used: connections.Connection) -> None:
         """Takes a connection back after its exchange."""
@@ -106,36 +106,55 @@
         for address in list(self.idle):
             self.drop(address)
 
-    async def _open(self, address: str) -> connections.Connection | NotOpened:
-        host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        try:
-            async with asyncio.timeout(CONNECT_S):
-                _, made = await loop.create_connection(
-                    lambda: connections.Connection(
-                        address=address, read=self.read, on_close=self._closed
-                    ),
-                    host,
-                    int(port),
-                )
-        except TimeoutError:
-            return NotOpened(reason="connect timed out", refused=False)
-        except OSError as error:
-            refused = isinstance(error, ConnectionRefusedError)
-            return NotOpened(reason=str(error), refused=refused)
-        self.opened += 1
-        self.open[address] = self.open.get(address, 0) + 1
-        return made
+    async def open(self, address: str) -> connections.Connection | NotOpened:
+        """Returns a new connection."""
+        return await connect(
+            address,
+            read=self.read,
+            timeout_s=self.connect_s,
+            on_close=self._closed,
+        )
 
     def _closed(self, lost: connections.Connection) -> None:
-        self.open[lost.address] = self.open.get(lost.address, 1) - 1
-        if self.open[lost.address] <= 0:
-            del self.open[lost.address]
         kept = self.idle.get(lost.address, [])
         if lost in kept:
             kept.remove(lost)
 
 
+async def connect(
+    address: str,
+    *,
+    read: Callable[[int, replies.Headers], replies.Reply],
+    timeout_s: float,
+    on_close: Callable[[connections.Connection], None] = lambda lost: None,
+) -> connections.Connection | NotOpened:
+    """Opens a connection to ``address``.
+
+    Args:
+        address: ``IP:port`` of the upstream.
+        read: Tells what an answer's status and headers mean.
+        timeout_s: Time it may take.
+        on_close: Called once the connection has closed.
+    """
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, made = await loop.create_connection(
+                lambda: connections.Connection(
+                    address=address, read=read, on_close=on_close
+                ),
+                host,
+                int(port),
+            )
+    except TimeoutError:
+        return NotOpened(reason="connect timed out", refused=False)
+    except OSError as error:
+        refused = isinstance(error, ConnectionRefusedError)
+        return NotOpened(reason=str(error), refused=refused)
+    return made
+
+
 def _limit(kept: connections.Connection, careful: bool) -> float:
     """Returns how long a connection may have been idle to be used."""
     limit = IDLE_S
--- a/testing/ledger_machine.py
+++ b/testing/ledger_machine.py
@@ -36,7 +36,7 @@
         self.runs.append((order.key, order.request_id))
         self.answers[order.key] = f"done {order.key}".encode()
 
-    async def run(self, session, order, *, timeout_s):
+    async def run(self, pool, order, *, timeout_s, fresh):
         if order.method == "GET":
             return self._status(order)
         mode = self.rng.choice(self.modes)
--- /dev/null
+++ b/testing/test_exchange.py
@@ -0,0 +1,138 @@
+"""Calls to plain services over real connections."""
+
+import asyncio
+
+import pytest
+
+from _arbutuswalk.entry import exchange
+from _arbutuswalk.streams import attempts
+from _arbutuswalk.streams import pool
+
+ECHO = b"X-Attempt-Id: mine\r\n"
+WHOLE = b"HTTP/1.1 200 OK\r\n" + ECHO + b"Content-Length: 2\r\n\r\nok"
+
+
+class Service:
+    """Answers each request with the same bytes, then closes if asked to."""
+
+    def __init__(self, reply, close=False):
+        self.reply = reply
+        self.close = close
+        self.heads = []
+        self.connections = 0
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.heads.append(head.decode())
+                writer.write(self.reply)
+                if self.close:
+                    break
+        except asyncio.IncompleteReadError:
+            pass
+        writer.close()
+
+
+def order(port, **changes):
+    values = {
+        "address": f"127.0.0.1:{port}",
+        "method": "GET",
+        "path": "/lots/1",
+        "headers": {"accept": "text/plain"},
+        "body": b"",
+        "request_id": "r",
+        "attempt_id": "mine",
+        "key": "",
+        "priority": 3,
+        "echo": True,
+    }
+    return exchange.Order(**{**values, **changes})
+
+
+@pytest.fixture
+async def made_pool():
+    made = pool.Pool(read=attempts.read_reply)
+    yield made
+    made.close()
+
+
+async def call(made_pool, service, times=1, fresh=False, **changes):
+    server = await asyncio.start_server(service.serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    results = [
+        await exchange.run(
+            made_pool, order(port, **changes), timeout_s=0.3, fresh=fresh
+        )
+        for _ in range(times)
+    ]
+    server.close()
+    return results
+
+
+class TestCalls:
+    async def test_whole_answer(self, made_pool):
+        service = Service(WHOLE)
+        (result,) = await call(made_pool, service, key="k")
+        assert result == exchange.Reply(status=200, content_type="", body=b"ok")
+        assert service.heads[0].startswith("GET /lots/1 HTTP/1.1\r\n")
+        assert "Idempotency-Key: k\r\n" in service.heads[0]
+        assert "X-Attempt-Id: mine\r\n" in service.heads[0]
+
+    async def test_connection_is_kept_for_the_next_call(self, made_pool):
+        service = Service(WHOLE)
+        await call(made_pool, service, times=3)
+        assert service.connections == 1
+
+    async def test_fresh_connection_for_every_call_that_runs_once(
+        self, made_pool
+    ):
+        service = Service(WHOLE)
+        await call(made_pool, service, times=2, fresh=True)
+        assert service.connections == 2
+
+    async def test_path_cannot_add_headers(self, made_pool):
+        service = Service(WHOLE)
+        path = "/lots/1 HTTP/1.1\r\nX-Evil: 1\r\n\r\n?a=b c"
+        await call(made_pool, service, path=path)
+        assert len(service.heads) == 1
+        assert "X-Evil: 1\r\n" not in service.heads[0]
+
+
+class TestNoWholeAnswer:
+    @pytest.mark.parametrize(
+        "reply",
+        [
+            pytest.param(WHOLE[:-1], id="cut"),
+            pytest.param(
+                b"HTTP/1.1 200 OK\r\n" + ECHO + b"\r\nok", id="no-length"
+            ),
+            pytest.param(WHOLE.replace(b"mine", b"other"), id="crossed"),
+            pytest.param(WHOLE.replace(ECHO, b""), id="no-echo"),
+            pytest.param(b"garbage\r\n\r\n", id="not-http"),
+        ],
+    )
+    async def test_outcome_is_unclear(self, made_pool, reply):
+        (result,) = await call(made_pool, Service(reply, close=True))
+        assert isinstance(result, exchange.Lost)
+        assert not made_pool.idle
+
+    async def test_silence(self, made_pool):
+        (result,) = await call(made_pool, Service(b""))
+        assert result == exchange.Lost(reason="no whole answer in time")
+
+    async def test_answer_too_large(self, made_pool, monkeypatch):
+        monkeypatch.setattr(exchange, "MAX_REPLY_BYTES", 1)
+        (result,) = await call(made_pool, Service(WHOLE))
+        assert result == exchange.Lost(reason="answer too large")
+
+    async def test_refused_connection_has_sent_nothing(self, made_pool):
+        server = await asyncio.start_server(Service(b"").serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        server.close()
+        await server.wait_closed()
+        result = await exchange.run(
+            made_pool, order(port), timeout_s=0.3, fresh=False
+        )
+        assert isinstance(result, exchange.NotOpened)
--- a/testing/test_relay.py
+++ b/testing/test_relay.py
@@ -6,10 +6,10 @@
 import relays
 
 from _arbutuswalk.relay import attempts
-from _arbutuswalk.relay import connection
 from _arbutuswalk.relay import relaying
 from _arbutuswalk.routing import directory
 from _arbutuswalk.state import routeconfig
+from _arbutuswalk.streams import connection
 
 ONCE = relays.make_route(kind=routeconfig.ONCE, max_attempts=1)
 STREAM = relays.make_route(
--- a/testing/worlds.py
+++ b/testing/worlds.py
@@ -168,7 +168,6 @@
         values={**VALUES, "id": name},
         incarnation=incarnation,
         session=None,
-        fresh_session=None,
         now=loop.time,
         wall=loop.time,
     )
