--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -96,6 +96,10 @@
     DISK_REFUSED = (668, "disk refused a write reason=%s")
     ANNOUNCEMENT_BAD = (669, "announcement unreadable id=%s reason=%s")
 
+    ROUTES_UNREADABLE = (
+        671,
+        "routes unreadable address=%s reason=%s",
+    )
     DEATH_NOTED = (670, "death noted request=%s endpoint=%s")
 
     @property
--- a/src/_arbutuswalk/control/hub.py
+++ b/src/_arbutuswalk/control/hub.py
@@ -19,6 +19,7 @@
 from _arbutuswalk.control import member as members
 from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory as directories
+from _arbutuswalk.wire import packed
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
 WATCH_WAIT_S = 0.4
@@ -33,6 +34,9 @@
 """Longest wait for entries to learn that an endpoint leaves; the announcing
 side allows one second for the answer."""
 
+ROUTES_PART_BYTES = 32 * 1024
+"""Size of a part of a configuration: 0.05 s over a link of 5 Mbit/s."""
+
 
 class EntryState(NamedTuple):
     """An entry as this member knows it.
@@ -60,6 +64,8 @@
         entries: State by entry id and incarnation.
         changed: Set and replaced when there is news.
         metrics: Counters of this process.
+        packed_routes: Configuration of routes as entries fetch it.
+        packed_version: Version of it.
     """
 
     def __init__(self, *, member: members.Member):
@@ -71,6 +77,8 @@
         self.now: clock.Clock = member.now
         self.wall: clock.Clock = member.wall
         self.metrics = metrics.Metrics()
+        self.packed_version = 0
+        self.packed_routes = b""
 
     def announce(self, said: directories.Endpoint) -> bool:
         """Takes an announcement and passes it on to the other members."""
@@ -155,7 +163,7 @@
         return ttypes.WatchReply(
             session=self.session,
             version=self.directory.revision,
-            news=json.dumps(self._news(message, revision)).encode(),
+            news=packed.pack(self._news(revision)),
         )
 
     def wake(self) -> None:
@@ -222,7 +230,7 @@
         self.entries[message.entry, message.incarnation] = EntryState(
             message.incarnation,
             revision,
-            json.loads(message.report),
+            packed.unpack(message.report),
             self.now(),
         )
 
@@ -234,10 +242,24 @@
             return True
         return directories.has_news_since(self.directory, revision)
 
-    def _news(self, message: ttypes.Watch, revision: int) -> dict[str, Any]:
+    def routes_part(self, message: ttypes.RoutesRequest) -> ttypes.RoutesPart:
+        """Returns a part of the packed configuration of routes."""
+        tables = self.member.tables
+        if self.packed_version != tables.routes_version:
+            self.packed_version = tables.routes_version
+            self.packed_routes = packed.pack(tables.routes)
+        end = message.offset + ROUTES_PART_BYTES
+        return ttypes.RoutesPart(
+            version=self.packed_version,
+            size=len(self.packed_routes),
+            data=self.packed_routes[message.offset : end],
+        )
+
+    def _news(self, revision: int) -> dict[str, Any]:
         tables = self.member.tables
         known = self.known_entries()
-        news = {
+        return {
+            "routes_version": tables.routes_version,
             "endpoints": directories.since(self.directory, revision),
             "members": self.member_addresses(),
             "rollouts": tables.rollouts,
@@ -251,9 +273,6 @@
                 [report.get("deaths", {}) for report in self.reports()]
             ),
         }
-        if tables.routes_version > message.routes_version:
-            news["routes"] = tables.routes
-        return news
 
     def _deciding_term(self) -> int:
         """Returns the term in which this member decides alone, or 0."""
--- a/src/_arbutuswalk/control/service.py
+++ b/src/_arbutuswalk/control/service.py
@@ -62,6 +62,8 @@
             return await self._read(message)
         if isinstance(message, ttypes.Watch):
             return await self.hub.watch(message)
+        if isinstance(message, ttypes.RoutesRequest):
+            return self.hub.routes_part(message)
         if isinstance(message, ttypes.UpstreamNews):
             for said in message.announcements:
                 self.hub.take(directory.from_json(json.loads(said)))
--- a/src/_arbutuswalk/relay/watching.py
+++ b/src/_arbutuswalk/relay/watching.py
@@ -5,18 +5,19 @@
 """
 
 import asyncio
-import json
 import statistics
 from collections.abc import Awaitable
 from typing import Any
 
 from _arbutuswalk.base import events
 from _arbutuswalk.relay import core
+from _arbutuswalk.relay import fetching
 from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory
 from _arbutuswalk.routing import routetable
 from _arbutuswalk.state import routeconfig
 from _arbutuswalk.wire import link
+from _arbutuswalk.wire import packed
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
 WATCH_TIMEOUT_S = 1.2
@@ -40,6 +41,7 @@
         heard_at: When it last answered, in seconds.
         term: Term in which it decides alone, 0 if it does not.
         answered: Whether its last answer was good.
+        routes_version: Newest configuration of routes that it told of.
         wall_offset: Its time of day less ours, None before it answered.
         reported_loads: Own loads that it was last told, by endpoint.
         reported_taken: Own quota takings that it was last told, by workspace.
@@ -52,6 +54,7 @@
         self.revision = 0
         self.heard_at = now
         self.answered = False
+        self.routes_version = 0
         self.term = 0
         self.wall_offset: float | None = None
         self.reported_taken: dict[str, float] = {}
@@ -69,6 +72,7 @@
         feeds: Feed by link address.
         hears_since: Since when some control process has answered without a
             gap, None while none does.
+        fetching: Fetches a new configuration, None while there is none.
     """
 
     def __init__(self, *, relay: core.Relay, seeds: list[str], listens_on: str):
@@ -77,6 +81,7 @@
         self.listens_on = listens_on
         self.feeds: dict[str, Feed] = {}
         self.hears_since: float | None = None
+        self.fetching: asyncio.Task | None = None
 
     def tick(self) -> None:
         """Watches new members and stops watching those that are gone."""
@@ -116,6 +121,8 @@
 
     async def stop(self) -> None:
         """Stops watching."""
+        if self.fetching is not None:
+            self.fetching.cancel()
         for feed in self.feeds.values():
             feed.task.cancel()
         for feed in self.feeds.values():
@@ -155,8 +162,8 @@
             incarnation=self.relay.incarnation,
             session=feed.session,
             version=feed.revision,
-            routes_version=self.relay.routes_version,
-            report=json.dumps(report).encode(),
+            routes_version=max(feed.routes_version, self.relay.routes_version),
+            report=packed.pack(report),
         )
 
     def _report(self) -> dict[str, Any]:
@@ -186,7 +193,7 @@
 
     def _take(self, feed: Feed, reply: ttypes.WatchReply) -> None:
         now = self.relay.now()
-        news = json.loads(reply.news)
+        news = packed.unpack(reply.news)
         if not feed.answered:
             feed.answered = True
             events.record(
@@ -201,8 +208,8 @@
             directory.announce(self.relay.directory, said, now)
         for address in news["members"]:
             self._follow(address)
-        if "routes" in news:
-            take_routes(self.relay, news["routes"], feed.address)
+        feed.routes_version = news["routes_version"]
+        self._follow_routes(feed)
         self._take_rollouts(news["rollouts"])
         self._take_loads(feed, news["loads"])
         self._take_quotas(feed, news["taken"])
@@ -212,6 +219,22 @@
         self._agree_on_time()
         self.relay.tell()
 
+    def _follow_routes(self, feed: Feed) -> None:
+        """Fetches a newer configuration than the one that is served."""
+        idle = self.fetching is None or self.fetching.done()
+        if idle and feed.routes_version > self.relay.routes_version:
+            self.fetching = asyncio.ensure_future(
+                fetching.fetch(
+                    lambda: list(self.feeds.values()),
+                    lambda: self.relay.routes_version,
+                    self._serve_routes,
+                )
+            )
+
+    def _serve_routes(self, values: dict[str, Any], source: str) -> None:
+        take_routes(self.relay, values, source)
+        self.relay.tell()
+
     def _take_rollouts(self, rollouts: dict[str, list]) -> None:
         """Keeps the newest step of each rollout, whoever told of it."""
         for upstream, row in rollouts.items():
--- a/src/_arbutuswalk/wire/arbutuswalk.thrift
+++ b/src/_arbutuswalk/wire/arbutuswalk.thrift
@@ -132,14 +132,24 @@
   2: required i64 incarnation,
   3: required string session, // control process's start that `version` is of
   4: required i64 version, // last version of its directory that was taken
-  5: required i64 routes_version, // configuration of routes that is served
-  6: required binary report, // JSON
+  5: required i64 routes_version, // newest configuration of routes it knows of
+  6: required binary report, // packed JSON
 }
 
 struct WatchReply {
   1: required string session,
   2: required i64 version,
-  3: required binary news, // JSON
+  3: required binary news, // packed JSON
+}
+
+struct RoutesRequest {
+  1: required i64 offset, // of the part asked for
+}
+
+struct RoutesPart {
+  1: required i64 version, // configuration of routes that the part is of
+  2: required i64 size, // of the whole packed configuration
+  3: required binary data,
 }
 
 // Between entries.
@@ -214,6 +224,8 @@
   23: TakeReply take_reply,
   24: Watch watch,
   25: WatchReply watch_reply,
+  26: RoutesRequest routes_request,
+  27: RoutesPart routes_part,
 }
 
 struct Frame {
--- a/src/_arbutuswalk/wire/gen/arbutus/ttypes.py
+++ b/src/_arbutuswalk/wire/gen/arbutus/ttypes.py
@@ -1990,6 +1990,174 @@
         return not (self == other)
 
 
+class RoutesRequest(object):
+    """
+    Attributes:
+     - offset
+
+    """
+
+    __slots__ = (
+        'offset',
+    )
+
+
+    def __init__(self, offset=None,):
+        self.offset = offset
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RoutesRequest')
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 1)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.offset is None:
+            raise TProtocolException(message='Required field offset is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RoutesPart(object):
+    """
+    Attributes:
+     - version
+     - size
+     - data
+
+    """
+
+    __slots__ = (
+        'version',
+        'size',
+        'data',
+    )
+
+
+    def __init__(self, version=None, size=None, data=None,):
+        self.version = version
+        self.size = size
+        self.data = data
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.size = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.data = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RoutesPart')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 1)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.size is not None:
+            oprot.writeFieldBegin('size', TType.I64, 2)
+            oprot.writeI64(self.size)
+            oprot.writeFieldEnd()
+        if self.data is not None:
+            oprot.writeFieldBegin('data', TType.STRING, 3)
+            oprot.writeBinary(self.data)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
+        if self.size is None:
+            raise TProtocolException(message='Required field size is unset!')
+        if self.data is None:
+            raise TProtocolException(message='Required field data is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class UpstreamNews(object):
     """
     Attributes:
@@ -2758,6 +2926,8 @@
      - take_reply
      - watch
      - watch_reply
+     - routes_request
+     - routes_part
 
     """
 
@@ -2787,10 +2957,12 @@
         'take_reply',
         'watch',
         'watch_reply',
+        'routes_request',
+        'routes_part',
     )
 
 
-    def __init__(self, vote_request=None, vote_reply=None, append_request=None, append_reply=None, snapshot_offer=None, piece_request=None, piece=None, hello=None, submit=None, submit_reply=None, sync=None, sync_reply=None, read_request=None, read_reply=None, upstream_news=None, copy_request=None, copy_progress=None, done=None, dump=None, dump_reply=None, ping=None, take_request=None, take_reply=None, watch=None, watch_reply=None,):
+    def __init__(self, vote_request=None, vote_reply=None, append_request=None, append_reply=None, snapshot_offer=None, piece_request=None, piece=None, hello=None, submit=None, submit_reply=None, sync=None, sync_reply=None, read_request=None, read_reply=None, upstream_news=None, copy_request=None, copy_progress=None, done=None, dump=None, dump_reply=None, ping=None, take_request=None, take_reply=None, watch=None, watch_reply=None, routes_request=None, routes_part=None,):
         self.vote_request = vote_request
         self.vote_reply = vote_reply
         self.append_request = append_request
@@ -2816,6 +2988,8 @@
         self.take_reply = take_reply
         self.watch = watch
         self.watch_reply = watch_reply
+        self.routes_request = routes_request
+        self.routes_part = routes_part
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2976,6 +3150,18 @@
                     self.watch_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 26:
+                if ftype == TType.STRUCT:
+                    self.routes_request = RoutesRequest()
+                    self.routes_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 27:
+                if ftype == TType.STRUCT:
+                    self.routes_part = RoutesPart()
+                    self.routes_part.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3086,6 +3272,14 @@
             oprot.writeFieldBegin('watch_reply', TType.STRUCT, 25)
             self.watch_reply.write(oprot)
             oprot.writeFieldEnd()
+        if self.routes_request is not None:
+            oprot.writeFieldBegin('routes_request', TType.STRUCT, 26)
+            self.routes_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.routes_part is not None:
+            oprot.writeFieldBegin('routes_part', TType.STRUCT, 27)
+            self.routes_part.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3348,6 +3542,18 @@
     (2, TType.I64, 'version', None, None, ),  # 2
     (3, TType.STRING, 'news', 'BINARY', None, ),  # 3
 )
+all_structs.append(RoutesRequest)
+RoutesRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'offset', None, None, ),  # 1
+)
+all_structs.append(RoutesPart)
+RoutesPart.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version', None, None, ),  # 1
+    (2, TType.I64, 'size', None, None, ),  # 2
+    (3, TType.STRING, 'data', 'BINARY', None, ),  # 3
+)
 all_structs.append(UpstreamNews)
 UpstreamNews.thrift_spec = (
     None,  # 0
@@ -3426,6 +3632,8 @@
     (23, TType.STRUCT, 'take_reply', [TakeReply, None], None, ),  # 23
     (24, TType.STRUCT, 'watch', [Watch, None], None, ),  # 24
     (25, TType.STRUCT, 'watch_reply', [WatchReply, None], None, ),  # 25
+    (26, TType.STRUCT, 'routes_request', [RoutesRequest, None], None, ),  # 26
+    (27, TType.STRUCT, 'routes_part', [RoutesPart, None], None, ),  # 27
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
--- a/testing/test_duties.py
+++ b/testing/test_duties.py
@@ -1,7 +1,6 @@
 """Duties by one holder, usage reports, the hub and remembered endpoints."""
 
 import asyncio
-import json
 import pathlib
 
 import pytest
@@ -15,6 +14,7 @@
 from _arbutuswalk.control import usage_reports
 from _arbutuswalk.routing import directory
 from _arbutuswalk.state import tables as rows
+from _arbutuswalk.wire import packed
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
 OPTIONS = duties.Options(
@@ -64,7 +64,7 @@
         session=hub.session,
         version=version,
         routes_version=0,
-        report=json.dumps({"ready": True, "address": entry, **report}).encode(),
+        report=packed.pack({"ready": True, "address": entry, **report}),
     )
 
 
@@ -142,7 +142,7 @@
         hub = make_parts().hub
         hub.take(test_crashes.make_endpoint("a"))
         reply = await hub.watch(watch(hub))
-        news = json.loads(reply.news)
+        news = packed.unpack(reply.news)
         assert [each[0] for each in news["endpoints"]] == ["a"]
         assert reply.version == hub.directory.revision
 
@@ -155,7 +155,32 @@
         await asyncio.sleep(0)
         hub.take(test_crashes.make_endpoint("a"))
         reply = await asyncio.wait_for(waiting, 10)
-        assert json.loads(reply.news)["endpoints"]
+        assert packed.unpack(reply.news)["endpoints"]
+
+    def test_a_configuration_is_told_of_and_sent_in_parts(self, monkeypatch):
+        monkeypatch.setattr(hubs, "ROUTES_PART_BYTES", 7)
+        parts = make_parts()
+        tables = parts.member.tables
+        tables.routes_version, tables.routes = 4, {"version": 4, "routes": []}
+        assert parts.hub._news(0)["routes_version"] == 4
+        data = b""
+        while True:
+            request = ttypes.RoutesRequest(offset=len(data))
+            part = parts.hub.routes_part(request)
+            data += part.data
+            if len(data) >= part.size:
+                break
+        assert packed.unpack(data) == tables.routes
+
+    async def test_a_watch_waits_once_it_was_told_of_a_version(self):
+        """Fetching takes a while; telling again would answer at once."""
+        parts = make_parts()
+        parts.member.tables.routes_version = 4
+        first = await parts.hub.watch(watch(parts.hub))
+        told = watch(parts.hub, version=first.version)
+        assert parts.hub._has_news(told, first.version)
+        told.routes_version = 4
+        assert not parts.hub._has_news(told, first.version)
 
     async def test_leaving_is_confirmed_once_every_entry_has_it(self):
         parts = make_parts()
--- a/testing/test_watching.py
+++ b/testing/test_watching.py
@@ -9,6 +9,7 @@
 from _arbutuswalk.relay import core
 from _arbutuswalk.relay import watching
 from _arbutuswalk.routing import directory
+from _arbutuswalk.wire import packed
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
 
@@ -42,8 +43,9 @@
         "wall": 0.0,
         "term": 1,
         "refused": [],
+        "routes_version": 0,
     }
-    payload = json.dumps({**values, **changes}).encode()
+    payload = packed.pack({**values, **changes})
     return ttypes.WatchReply(session="s", version=1, news=payload)
 
 
@@ -94,8 +96,17 @@
         watcher, feed = make_watcher()
         before = watcher.relay.table
         config = json.loads(json.dumps(relays.make_config(version=1)._asdict()))
-        watcher._take(feed, news(routes=config))
+        watcher._serve_routes(config, "test")
+        watcher._take(feed, news(routes_version=1))
         assert watcher.relay.table is before
+        assert watcher.fetching is None
+
+    async def test_a_newer_configuration_is_fetched_and_not_told_again(self):
+        watcher, feed = make_watcher()
+        watcher._take(feed, news(routes_version=5))
+        assert not watcher.fetching.done()
+        assert watcher._message(feed).routes_version == 5
+        watcher.fetching.cancel()
 
     def test_own_loads_are_taken_out_of_the_sums(self):
         watcher, feed = make_watcher()
