--- a/src/_arbutuswalk/agreement/membership.py
+++ b/src/_arbutuswalk/agreement/membership.py
@@ -23,6 +23,21 @@
     )
 
 
+def greeted(replica: replicas.Replica, now: float) -> set[str]:
+    """Returns the addresses of the group to say hello to.
+
+    Members that said hello lately count too: one that lost its disk knows only
+    the configured addresses, and the leader need not be at any of them.
+    """
+    known = set(replica.log.members.addresses.values())
+    heard = {
+        seen.address
+        for seen in replica.seen.values()
+        if now - seen.at < FRESH_S
+    }
+    return (known | heard | {*replica.peers}) - {replica.address}
+
+
 def on_hello(
     replica: replicas.Replica, message: ttypes.Hello, now: float
 ) -> None:
--- a/src/_arbutuswalk/control/member.py
+++ b/src/_arbutuswalk/control/member.py
@@ -290,9 +290,8 @@
 
     def _say_hello(self) -> None:
         message = membership.hello(self.replica)
-        known = set(self.replica.log.members.addresses.values())
-        peers = self.core.identity.peers
-        for address in {*peers, *self.seeds, *known} - {self.address}:
+        greeted = membership.greeted(self.replica, self.now())
+        for address in (greeted | {*self.seeds}) - {self.address}:
             self.link_to(address).post(message)
 
     async def stop(self) -> None:
--- a/testing/fakes.py
+++ b/testing/fakes.py
@@ -100,7 +100,9 @@
     def start(self):
         self.core = replicated.Replicated(
             data=self.folder,
-            identity=replicated.Identity(self.address, self.peers, 3),
+            identity=replicated.Identity(
+                self.address, self.peers, self.cluster.target_voters
+            ),
             timing=TIMING,
             rng=random.Random(self.cluster.rng.random()),
             snapshot_every=self.cluster.snapshot_every,
@@ -140,13 +142,22 @@
         on_apply: Called with (node, applied) for each applied entry.
     """
 
-    def __init__(self, seed=0, spares=0, snapshot_every=15):
+    def __init__(
+        self,
+        seed=0,
+        spares=0,
+        snapshot_every=15,
+        founders=3,
+        target_voters=3,
+    ):
         self.rng = random.Random(seed)
         self.now = 100.0
         self.snapshot_every = snapshot_every
-        addresses = [f"127.0.0.1:{7000 + i}" for i in range(3 + spares)]
-        founders = tuple(addresses[:3])
-        self.nodes = {a: Node(self, a, founders) for a in addresses}
+        self.target_voters = target_voters
+        count = founders + spares
+        addresses = [f"127.0.0.1:{7000 + i}" for i in range(count)]
+        peers = tuple(addresses[:founders])
+        self.nodes = {a: Node(self, a, peers) for a in addresses}
         self.cut = set()
         self.loss = 0.0
         self.duplicate = 0.0
@@ -232,9 +243,9 @@
             if not node.up or node.paused:
                 continue
             message = membership.hello(node.core.replica)
-            for other in self.nodes:
-                if other != node.address:
-                    self.wires.append((node.address, other, "", message))
+            greeted = membership.greeted(node.core.replica, self.now)
+            for other in greeted & {*self.nodes}:
+                self.wires.append((node.address, other, "", message))
 
     def _deliver(self):
         wires, self.wires = self.wires, []
@@ -274,14 +285,15 @@
         return None
 
     def repair(self, seconds=30.0):
-        """Waits until the group has three voters, each with its disk."""
+        """Waits until the group is complete, each voter with its disk."""
         for _ in range(int(seconds / 0.5)):
             leader = self.settle()
             assert leader is not None, "no leader after healing"
             self.run(0.5)
             members = leader.core.replica.log.members
             present = {n.core.replica.member for n in self.nodes.values()}
-            if len(members.voters) == 3 and present.issuperset(members.voters):
+            complete = len(members.voters) == self.target_voters
+            if complete and present.issuperset(members.voters):
                 return True
         return False
 
--- a/testing/test_agreement.py
+++ b/testing/test_agreement.py
@@ -106,6 +106,47 @@
         assert cluster.leader() is leader
 
 
+class TestMembersBesideTheSeeds:
+    """Five voters of which the configured addresses name three."""
+
+    @pytest.fixture
+    def cluster(self):
+        made = fakes.Cluster(seed=5, spares=2, target_voters=5)
+        assert made.repair()
+        return made
+
+    def test_leader_at_no_seed_takes_a_member_without_its_disk_in(
+        self, cluster
+    ):
+        seeds = list(cluster.nodes)[:3]
+        while cluster.leader().address in seeds:
+            old = cluster.leader()
+            old.crash()
+            cluster.run(3.0)
+            old.start()
+            cluster.run(3.0)
+        cluster.nodes[seeds[1]].lose_disk()
+        cluster.run(0.5)
+        cluster.nodes[seeds[1]].start()
+        assert cluster.repair()
+
+    def test_two_more_losses_at_once_are_survived_then(self, cluster):
+        """The chain of trouble-2 of the users' grown telemetry site."""
+        self.test_leader_at_no_seed_takes_a_member_without_its_disk_in(cluster)
+        command = commands.RegisterEntry("e", 1, "a", "l", "d", 1, "r")
+        assert cluster.propose(command, "last")
+        while "last" not in cluster.acked:
+            cluster.run(0.02)
+        leader = cluster.leader()
+        others = [n for n in cluster.nodes.values() if n is not leader]
+        for node in (leader, others[-1]):
+            node.lose_disk()
+        for node in others[:-1]:
+            node.crash()
+        assert cluster.settle() is not None
+        assert "e" in cluster.leader().core.tables.entries
+
+
 class TestReplacement:
     def test_spare_takes_the_place_of_a_silent_voter(self):
         cluster = fakes.Cluster(seed=3, spares=1)
