--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format fuzz bench plots gen clean
+.PHONY: demo test lint format fuzz bench plots gen clean soak
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -38,3 +38,6 @@
 
 clean:
 	rm -rf $(VENV) build *.egg-info
+
+soak: $(STAMP)
+	PYTHONPATH=testing:platform $(BIN)/python -m soak --seeds 50 --jobs 3
--- /dev/null
+++ b/testing/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: the real programs under faults from outside them."""
