--- a/src/_arbutuswalk/wire/link.py
+++ b/src/_arbutuswalk/wire/link.py
@@ -108,10 +108,11 @@
                     asyncio.open_connection(host, int(port)),
                     CONNECT_TIMEOUT_S,
                 )
+                sockets.detect_silence(writer.get_extra_info("socket"))
             except (TimeoutError, OSError) as error:
+                # The connection may be lost again before its socket is set up.
                 reason = str(error) or "connect timed out"
                 return LinkDown(reason=reason, sent=False)
-            sockets.detect_silence(writer.get_extra_info("socket"))
             self.writer = writer
             self.heard_at = self.now()
             self._spawn(self._read(reader, writer))
@@ -220,8 +221,8 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.writers.add(writer)
-        sockets.detect_silence(writer.get_extra_info("socket"))
         try:
+            sockets.detect_silence(writer.get_extra_info("socket"))
             while True:
                 decoded = await read_frame(reader)
                 if decoded is None:
@@ -233,6 +234,8 @@
                     )
                     return
                 self._dispatch(decoded, writer)
+        except OSError:
+            return  # lost before its socket was set up
         finally:
             self.writers.discard(writer)
             writer.transport.abort()
--- a/testing/platform_world.py
+++ b/testing/platform_world.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import signal
 import subprocess
 import sys
 
@@ -46,6 +47,18 @@
     }
 
 
+def runs_python(process):
+    """Tells whether a process has got as far as its own first lines.
+
+    Before that no program can decide what a signal does to it; they set
+    SIGHUP aside first of all, which shows in the kernel's list.
+    """
+    status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+    masks = dict(line.split(":\t", 1) for line in status.splitlines())
+    taken = int(masks["SigIgn"], 16) | int(masks["SigCgt"], 16)
+    return bool(taken & 1 << (signal.SIGHUP - 1))
+
+
 class World:
     """Three control processes, two entries and endpoints that announce."""
 
--- a/testing/soak/__main__.py
+++ b/testing/soak/__main__.py
@@ -22,10 +22,7 @@
         async with gate:
             folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
             made = soak.Soak(folder=folder, seed=seed, net=1 + seed % NETS)
-            try:
-                lines = await made.run(arguments.seconds)
-            except AssertionError as error:
-                lines = [f"never healed: {error}"]
+            lines = await made.run(arguments.seconds)
             good = sum(each.status == 200 for each in made.tried)
             print(
                 f"seed {seed}: {len(made.tried)} tried, {good} served,"
@@ -36,6 +33,7 @@
                 print(f"  {line}  (logs in {folder})", flush=True)
             if lines:
                 failed.append(seed)
+                (folder / "faults.txt").write_text("\n".join(made.done))
             else:
                 shutil.rmtree(folder)
 
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -4,6 +4,8 @@
 import shutil
 import signal
 
+import platform_world
+
 
 async def kill_entry(soak, rng):
     """Ends an entry without warning and starts it again."""
@@ -38,7 +40,9 @@
     """Has a process read its settings again."""
     ip = rng.choice([*soak.world.entries, *soak.world.controls])
     async with soak.holding(ip):
-        soak.world.running[ip].send_signal(signal.SIGHUP)
+        process = soak.world.running[ip]
+        if platform_world.runs_python(process):
+            process.send_signal(signal.SIGHUP)
 
 
 async def kill_control(soak, rng):
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -39,7 +39,7 @@
         acked: Highest version that was acknowledged.
         leaving: (endpoint, from, until) in which nothing may arrive.
         disturbed_at: When a process was last disturbed, by IP.
-        done: Names of the faults that were injected.
+        done: Times and names of the faults that were injected.
     """
 
     def __init__(self, *, folder, seed, net):
@@ -143,6 +143,8 @@
             await self._begin()
             await self._disturb(seconds)
             return await self._heal_and_check()
+        except AssertionError as error:
+            return [f"never healed: {error}", *self.down()]
         finally:
             await self._end()
 
@@ -192,8 +194,23 @@
         while loop.time() < until:
             await asyncio.sleep(rng.uniform(0, PAUSE_S))
             fault = rng.choice(faults.ALL)
-            self.done.append(fault.__name__)
+            self._note(fault, "begins")
             await fault(self, rng)
+            self._note(fault, "ends")
+
+    def _note(self, fault, what):
+        at = asyncio.get_running_loop().time()
+        self.done.append(f"{at:.3f} {fault.__name__} {what}")
+
+    def down(self):
+        """Returns processes that should run and do not."""
+        ips = [*self.world.controls, *self.world.entries]
+        return [
+            f"{ip} is down: {process and process.poll()}"
+            for ip in ips
+            for process in [self.world.running.get(ip)]
+            if process is None or process.poll() is not None
+        ]
 
     async def _heal_and_check(self):
         for runner in self.runners:
@@ -201,7 +218,8 @@
             if runner.beating is None:
                 await runner.start()
         await self.until_whole()
-        lines = checks.broken(self.tried, self.runs, self.leaving)
+        lines = self.down()
+        lines += checks.broken(self.tried, self.runs, self.leaving)
         status, data = await self.world.operate("GET", "/v1/Configuration.Read")
         found = json.loads(data) if status == 200 else {}
         version = found.get("version", 0)
--- a/testing/test_platform_processes.py
+++ b/testing/test_platform_processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import pathlib
 import shutil
 import signal
@@ -14,6 +15,8 @@
 import pytest
 import relays
 
+from _arbutuswalk.base import settings
+
 
 @pytest.fixture
 async def world(tmp_path):
@@ -169,3 +172,23 @@
             world.start_entry(ip)
         for ip in world.entries:
             await world.until_status(ip, 200)
+
+
+class TestReload:
+    @pytest.mark.parametrize("program", ["entry.py", "control.py"])
+    def test_a_reload_during_the_start_does_not_end_it(self, tmp_path, program):
+        """Found by the soak, seeds 1016, 1017, 1027, 1029 and 1036.
+
+        The process waits for its settings, which come through a pipe.
+        """
+        path = tmp_path / "settings.toml"
+        os.mkfifo(path)
+        process = subprocess.Popen(
+            [sys.executable, str(platform_world.ROOT / "platform" / program)],
+            env={**os.environ, "ARBUTUSWALK_CONFIG": str(path)},
+            stderr=subprocess.DEVNULL,
+        )
+        with path.open("w") as pipe:
+            process.send_signal(signal.SIGHUP)
+            pipe.write("not toml")
+        assert process.wait(processes.STOP_S) == settings.EXIT_BAD_SETTINGS
--- a/testing/test_wire.py
+++ b/testing/test_wire.py
@@ -102,6 +102,18 @@
         assert not reply.sent
         await client.stop()
 
+    async def test_connection_lost_before_its_socket_is_set_up(
+        self, client, monkeypatch
+    ):
+        """Found by the soak, seed 1036: the error ended a watch for good."""
+
+        def fail(_):
+            raise OSError(9, "Bad file descriptor")
+
+        monkeypatch.setattr(link.sockets, "detect_silence", fail)
+        reply = await client.call(ttypes.Dump(), timeout_s=1)
+        assert isinstance(reply, link.LinkDown)
+
     async def test_lost_connection_fails_calls_at_once(self, client, server):
         waiting = asyncio.ensure_future(
             client.call(submit(b"slow"), timeout_s=30)
