--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -95,12 +95,9 @@
     SETTINGS_RELOADED = (667, "settings reloaded outcome=%s")
     DISK_REFUSED = (668, "disk refused a write reason=%s")
     ANNOUNCEMENT_BAD = (669, "announcement unreadable id=%s reason=%s")
-
-    ROUTES_UNREADABLE = (
-        671,
-        "routes unreadable address=%s reason=%s",
-    )
     DEATH_NOTED = (670, "death noted request=%s endpoint=%s")
+    ROUTES_UNREADABLE = (671, "routes unreadable address=%s reason=%s")
+    ENDPOINTS_UNREADABLE = (672, "endpoints unreadable reason=%s")
 
     @property
     def number(self) -> int:
@@ -114,12 +111,16 @@
 
 
 def log(event: Event, *fields: object) -> None:
-    """Logs ``event`` at info level with its number."""
+    """Logs ``event`` at info level, or as a structured line if those are on."""
+    if lines.current() is not None:
+        record(event, *fields)
+        return
     logging.info("E%d " + event.message, event.number, *fields)
 
 
 def warn(event: Event, *fields: object) -> None:
-    """Logs ``event`` at warning level with its number."""
+    """Logs ``event`` at warning level, and as a structured line if on."""
+    record(event, *fields)
     logging.warning("E%d " + event.message, event.number, *fields)
 
 
--- a/src/_arbutuswalk/control/remembered.py
+++ b/src/_arbutuswalk/control/remembered.py
@@ -10,6 +10,7 @@
 import os
 import pathlib
 
+from _arbutuswalk.base import events
 from _arbutuswalk.routing import directory
 
 NAME = "endpoints.json"
@@ -52,7 +53,10 @@
     try:
         said = json.loads(path.read_text(encoding="utf-8"))
         return [directory.from_json(fields) for fields in said]
-    except (OSError, ValueError, TypeError):
+    except FileNotFoundError:
+        return []  # the first start
+    except (OSError, ValueError, TypeError) as error:
+        events.record(events.Event.ENDPOINTS_UNREADABLE, str(error))
         return []
 
 
--- a/testing/soak/__main__.py
+++ b/testing/soak/__main__.py
@@ -7,6 +7,7 @@
 import tempfile
 import time
 
+from soak import regressions
 from soak import soak
 
 NETS = 200
@@ -38,9 +39,11 @@
                 shutil.rmtree(folder)
 
     first = arguments.first or int(time.time())
-    seeds = range(first, first + arguments.seeds)
+    seeds = [*range(first, first + arguments.seeds)]
+    if arguments.regressions:
+        seeds = [*regressions.SEEDS]
     await asyncio.gather(*(one(seed) for seed in seeds))
-    print(f"{len(failed)} of {arguments.seeds} seeds broke: {sorted(failed)}")
+    print(f"{len(failed)} of {len(seeds)} seeds broke: {sorted(failed)}")
     return failed
 
 
@@ -49,5 +52,6 @@
     parser.add_argument("--seeds", type=int, default=5)
     parser.add_argument("--first", type=int, default=0)
     parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--regressions", action="store_true")
     parser.add_argument("--jobs", type=int, default=1)
     raise SystemExit(bool(asyncio.run(main(parser.parse_args()))))
--- a/testing/test_duties.py
+++ b/testing/test_duties.py
@@ -1,7 +1,9 @@
 """Duties by one holder, usage reports, the hub and remembered endpoints."""
 
 import asyncio
+import os
 import pathlib
+import stat
 
 import pytest
 import test_crashes
@@ -218,6 +220,27 @@
 
 
 class TestRemembered:
+    def test_it_outlives_a_loss_of_power_whenever_it_comes(
+        self, tmp_path, monkeypatch
+    ):
+        """Content reaches the disk before its name, the name before success."""
+        steps = []
+        real_fsync, real_rename = os.fsync, pathlib.Path.rename
+
+        def fsync(handle):
+            is_folder = stat.S_ISDIR(os.fstat(handle).st_mode)
+            steps.append("folder" if is_folder else "content")
+            real_fsync(handle)
+
+        def rename(path, target):
+            steps.append("name")
+            return real_rename(path, target)
+
+        monkeypatch.setattr(os, "fsync", fsync)
+        monkeypatch.setattr(pathlib.Path, "rename", rename)
+        remembered.save(str(tmp_path), directory.Directory())
+        assert steps == ["content", "name", "folder"]
+
     def test_what_was_saved_is_read_back(self, tmp_path):
         found = directory.Directory()
         directory.announce(found, test_crashes.make_endpoint("a"), 0.0)
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -11,7 +11,7 @@
 
 
 class TestShortSoak:
-    @pytest.mark.parametrize("seed", [20261204])
+    @pytest.mark.parametrize("seed", [20261204, 1036])
     async def test_promises_hold_under_faults(self, tmp_path, seed):
         made = soak.Soak(folder=tmp_path, seed=seed, net=NET)
         assert await made.run(SECONDS) == []
