--- a/testing/test_crash_processes.py
+++ b/testing/test_crash_processes.py
@@ -6,12 +6,14 @@
 import aiohttp
 import processes
 
+from _arbutuswalk.wire import link
+from _arbutuswalk.wire.gen.arbutus import ttypes
+
 RUNNERS = 4
 MOST_DEATHS = 2
 """Runners that one such request may cost, as the design promises."""
 INNOCENTS, INNOCENT_PAUSE_S = 200, 0.025
 RESENDS, RESEND_PAUSE_S = 50, 0.05
-SETTLE_S = 2.0
 QUARANTINED = 422
 
 
@@ -46,6 +48,22 @@
             assert response.status < 300
 
 
+def knows_all(address):
+    """Returns a check that the entry at a link address has all runners."""
+
+    async def check():
+        asked = link.Link(address=address)
+        reply = await asked.call(ttypes.Dump(), timeout_s=1.0)
+        await asked.stop()
+        if not isinstance(reply, ttypes.DumpReply):
+            return False
+        found = json.loads(reply.state)["upstreams"].values()
+        usable = [row for row in found if row["health"] == "usable"]
+        return len(usable) == RUNNERS
+
+    return check
+
+
 class TestCrashingRequests:
     async def test_one_resent_everywhere_costs_two_runners_at_most(self, world):
         """Each resend meets a runner before the first death is known."""
@@ -53,7 +71,8 @@
         for i in range(RUNNERS):
             world.start_upstream(i, "runner", "model", token_s=0.01)
         await processes.until(world.in_force)
-        await asyncio.sleep(SETTLE_S)
+        for address in world.links[:2]:
+            await processes.until(knows_all(address))
         entries = world.entries[:2]
         async with aiohttp.ClientSession() as session:
             await make_deadly(session, world)
