--- a/testing/test_processes.py
+++ b/testing/test_processes.py
@@ -16,6 +16,8 @@
 from _arbutuswalk.state import outcomes
 
 TIMEOUT_S = 20.0
+LANES = 4
+"""Callers at the same time."""
 
 
 HEADERS = processes.HEADERS
@@ -52,7 +54,8 @@
         await processes.until(world.in_force)
         acked = []
         learnt = collections.defaultdict(set)
-        stop = asyncio.Event()
+        stop, healed = asyncio.Event(), asyncio.Event()
+        served_after = set()
 
         async def write():
             number = 0
@@ -76,6 +79,8 @@
                         said = await claim(session, address, key)
                         learnt[key].add(said)
                         if said == "done":
+                            if healed.is_set():
+                                served_after.add(lane)
                             break
 
         async def break_things():
@@ -94,10 +99,17 @@
                     world.start_upstream(
                         i, "service", "claims", run_log=str(world.run_log)
                     )
+            healed.set()
+            await processes.until(enough)
             stop.set()
 
+        async def enough():
+            """Every lane is served again, and enough calls were done."""
+            done = [key for key, said in learnt.items() if "done" in said]
+            return len(served_after) == LANES and len(done) > 20
+
         await asyncio.gather(
-            write(), *(call(lane) for lane in range(4)), break_things()
+            write(), *(call(lane) for lane in range(LANES)), break_things()
         )
         await processes.until(world.status)
         known = await world.read("entries")
