--- a/src/_arbutuswalk/control/rollouts.py
+++ b/src/_arbutuswalk/control/rollouts.py
@@ -9,6 +9,7 @@
 from _arbutuswalk.control import process
 from _arbutuswalk.routing import directory
 from _arbutuswalk.state import commands
+from _arbutuswalk.state import evidence
 from _arbutuswalk.state import rolloutplan
 from _arbutuswalk.state import rollouts
 from _arbutuswalk.state import tables as rows
@@ -110,17 +111,17 @@
 
 def sum_outcomes(
     reports: list[dict[str, Any]], upstream: str, target: str
-) -> tuple[rolloutplan.Sums, rolloutplan.Sums]:
+) -> tuple[evidence.Sums, evidence.Sums]:
     """Returns the sums of the target and of all other versions."""
-    new = old = rolloutplan.Sums()
+    new = old = evidence.Sums()
     for report in reports:
         for name, version, *counts in report.get("outcomes", []):
             if name != upstream:
                 continue
             if version == target:
-                new = rolloutplan.Sums(*map(sum, zip(new, counts, strict=True)))
+                new = evidence.add(new, counts)
             else:
-                old = rolloutplan.Sums(*map(sum, zip(old, counts, strict=True)))
+                old = evidence.add(old, counts)
     return new, old
 
 
--- a/src/_arbutuswalk/control/systems.py
+++ b/src/_arbutuswalk/control/systems.py
@@ -148,12 +148,12 @@
         return {
             "trials": {
                 f"{move}|{route}": {
-                    "errors": trial.errors.log_evidence,
-                    "slow": trial.slow.log_evidence,
-                    "new_ran": trial.errors.new_ran,
-                    "new_failed": trial.errors.new_failed,
-                    "old_ran": trial.errors.old_ran,
-                    "old_failed": trial.errors.old_failed,
+                    "errors": trial.evidence.errors.log_evidence,
+                    "slow": trial.evidence.slowness.log_evidence,
+                    "new_ran": trial.evidence.errors.new_ran,
+                    "new_failed": trial.evidence.errors.new_failed,
+                    "old_ran": trial.evidence.errors.old_ran,
+                    "old_failed": trial.evidence.errors.old_failed,
                 }
                 for (move, route), trial in self.trials.routes.items()
             }
--- a/src/_arbutuswalk/state/moveplan.py
+++ b/src/_arbutuswalk/state/moveplan.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 
 from _arbutuswalk.state import commands
-from _arbutuswalk.state import compare
+from _arbutuswalk.state import evidence
 from _arbutuswalk.state import inventory as inventories
 from _arbutuswalk.state import moves
 from _arbutuswalk.state import tables as rows
@@ -36,33 +36,18 @@
 CAREFUL_FACTOR = 2
 
 
-class Sums(NamedTuple):
-    """Outcomes of one version on one route, over all entries."""
-
-    ran: int = 0
-    errors: int = 0
-    slow: int = 0
-    timed: int = 0
-
-
 class RouteTrial:
     """Evidence on one route of a move.
 
     Attributes:
-        errors: Test of failures.
-        slow: Test of slowness.
-        old: Sums of the old version already counted.
-        new: Sums of the new version already counted.
+        evidence: Outcomes of both versions.
         ran_in_step: Good outcomes of the new version since the last step.
         started_ms: When the trial began.
         step_ms: When the share last changed.
     """
 
-    def __init__(self, *, old: Sums, new: Sums, now_ms: int):
-        self.errors = compare.Comparison()
-        self.slow = compare.Comparison()
-        self.old = old
-        self.new = new
+    def __init__(self, *, old: evidence.Sums, new: evidence.Sums, now_ms: int):
+        self.evidence = evidence.Evidence(new=new, old=old)
         self.ran_in_step = 0
         self.started_ms = now_ms
         self.step_ms = now_ms
@@ -95,13 +80,14 @@
 
 def sum_reports(
     reports: dict[str, dict[str, Any]],
-) -> dict[str, Sums]:
+) -> dict[str, evidence.Sums]:
     """Adds up the entries' counts by ``upstream|version|route``."""
-    sums: dict[str, Sums] = {}
+    sums: dict[str, evidence.Sums] = {}
     for report in reports.values():
         for side, counts in report.get("evidence", {}).items():
-            before = sums.get(side, Sums())
-            sums[side] = Sums(*map(sum, zip(before, counts, strict=True)))
+            ran, errors, slow, timed = counts
+            before = sums.get(side, evidence.Sums())
+            sums[side] = evidence.add(before, (ran, errors, timed, slow))
     return sums
 
 
@@ -145,7 +131,7 @@
     tables: rows.Tables,
     move: str,
     row: rows.MoveRow,
-    sums: dict[str, Sums],
+    sums: dict[str, evidence.Sums],
     present: set[tuple[str, str]],
     trials: Trials,
     now_ms: int,
@@ -173,47 +159,26 @@
 def _collect(
     move: str,
     row: rows.MoveRow,
-    sums: dict[str, Sums],
+    sums: dict[str, evidence.Sums],
     trials: Trials,
     now_ms: int,
 ) -> str:
     """Feeds new outcomes to the tests; returns a fault they prove."""
     for route in row.shares:
-        old = sums.get(f"{row.upstream}|{row.old}|{route}", Sums())
-        new = sums.get(f"{row.upstream}|{row.new}|{route}", Sums())
+        old = sums.get(f"{row.upstream}|{row.old}|{route}", evidence.Sums())
+        new = sums.get(f"{row.upstream}|{row.new}|{route}", evidence.Sums())
         trial = trials.routes.get((move, route))
         if trial is None:
             trial = RouteTrial(old=old, new=new, now_ms=now_ms)
             trials.routes[move, route] = trial
-        _feed(trial, old, new)
-        for name, test in (("errors", trial.errors), ("slow", trial.slow)):
-            if test.log_evidence >= LOG_THRESHOLD:
-                return (
-                    f"{name} on {route}: {test.new_failed} of {test.new_ran}"
-                    f" new, {test.old_failed} of {test.old_ran} old"
-                )
+        grown = evidence.feed(trial.evidence, new, old)
+        trial.ran_in_step += grown.ran - grown.failed - grown.slow
+        fault = evidence.fault(trial.evidence, LOG_THRESHOLD, f" on {route}")
+        if fault:
+            return fault
     return ""
 
 
-def _feed(trial: RouteTrial, old: Sums, new: Sums) -> None:
-    """Turns growth of the sums into blocks.
-
-    Sums shrink when an entry is lost; they then count anew from there.
-    """
-    old_grown = [max(0, a - b) for a, b in zip(old, trial.old, strict=True)]
-    new_grown = [max(0, a - b) for a, b in zip(new, trial.new, strict=True)]
-    trial.old, trial.new = old, new
-    if not old_grown[0] and not new_grown[0]:
-        return
-    trial.errors.update(
-        compare.Block(old_grown[0], old_grown[1], new_grown[0], new_grown[1])
-    )
-    trial.slow.update(
-        compare.Block(old_grown[3], old_grown[2], new_grown[3], new_grown[2])
-    )
-    trial.ran_in_step += new_grown[0] - new_grown[1] - new_grown[2]
-
-
 def _grow(
     upstream: inventories.Upstream,
     move: str,
@@ -269,7 +234,7 @@
     must not get more than a small share before anything is known of it.
     """
     elapsed_ms = max(1, now_ms - trial.started_ms)
-    outcomes = trial.errors.old_ran + trial.errors.new_ran
+    outcomes = trial.evidence.errors.old_ran + trial.evidence.errors.new_ran
     expected = outcomes / elapsed_ms * pace.allotted_ms
     small = steps[:SMALL_STEPS]
     if elapsed_ms < min(OBSERVE_MS, pace.allotted_ms):
@@ -307,7 +272,10 @@
 
 
 def _is_unused(trial: RouteTrial) -> bool:
-    return trial.errors.old_ran == 0 and trial.errors.new_ran == 0
+    return (
+        trial.evidence.errors.old_ran == 0
+        and trial.evidence.errors.new_ran == 0
+    )
 
 
 def _describe(shares: dict[str, int]) -> str:
--- a/src/_arbutuswalk/state/rolloutplan.py
+++ b/src/_arbutuswalk/state/rolloutplan.py
@@ -7,10 +7,9 @@
 """
 
 import math
-from typing import NamedTuple
 
 from _arbutuswalk.state import commands
-from _arbutuswalk.state import compare
+from _arbutuswalk.state import evidence
 from _arbutuswalk.state import rollouts
 from _arbutuswalk.state import tables as rows
 
@@ -31,32 +30,19 @@
 PER_MILLE = 1000
 
 
-class Sums(NamedTuple):
-    """Outcomes of one version over all entries, since their starts."""
-
-    ran: int = 0
-    failed: int = 0
-    timed: int = 0
-    slow: int = 0
-
-
 class Trial:
     """Evidence on one rollout.
 
     Attributes:
-        errors: Test of failures.
-        slowness: Test of slowness.
-        new: Sums of the new version already counted.
-        old: Sums of the old version already counted.
+        evidence: Outcomes of both versions.
         began_at: When the rollout began, in the holder's seconds.
         stepped_at: When its share last changed.
     """
 
-    def __init__(self, *, new: Sums, old: Sums, began_at: float):
-        self.errors = compare.Comparison()
-        self.slowness = compare.Comparison()
-        self.new = new
-        self.old = old
+    def __init__(
+        self, *, new: evidence.Sums, old: evidence.Sums, began_at: float
+    ):
+        self.evidence = evidence.Evidence(new=new, old=old)
         self.began_at = began_at
         self.stepped_at = began_at
 
@@ -66,8 +52,8 @@
     row: rows.RolloutRow,
     trial: Trial,
     *,
-    new: Sums,
-    old: Sums,
+    new: evidence.Sums,
+    old: evidence.Sums,
     present: bool,
     canary_share: float,
     now: float,
@@ -84,8 +70,8 @@
         canary_share: Part of all requests that a bad version may get.
         now: Seconds.
     """
-    _feed(trial, new, old)
-    fault = _fault(trial)
+    evidence.feed(trial.evidence, new, old)
+    fault = evidence.fault(trial.evidence, LOG_THRESHOLD)
     if fault:
         return _step(upstream, row, rollouts.REVERTED, 0, fault)
     passed = (now - trial.began_at) / max(0.001, row.duration_ms / 1000)
@@ -96,9 +82,9 @@
     share = _share_at(passed, canary_share, row.share)
     if share > row.share:
         trial.stepped_at = now
-        reason = f"{trial.errors.new_ran} ran without a fault"
+        reason = f"{trial.evidence.errors.new_ran} ran without a fault"
         return _step(upstream, row, rollouts.GROWING, share, reason)
-    enough = trial.errors.new_ran >= LEAST_OUTCOMES
+    enough = trial.evidence.errors.new_ran >= LEAST_OUTCOMES
     if row.share == PER_MILLE and passed >= COMPLETE_AT and enough:
         return _step(upstream, row, rollouts.COMPLETED, PER_MILLE, "it has all")
     return None
@@ -117,44 +103,15 @@
 def _at_the_end(
     upstream: str, row: rows.RolloutRow, trial: Trial
 ) -> commands.StepRollout:
-    if row.share == PER_MILLE and trial.errors.new_ran >= LEAST_OUTCOMES:
+    if (
+        row.share == PER_MILLE
+        and trial.evidence.errors.new_ran >= LEAST_OUTCOMES
+    ):
         return _step(upstream, row, rollouts.COMPLETED, PER_MILLE, "time is up")
     reason = f"time is up at {row.share} per mille"
     return _step(upstream, row, rollouts.REVERTED, 0, reason)
 
 
-def _feed(trial: Trial, new: Sums, old: Sums) -> None:
-    """Turns growth of the sums into blocks of the two tests."""
-    fresh_new = _growth(trial.new, new)
-    fresh_old = _growth(trial.old, old)
-    trial.new, trial.old = new, old
-    trial.errors.update(
-        compare.Block(
-            fresh_old.ran, fresh_old.failed, fresh_new.ran, fresh_new.failed
-        )
-    )
-    trial.slowness.update(
-        compare.Block(
-            fresh_old.timed, fresh_old.slow, fresh_new.timed, fresh_new.slow
-        )
-    )
-
-
-def _growth(before: Sums, after: Sums) -> Sums:
-    """Returns what came in; sums shrink when an entry is forgotten."""
-    return Sums(*(max(0, b - a) for a, b in zip(before, after, strict=True)))
-
-
-def _fault(trial: Trial) -> str:
-    for name, test in (("errors", trial.errors), ("slow", trial.slowness)):
-        if test.log_evidence >= LOG_THRESHOLD:
-            return (
-                f"{name}: {test.new_failed} of {test.new_ran} new,"
-                f" {test.old_failed} of {test.old_ran} old"
-            )
-    return ""
-
-
 def _step(
     upstream: str, row: rows.RolloutRow, state: str, share: int, reason: str
 ) -> commands.StepRollout:
--- a/testing/test_decisions.py
+++ b/testing/test_decisions.py
@@ -9,6 +9,7 @@
 from _arbutuswalk.routing import endpoints
 from _arbutuswalk.routing import health
 from _arbutuswalk.routing import recent
+from _arbutuswalk.state import evidence
 from _arbutuswalk.state import fleetplan
 from _arbutuswalk.state import rolloutplan
 from _arbutuswalk.state import rollouts
@@ -316,7 +317,7 @@
         self.old_rate = old_rate
         self.row = rows.RolloutRow("v2", "growing", 0, 0, 0, 12000, 0, "")
         self.trial = rolloutplan.Trial(
-            new=rolloutplan.Sums(), old=rolloutplan.Sums(), began_at=0.0
+            new=evidence.Sums(), old=evidence.Sums(), began_at=0.0
         )
         self.sums = {"v1": [0] * 4, "v2": [0] * 4}
         self.history = []
@@ -332,7 +333,7 @@
             for _ in range(int(per_s * 0.2)):
                 self.request(share, now)
             present = now > 4.0
-            seen = {k: rolloutplan.Sums(*v) for k, v in self.sums.items()}
+            seen = {k: evidence.Sums(*v) for k, v in self.sums.items()}
             step = rolloutplan.decide(
                 "u",
                 self.row,
