--- a/src/_arbutuswalk/entry/exchange.py
+++ b/src/_arbutuswalk/entry/exchange.py
@@ -125,7 +125,7 @@
         if exchange.over:
             break
         left_s = until - clock.monotonic()
-        if not await attempts.news_within(exchange, left_s):
+        if not await exchange.news_within(left_s):
             return Lost(reason="no whole answer in time")
     if not exchange.complete:
         return Lost(reason=exchange.failure)
--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -1,7 +1,5 @@
 """Sends a request to one endpoint and follows what comes back."""
 
-import asyncio
-
 from _arbutuswalk.base import events
 from _arbutuswalk.relay import core
 from _arbutuswalk.relay import delivery
@@ -198,11 +196,7 @@
         if may_resume:
             until = min(until, self.exchange.heard_at + STALL_S)
         if not self.delivery.left:
-            self.exchange.news.clear()
-            try:
-                async with asyncio.timeout(max(0.0, until - now)):
-                    await self.exchange.news.wait()
-            except TimeoutError:
+            if not await self.exchange.news_within(until - now):
                 if until < deadline:
                     return self._lost("stream stalled")
                 return results.TimedOut(reason="no time left")
--- a/src/_arbutuswalk/streams/attempts.py
+++ b/src/_arbutuswalk/streams/attempts.py
@@ -1,6 +1,5 @@
 """One attempt to run a model request on one upstream."""
 
-import asyncio
 import dataclasses
 import json
 from collections.abc import Callable
@@ -209,7 +208,7 @@
         left_s = exchange.heard_at + deadlines.gap_s - clock.monotonic()
         if left_s <= 0:
             return _with_cached(exchange, Silent(after_s=deadlines.gap_s))
-        await news_within(exchange, left_s)
+        await exchange.news_within(left_s)
     if reading.result is not None:
         return _with_cached(exchange, reading.result)
     if exchange.status and exchange.status != STATUS_OK:
@@ -223,22 +222,11 @@
     """Waits for status and headers, or the end; false if time runs out."""
     until = clock.monotonic() + timeout_s
     while not (exchange.reply or exchange.crossed_id or exchange.over):
-        if not await news_within(exchange, until - clock.monotonic()):
+        if not await exchange.news_within(until - clock.monotonic()):
             return False
     return True
 
 
-async def news_within(exchange: connections.Exchange, left_s: float) -> bool:
-    """Waits until something new is known of an exchange."""
-    exchange.news.clear()
-    try:
-        async with asyncio.timeout(max(0.0, left_s)):
-            await exchange.news.wait()
-    except TimeoutError:
-        return False
-    return True
-
-
 def crossed(exchange: connections.Exchange, echo: bool) -> bool:
     """Tells whether the answer belongs to another attempt.
 
--- a/src/_arbutuswalk/streams/connection.py
+++ b/src/_arbutuswalk/streams/connection.py
@@ -65,6 +65,16 @@
         """Whether nothing more will come."""
         return self.complete or bool(self.failure)
 
+    async def news_within(self, left_s: float) -> bool:
+        """Waits until something new is known; false if time runs out."""
+        self.news.clear()
+        try:
+            async with asyncio.timeout(max(0.0, left_s)):
+                await self.news.wait()
+        except TimeoutError:
+            return False
+        return True
+
     def take(self) -> bytes:
         """Returns all pieces that wait, in one."""
         data = b"".join(self.pieces)
