--- a/src/_arbutuswalk/control/rollouts.py
+++ b/src/_arbutuswalk/control/rollouts.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from typing import Any
-from typing import NamedTuple
 
 from _arbutuswalk.base import events
 from _arbutuswalk.control import leader
@@ -18,18 +17,6 @@
 SUBMIT_S = 1.0
 
 
-class Bounds(NamedTuple):
-    """What a version that turns out to be bad may get.
-
-    Attributes:
-        canary_share: Part of all requests until the deadline.
-        canary_requests: Requests beside that part.
-    """
-
-    canary_share: float
-    canary_requests: int
-
-
 class Trials:
     """Evidence gathered in one term.
 
@@ -43,8 +30,14 @@
         self.by_rollout: dict[tuple, rolloutplan.Trial] = {}
 
 
-async def run(parts: process.Parts, bounds: Bounds) -> None:
-    """Steps rollouts whenever this process may decide alone."""
+async def run(parts: process.Parts, canary_share: float) -> None:
+    """Steps rollouts whenever this process may decide alone.
+
+    Args:
+        parts: The process.
+        canary_share: Part of all requests until its deadline that a version
+            which turns out to be bad may get.
+    """
     trials = Trials(term=0)
     while True:
         await asyncio.sleep(TICK_S)
@@ -54,24 +47,26 @@
         if trials.term != member.replica.term:
             trials = Trials(term=member.replica.term)
         try:
-            await _tick(parts, bounds, trials)
+            await _tick(parts, canary_share, trials)
         except Exception as error:  # noqa: BLE001
             # A faulty rollout must not end the others for good.
             events.warn(events.Event.TASK_FAILED, "rollouts", repr(error))
 
 
-async def _tick(parts: process.Parts, bounds: Bounds, trials: Trials) -> None:
+async def _tick(
+    parts: process.Parts, canary_share: float, trials: Trials
+) -> None:
     for upstream, row in list(parts.member.tables.rollouts.items()):
         if row.state != rollouts.GROWING:
             continue
-        step = _decide(parts, bounds, trials, upstream, row)
+        step = _decide(parts, canary_share, trials, upstream, row)
         if step is not None:
             await _submit(parts, step)
 
 
 def _decide(
     parts: process.Parts,
-    bounds: Bounds,
+    canary_share: float,
     trials: Trials,
     upstream: str,
     row: rows.RolloutRow,
@@ -92,7 +87,7 @@
         new=new,
         old=old,
         present=_is_present(parts, upstream, row.target),
-        canary_share=bounds.canary_share,
+        canary_share=canary_share,
         now=now,
     )
 
--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -195,14 +195,13 @@
         may_resume = stalls and self.request.route.resumable
         if may_resume:
             until = min(until, self.exchange.heard_at + STALL_S)
-        if not self.delivery.left:
-            if not await self.exchange.news_within(until - now):
-                if until < deadline:
-                    return self._lost("stream stalled")
-                return results.TimedOut(reason="no time left")
         if self.delivery.left:
             return results.CallerLeft()
-        return None
+        if not await self.exchange.news_within(until - now):
+            if until < deadline:
+                return self._lost("stream stalled")
+            return results.TimedOut(reason="no time left")
+        return results.CallerLeft() if self.delivery.left else None
 
     def _lost(self, reason: str) -> results.Lost:
         crashes.note_lost(
--- a/testing/soak/runners.py
+++ b/testing/soak/runners.py
@@ -5,7 +5,6 @@
 import hashlib
 from typing import NamedTuple
 
-import platform_world
 from aiohttp import web
 
 from soak import proxy
@@ -167,6 +166,3 @@
         Runner(name=f"i-{number}", world=world, runs=runs)
         for number in range(count)
     ]
-
-
-HOST = platform_world.HOST
