--- a/testing/platform_world.py
+++ b/testing/platform_world.py
@@ -5,7 +5,6 @@
 import os
 import pathlib
 import signal
-import subprocess
 import sys
 
 import aiohttp
@@ -71,8 +70,8 @@
         self.callers, self.readiness = ports[3], ports[4]
         self.controls = [f"127.{net}.1.{i}" for i in (1, 2, 3)]
         self.entries = [f"127.{net}.2.{i}" for i in (1, 2)]
-        self.running = {}
-        self.started = []
+        self.group = processes.Group(folder)
+        self.running = self.group.running
         self.session = None
         self.beating = []
 
@@ -108,22 +107,15 @@
     def start(self, ip, program, values):
         path = self.folder / f"{ip}.toml"
         path.write_text(toml(values))
-        log = (self.folder / f"{ip}.log").open("ab")
-        process = subprocess.Popen(
+        self.group.launch(
+            ip,
             [sys.executable, str(ROOT / "platform" / program)],
             cwd=ROOT,
             env={**os.environ, "ARBUTUSWALK_CONFIG": str(path)},
-            stdout=log,
-            stderr=log,
         )
-        log.close()
-        self.running[ip] = process
-        self.started.append(process)
 
     def kill(self, ip):
-        process = self.running.pop(ip)
-        process.kill()
-        process.wait(processes.STOP_S)
+        self.group.kill(ip)
 
     async def call(self, method, url, **options):
         timeout = aiohttp.ClientTimeout(total=2)
--- a/testing/processes.py
+++ b/testing/processes.py
@@ -46,11 +46,14 @@
         path.write_text(
             "\n".join(f"{k} = {json.dumps(v)}" for k, v in values.items())
         )
-        log = (self.folder / f"{name}.log").open("ab")
-        process = subprocess.Popen(
-            [str(BIN / binary), *arguments, str(path)], stdout=log, stderr=log
-        )
-        log.close()
+        return self.launch(name, [str(BIN / binary), *arguments, str(path)])
+
+    def launch(self, name, command, **options):
+        """Starts any process under ``name``, with its output in a file."""
+        with (self.folder / f"{name}.log").open("ab") as log:
+            process = subprocess.Popen(
+                command, stdout=log, stderr=log, **options
+            )
         self.running[name] = process
         self.started.append(process)
         return process
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -4,7 +4,6 @@
 import contextlib
 import json
 import random
-import signal
 
 import aiohttp
 import platform_world
@@ -235,8 +234,4 @@
         for runner in self.runners:
             await runner.stop()
         await self.world.session.close()
-        for process in self.world.started:
-            if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
-                process.kill()
-                process.wait(processes.STOP_S)
+        self.world.group.end()
--- a/testing/test_platform_processes.py
+++ b/testing/test_platform_processes.py
@@ -27,10 +27,7 @@
         task.cancel()
     await asyncio.gather(*found.beating, return_exceptions=True)
     await found.session.close()
-    for process in found.started:
-        if process.poll() is None:
-            process.kill()
-            process.wait(processes.STOP_S)
+    found.group.end()
 
 
 class TestWholePath:
