--- a/src/_arbutuswalk/wire/link.py
+++ b/src/_arbutuswalk/wire/link.py
@@ -114,8 +114,9 @@
                     self._connect_timeout_s(),
                 )
                 sockets.detect_silence(writer.get_extra_info("socket"))
-            except (TimeoutError, OSError) as error:
-                # The connection may be lost again before its socket is set up.
+            except (TimeoutError, OSError, ValueError) as error:
+                # The connection may be lost again before its socket is set up,
+                # and an address that another process gave may be none.
                 self.failed_tries += 1
                 reason = str(error) or "connect timed out"
                 return LinkDown(reason=reason, sent=False)
--- a/testing/test_wire.py
+++ b/testing/test_wire.py
@@ -123,6 +123,15 @@
         assert loop.run_until_complete(measure()) == [0.25, 0.5, 1.0, 1.0]
         virtual.close(loop)
 
+    @pytest.mark.parametrize("address", ["l", "", "127.0.0.1", "127.0.0.1:x"])
+    async def test_an_address_that_is_none_is_a_link_that_is_down(
+        self, address
+    ):
+        """Another entry's registration named one; syncing ended over it."""
+        asked = link.Link(address=address)
+        reply = await asked.call(ttypes.Dump(), timeout_s=1)
+        assert isinstance(reply, link.LinkDown)
+
     async def test_connection_lost_before_its_socket_is_set_up(
         self, client, monkeypatch
     ):
