--- a/src/_arbutuswalk/relay/core.py
+++ b/src/_arbutuswalk/relay/core.py
@@ -107,7 +107,6 @@
         entries: Entries that share the bounds, unreachable ones included.
         silent: Those of them that control does not hear.
         draining: Whether the process is leaving.
-        active: Requests under way.
         news: Set and replaced when control told something.
         started_at: When the process started, in seconds.
     """
@@ -151,7 +150,6 @@
         self.entries = UNKNOWN_ENTRIES
         self.silent = 0
         self.draining = False
-        self.active = 0
         self.news = asyncio.Event()
         self.started_at = now()
         self.metrics = metrics.Metrics()
--- a/src/_arbutuswalk/relay/relaying.py
+++ b/src/_arbutuswalk/relay/relaying.py
@@ -21,17 +21,7 @@
     relay: core.Relay, request: requests.Request, to_caller: delivery.Delivery
 ) -> None:
     """Sends a request until it is answered, or gives it up at once."""
-    relay.active += 1
     relay.retry_window(request.upstream).note_request(relay.now())
-    try:
-        await _relay(relay, request, to_caller)
-    finally:
-        relay.active -= 1
-
-
-async def _relay(
-    relay: core.Relay, request: requests.Request, to_caller: delivery.Delivery
-) -> None:
     tally = results.Tally()
     tried: set[str] = set()
     fallback: results.Answered | None = None
--- a/testing/test_platform_front.py
+++ b/testing/test_platform_front.py
@@ -5,9 +5,11 @@
 import subprocess
 import sys
 
+import processes
 import pytest
 import relays
 from arbutuswalk_platform import callers
+from arbutuswalk_platform import entry
 from arbutuswalk_platform import probes
 from arbutuswalk_platform import server
 
@@ -196,6 +198,68 @@
             writer.close()
 
 
+class TestDrain:
+    """After the time for which callers keep an address, here none at all."""
+
+    @pytest.fixture(autouse=True)
+    def no_linger(self, monkeypatch):
+        monkeypatch.setattr(entry, "LINGER_S", 0.0)
+
+    def drain(self, front):
+        return asyncio.ensure_future(
+            entry._drain(front.relay, front.listener, grace_s=60.0)
+        )
+
+    async def test_it_takes_no_new_connections_while_it_serves_out(self):
+        """Found by hunts: one taken 4.2 s after the signal was cut later."""
+        release = asyncio.Event()
+
+        async def step(head, writer):
+            await release.wait()
+            await relays.answer()(head, writer)
+
+        async def refuses():
+            try:
+                _, writer = await front.connect()
+            except ConnectionRefusedError:
+                return True
+            writer.close()
+            return False
+
+        config = relays.make_config(relays.make_route(timeout_s=60.0))
+        async with Front(config, [step]) as front:
+            data = GOOD.replace(b"X-Deadline-Ms: 1000", b"X-Deadline-Ms: 60000")
+            asking = asyncio.ensure_future(front.ask(data))
+            while not front.endpoint.heads:
+                await asyncio.sleep(0.01)
+            draining = self.drain(front)
+            await processes.until(refuses, tries=50, pause_s=0.02)
+            assert not draining.done()
+            release.set()
+            status, head = await asking
+            assert status == 200
+            assert b"connection: close" in head
+            await asyncio.wait_for(draining, 10)
+
+    async def test_a_request_that_is_being_read_is_still_answered(self):
+        """Found by hunts: one that came as the process ended was cut."""
+        async with Front() as front:
+            reader, writer = await front.connect()
+            writer.write(GOOD[:-2])
+            while not front.listener.state.connections:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.05)
+            draining = self.drain(front)
+            done, _ = await asyncio.wait({draining}, timeout=0.3)
+            assert not done
+            writer.write(GOOD[-2:])
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 200")
+            assert await reader.read() == b"ok"
+            await asyncio.wait_for(draining, 10)
+            writer.close()
+
+
 class TestReadiness:
     @pytest.mark.parametrize(
         ("known", "draining", "status"),
