Log quota buckets and falls of reported use; count tokens by workspace

The logs could not tell when a bucket is created and with which level, by how much the use that control reports fell, and what an entry admitted for a workspace. Events 673 and 674, metrics quota_taken and quota_refused.

--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -104,6 +104,14 @@
         "routes could not be decoded address=%s reason=%s",
     )
     ENDPOINTS_UNREADABLE = (672, "endpoint cache could not be read reason=%s")
+    QUOTA_STARTED = (
+        673,
+        "quota bucket created workspace=%s level=%s burst=%s entries=%s",
+    )
+    QUOTA_USE_FELL = (
+        674,
+        "reported quota use fell workspace=%s address=%s total=%s before=%s",
+    )
 
     @property
     def number(self) -> int:
--- a/src/_arbutuswalk/relay/admission.py
+++ b/src/_arbutuswalk/relay/admission.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from _arbutuswalk.base import events
 from _arbutuswalk.limits import quota
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
@@ -136,15 +137,19 @@
         return None
     now = relay.now()
     bucket = _quota_bucket(relay, workspace, now)
+    cost = quota_cost(request)
     wait_s = bucket.take(
-        quota_cost(request),
+        cost,
         now,
         entries=relay.entry_count,
         unreachable=relay.unreachable_entries,
         late=relay.lateness.is_late(request, now),
     )
+    labels = f'workspace="{workspace.name}"'
     if not wait_s:
+        relay.metrics.count("quota_taken", labels, cost)
         return None
+    relay.metrics.count("quota_refused", labels, cost)
     # Random, so that requests refused together are not all sent again at once.
     wait_s *= 1 + RETRY_AFTER_JITTER_FRACTION * relay.rng.random()
     return Refusal(
@@ -168,6 +173,13 @@
     if bucket is None:
         bucket = quota.Bucket(rate=rate, burst=burst, now=now)
         relay.quota_buckets[workspace.name] = bucket
+        events.record(
+            events.Event.QUOTA_STARTED,
+            workspace.name,
+            round(bucket.level),
+            round(burst),
+            relay.entry_count,
+        )
     elif (bucket.rate, bucket.burst) != (rate, burst):
         bucket.resize(rate, burst, now)
     return bucket
--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -50,6 +50,8 @@
         clock_offset_s: Its wall clock minus ours, None before it answered.
         reported_loads: Own loads last reported to it, by endpoint.
         reported_quota_use: Own quota use last reported to it, by workspace.
+        quota_totals: Quota use of all entries that it last reported, by
+            workspace.
         task: Task that watches it.
     """
 
@@ -64,6 +66,7 @@
         self.term = 0
         self.clock_offset_s: float | None = None
         self.reported_quota_use: dict[str, float] = {}
+        self.quota_totals: dict[str, float] = {}
         self.reported_loads: dict[str, relay_state.Load] = {}
         self.task: asyncio.Task | None = None
 
@@ -282,6 +285,17 @@
     ) -> None:
         """Records other entries' quota use: the totals minus our own share."""
         now = self.relay.now()
+        for name, total in taken.items():
+            before = feed.quota_totals.get(name, 0.0)
+            if total < before:
+                events.record(
+                    events.Event.QUOTA_USE_FELL,
+                    name,
+                    feed.address,
+                    round(total),
+                    round(before),
+                )
+        feed.quota_totals = taken
         for name, bucket in self.relay.quota_buckets.items():
             own_share = feed.reported_quota_use.get(name, 0.0)
             bucket.record_report(taken.get(name, 0.0) - own_share, now)
