--- /dev/null
+++ b/testing/quota_cluster.py
@@ -0,0 +1,203 @@
+"""Entries and control processes that exchange quota use on a simulated clock.
+
+The entries' admission and watches and control's discovery are the real ones;
+the links between them are replaced by calls.
+"""
+
+import random
+
+import relay_fixtures
+import test_duties
+from arbutuswalk_platform import headers
+
+from _arbutuswalk.control import discovery as discoveries
+from _arbutuswalk.limits import quota
+from _arbutuswalk.relay import admission
+from _arbutuswalk.relay import control_watch
+from _arbutuswalk.relay import relay_state
+from _arbutuswalk.relay import request as requests
+from _arbutuswalk.state import routeconfig
+from _arbutuswalk.wire import compressed_json
+from _arbutuswalk.wire.gen.arbutus import ttypes
+
+STEP_S = 0.02
+MEAN_COST = 9000
+QUOTA_TOLERANCE = quota.QuotaTolerance(
+    window_s=8.0, overshoot=0.1, tolerance=110_000
+)
+
+
+class Cluster:
+    """Entries and control processes; a stopped one is None.
+
+    Attributes:
+        now: Simulated time in seconds.
+        entries: Watcher of each entry.
+        controls: Discovery of each control process.
+        replies_due: Time of the next reply, by (entry, control) index.
+        admitted: Time and cost of each admitted request.
+        refused: Time and cost of each refused request.
+    """
+
+    def __init__(self, *, seed, entries=7, controls=3, rate, burst):
+        self.rng = random.Random(seed)
+        self.now = 1000.0
+        self.config = relay_fixtures.make_config(rate_per_s=rate, burst=burst)
+        self.entries = [None] * entries
+        self.controls = [None] * controls
+        self.replies_due = {}
+        self.admitted = []
+        self.refused = []
+        for index in range(controls):
+            self.start_control(index)
+        for index in range(entries):
+            self.start_entry(index)
+
+    def start_entry(self, index):
+        relay = relay_state.Relay(
+            name=f"e{index}",
+            domain="d1",
+            dialect=headers.DIALECT,
+            options=relay_fixtures.OPTIONS._replace(quota=QUOTA_TOLERANCE),
+            now=lambda: self.now,
+            wall=lambda: self.now,
+            rng=self.rng,
+        )
+        values = routeconfig.to_json(self.config)
+        control_watch.apply_routes(relay, values, "test")
+        watcher = control_watch.ControlWatcher(
+            relay=relay, seeds=[], listen_address=relay.name
+        )
+        for control in range(len(self.controls)):
+            watcher.feeds[_address(control)] = control_watch.ControlFeed(
+                address=_address(control), now=self.now
+            )
+        self.entries[index] = watcher
+
+    def stop_entry(self, index):
+        self.entries[index] = None
+        self._drop_replies(lambda entry, _: entry == index)
+
+    def start_control(self, index):
+        member = test_duties.FakeMember()
+        member.now = member.wall = lambda: self.now
+        member.address = _address(index)
+        discovery = discoveries.Discovery(member=member)
+        addresses = [_address(i) for i in range(len(self.controls))]
+        discovery.member_addresses = lambda: addresses
+        self.controls[index] = discovery
+
+    def stop_control(self, index):
+        self.controls[index] = None
+        self._drop_replies(lambda _, control: control == index)
+        for watcher in self.entries:
+            if watcher is not None:
+                watcher.feeds[_address(index)].connected = False
+
+    def run(self, duration_s, *, tokens_per_s, cost_factor=1.0):
+        """Sends requests to random entries that have reached control."""
+        mean_cost = MEAN_COST * cost_factor
+        end = self.now + duration_s
+        next_request_at = self.now
+        while self.now < end:
+            self.now += STEP_S
+            self._exchange()
+            while next_request_at < self.now:
+                next_request_at += self.rng.expovariate(
+                    tokens_per_s / mean_cost
+                )
+                cost = min(39_600, self.rng.lognormvariate(8.9, 0.7))
+                self._request(int(cost * cost_factor))
+
+    def max_admitted_in_window(self):
+        window_s = QUOTA_TOLERANCE.window_s
+        return max(
+            sum(
+                cost
+                for admitted_at, cost in self.admitted
+                if start <= admitted_at < start + window_s
+            )
+            for start, _ in self.admitted
+        )
+
+    def permitted_in_window(self):
+        workspace = self.config.workspaces[0]
+        base = workspace.rate_per_s * QUOTA_TOLERANCE.window_s + workspace.burst
+        return base * (1 + QUOTA_TOLERANCE.overshoot) + (
+            QUOTA_TOLERANCE.tolerance
+        )
+
+    def _request(self, cost):
+        ready = [
+            watcher
+            for watcher in self.entries
+            if watcher and any(feed.session for feed in watcher.feeds.values())
+        ]
+        if not ready:
+            return
+        relay = self.rng.choice(ready).relay
+        outcome = admission.admit(relay, _make_incoming(relay, cost))
+        is_admitted = isinstance(outcome, requests.Request)
+        outcomes = self.admitted if is_admitted else self.refused
+        outcomes.append((self.now, cost))
+
+    def _exchange(self):
+        pairs = [
+            (entry, control)
+            for entry, watcher in enumerate(self.entries)
+            for control, discovery in enumerate(self.controls)
+            if watcher is not None and discovery is not None
+        ]
+        self.rng.shuffle(pairs)
+        for entry, control in pairs:
+            watcher, discovery = self.entries[entry], self.controls[control]
+            feed = watcher.feeds[_address(control)]
+            due = self.replies_due.get((entry, control))
+            if due is not None and due <= self.now:
+                watcher._apply_reply(feed, _make_reply(discovery))
+                due = None
+            if due is None:
+                message = watcher._make_watch_message(feed)
+                discovery._record_watch(message, 0)
+                wait_s = discoveries.MAX_WATCH_WAIT_S
+                if message.session != discovery.session:
+                    # The first watch is answered at once; the connection was
+                    # opened some time after the start of the process.
+                    wait_s = self.rng.uniform(0, control_watch.RETRY_INTERVAL_S)
+                self.replies_due[entry, control] = self.now + wait_s
+
+    def _drop_replies(self, is_dropped):
+        self.replies_due = {
+            pair: due
+            for pair, due in self.replies_due.items()
+            if not is_dropped(*pair)
+        }
+
+
+def _address(control):
+    return f"127.0.0.1:{control + 1}"
+
+
+def _make_reply(discovery):
+    return ttypes.WatchReply(
+        session=discovery.session,
+        version=discovery.directory.revision,
+        news=compressed_json.encode(discovery._build_update(0)),
+    )
+
+
+def _make_incoming(relay, cost):
+    return admission.IncomingRequest(
+        id="a",
+        method="POST",
+        host="h.example",
+        path="/a/x",
+        target="/a/x",
+        key="key",
+        deadline_s=5.0,
+        headers=[],
+        body=b"",
+        prompt=requests.Prompt("m", cost, 0, ()),
+        last_event="",
+        received_at=relay.now(),
+    )
--- /dev/null
+++ b/testing/test_quota_restarts.py
@@ -0,0 +1,105 @@
+"""Quotas while entries and control processes restart."""
+
+import pytest
+import quota_cluster
+
+from _arbutuswalk.control import discovery as discoveries
+
+RATE = 30_603.0
+BURST = 68_877.0
+OVERLOAD = 4 * RATE
+SEEDS = range(8)
+CONTROLS = range(3)
+
+
+def make_cluster(seed):
+    return quota_cluster.Cluster(seed=seed, rate=RATE, burst=BURST)
+
+
+def restart_entries_in_turn(cluster, indices, tokens_per_s):
+    for index in indices:
+        cluster.stop_entry(index)
+        cluster.run(1.1, tokens_per_s=tokens_per_s)
+        cluster.start_entry(index)
+
+
+def restart_control(cluster, down_s, tokens_per_s):
+    for index in CONTROLS:
+        cluster.stop_control(index)
+    cluster.run(down_s, tokens_per_s=tokens_per_s)
+    for index in CONTROLS:
+        cluster.start_control(index)
+
+
+class TestOverload:
+    """A workspace sends four times its quota."""
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_restarted_control_hides_no_use_of_entries_that_ended(self, seed):
+        cluster = make_cluster(seed)
+        cluster.run(10.0, tokens_per_s=OVERLOAD)
+        for index in range(4):
+            cluster.stop_entry(index)
+        cluster.run(10.0, tokens_per_s=OVERLOAD)
+        restart_control(cluster, 0.5, OVERLOAD)
+        cluster.run(10.0, tokens_per_s=OVERLOAD)
+        assert cluster.max_admitted_in_window() <= cluster.permitted_in_window()
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_an_entry_that_is_no_longer_counted_hides_no_use(self, seed):
+        cluster = make_cluster(seed)
+        cluster.run(10.0, tokens_per_s=OVERLOAD)
+        for index in range(4):
+            cluster.stop_entry(index)
+        cluster.run(discoveries.ENTRY_RETENTION_S - 8.0, tokens_per_s=RATE / 10)
+        cluster.run(8.5, tokens_per_s=OVERLOAD)
+        for index in CONTROLS:
+            cluster.controls[index].remove_expired()
+        cluster.run(8.0, tokens_per_s=OVERLOAD)
+        assert cluster.max_admitted_in_window() <= cluster.permitted_in_window()
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_entries_restarted_in_turn_gain_no_bursts(self, seed):
+        cluster = make_cluster(seed)
+        cluster.run(10.0, tokens_per_s=OVERLOAD)
+        restart_entries_in_turn(cluster, range(7), OVERLOAD)
+        cluster.run(8.0, tokens_per_s=OVERLOAD)
+        assert cluster.max_admitted_in_window() <= cluster.permitted_in_window()
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    @pytest.mark.parametrize("down_s", [0.5, 1.4, 2.0, 5.0])
+    def test_an_outage_of_control_adds_no_tokens(self, seed, down_s):
+        cluster = make_cluster(seed)
+        cluster.run(10.0, tokens_per_s=OVERLOAD)
+        restart_control(cluster, down_s, OVERLOAD)
+        cluster.run(10.0, tokens_per_s=OVERLOAD)
+        assert cluster.max_admitted_in_window() <= cluster.permitted_in_window()
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    @pytest.mark.parametrize("down_s", [0.5, 2.0, 5.0])
+    def test_entries_and_then_control_restarted_add_no_tokens(
+        self, seed, down_s
+    ):
+        cluster = make_cluster(seed)
+        cluster.run(10.0, tokens_per_s=OVERLOAD)
+        restart_entries_in_turn(cluster, range(4), OVERLOAD)
+        restart_control(cluster, down_s, OVERLOAD)
+        restart_entries_in_turn(cluster, range(4, 7), OVERLOAD)
+        cluster.run(8.0, tokens_per_s=OVERLOAD)
+        assert cluster.max_admitted_in_window() <= cluster.permitted_in_window()
+
+
+class TestWithinQuota:
+    """A workspace sends a third of its quota in small requests."""
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_entries_started_with_control_refuse_nothing(self, seed):
+        cluster = make_cluster(seed)
+        cluster.run(30.0, tokens_per_s=RATE / 3, cost_factor=0.1)
+        for index in range(4):
+            cluster.stop_entry(index)
+        restart_control(cluster, 0.5, RATE / 3)
+        for index in range(4):
+            cluster.start_entry(index)
+        cluster.run(10.0, tokens_per_s=RATE / 3, cost_factor=0.1)
+        assert cluster.refused == []
