Count the increases of quota use, so that restarts do not hide it

Cause: control summed what each entry it knows took since its start. A restarted control process does not know the entries that ended, and any control process drops an entry's report a minute after its end; the sum then falls by everything such an entry ever took. Entries keep the largest sum that they saw and count what exceeds it, so they see no use of others until the sum has grown past the old one.

Change: control adds up the increases of each entry's counters and never subtracts; a process that is older than control starts with a baseline. An entry compares only totals of one connection to one start of a control process.

--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -17,6 +17,7 @@
 from _arbutuswalk.base import clock
 from _arbutuswalk.base import events
 from _arbutuswalk.base import metrics
+from _arbutuswalk.control import counter_sum
 from _arbutuswalk.control import member as members
 from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory as directories
@@ -66,6 +67,8 @@
             within it.
         directory: Endpoints.
         entries: Known entries by id and incarnation.
+        quota_use: Quota use of the entries since the start of this process.
+        started_at: When this process started, in seconds.
         changed: Set and replaced when there is an update for entries.
         metrics: Counters of this process.
         compressed_routes: Route configuration as entries fetch it.
@@ -77,8 +80,10 @@
         self.session = secrets.token_hex(8)
         self.directory = directories.Directory()
         self.entries: dict[tuple[str, int], KnownEntry] = {}
+        self.quota_use = counter_sum.CounterSum()
         self.changed = asyncio.Event()
         self.now: clock.Clock = member.now
+        self.started_at = self.now()
         self.wall: clock.Clock = member.wall
         self.metrics = metrics.Metrics()
         self.compressed_routes_version = 0
@@ -185,6 +190,7 @@
         for key, entry in list(self.entries.items()):
             if now - entry.last_watch_at > ENTRY_RETENTION_S:
                 del self.entries[key]
+                self.quota_use.remove(key)
 
     def reports(self) -> list[dict[str, Any]]:
         """Returns the last report of every incarnation of every entry."""
@@ -201,14 +207,6 @@
             if not entry.report.get("left")
         }
 
-    def quota_taken(self) -> dict[str, float]:
-        """Returns the quota used by all entries together, by workspace."""
-        totals: dict[str, float] = {}
-        for entry in self.entries.values():
-            for name, amount in entry.report.get("taken", {}).items():
-                totals[name] = totals.get(name, 0.0) + amount
-        return totals
-
     def loads(self) -> dict[str, tuple[int, int]]:
         """Returns requests and unprocessed prompt tokens, by endpoint."""
         totals: dict[str, tuple[int, int]] = {}
@@ -234,11 +232,16 @@
         )
 
     def _record_watch(self, message: ttypes.Watch, revision: int) -> None:
-        self.entries[message.entry, message.incarnation] = KnownEntry(
-            message.incarnation,
-            revision,
-            compressed_json.decode(message.report),
-            self.now(),
+        key = message.entry, message.incarnation
+        report = compressed_json.decode(message.report)
+        self.entries[key] = KnownEntry(
+            message.incarnation, revision, report, self.now()
+        )
+        uptime_s = self.now() - self.started_at
+        self.quota_use.record(
+            key,
+            report.get("taken", {}),
+            counts_from_zero=report.get("uptime_s", uptime_s) < uptime_s,
         )
 
     def _has_update(self, message: ttypes.Watch, revision: int) -> bool:
@@ -271,7 +274,7 @@
             "members": self.member_addresses(),
             "rollouts": tables.rollouts,
             "loads": self.loads(),
-            "taken": self.quota_taken(),
+            "taken": self.quota_use.totals,
             "entries": len(known),
             "silent": len(known - self.reachable_entries().keys()),
             "wall": self.wall(),
--- a/src/_arbutuswalk/limits/quota.py
+++ b/src/_arbutuswalk/limits/quota.py
@@ -76,8 +76,8 @@
         promised: Tokens of recently refused requests whose callers were told
             when to retry.
         taken: Tokens that this entry took since its start.
-        others_taken: Total of the other entries by the last report, None
-            before the first.
+        others_taken: Total of the other entries by the last report. If None,
+            the first report is a baseline.
         others_rate: Estimated tokens per second of the other entries.
         own_rate: Estimated tokens per second of this entry.
         taken_since_report: Tokens that this entry took since the last report.
@@ -88,7 +88,14 @@
         last_report_at: Time of the last report, in seconds.
     """
 
-    def __init__(self, *, rate: float, burst: float, now: float):
+    def __init__(
+        self,
+        *,
+        rate: float,
+        burst: float,
+        now: float,
+        others_taken: float | None = None,
+    ):
         self.rate = rate
         self.burst = burst
         self.level = burst
@@ -97,7 +104,7 @@
         self.entries = 1
         self.promised = 0.0
         self.taken = 0.0
-        self.others_taken: float | None = None
+        self.others_taken = others_taken
         self.others_rate = 0.0
         self.own_rate = 0.0
         self.taken_since_report = 0.0
--- a/src/_arbutuswalk/relay/admission.py
+++ b/src/_arbutuswalk/relay/admission.py
@@ -171,7 +171,7 @@
         rate, burst = quota.effective_quota(rate, burst, relay.options.quota)
     bucket = relay.quota_buckets.get(workspace.name)
     if bucket is None:
-        bucket = quota.Bucket(rate=rate, burst=burst, now=now)
+        bucket = quota.Bucket(rate=rate, burst=burst, now=now, others_taken=0.0)
         relay.quota_buckets[workspace.name] = bucket
         events.record(
             events.Event.QUOTA_STARTED,
--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -51,7 +51,10 @@
         reported_loads: Own loads last reported to it, by endpoint.
         reported_quota_use: Own quota use last reported to it, by workspace.
         quota_totals: Quota use of all entries that it last reported, by
-            workspace.
+            workspace, since its start.
+        quota_offsets: Difference between the use of other entries that a
+            bucket counts and that this process reports, by workspace. Empty
+            after its start and after a lost connection.
         task: Task that watches it.
     """
 
@@ -67,6 +70,7 @@
         self.clock_offset_s: float | None = None
         self.reported_quota_use: dict[str, float] = {}
         self.quota_totals: dict[str, float] = {}
+        self.quota_offsets: dict[str, float] = {}
         self.reported_loads: dict[str, relay_state.Load] = {}
         self.task: asyncio.Task | None = None
 
@@ -193,6 +197,7 @@
             "routes_version": relay.routes_version,
             "loads": relay.own_loads,
             "wall": relay.wall(),
+            "uptime_s": relay.now() - relay.started_at,
             "deaths": {
                 fingerprint: sorted(death_times)
                 for fingerprint, death_times in relay.crashes.deaths.items()
@@ -217,6 +222,7 @@
     def _apply_reply(self, feed: ControlFeed, reply: ttypes.WatchReply) -> None:
         now = self.relay.now()
         news = compressed_json.decode(reply.news)
+        is_continued = feed.connected and feed.session == reply.session
         if not feed.connected:
             feed.connected = True
             events.record(
@@ -235,7 +241,7 @@
         self._fetch_newer_routes(feed)
         self._merge_rollouts(news["rollouts"])
         self._update_other_loads(feed, news["loads"])
-        self._record_quota_use(feed, news["taken"])
+        self._record_quota_use(feed, news["taken"], is_continued=is_continued)
         self.relay.entry_count = max(1, news["entries"])
         self.relay.unreachable_entries = news["silent"]
         self.relay.refused_fingerprints = frozenset(news["refused"])
@@ -281,24 +287,30 @@
         }
 
     def _record_quota_use(
-        self, feed: ControlFeed, taken: dict[str, float]
+        self, feed: ControlFeed, totals: dict[str, float], *, is_continued: bool
     ) -> None:
-        """Records other entries' quota use: the totals minus our own share."""
-        now = self.relay.now()
-        for name, total in taken.items():
-            before = feed.quota_totals.get(name, 0.0)
-            if total < before:
-                events.record(
-                    events.Event.QUOTA_USE_FELL,
-                    name,
-                    feed.address,
-                    round(total),
-                    round(before),
-                )
-        feed.quota_totals = taken
+        """Records other entries' quota use: the totals minus our own share.
+
+        Totals of different control processes, and of different starts of one,
+        differ by what each has not seen. Only their increases are comparable,
+        so the totals of a new connection are a baseline.
+        """
+        _log_falls(feed, totals)
+        if not is_continued:
+            feed.quota_offsets.clear()
         for name, bucket in self.relay.quota_buckets.items():
-            own_share = feed.reported_quota_use.get(name, 0.0)
-            bucket.record_report(taken.get(name, 0.0) - own_share, now)
+            others = totals.get(name, 0.0)
+            others -= feed.reported_quota_use.get(name, 0.0)
+            if name not in feed.quota_offsets:
+                # The bucket is newer than the last totals.
+                baseline = (
+                    feed.quota_totals.get(name, 0.0) if is_continued else others
+                )
+                feed.quota_offsets[name] = bucket.others_taken - baseline
+            bucket.record_report(
+                others + feed.quota_offsets[name], self.relay.now()
+            )
+        feed.quota_totals = totals
 
     def _correct_clock(self) -> None:
         """Corrects a clock step by the median offset of all clocks."""
@@ -310,6 +322,20 @@
         self.relay.usage.clock_offset_s = statistics.median([0.0, *offsets])
 
 
+def _log_falls(feed: ControlFeed, totals: dict[str, float]) -> None:
+    """Logs the workspaces whose reported quota use is below the last one."""
+    for name, total in totals.items():
+        before = feed.quota_totals.get(name, 0.0)
+        if total < before:
+            events.record(
+                events.Event.QUOTA_USE_FELL,
+                name,
+                feed.address,
+                round(total),
+                round(before),
+            )
+
+
 def apply_routes(
     relay: relay_state.Relay, values: dict[str, Any], source: str
 ) -> None:
--- a/testing/test_duties.py
+++ b/testing/test_duties.py
@@ -222,12 +222,24 @@
         assert discovery.known_entries() == set()
 
     def test_loads_and_used_quotas_are_summed(self):
-        discovery = make_components().discovery
+        components = make_components()
+        discovery = components.discovery
+        components.member.time += 1.0
         for name in ("e1", "e2"):
             report = {"loads": {"a": [2, 100]}, "taken": {"w": 5.0}}
-            discovery._record_watch(watch(discovery, name, **report), 0)
+            message = watch(discovery, name, uptime_s=0.5, **report)
+            discovery._record_watch(message, 0)
         assert discovery.loads() == {"a": (4, 200)}
-        assert discovery.quota_taken() == {"w": 10.0}
+        assert discovery.quota_use.totals == {"w": 10.0}
+
+    def test_use_before_the_start_of_control_is_not_counted(self):
+        components = make_components()
+        discovery = components.discovery
+        components.member.time += 1.0
+        for taken in (5.0, 7.0):
+            message = watch(discovery, uptime_s=9.0, taken={"w": taken})
+            discovery._record_watch(message, 0)
+        assert discovery.quota_use.totals == {"w": 2.0}
 
 
 class TestEndpointCache:
