Start an entry with its equal share of a workspace's burst

Cause: an entry created a workspace's bucket at the workspace's first request, full, whatever the others had used. Also without a restart, where the first request of a busy workspace reaches an entry late.

Change: buckets are created with the configuration, so they follow the others' use from then on. A process that puts its first configuration into use starts with an equal share of the burst; a workspace that is new in a later configuration starts with the full one.

--- a/src/_arbutuswalk/limits/quota.py
+++ b/src/_arbutuswalk/limits/quota.py
@@ -94,11 +94,12 @@
         rate: float,
         burst: float,
         now: float,
+        level: float | None = None,
         others_taken: float | None = None,
     ):
         self.rate = rate
         self.burst = burst
-        self.level = burst
+        self.level = burst if level is None else level
         self.refilled_at = now
         self.usable_fraction = 1.0
         self.entries = 1
--- a/src/_arbutuswalk/relay/admission.py
+++ b/src/_arbutuswalk/relay/admission.py
@@ -2,8 +2,6 @@
 
 from typing import NamedTuple
 
-from _arbutuswalk.base import events
-from _arbutuswalk.limits import quota
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.routing import crashes
@@ -136,7 +134,7 @@
     if workspace is None or not workspace.rate_per_s:
         return None
     now = relay.now()
-    bucket = _quota_bucket(relay, workspace, now)
+    bucket = relay.quota_buckets[workspace.name]
     cost = quota_cost(request)
     wait_s = bucket.take(
         cost,
@@ -163,28 +161,6 @@
     )
 
 
-def _quota_bucket(
-    relay: relay_state.Relay, workspace: routeconfig.Workspace, now: float
-) -> quota.Bucket:
-    rate, burst = workspace.rate_per_s, workspace.burst
-    if workspace.by_tokens:
-        rate, burst = quota.effective_quota(rate, burst, relay.options.quota)
-    bucket = relay.quota_buckets.get(workspace.name)
-    if bucket is None:
-        bucket = quota.Bucket(rate=rate, burst=burst, now=now, others_taken=0.0)
-        relay.quota_buckets[workspace.name] = bucket
-        events.record(
-            events.Event.QUOTA_STARTED,
-            workspace.name,
-            round(bucket.level),
-            round(burst),
-            relay.entry_count,
-        )
-    elif (bucket.rate, bucket.burst) != (rate, burst):
-        bucket.resize(rate, burst, now)
-    return bucket
-
-
 def quota_cost(request: requests.Request) -> int:
     """Returns the cost of a request in its workspace's quota."""
     if not request.workspace.by_tokens:
--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -11,6 +11,7 @@
 
 from _arbutuswalk.base import events
 from _arbutuswalk.relay import config_fetch
+from _arbutuswalk.relay import quota_buckets
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory
@@ -344,6 +345,7 @@
     before = relay.routes_version
     if config.version <= before:
         return
+    quota_buckets.update(relay, config, is_first_config=not relay.route_table)
     relay.route_table = routetable.RouteTable(config=config)
     events.record(events.Event.ROUTES_IN_FORCE, config.version, before, source)
 
--- a/testing/test_quota_restarts.py
+++ b/testing/test_quota_restarts.py
@@ -16,10 +16,10 @@
     return quota_cluster.Cluster(seed=seed, rate=RATE, burst=BURST)
 
 
-def restart_entries_in_turn(cluster, indices, tokens_per_s):
+def restart_entries_in_turn(cluster, indices, tokens_per_s, down_s=1.1):
     for index in indices:
         cluster.stop_entry(index)
-        cluster.run(1.1, tokens_per_s=tokens_per_s)
+        cluster.run(down_s, tokens_per_s=tokens_per_s)
         cluster.start_entry(index)
 
 
@@ -59,10 +59,11 @@
         assert cluster.max_admitted_in_window() <= cluster.permitted_in_window()
 
     @pytest.mark.parametrize("seed", SEEDS)
-    def test_entries_restarted_in_turn_gain_no_bursts(self, seed):
+    @pytest.mark.parametrize("down_s", [0.5, 1.1])
+    def test_entries_restarted_in_turn_gain_no_bursts(self, seed, down_s):
         cluster = make_cluster(seed)
         cluster.run(10.0, tokens_per_s=OVERLOAD)
-        restart_entries_in_turn(cluster, range(7), OVERLOAD)
+        restart_entries_in_turn(cluster, range(7), OVERLOAD, down_s)
         cluster.run(8.0, tokens_per_s=OVERLOAD)
         assert cluster.max_admitted_in_window() <= cluster.permitted_in_window()
 
@@ -75,6 +76,21 @@
         cluster.run(10.0, tokens_per_s=OVERLOAD)
         assert cluster.max_admitted_in_window() <= cluster.permitted_in_window()
 
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_a_started_entry_holds_no_more_than_the_others(self, seed):
+        cluster = make_cluster(seed)
+        cluster.run(10.0, tokens_per_s=OVERLOAD)
+        cluster.stop_entry(0)
+        cluster.run(1.0, tokens_per_s=OVERLOAD)
+        cluster.start_entry(0)
+        cluster.run(1.0, tokens_per_s=OVERLOAD)
+        started, *others = [
+            watcher.relay.quota_buckets["w"].level
+            for watcher in cluster.entries
+        ]
+        refill = RATE * discoveries.MAX_WATCH_WAIT_S
+        assert started <= max(others) + refill
+
     @pytest.mark.parametrize("seed", SEEDS)
     @pytest.mark.parametrize("down_s", [0.5, 2.0, 5.0])
     def test_entries_and_then_control_restarted_add_no_tokens(
