Divide what is left of a quota while reports are missing

Cause: an entry without reports dropped its estimate of the others' use after 1.5 s and set its level to an equal share of the whole burst, whatever was left of the bucket; the use between the last report and the first one of a restarted control process was never subtracted. Where control was not restarted, the others' use during the gap was subtracted from a bucket that had been refilled by an equal share only.

Change: after 1.5 s an entry subtracts the estimate and keeps its equal share of what is left. The first report of a new connection is a baseline: after a shorter gap the estimate is subtracted for good, after a longer one the entry continues with its share. If the connection survived, the use is known: it is subtracted, and the rest of the bucket returns.

--- a/src/_arbutuswalk/limits/quota.py
+++ b/src/_arbutuswalk/limits/quota.py
@@ -3,8 +3,8 @@
 Every entry keeps an estimate of the token bucket that all entries share. It
 subtracts its own use immediately, the use of other entries when control
 reports it, and holds back an estimate of their unreported use. An entry
-without reports limits itself to an equal share, which the others reserve
-for it.
+without reports splits off an equal share of the bucket, which the others
+reserve for it, and limits itself to that.
 """
 
 from typing import NamedTuple
@@ -72,6 +72,9 @@
         refilled_at: Time of the last refill, in seconds.
         usable_fraction: Fraction of rate and burst that this entry may use,
             below 1 while entries are unreachable.
+        is_split: Whether ``level`` is only this entry's share of the bucket,
+            because it is without reports.
+        withheld: Tokens of the bucket that are not in that share.
         entries: Number of entries that share the bucket.
         promised: Tokens of recently refused requests whose callers were told
             when to retry.
@@ -102,6 +105,8 @@
         self.level = burst if level is None else level
         self.refilled_at = now
         self.usable_fraction = 1.0
+        self.is_split = False
+        self.withheld = 0.0
         self.entries = 1
         self.promised = 0.0
         self.taken = 0.0
@@ -117,27 +122,53 @@
 
     def resize(self, rate: float, burst: float, now: float) -> None:
         """Changes rate and burst; never raises the level."""
-        self._refill(now)
+        self._update(now)
         self.rate = rate
         self.burst = burst
         self.level = min(self.level, burst)
 
     def record_report(self, others: float, now: float) -> None:
         """Processes a report of the total that the other entries took."""
-        self._refill(now)
-        self.last_report_at = now
-        self.taken_before_report, self.taken_since_report = (
-            self.taken_since_report,
-            0.0,
-        )
+        self._update(now)
+        was_split = self.is_split
+        if was_split:
+            self._merge()
+        self._start_report_interval(now)
         if self.others_taken is None:
             self.others_taken = others
             return
         newly_taken = max(0.0, others - self.others_taken)
         self.others_taken = max(self.others_taken, others)
+        if was_split:
+            self.level = min(self.burst, self.level + self.withheld)
         self.level -= newly_taken
         self._update_rates(newly_taken, now)
 
+    def record_baseline(self, now: float) -> None:
+        """Processes a report that does not tell how much the others took.
+
+        After a gap in the reports their use is estimated instead. An entry that
+        had split off its share continues with that share, as the rest of the
+        bucket was the others'.
+        """
+        self._update(now)
+        gap_s = now - self.last_report_at
+        if not self.is_split and gap_s <= RATE_SPAN_S:
+            return
+        if self.is_split:
+            self._merge()
+        else:
+            self.level -= self._estimate_unreported(gap_s)
+        self._start_report_interval(now)
+        self._start_rate_span(now)
+
+    def _start_report_interval(self, now: float) -> None:
+        self.last_report_at = now
+        self.taken_before_report, self.taken_since_report = (
+            self.taken_since_report,
+            0.0,
+        )
+
     def _estimate_unreported(self, report_age_s: float) -> float:
         """Estimates the unreported use of the other entries.
 
@@ -171,9 +202,12 @@
                 others_rate - self.others_rate
             )
             self.own_rate += RATE_SMOOTHING_FACTOR * (own_rate - self.own_rate)
-            self.span_others_taken = 0.0
-            self.span_start_taken = self.taken
-            self.span_started_at = now
+            self._start_rate_span(now)
+
+    def _start_rate_span(self, now: float) -> None:
+        self.span_others_taken = 0.0
+        self.span_start_taken = self.taken
+        self.span_started_at = now
 
     def take(
         self,
@@ -200,17 +234,15 @@
         Returns:
             Zero if the tokens were taken, else seconds until a retry.
         """
-        report_age_s = now - self.last_report_at
-        without_reports = report_age_s > MAX_REPORT_AGE_S and entries > 1
-        self._refill(now)
         self.entries = max(1, entries)
+        self._update(now)
         self.usable_fraction = _usable_fraction(
-            entries, unreachable, without_reports=without_reports
+            self.entries, unreachable, is_split=self.is_split
         )
         self.level = min(self.level, self.burst * self.usable_fraction)
-        held_back = (
-            0.0 if without_reports else self._estimate_unreported(report_age_s)
-        )
+        held_back = 0.0
+        if not self.is_split:
+            held_back = self._estimate_unreported(now - self.last_report_at)
         available = self.level - held_back
         required = _required_level(
             cost, self.burst * self.usable_fraction, late=late
@@ -225,12 +257,37 @@
         self.promised += cost
         return shortfall / (self.rate * self.usable_fraction)
 
+    def _update(self, now: float) -> None:
+        """Refills the bucket, and splits it if reports have stopped."""
+        split_at = self.last_report_at + MAX_REPORT_AGE_S
+        if now > split_at and self.entries > 1 and not self.is_split:
+            self._refill(max(split_at, self.refilled_at))
+            self._split()
+        self._refill(now)
+
+    def _split(self) -> None:
+        """Reduces the bucket to this entry's share of what is left in it."""
+        self.level -= self._estimate_unreported(MAX_REPORT_AGE_S)
+        share = self.level / self.entries
+        self.withheld = self.level - share
+        self.level = share
+        self.usable_fraction = 1 / self.entries
+        self.is_split = True
+
+    def _merge(self) -> None:
+        """Ends the split; what was taken from the share stays subtracted."""
+        self.is_split = False
+        self.usable_fraction = 1.0
+        self.taken_since_report = 0.0
+
     def _refill(self, now: float) -> None:
         """Adds the tokens since the last refill, for this entry's fraction."""
         elapsed_s = max(0.0, now - self.refilled_at)
         max_level = self.burst * self.usable_fraction
         gained = elapsed_s * self.rate * self.usable_fraction
         self.level = min(max(max_level, self.level), self.level + gained)
+        if self.is_split:
+            self.withheld += gained * (self.entries - 1)
         self.promised = max(0.0, self.promised - gained / self.entries)
         self.refilled_at = now
 
@@ -250,10 +307,9 @@
 
 
 def _usable_fraction(
-    entries: int, unreachable: int, *, without_reports: bool
+    entries: int, unreachable: int, *, is_split: bool
 ) -> float:
     """Returns the fraction of the bucket that an entry may use."""
-    if without_reports:
+    if is_split:
         return 1 / entries
-    reachable = max(1, entries - unreachable)
-    return reachable / max(1, entries)
+    return max(1, entries - unreachable) / entries
--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -296,21 +296,22 @@
         differ by what each has not seen. Only their increases are comparable,
         so the totals of a new connection are a baseline.
         """
+        now = self.relay.now()
         _log_falls(feed, totals)
         if not is_continued:
             feed.quota_offsets.clear()
         for name, bucket in self.relay.quota_buckets.items():
             others = totals.get(name, 0.0)
             others -= feed.reported_quota_use.get(name, 0.0)
+            if not is_continued:
+                feed.quota_offsets[name] = bucket.others_taken - others
+                bucket.record_baseline(now)
+                continue
             if name not in feed.quota_offsets:
                 # The bucket is newer than the last totals.
-                baseline = (
-                    feed.quota_totals.get(name, 0.0) if is_continued else others
-                )
+                baseline = feed.quota_totals.get(name, 0.0)
                 feed.quota_offsets[name] = bucket.others_taken - baseline
-            bucket.record_report(
-                others + feed.quota_offsets[name], self.relay.now()
-            )
+            bucket.record_report(others + feed.quota_offsets[name], now)
         feed.quota_totals = totals
 
     def _correct_clock(self) -> None:
--- a/testing/quota_cluster.py
+++ b/testing/quota_cluster.py
@@ -34,6 +34,7 @@
         now: Simulated time in seconds.
         entries: Watcher of each entry.
         controls: Discovery of each control process.
+        cut_off: Indices of the entries that cannot reach control.
         replies_due: Time of the next reply, by (entry, control) index.
         admitted: Time and cost of each admitted request.
         refused: Time and cost of each refused request.
@@ -45,6 +46,7 @@
         self.config = relay_fixtures.make_config(rate_per_s=rate, burst=burst)
         self.entries = [None] * entries
         self.controls = [None] * controls
+        self.cut_off = set()
         self.replies_due = {}
         self.admitted = []
         self.refused = []
@@ -63,8 +65,6 @@
             wall=lambda: self.now,
             rng=self.rng,
         )
-        values = routeconfig.to_json(self.config)
-        control_watch.apply_routes(relay, values, "test")
         watcher = control_watch.ControlWatcher(
             relay=relay, seeds=[], listen_address=relay.name
         )
@@ -78,6 +78,15 @@
         self.entries[index] = None
         self._drop_replies(lambda entry, _: entry == index)
 
+    def cut_entry(self, index):
+        self.cut_off.add(index)
+        self._drop_replies(lambda entry, _: entry == index)
+        for feed in self.entries[index].feeds.values():
+            feed.connected = False
+
+    def reconnect_entry(self, index):
+        self.cut_off.remove(index)
+
     def start_control(self, index):
         member = test_duties.FakeMember()
         member.now = member.wall = lambda: self.now
@@ -131,7 +140,7 @@
         ready = [
             watcher
             for watcher in self.entries
-            if watcher and any(feed.session for feed in watcher.feeds.values())
+            if watcher and watcher.relay.ready
         ]
         if not ready:
             return
@@ -146,7 +155,9 @@
             (entry, control)
             for entry, watcher in enumerate(self.entries)
             for control, discovery in enumerate(self.controls)
-            if watcher is not None and discovery is not None
+            if watcher is not None
+            and discovery is not None
+            and entry not in self.cut_off
         ]
         self.rng.shuffle(pairs)
         for entry, control in pairs:
@@ -155,6 +166,9 @@
             due = self.replies_due.get((entry, control))
             if due is not None and due <= self.now:
                 watcher._apply_reply(feed, _make_reply(discovery))
+                if watcher.relay.route_table is None:
+                    values = routeconfig.to_json(self.config)
+                    control_watch.apply_routes(watcher.relay, values, "test")
                 due = None
             if due is None:
                 message = watcher._make_watch_message(feed)
--- a/testing/test_quota.py
+++ b/testing/test_quota.py
@@ -133,6 +133,45 @@
         assert bucket.level == pytest.approx(BURST)
 
 
+class TestReportGaps:
+    def test_an_entry_without_reports_keeps_its_share_of_what_is_left(self):
+        bucket = make_bucket()
+        bucket.record_report(0.0, 0.0)
+        assert admit(bucket, BURST / 2, 0.0, entries=4)
+        assert not admit(bucket, BURST / 2, 1.6, entries=4)
+        assert bucket.level <= (BURST / 2 + 1.6 * RATE) / 4
+
+    def test_the_use_during_a_gap_is_estimated_if_it_is_not_reported(self):
+        bucket = make_bucket()
+        for tick in range(11):
+            bucket.record_report(tick * 100.0, tick * 0.1)
+        bucket.record_baseline(2.0)
+        assert BURST - 1000 <= bucket.level <= BURST - 500
+
+    def test_a_second_baseline_estimates_nothing_again(self):
+        bucket = make_bucket()
+        for tick in range(11):
+            bucket.record_report(tick * 1000.0, tick * 0.1)
+        bucket.record_baseline(2.0)
+        before = bucket.level
+        bucket.record_baseline(2.0)
+        assert bucket.level == before
+
+    def test_unused_tokens_of_the_others_return_with_their_reports(self):
+        bucket = make_bucket()
+        bucket.record_report(0.0, 0.0)
+        assert admit(bucket, 0.0, 5.0, entries=4)
+        bucket.record_report(BURST / 4, 5.0)
+        assert bucket.level == pytest.approx(BURST * 3 / 4)
+
+    def test_after_a_baseline_the_rest_of_the_bucket_stays_the_others(self):
+        bucket = make_bucket()
+        bucket.record_report(0.0, 0.0)
+        assert admit(bucket, 0.0, 5.0, entries=4)
+        bucket.record_baseline(5.0)
+        assert bucket.level == pytest.approx(BURST / 4)
+
+
 class TestManyEntries:
     @pytest.mark.parametrize("rate", [29_000.0, 270_000.0])
     @pytest.mark.parametrize("seed", range(20))
--- a/testing/test_quota_restarts.py
+++ b/testing/test_quota_restarts.py
@@ -76,6 +76,18 @@
         cluster.run(10.0, tokens_per_s=OVERLOAD)
         assert cluster.max_admitted_in_window() <= cluster.permitted_in_window()
 
+    @pytest.mark.parametrize("seed", SEEDS)
+    @pytest.mark.parametrize("down_s", [0.5, 1.4, 2.0, 5.0])
+    def test_an_outage_of_control_at_the_start_of_a_burst_adds_no_tokens(
+        self, seed, down_s
+    ):
+        cluster = make_cluster(seed)
+        cluster.run(10.0, tokens_per_s=RATE / 10)
+        cluster.run(1.0, tokens_per_s=OVERLOAD)
+        restart_control(cluster, down_s, OVERLOAD)
+        cluster.run(10.0, tokens_per_s=OVERLOAD)
+        assert cluster.max_admitted_in_window() <= cluster.permitted_in_window()
+
     @pytest.mark.parametrize("seed", SEEDS)
     def test_a_started_entry_holds_no_more_than_the_others(self, seed):
         cluster = make_cluster(seed)
@@ -104,17 +116,45 @@
         cluster.run(8.0, tokens_per_s=OVERLOAD)
         assert cluster.max_admitted_in_window() <= cluster.permitted_in_window()
 
+    @pytest.mark.parametrize("seed", SEEDS)
+    @pytest.mark.parametrize("cut_s", [1.0, 3.0, 6.0])
+    def test_entries_cut_off_in_turn_add_no_tokens(self, seed, cut_s):
+        cluster = make_cluster(seed)
+        cluster.run(10.0, tokens_per_s=RATE / 10)
+        cluster.run(1.0, tokens_per_s=OVERLOAD)
+        for index in range(3):
+            cluster.cut_entry(index)
+            cluster.run(cut_s, tokens_per_s=OVERLOAD)
+            cluster.reconnect_entry(index)
+        cluster.run(8.0, tokens_per_s=OVERLOAD)
+        assert cluster.max_admitted_in_window() <= cluster.permitted_in_window()
+
 
 class TestWithinQuota:
     """A workspace sends a third of its quota in small requests."""
 
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_an_entry_that_was_cut_off_refuses_nothing_afterwards(self, seed):
+        cluster = make_cluster(seed)
+        cluster.run(10.0, tokens_per_s=RATE / 3, cost_factor=0.1)
+        cluster.cut_entry(0)
+        cluster.run(6.0, tokens_per_s=RATE / 3, cost_factor=0.1)
+        cluster.reconnect_entry(0)
+        cluster.refused.clear()
+        cluster.run(10.0, tokens_per_s=RATE / 3, cost_factor=0.1)
+        assert cluster.refused == []
+
     @pytest.mark.parametrize("seed", SEEDS)
     def test_entries_started_with_control_refuse_nothing(self, seed):
         cluster = make_cluster(seed)
         cluster.run(30.0, tokens_per_s=RATE / 3, cost_factor=0.1)
         for index in range(4):
             cluster.stop_entry(index)
-        restart_control(cluster, 0.5, RATE / 3)
+        for index in CONTROLS:
+            cluster.stop_control(index)
+        cluster.run(0.5, tokens_per_s=RATE / 3, cost_factor=0.1)
+        for index in CONTROLS:
+            cluster.start_control(index)
         for index in range(4):
             cluster.start_entry(index)
         cluster.run(10.0, tokens_per_s=RATE / 3, cost_factor=0.1)
