Take no entry count from a control process that has just started

Callers may have seen: limits that all entries share were exceeded just after all control processes restarted.

It reported the entries that had sent a watch so far, 1 to 6 of 7; entries divide the constant part of the retry budget by that number, and a started one a workspace's burst.

Change: until 0.75 s after its start control sends the number that it saved before, or none, and no sums; entries keep what they know. The number is saved when it changes.

The simulated links now connect after up to 0.2 s each, as real ones do, instead of all at once, and traffic starts 2 s after the processes.

--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -104,6 +104,10 @@
         "routes could not be decoded address=%s reason=%s",
     )
     ENDPOINTS_UNREADABLE = (672, "endpoint cache could not be read reason=%s")
+    ENTRY_COUNT_UNREADABLE = (
+        675,
+        "entry count could not be read reason=%s",
+    )
     QUOTA_STARTED = (
         673,
         "quota bucket created workspace=%s level=%s burst=%s entries=%s",
--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -29,6 +29,10 @@
 ENTRY_SILENCE_TIMEOUT_S = 1.5
 """Time without a watch after which an entry is no longer returned to callers:
 three watches."""
+SETTLING_TIME_S = 0.75
+"""Time after the start of this process in which every running entry sends it a
+watch: the pause after a failed watch, and two attempts to connect. Sums over
+entries are incomplete until then."""
 ENTRY_RETENTION_S = 60.0
 """How long the last report of a silent entry still counts towards usage."""
 ENDPOINT_RETENTION_S = 20.0
@@ -69,6 +73,8 @@
         entries: Known entries by id and incarnation.
         quota_use: Quota use of the entries since the start of this process.
         started_at: When this process started, in seconds.
+        restored_entry_count: Number of entries before the last restart, 0 if
+            unknown.
         changed: Set and replaced when there is an update for entries.
         metrics: Counters of this process.
         compressed_routes: Route configuration as entries fetch it.
@@ -84,6 +90,7 @@
         self.changed = asyncio.Event()
         self.now: clock.Clock = member.now
         self.started_at = self.now()
+        self.restored_entry_count = 0
         self.wall: clock.Clock = member.wall
         self.metrics = metrics.Metrics()
         self.compressed_routes_version = 0
@@ -207,6 +214,14 @@
             if not entry.report.get("left")
         }
 
+    def recent_entry_count(self) -> int:
+        """Returns the number of entries that were known in the last minute."""
+        return len({name for name, _ in self.entries})
+
+    def is_settled(self) -> bool:
+        """Returns whether every running entry has sent a watch by now."""
+        return self.now() - self.started_at >= SETTLING_TIME_S
+
     def loads(self) -> dict[str, tuple[int, int]]:
         """Returns requests and unprocessed prompt tokens, by endpoint."""
         totals: dict[str, tuple[int, int]] = {}
@@ -275,7 +290,10 @@
             "rollouts": tables.rollouts,
             "loads": self.loads(),
             "taken": self.quota_use.totals,
-            "entries": len(known),
+            "is_settled": self.is_settled(),
+            "entries": max(1, len(known))
+            if self.is_settled()
+            else self.restored_entry_count,
             "silent": len(known - self.reachable_entries().keys()),
             "wall": self.wall(),
             "term": self._lease_term(),
--- a/src/_arbutuswalk/control/endpoint_cache.py
+++ b/src/_arbutuswalk/control/endpoint_cache.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+from typing import Any
 
 from _arbutuswalk.base import events
 from _arbutuswalk.routing import directory
@@ -20,17 +21,22 @@
 
 
 def save(folder: str, known: directory.Directory) -> OSError | None:
-    """Writes a temporary file, syncs it and renames it; blocks on disk I/O.
+    """Replaces the saved endpoints durably; blocks on disk I/O.
 
     Without the cache, entries would send all requests to the few endpoints
     that announced themselves first, so the file must survive a power loss.
     """
-    path = pathlib.Path(folder) / FILE_NAME
-    temporary = path.with_suffix(".aside")
     endpoints = [row.endpoint for row in known.rows.values()]
+    return replace_file(folder, FILE_NAME, endpoints)
+
+
+def replace_file(folder: str, name: str, value: Any) -> OSError | None:
+    """Writes a temporary file, syncs it and renames it; blocks on disk I/O."""
+    path = pathlib.Path(folder) / name
+    temporary = path.with_suffix(".aside")
     try:
         with temporary.open("w", encoding="utf-8") as file:
-            json.dump(endpoints, file)
+            json.dump(value, file)
             file.flush()
             os.fsync(file.fileno())
         temporary.rename(path)
--- a/src/_arbutuswalk/control/process.py
+++ b/src/_arbutuswalk/control/process.py
@@ -12,6 +12,7 @@
 from _arbutuswalk.control import discovery as discoveries
 from _arbutuswalk.control import durable_replica as durable_replicas
 from _arbutuswalk.control import endpoint_cache
+from _arbutuswalk.control import entry_count_cache
 from _arbutuswalk.control import leader_tasks
 from _arbutuswalk.control import member as members
 from _arbutuswalk.control import service
@@ -53,6 +54,7 @@
         return EXIT_STORAGE_FAILED
     member = members.Member(durable_replica=durable_replica)
     discovery = discoveries.Discovery(member=member)
+    discovery.restored_entry_count = entry_count_cache.load(values["data"])
     restored = endpoint_cache.load(values["data"])
     for endpoint in restored:
         discovery.apply_announcement(endpoint)
@@ -80,6 +82,9 @@
     leader_task = asyncio.ensure_future(leader_runner.run())
     expire_task = asyncio.ensure_future(_remove_expired(discovery))
     notify_task = asyncio.ensure_future(_notify_on_change(components))
+    count_task = asyncio.ensure_future(
+        _maintain_entry_count_cache(discovery, values)
+    )
     cache_task = asyncio.ensure_future(
         _maintain_endpoint_cache(discovery, values, restored)
     )
@@ -93,6 +98,7 @@
         expire_task,
         notify_task,
         cache_task,
+        count_task,
         stop_task,
     )
     for task in tasks:
@@ -142,6 +148,26 @@
         await asyncio.sleep(SAVE_INTERVAL_S)
 
 
+async def _maintain_entry_count_cache(
+    discovery: discoveries.Discovery, values: dict[str, Any]
+) -> None:
+    """Saves every change of the number of entries."""
+    saved_count = discovery.restored_entry_count
+    loop = asyncio.get_running_loop()
+    while True:
+        await asyncio.sleep(SAVE_INTERVAL_S)
+        entry_count = discovery.recent_entry_count()
+        if not discovery.is_settled() or entry_count == saved_count:
+            continue
+        failure = await loop.run_in_executor(
+            None, entry_count_cache.save, values["data"], entry_count
+        )
+        if failure is not None:
+            events.record(events.Event.DISK_REFUSED, failure)
+        else:
+            saved_count = entry_count
+
+
 async def _notify_on_change(components: Components) -> None:
     """Wakes the entries' watches when the tables or the role change."""
     while True:
--- a/src/_arbutuswalk/limits/quota.py
+++ b/src/_arbutuswalk/limits/quota.py
@@ -97,17 +97,17 @@
         rate: float,
         burst: float,
         now: float,
-        level: float | None = None,
+        sharing_entries: int = 1,
         others_taken: float | None = None,
     ):
         self.rate = rate
         self.burst = burst
-        self.level = burst if level is None else level
+        self.level = burst / sharing_entries
         self.refilled_at = now
-        self.usable_fraction = 1.0
-        self.is_split = False
+        self.usable_fraction = 1 / sharing_entries
+        self.is_split = sharing_entries > 1
         self.withheld = 0.0
-        self.entries = 1
+        self.entries = sharing_entries
         self.promised = 0.0
         self.taken = 0.0
         self.others_taken = others_taken
--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -47,6 +47,8 @@
         last_answer_at: When it last answered, in seconds.
         term: Term in which it is the leader, 0 if it is not.
         connected: Whether the last watch succeeded.
+        is_settled: Whether its last answer covered all running entries; a
+            process that has just started does not know them yet.
         routes_version: Newest route configuration version it announced.
         clock_offset_s: Its wall clock minus ours, None before it answered.
         reported_loads: Own loads last reported to it, by endpoint.
@@ -66,6 +68,7 @@
         self.revision = 0
         self.last_answer_at = now
         self.connected = False
+        self.is_settled = False
         self.routes_version = 0
         self.term = 0
         self.clock_offset_s: float | None = None
@@ -223,7 +226,9 @@
     def _apply_reply(self, feed: ControlFeed, reply: ttypes.WatchReply) -> None:
         now = self.relay.now()
         news = compressed_json.decode(reply.news)
-        is_continued = feed.connected and feed.session == reply.session
+        is_continued = (
+            feed.connected and feed.session == reply.session and feed.is_settled
+        )
         if not feed.connected:
             feed.connected = True
             events.record(
@@ -242,9 +247,13 @@
         self._fetch_newer_routes(feed)
         self._merge_rollouts(news["rollouts"])
         self._update_other_loads(feed, news["loads"])
-        self._record_quota_use(feed, news["taken"], is_continued=is_continued)
-        self.relay.entry_count = max(1, news["entries"])
-        self.relay.unreachable_entries = news["silent"]
+        feed.is_settled = news["is_settled"]
+        self.relay.entry_count = news["entries"] or self.relay.entry_count
+        if feed.is_settled:
+            self._record_quota_use(
+                feed, news["taken"], is_continued=is_continued
+            )
+            self.relay.unreachable_entries = news["silent"]
         self.relay.refused_fingerprints = frozenset(news["refused"])
         self._correct_clock()
         self.relay.notify_waiters()
--- a/src/_arbutuswalk/relay/quota_buckets.py
+++ b/src/_arbutuswalk/relay/quota_buckets.py
@@ -22,7 +22,7 @@
         config: Configuration that is put into use.
         is_first_config: Whether it is the first one of this process. Then the
             other entries may have used up the bursts already, and the entry
-            starts with its equal share of them.
+            keeps to its equal share until control reports their use.
     """
     now = relay.now()
     for workspace in config.workspaces:
@@ -33,14 +33,17 @@
         if bucket is not None:
             bucket.resize(rate, burst, now)
             continue
-        level = burst / relay.entry_count if is_first_config else burst
-        relay.quota_buckets[workspace.name] = quota.Bucket(
-            rate=rate, burst=burst, level=level, now=now, others_taken=0.0
+        bucket = relay.quota_buckets[workspace.name] = quota.Bucket(
+            rate=rate,
+            burst=burst,
+            now=now,
+            sharing_entries=relay.entry_count if is_first_config else 1,
+            others_taken=0.0,
         )
         events.record(
             events.Event.QUOTA_STARTED,
             workspace.name,
-            round(level),
+            round(bucket.level),
             round(burst),
             relay.entry_count,
         )
--- a/testing/quota_cluster.py
+++ b/testing/quota_cluster.py
@@ -20,6 +20,7 @@
 from _arbutuswalk.wire import compressed_json
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
+START = 1000.0
 STEP_S = 0.02
 MEAN_COST = 9000
 QUOTA_TOLERANCE = quota.QuotaTolerance(
@@ -36,24 +37,28 @@
         controls: Discovery of each control process.
         cut_off: Indices of the entries that cannot reach control.
         replies_due: Time of the next reply, by (entry, control) index.
+        connects_at: Time of the next attempt to connect, by the same.
         admitted: Time and cost of each admitted request.
         refused: Time and cost of each refused request.
     """
 
     def __init__(self, *, seed, entries=7, controls=3, rate, burst):
         self.rng = random.Random(seed)
-        self.now = 1000.0
+        self.now = START
         self.config = relay_fixtures.make_config(rate_per_s=rate, burst=burst)
         self.entries = [None] * entries
         self.controls = [None] * controls
         self.cut_off = set()
         self.replies_due = {}
+        self.connects_at = {}
         self.admitted = []
         self.refused = []
         for index in range(controls):
             self.start_control(index)
         for index in range(entries):
             self.start_entry(index)
+        self.run(2.0, tokens_per_s=1)
+        self.admitted.clear()
 
     def start_entry(self, index):
         relay = relay_state.Relay(
@@ -92,6 +97,8 @@
         member.now = member.wall = lambda: self.now
         member.address = _address(index)
         discovery = discoveries.Discovery(member=member)
+        if self.now > START:
+            discovery.restored_entry_count = len(self.entries)
         addresses = [_address(i) for i in range(len(self.controls))]
         discovery.member_addresses = lambda: addresses
         self.controls[index] = discovery
@@ -163,29 +170,33 @@
         for entry, control in pairs:
             watcher, discovery = self.entries[entry], self.controls[control]
             feed = watcher.feeds[_address(control)]
-            due = self.replies_due.get((entry, control))
-            if due is not None and due <= self.now:
+            pair = entry, control
+            if pair not in self.replies_due:
+                delay_s = self.rng.uniform(0, control_watch.RETRY_INTERVAL_S)
+                connects_at = self.connects_at.setdefault(
+                    pair, self.now + delay_s
+                )
+                if connects_at <= self.now:
+                    del self.connects_at[pair]
+                    self._send_watch(pair, feed, watcher, discovery)
+            elif self.replies_due[pair] <= self.now:
                 watcher._apply_reply(feed, _make_reply(discovery))
                 if watcher.relay.route_table is None:
                     values = routeconfig.to_json(self.config)
                     control_watch.apply_routes(watcher.relay, values, "test")
-                due = None
-            if due is None:
-                message = watcher._make_watch_message(feed)
-                discovery._record_watch(message, 0)
-                wait_s = discoveries.MAX_WATCH_WAIT_S
-                if message.session != discovery.session:
-                    # The first watch is answered at once; the connection was
-                    # opened some time after the start of the process.
-                    wait_s = self.rng.uniform(0, control_watch.RETRY_INTERVAL_S)
-                self.replies_due[entry, control] = self.now + wait_s
+                self._send_watch(pair, feed, watcher, discovery)
+
+    def _send_watch(self, pair, feed, watcher, discovery):
+        message = watcher._make_watch_message(feed)
+        discovery._record_watch(message, 0)
+        is_new = message.session != discovery.session
+        wait_s = 0.0 if is_new else discoveries.MAX_WATCH_WAIT_S
+        self.replies_due[pair] = self.now + wait_s
 
     def _drop_replies(self, is_dropped):
-        self.replies_due = {
-            pair: due
-            for pair, due in self.replies_due.items()
-            if not is_dropped(*pair)
-        }
+        for times in (self.replies_due, self.connects_at):
+            for pair in [pair for pair in times if is_dropped(*pair)]:
+                del times[pair]
 
 
 def _address(control):
--- a/testing/test_duties.py
+++ b/testing/test_duties.py
@@ -12,6 +12,7 @@
 from _arbutuswalk.control import discovery as discoveries
 from _arbutuswalk.control import duties
 from _arbutuswalk.control import endpoint_cache
+from _arbutuswalk.control import entry_count_cache
 from _arbutuswalk.control import process
 from _arbutuswalk.control import usage_reports
 from _arbutuswalk.routing import directory
@@ -241,6 +242,31 @@
             discovery._record_watch(message, 0)
         assert discovery.quota_use.totals == {"w": 2.0}
 
+    def test_the_entry_count_of_a_new_process_is_the_restored_one(self):
+        components = make_components()
+        discovery = components.discovery
+        discovery.restored_entry_count = 7
+        discovery._record_watch(watch(discovery, "e1"), 0)
+        assert discovery._build_update(0)["entries"] == 7
+        components.member.time += discoveries.SETTLING_TIME_S
+        assert discovery._build_update(0)["entries"] == 1
+
+
+class TestEntryCountCache:
+    def test_a_saved_number_is_loaded(self, tmp_path):
+        assert entry_count_cache.save(str(tmp_path), 7) is None
+        assert entry_count_cache.load(str(tmp_path)) == 7
+
+    @pytest.mark.parametrize("content", [b"", b"[7", b"{}", b"-7", b'"x"'])
+    def test_a_damaged_file_is_ignored(self, tmp_path, content):
+        path = pathlib.Path(tmp_path, entry_count_cache.FILE_NAME)
+        path.write_bytes(content)
+        assert entry_count_cache.load(str(tmp_path)) == 0
+
+    def test_a_failed_write_is_reported(self, tmp_path):
+        missing = str(tmp_path / "missing")
+        assert isinstance(entry_count_cache.save(missing, 7), OSError)
+
 
 class TestEndpointCache:
     def test_it_survives_a_power_loss_at_any_point(self, tmp_path, monkeypatch):
--- a/testing/test_quota_restarts.py
+++ b/testing/test_quota_restarts.py
@@ -130,6 +130,19 @@
         assert cluster.max_admitted_in_window() <= cluster.permitted_in_window()
 
 
+class TestEntryCount:
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_restarted_control_lowers_no_entry_count(self, seed):
+        cluster = make_cluster(seed)
+        cluster.run(2.0, tokens_per_s=RATE / 3)
+        restart_control(cluster, 0.5, RATE / 3)
+        counts = set()
+        for _ in range(100):
+            cluster.run(quota_cluster.STEP_S, tokens_per_s=RATE / 3)
+            counts |= {e.relay.entry_count for e in cluster.entries}
+        assert counts == {len(cluster.entries)}
+
+
 class TestWithinQuota:
     """A workspace sends a third of its quota in small requests."""
 
--- a/testing/test_watching.py
+++ b/testing/test_watching.py
@@ -41,6 +41,7 @@
         "loads": {},
         "taken": {},
         "entries": 1,
+        "is_settled": True,
         "silent": 0,
         "wall": 0.0,
         "term": 1,
