Reserve a part of the retry budget for processes that have just started

Callers may have seen: an upstream that fails got more retries than its budget (BUDGET) while entries restart.

Cause: the retries of an entry's former process are forgotten at its restart, and the new one used the full share of the constant again.

Without any constant in the first window a request that fails just after a restart was not retried and broken streams were not resumed (8 tests of the relay), so that was not kept.

Test: all requests fail and entries restart once or twice within a window, at once or in turn: 120 of 120 cases exceeded the bound before, 0 after.

--- a/src/_arbutuswalk/relay/relay_state.py
+++ b/src/_arbutuswalk/relay/relay_state.py
@@ -240,5 +240,7 @@
                 ratio=self.options.retry_ratio,
                 extra=self.options.retry_extra,
                 window_s=self.options.retry_window_s,
+                first_window_ends_at=self.started_at
+                + self.options.retry_window_s,
             )
         return window
