Lift no refusal by a control process that has just started

Callers may have seen: a request that crashes endpoints, which all entries refuse, was run again after control restarted.

Cause: the fingerprints to refuse are worked out from the reports of the entries that a control process knows, and the latest reply replaced those of the entry.

Change: until control has the reports of all running entries, its fingerprints are added to those the entry refuses already. What only entries knew that have ended is still lost when all control processes restart.

Test: test_watching.TestRestartedControl, 2 of 3 failed before.

--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -254,7 +254,7 @@
                 feed, news["taken"], is_continued=is_continued
             )
             self.relay.unreachable_entries = news["silent"]
-        self.relay.refused_fingerprints = frozenset(news["refused"])
+        self._update_refusals(feed, frozenset(news["refused"]))
         self._correct_clock()
         self.relay.notify_waiters()
 
@@ -323,6 +323,14 @@
             bucket.record_report(others + feed.quota_offsets[name], now)
         feed.quota_totals = totals
 
+    def _update_refusals(
+        self, feed: ControlFeed, fingerprints: frozenset[str]
+    ) -> None:
+        """Lifts a refusal only if control has the reports of all entries."""
+        if not feed.is_settled:
+            fingerprints |= self.relay.refused_fingerprints
+        self.relay.refused_fingerprints = fingerprints
+
     def _correct_clock(self) -> None:
         """Corrects a clock step by the median offset of all clocks."""
         offsets = [
--- a/testing/test_watching.py
+++ b/testing/test_watching.py
@@ -52,6 +52,26 @@
     return ttypes.WatchReply(session="s", version=1, news=payload)
 
 
+class TestRestartedControl:
+    def test_it_lifts_no_refusal_before_it_knows_all_entries(self):
+        watcher, feed = make_watcher()
+        watcher._apply_reply(feed, make_reply(refused=["f"]))
+        watcher._apply_reply(feed, make_reply(refused=[], is_settled=False))
+        assert watcher.relay.refused_fingerprints == {"f"}
+
+    def test_it_adds_refusals_before_it_knows_all_entries(self):
+        watcher, feed = make_watcher()
+        watcher._apply_reply(feed, make_reply(refused=["f"]))
+        watcher._apply_reply(feed, make_reply(refused=["g"], is_settled=False))
+        assert watcher.relay.refused_fingerprints == {"f", "g"}
+
+    def test_it_lifts_refusals_once_it_knows_all_entries(self):
+        watcher, feed = make_watcher()
+        watcher._apply_reply(feed, make_reply(refused=["f"]))
+        watcher._apply_reply(feed, make_reply(refused=[]))
+        assert watcher.relay.refused_fingerprints == frozenset()
+
+
 class TestWithoutControl:
     def test_known_endpoints_are_kept_while_control_is_lost(self):
         watcher, feed = make_watcher()
