Count only outcomes since the start of control as evidence on a version

Callers may have seen: a bad version kept longer, or a good one taken back, where control restarted during a rollout.

Cause: the outcomes of a version were summed over the entries that control knew. A new leader's first sum, its baseline, could miss entries; their outcomes since their start, of former faults as well, then counted as new evidence. With the test's reports: 500 failures of 1,500 requests of the old version that had happened before.

Change: control sums the increases (CounterSum), as for quota use.

Tests: outcomes before the start of control are no evidence (2,503 requests and 503 failures before, 3 and 3 after); those of an entry that ended stay counted.

--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -71,7 +71,10 @@
             within it.
         directory: Endpoints.
         entries: Known entries by id and incarnation.
-        quota_use: Quota use of the entries since the start of this process.
+        quota_use: Quota use of the entries since the start of this process, by
+            workspace.
+        outcomes: Request outcomes since then, by upstream, version and position
+            in ``evidence.OutcomeCounts``.
         started_at: When this process started, in seconds.
         restored_entry_count: Number of entries before the last restart, 0 if
             unknown.
@@ -87,6 +90,7 @@
         self.directory = directories.Directory()
         self.entries: dict[tuple[str, int], KnownEntry] = {}
         self.quota_use = counter_sum.CounterSum()
+        self.outcomes = counter_sum.CounterSum()
         self.changed = asyncio.Event()
         self.now: clock.Clock = member.now
         self.started_at = self.now()
@@ -198,6 +202,7 @@
             if now - entry.last_watch_at > ENTRY_RETENTION_S:
                 del self.entries[key]
                 self.quota_use.remove(key)
+                self.outcomes.remove(key)
 
     def reports(self) -> list[dict[str, Any]]:
         """Returns the last report of every incarnation of every entry."""
@@ -252,12 +257,22 @@
         self.entries[key] = KnownEntry(
             message.incarnation, revision, report, self.now()
         )
+        self._sum_counters(key, report)
+
+    def _sum_counters(
+        self, key: tuple[str, int], report: dict[str, Any]
+    ) -> None:
         uptime_s = self.now() - self.started_at
+        counts_from_zero = report.get("uptime_s", uptime_s) < uptime_s
         self.quota_use.record(
-            key,
-            report.get("taken", {}),
-            counts_from_zero=report.get("uptime_s", uptime_s) < uptime_s,
+            key, report.get("taken", {}), counts_from_zero=counts_from_zero
         )
+        outcomes = {
+            (upstream, version, position): count
+            for upstream, version, *counts in report.get("outcomes", [])
+            for position, count in enumerate(counts)
+        }
+        self.outcomes.record(key, outcomes, counts_from_zero=counts_from_zero)
 
     def _has_update(self, message: ttypes.Watch, revision: int) -> bool:
         tables = self.member.tables
--- a/src/_arbutuswalk/control/rollouts.py
+++ b/src/_arbutuswalk/control/rollouts.py
@@ -1,7 +1,7 @@
 """Advances rollouts while this process holds the leader lease."""
 
 import asyncio
-from typing import Any
+from collections.abc import Mapping
 
 from _arbutuswalk.base import events
 from _arbutuswalk.control import leader_client
@@ -73,7 +73,7 @@
 ) -> commands.StepRollout | None:
     now = components.member.now()
     new, old = sum_outcomes(
-        components.discovery.reports(), upstream, row.target
+        components.discovery.outcomes.totals, upstream, row.target
     )
     key = (upstream, row.target, row.started_ms)
     trial = trials.by_rollout.get(key)
@@ -113,19 +113,22 @@
 
 
 def sum_outcomes(
-    reports: list[dict[str, Any]], upstream: str, target: str
+    totals: Mapping[tuple[str, str, int], int], upstream: str, target: str
 ) -> tuple[evidence.OutcomeCounts, evidence.OutcomeCounts]:
-    """Returns outcome sums of the target and of all other versions."""
-    new = old = evidence.OutcomeCounts()
-    for report in reports:
-        for name, version, *counts in report.get("outcomes", []):
-            if name != upstream:
-                continue
-            if version == target:
-                new = evidence.add_counts(new, counts)
-            else:
-                old = evidence.add_counts(old, counts)
-    return new, old
+    """Returns outcome sums of the target and of all other versions.
+
+    Args:
+        totals: Outcomes by upstream, version and position in the counts.
+        upstream: Upstream of the rollout.
+        target: Version that is rolled out.
+    """
+    new = [0] * len(evidence.OutcomeCounts._fields)
+    old = list(new)
+    for (name, version, position), count in totals.items():
+        if name == upstream:
+            counts = new if version == target else old
+            counts[position] += count
+    return evidence.OutcomeCounts(*new), evidence.OutcomeCounts(*old)
 
 
 def _has_ready_endpoint(
