Charge and judge only what entries report since the leader started

Operators may have seen: after a change of the leader a workspace charged for time of earlier intervals, and a version move judged by earlier failures.

Cause: usage and outcomes were sums over the last reports. A new leader's first sum, its baseline, misses the entries that have not reported yet; their totals since their start then counted as new.

Change: both sum the increases of each incarnation (CounterSum, now in state); the meter reads the reports at each tick instead of once an interval.

--- a/bench/moves.py
+++ b/bench/moves.py
@@ -10,6 +10,7 @@
 
 from _arbutuswalk.routing import version_outcomes
 from _arbutuswalk.state import commands
+from _arbutuswalk.state import counter_sum
 from _arbutuswalk.state import inventory as inventories
 from _arbutuswalk.state import move_policy
 from _arbutuswalk.state import state_machine
@@ -63,6 +64,7 @@
 
     def __init__(self):
         self.started_ms = None
+        self.outcomes = counter_sum.CounterSum()
 
     def __call__(self, tables, reports, now_ms):
         step_commands = []
@@ -71,7 +73,9 @@
                 continue
             if self.started_ms is None:
                 self.started_ms = now_ms
-            counts_by_key = move_policy.sum_reports(reports)
+            counts_by_key = move_policy.sum_reports(
+                tables, reports, self.outcomes
+            )
             new_counts = [
                 counts_by_key.get(f"model|{row.new}|{r}") for r in row.shares
             ]
--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -17,10 +17,10 @@
 from _arbutuswalk.base import clock
 from _arbutuswalk.base import events
 from _arbutuswalk.base import metrics
-from _arbutuswalk.control import counter_sum
 from _arbutuswalk.control import member as members
 from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory as directories
+from _arbutuswalk.state import counter_sum
 from _arbutuswalk.wire import compressed_json
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
--- a/src/_arbutuswalk/control/leader_tasks.py
+++ b/src/_arbutuswalk/control/leader_tasks.py
@@ -73,6 +73,9 @@
         for command in self._due_moves():
             await self._step_move(command)
         if self.platform is not None:
+            tables = self.service.member.tables
+            reports = self.service.leases.reports(tables)
+            metering.record_usage(self.meter, tables, reports)
             await self._mark_reclaimed()
             await self._charge()
         await self._advance_log_time()
--- a/src/_arbutuswalk/control/metering.py
+++ b/src/_arbutuswalk/control/metering.py
@@ -5,6 +5,8 @@
 from _arbutuswalk.base import clock
 from _arbutuswalk.state import charges
 from _arbutuswalk.state import commands
+from _arbutuswalk.state import counter_sum
+from _arbutuswalk.state import entries
 from _arbutuswalk.state import inventory as inventories
 from _arbutuswalk.state import tables as rows
 
@@ -17,16 +19,39 @@
 
     Attributes:
         billed_micro: Micro-units billed, by instance.
-        used_ms: Slot milliseconds used, by (instance, workspace).
+        usage: Slot milliseconds used since the leader started, by (instance,
+            workspace).
+        used_ms: Their totals at the end of the last interval.
         has_baseline: Whether this leader has read the totals at least once.
     """
 
     def __init__(self):
         self.billed_micro: dict[str, int] = {}
+        self.usage = counter_sum.CounterSum()
         self.used_ms: dict[tuple[str, str], int] = {}
         self.has_baseline = False
 
 
+def record_usage(
+    meter: Meter, tables: rows.Tables, reports: dict[str, dict[str, Any]]
+) -> None:
+    """Adds what the entries used since their last reports.
+
+    The first report of an entry is a baseline, so this is called more often
+    than charges are computed.
+    """
+    for entry, report in reports.items():
+        if "usage" not in report:
+            continue
+        used_ms = {
+            (instance, workspace): total_ms
+            for instance, by_workspace in report["usage"].items()
+            for workspace, total_ms in by_workspace.items()
+        }
+        process = entry, entries.incarnation(tables, entry)
+        meter.usage.record(process, used_ms, counts_from_zero=False)
+
+
 def compute_charge(
     meter: Meter,
     tables: rows.Tables,
@@ -42,7 +67,8 @@
     """
     total_micro = sum(bill.values())
     due_micro = total_micro - tables.billed_micro
-    used_ms = _sum_usage(reports)
+    record_usage(meter, tables, reports)
+    used_ms = dict(meter.usage.totals)
     if due_micro <= 0:
         return None
     owners = _owners_and_slots(tables, reports)
@@ -87,18 +113,6 @@
     )
 
 
-def _sum_usage(
-    reports: dict[str, dict[str, Any]],
-) -> dict[tuple[str, str], int]:
-    used_ms: dict[tuple[str, str], int] = {}
-    for report in reports.values():
-        for instance, by_workspace in report.get("usage", {}).items():
-            for workspace, total_ms in by_workspace.items():
-                key = (instance, workspace)
-                used_ms[key] = used_ms.get(key, 0) + total_ms
-    return used_ms
-
-
 def _owners_and_slots(
     tables: rows.Tables, reports: dict[str, dict[str, Any]]
 ) -> dict[str, tuple[str, int]]:
--- a/src/_arbutuswalk/state/entries.py
+++ b/src/_arbutuswalk/state/entries.py
@@ -66,3 +66,9 @@
 def _end_incarnation(tables: rows.Tables, entry: str, incarnation: int) -> None:
     ledger.mark_calls_unknown(tables, entry, incarnation)
     quarantine.release_entry_isolations(tables, entry)
+
+
+def incarnation(tables: rows.Tables, entry: str) -> int:
+    """Returns the incarnation of a registered entry, 0 if it is unknown."""
+    row = tables.entries.get(entry)
+    return row.incarnation if row is not None else 0
--- a/src/_arbutuswalk/state/evidence.py
+++ b/src/_arbutuswalk/state/evidence.py
@@ -4,7 +4,6 @@
 the same two tests, of failures and of slowness, and decide separately.
 """
 
-from collections.abc import Iterable
 from typing import NamedTuple
 
 from _arbutuswalk.state import compare
@@ -43,11 +42,6 @@
         self.counted_old = old
 
 
-def add_counts(totals: OutcomeCounts, counts: Iterable[int]) -> OutcomeCounts:
-    """Returns the totals with one entry's counts added."""
-    return OutcomeCounts(*map(sum, zip(totals, counts, strict=True)))
-
-
 def update_tests(
     evidence: Evidence, new: OutcomeCounts, old: OutcomeCounts
 ) -> OutcomeCounts:
--- a/src/_arbutuswalk/state/move_policy.py
+++ b/src/_arbutuswalk/state/move_policy.py
@@ -11,6 +11,8 @@
 from typing import NamedTuple
 
 from _arbutuswalk.state import commands
+from _arbutuswalk.state import counter_sum
+from _arbutuswalk.state import entries
 from _arbutuswalk.state import evidence
 from _arbutuswalk.state import inventory as inventories
 from _arbutuswalk.state import moves
@@ -35,6 +37,8 @@
 """Log evidence at which a version is taken back. Each test takes back at most
 one good version in a thousand."""
 NON_IDEMPOTENT_OUTCOMES_FACTOR = 2
+REPORTED_FIELDS = ("ran", "failed", "slow", "timed")
+"""Fields of ``evidence.OutcomeCounts`` in the order of the entries' reports."""
 
 
 class RouteTrial:
@@ -80,24 +84,44 @@
 
     Attributes:
         routes: Trial by (move, route).
+        outcomes: Outcomes since the leader started, by
+            ``upstream|version|route`` and field of ``evidence.OutcomeCounts``.
     """
 
     def __init__(self):
         self.routes: dict[tuple[str, str], RouteTrial] = {}
+        self.outcomes = counter_sum.CounterSum()
 
 
 def sum_reports(
+    tables: rows.Tables,
     reports: dict[str, dict[str, Any]],
+    outcomes: counter_sum.CounterSum,
 ) -> dict[str, evidence.OutcomeCounts]:
-    """Sums the entries' counts by ``upstream|version|route``."""
+    """Adds the entries' latest counts to those since the leader started.
+
+    Args:
+        tables: State of control, with the incarnations of the entries.
+        reports: Last report of each entry.
+        outcomes: Sums so far, by ``upstream|version|route`` and field; updated.
+
+    Returns:
+        The sums by ``upstream|version|route``.
+    """
+    for entry, report in reports.items():
+        if "evidence" not in report:
+            continue
+        counts = {
+            (key, field): count
+            for key, values in report["evidence"].items()
+            for field, count in zip(REPORTED_FIELDS, values, strict=True)
+        }
+        process = entry, entries.incarnation(tables, entry)
+        outcomes.record(process, counts, counts_from_zero=False)
     sums: dict[str, evidence.OutcomeCounts] = {}
-    for report in reports.values():
-        for key, counts in report.get("evidence", {}).items():
-            ran, errors, slow, timed = counts
-            previous = sums.get(key, evidence.OutcomeCounts())
-            sums[key] = evidence.add_counts(
-                previous, (ran, errors, timed, slow)
-            )
+    for (key, field), count in outcomes.totals.items():
+        counts = sums.get(key, evidence.OutcomeCounts())
+        sums[key] = counts._replace(**{field: count})
     return sums
 
 
@@ -121,7 +145,7 @@
     now_ms: int,
 ) -> list[commands.StepMove]:
     """Returns the steps of all active moves that are due."""
-    sums = sum_reports(reports)
+    sums = sum_reports(tables, reports, trials.outcomes)
     available = usable_versions(reports)
     steps = []
     for move, row in tables.moves.items():
--- a/testing/test_counter_sum.py
+++ b/testing/test_counter_sum.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from _arbutuswalk.control import counter_sum
+from _arbutuswalk.state import counter_sum
 
 
 class TestCounterSum:
--- a/testing/test_moves.py
+++ b/testing/test_moves.py
@@ -219,6 +219,30 @@
 
 
 class TestDeadline:
+    def test_outcomes_before_the_leader_knew_an_entry_are_no_evidence(self):
+        simulation = MoveSimulation()
+        simulation.apply(model="v2")
+        simulation.tick()
+        simulation.trials = move_policy.MoveTrials()
+        reports = simulation.reports()
+        move = simulation.last_move()
+        for version in (move.old, move.new):
+            late = {f"model|{version}|{route}" for route in move.shares}
+            reports["late"] = {
+                "evidence": {
+                    **reports.get("late", {}).get("evidence", {}),
+                    **dict.fromkeys(late, (1000, 900, 0, 100)),
+                }
+            }
+        for known in ({"e": reports["e"]}, reports):
+            move_policy.decide(
+                simulation.tables, known, simulation.trials, simulation.now_ms
+            )
+        assert simulation.trials.routes
+        for trial in simulation.trials.routes.values():
+            assert trial.evidence.errors.new_failed == 0
+            assert trial.evidence.errors.old_failed == 0
+
     def test_move_without_instances_is_taken_back(self):
         simulation = MoveSimulation()
         simulation.apply(model="v2")
