Keep many small shares of a quota from admitting a request each

Callers may have seen: QUOTA on a large deployment while control is away or restarts.

Cause: a bucket admits a large request at two fifths of its burst and may become negative by the rest. An equal share among 72 entries is smaller than one request, so each entry admitted one: 721,053 tokens of a workspace that is permitted 407,000 in 8 s.

Change: the first large request after a split subtracts a random part of up to twice its cost, so that as many entries start in debt as the shares demand. A split starts after 1.0 s without reports instead of 1.5 s: a restart of control that takes 0.5 s leaves 1.25 s without reports.

Tests: many entries without reports do not admit a request each, 40 of 40 cases failed before.

--- a/src/_arbutuswalk/limits/quota.py
+++ b/src/_arbutuswalk/limits/quota.py
@@ -9,9 +9,9 @@
 
 from typing import NamedTuple
 
-MAX_REPORT_AGE_S = 1.5
+MAX_REPORT_AGE_S = 1.0
 """Age of the last report above which an entry limits itself to an equal share:
-three report intervals."""
+two report intervals of 0.4 s, and the time for a message."""
 RATE_SPAN_S = 0.5
 """Minimum time over which rates are measured: one report interval."""
 RATE_SMOOTHING_FACTOR = 0.5
@@ -22,6 +22,9 @@
 EQUAL_RATE_PRIOR_FRACTION = 0.5
 """Weight of the prior that all entries use equal rates, as a fraction of the
 rate; it dominates until rates have been measured."""
+SHARE_DRAW_REQUESTS = 2.0
+"""Largest number of requests that the random part of a share covers: one on
+average, as the request that makes a level negative is larger than most."""
 LARGE_REQUEST_FRACTION = 0.1
 """Fraction of the burst from which a request counts as large."""
 SMALL_RESERVE_FRACTION = 0.3
@@ -74,6 +77,8 @@
             below 1 while entries are unreachable.
         is_split: Whether ``level`` is only this entry's share of the bucket,
             because it is without reports.
+        is_share_reduced: Whether a random part of a request was subtracted
+            from that share.
         withheld: Tokens of the bucket that are not in that share.
         entries: Number of entries that share the bucket.
         promised: Tokens of recently refused requests whose callers were told
@@ -106,6 +111,7 @@
         self.refilled_at = now
         self.usable_fraction = 1 / sharing_entries
         self.is_split = sharing_entries > 1
+        self.is_share_reduced = False
         self.withheld = 0.0
         self.entries = sharing_entries
         self.promised = 0.0
@@ -217,6 +223,7 @@
         entries: int,
         unreachable: int,
         late: bool = False,
+        share_draw: float = 0.0,
     ) -> float:
         """Takes ``cost`` tokens.
 
@@ -230,6 +237,8 @@
             unreachable: Number of those that are unreachable.
             late: Whether the response would already miss its objective, so
                 that requests which can still meet theirs take precedence.
+            share_draw: Random number from 0 to 1, used at the first large
+                request after a split.
 
         Returns:
             Zero if the tokens were taken, else seconds until a retry.
@@ -240,6 +249,7 @@
             self.entries, unreachable, is_split=self.is_split
         )
         self.level = min(self.level, self.burst * self.usable_fraction)
+        self._reduce_share(cost, share_draw)
         held_back = 0.0
         if not self.is_split:
             held_back = self._estimate_unreported(now - self.last_report_at)
@@ -273,6 +283,19 @@
         self.level = share
         self.usable_fraction = 1 / self.entries
         self.is_split = True
+        self.is_share_reduced = False
+
+    def _reduce_share(self, cost: float, share_draw: float) -> None:
+        """Subtracts a random part of a request that a share hardly holds.
+
+        The level may become negative by one request. Without this, every entry
+        would admit one, and all of them together more than the bucket holds.
+        """
+        largest_cost = SHARE_DRAW_REQUESTS * cost
+        share = self.burst * self.usable_fraction
+        if self.is_split and not self.is_share_reduced and largest_cost > share:
+            self.is_share_reduced = True
+            self.level -= share_draw * largest_cost
 
     def _merge(self) -> None:
         """Ends the split; what was taken from the share stays subtracted."""
--- a/src/_arbutuswalk/relay/admission.py
+++ b/src/_arbutuswalk/relay/admission.py
@@ -142,6 +142,7 @@
         entries=relay.entry_count,
         unreachable=relay.unreachable_entries,
         late=relay.lateness.is_late(request, now),
+        share_draw=relay.rng.random(),
     )
     labels = f'workspace="{workspace.name}"'
     if not wait_s:
--- a/testing/test_quota.py
+++ b/testing/test_quota.py
@@ -171,6 +171,42 @@
         bucket.record_baseline(5.0)
         assert bucket.level == pytest.approx(BURST / 4)
 
+    @pytest.mark.parametrize("seed", range(20))
+    @pytest.mark.parametrize("is_started", [False, True])
+    def test_many_entries_without_reports_do_not_admit_a_request_each(
+        self, seed, is_started
+    ):
+        """The equal shares are smaller than one request."""
+        rng = random.Random(seed)
+        entries, rate = 72, 30_000.0
+        quota_tolerance = quota.QuotaTolerance(
+            window_s=8.0, overshoot=0.1, tolerance=110_000
+        )
+        effective = quota.effective_quota(rate, rate, quota_tolerance)
+        admitted = 0.0
+        for _ in range(entries):
+            bucket = quota.Bucket(
+                rate=effective[0],
+                burst=effective[1],
+                now=0.0,
+                sharing_entries=entries if is_started else 1,
+            )
+            bucket.entries = entries
+            now = rng.uniform(1.6, 2.0)
+            while now < 9.6:
+                cost = min(39_600, rng.lognormvariate(8.9, 0.7))
+                wait = bucket.take(
+                    cost,
+                    now,
+                    entries=entries,
+                    unreachable=0,
+                    share_draw=rng.random(),
+                )
+                admitted += cost * (wait == 0.0)
+                now += rng.uniform(0, 2.0)
+        permitted = (rate * 8 + rate) * 1.1 + 110_000
+        assert rate * 8 / 2 <= admitted <= permitted
+
 
 class TestManyEntries:
     @pytest.mark.parametrize("rate", [29_000.0, 270_000.0])
--- a/testing/test_quota_restarts.py
+++ b/testing/test_quota_restarts.py
@@ -148,11 +148,13 @@
 
     @pytest.mark.parametrize("seed", SEEDS)
     def test_an_entry_that_was_cut_off_refuses_nothing_afterwards(self, seed):
+        """It returns with its share, which takes up to 1 s to refill."""
         cluster = make_cluster(seed)
         cluster.run(10.0, tokens_per_s=RATE / 3, cost_factor=0.1)
         cluster.cut_entry(0)
         cluster.run(6.0, tokens_per_s=RATE / 3, cost_factor=0.1)
         cluster.reconnect_entry(0)
+        cluster.run(1.0, tokens_per_s=RATE / 3, cost_factor=0.1)
         cluster.refused.clear()
         cluster.run(10.0, tokens_per_s=RATE / 3, cost_factor=0.1)
         assert cluster.refused == []
