Hold resends of a request while its upstream is probed

Callers saw: in 1 of 19 runs of the known red test_one_resent_everywhere a request that crashes runners cost three of them instead of two.

Cause, by reading, as the run's logs were not kept: an entry treats a request as a suspect and tells the others only when the death of its upstream is confirmed. A process that is ending accepts connections for a moment, so the probe can take up to 0.5 s; a resend within that time was placed beside other requests, at this entry and at the others.

Change: a lost attempt holds resends of the same request, here and at the others, until the probe has ended, 0.7 s at most. An upstream that answers releases them; a death makes them suspects as before. Convictions are unchanged.

Tests: TestLostAttempts, 4 of its 6 cases failed before.

--- a/src/_arbutuswalk/entry/crash_quarantine.py
+++ b/src/_arbutuswalk/entry/crash_quarantine.py
@@ -24,6 +24,9 @@
 PEER_SUSPECT_TTL_S = 2.0
 """How long a suspect reported by another entry counts. This is longer than a
 report takes to be committed and to reach every view."""
+UNCONFIRMED_TTL_S = 0.7
+"""How long a resend waits for the probe of an upstream on which the request
+broke: the probe's time-out, and time for the messages."""
 MAX_ISOLATED_FRACTION = 0.34
 """Maximum fraction of an upstream name's instances reserved for suspects."""
 _REFUSED, _ANSWERED, _NO_ANSWER = "refused", "open", "no answer"
@@ -151,6 +154,57 @@
     return ""
 
 
+def announce_lost_attempt(
+    entry: entry_state.Entry, row: upstreams.Row, fingerprint: str
+) -> None:
+    """Holds resends of a request whose upstream may have died, at all entries.
+
+    Until the upstream was probed, a resend would be placed beside other
+    requests on the next one.
+    """
+    if row.health(entry.now()) is upstreams.Health.LEAVING:
+        return
+    hold_resends(entry, [fingerprint])
+    peer_updates.send_to_peers(
+        entry,
+        {"kind": peer_updates.LOST_ATTEMPT, "fingerprints": [fingerprint]},
+    )
+
+
+def announce_survival(entry: entry_state.Entry, fingerprint: str) -> None:
+    """Releases the resends of a request whose upstream has not died."""
+    release_resends(entry, [fingerprint])
+    peer_updates.send_to_peers(
+        entry, {"kind": peer_updates.SURVIVED, "fingerprints": [fingerprint]}
+    )
+
+
+def hold_resends(entry: entry_state.Entry, fingerprints: list[str]) -> None:
+    """Holds resends of requests until a probe has ended."""
+    expires_at = entry.now() + UNCONFIRMED_TTL_S
+    entry.unconfirmed_until |= dict.fromkeys(fingerprints, expires_at)
+
+
+def release_resends(entry: entry_state.Entry, fingerprints: list[str]) -> None:
+    """Releases resends after a probe that was answered."""
+    for fingerprint in fingerprints:
+        entry.unconfirmed_until.pop(fingerprint, None)
+
+
+async def wait_while_unconfirmed(
+    entry: entry_state.Entry, request: model_requests.ModelRequest
+) -> None:
+    """Waits while the request may have crashed an upstream moments ago."""
+    fingerprint = request.fingerprint
+    while (
+        entry.now()
+        < min(entry.unconfirmed_until.get(fingerprint, 0.0), request.deadline)
+        and not entry.is_suspect(fingerprint)
+        and not entry.convicted_until_ms(fingerprint)
+    ):
+        await asyncio.sleep(PROBE_INTERVAL_S)
+
+
 def add_peer_suspects(
     entry: entry_state.Entry, fingerprints: list[str]
 ) -> None:
@@ -164,11 +218,12 @@
 
 
 def expire_peer_suspects(entry: entry_state.Entry) -> None:
-    """Drops suspects of other entries' reports that have expired."""
+    """Drops expired suspects of other entries' reports and held resends."""
     now = entry.now()
-    for fingerprint, expires_at in list(entry.peer_suspects.items()):
-        if expires_at <= now:
-            del entry.peer_suspects[fingerprint]
+    for expiry_times in (entry.peer_suspects, entry.unconfirmed_until):
+        for fingerprint, expires_at in list(expiry_times.items()):
+            if expires_at <= now:
+                del expiry_times[fingerprint]
 
 
 async def place_isolated(
--- a/src/_arbutuswalk/entry/entry_state.py
+++ b/src/_arbutuswalk/entry/entry_state.py
@@ -50,6 +50,8 @@
             reported, ahead of the view.
         peer_suspects: Expiry time of suspects that other entries reported, by
             fingerprint.
+        unconfirmed_until: Time until which resends of a request wait, as its
+            upstream may have died, by fingerprint.
         death_reports: Death reports by upstream key.
         copies: Requests held for other entries, by request id.
         peer_links: Links to other entries, by address.
@@ -101,6 +103,7 @@
         self.running_calls: dict[tuple[str, str], Any] = {}
         self.local_suspects: set[str] = set()
         self.peer_suspects: dict[str, float] = {}
+        self.unconfirmed_until: dict[str, float] = {}
         self.death_reports: dict[str, Any] = {}
         self.copies: dict[str, Any] = {}
         self.peer_links: dict[str, link.Link] = {}
--- a/src/_arbutuswalk/entry/execution.py
+++ b/src/_arbutuswalk/entry/execution.py
@@ -94,6 +94,7 @@
     state: RunState,
 ) -> upstreams.Row | answer.Problem | None:
     entry, request = state.entry, state.request
+    await crash_quarantine.wait_while_unconfirmed(entry, request)
     until_ms = entry.convicted_until_ms(request.fingerprint)
     if until_ms:
         return crash_quarantine.convicted_problem(request, until_ms)
@@ -137,6 +138,9 @@
         result = await _run_or_move(state, row, on_events)
         if isinstance(result, attempts.Broke | attempts.Silent):
             row.unconfirmed_crashes.add(request.fingerprint)
+            crash_quarantine.announce_lost_attempt(
+                entry, row, request.fingerprint
+            )
     except asyncio.CancelledError:
         crash_quarantine.release_isolation_in_background(entry, request)
         raise
@@ -227,6 +231,7 @@
     if not died and request.fingerprint in row.unconfirmed_crashes:
         row.unconfirmed_crashes.discard(request.fingerprint)
         row.survived_at[request.fingerprint] = entry.now()
+        crash_quarantine.announce_survival(entry, request.fingerprint)
     # An attempt lost with its upstream is no sign of overload.
     state.budget_exempt = died or _is_leaving_or_moved(state, row, result)
     if blamed == request.fingerprint:
--- a/src/_arbutuswalk/entry/peer_updates.py
+++ b/src/_arbutuswalk/entry/peer_updates.py
@@ -9,6 +9,8 @@
 ANNOUNCEMENT = "announcement"
 CACHE_EVENT = "cache"
 SUSPECTS = "suspects"
+LOST_ATTEMPT = "lost attempt"
+SURVIVED = "survived"
 
 
 def send_to_peers(entry: entry_state.Entry, update: dict[str, Any]) -> None:
--- a/src/_arbutuswalk/entry/upstream_announcements.py
+++ b/src/_arbutuswalk/entry/upstream_announcements.py
@@ -123,6 +123,10 @@
             _apply_cache_event(entry, update["event"])
         elif update["kind"] == peer_updates.SUSPECTS:
             crash_quarantine.add_peer_suspects(entry, update["fingerprints"])
+        elif update["kind"] == peer_updates.LOST_ATTEMPT:
+            crash_quarantine.hold_resends(entry, update["fingerprints"])
+        elif update["kind"] == peer_updates.SURVIVED:
+            crash_quarantine.release_resends(entry, update["fingerprints"])
 
 
 def _report_replaced_death(
--- a/testing/test_crash_quarantine.py
+++ b/testing/test_crash_quarantine.py
@@ -9,11 +9,13 @@
 import virtual
 
 from _arbutuswalk.entry import crash_quarantine
+from _arbutuswalk.entry import execution
 from _arbutuswalk.entry import model_requests
 from _arbutuswalk.entry import peer_updates
 from _arbutuswalk.entry import placement
 from _arbutuswalk.entry import upstream_announcements
 from _arbutuswalk.routing import upstreams
+from _arbutuswalk.streams import attempts
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
 ENTRY_NAMES = ("a", "b")
@@ -120,22 +122,110 @@
         ]
 
 
-class TestReservations:
-    def make_request(self, entry):
-        body = {"model": "model", "prompt": "ref:i0", "max_tokens": 4}
-        return model_requests.ModelRequest(
-            request_id="a~1",
-            workspace="w",
-            weight=1,
-            key="",
-            route="completions",
-            raw=json.dumps(body).encode(),
-            body=body,
-            deadline=entry.now() + 10,
-            priority=5,
-            now=entry.now(),
+def make_request(entry):
+    body = {"model": "model", "prompt": "ref:i0", "max_tokens": 4}
+    return model_requests.ModelRequest(
+        request_id="a~1",
+        workspace="w",
+        weight=1,
+        key="",
+        route="completions",
+        raw=json.dumps(body).encode(),
+        body=body,
+        deadline=entry.now() + 10,
+        priority=5,
+        now=entry.now(),
+    )
+
+
+class TestLostAttempts:
+    """An attempt broke, and its upstream's death is not confirmed yet."""
+
+    @pytest.fixture
+    def linked_entries(self, entries, monkeypatch):
+        def send(sender, update):
+            message = ttypes.UpstreamNews(
+                announcements=[json.dumps(update).encode()]
+            )
+            for entry in entries:
+                if entry is not sender:
+                    upstream_announcements.on_peer_updates(entry, message)
+
+        monkeypatch.setattr(peer_updates, "send_to_peers", send)
+        return entries
+
+    def lose_attempt(self, loop, entry, monkeypatch, *, probe_s, is_dead):
+        """Runs an attempt that breaks; returns the task that handles it."""
+
+        async def run_attempt(*_):
+            return attempts.Broke(reason="reset")
+
+        async def probe(*_):
+            await asyncio.sleep(probe_s)
+            return is_dead
+
+        monkeypatch.setattr(attempts, "run", run_attempt)
+        monkeypatch.setattr(crash_quarantine, "is_dead", probe)
+        announcement = entry_fixtures.make_announcement("u0", "model")
+        upstreams.announce(
+            entry.upstreams, announcement, announced_at=loop.time()
+        )
+        row = entry.upstreams.rows["u0"]
+        request = make_request(entry)
+        placement.reserve(row, request)
+        state = execution.RunState(entry=entry, request=request, ticket=None)
+        task = loop.create_task(execution._attempt(state, row))
+        loop.run_until_complete(asyncio.sleep(0.01))
+        return task
+
+    async def held_for(self, entry):
+        """Returns for how long a resend of the request is held."""
+        started = entry.now()
+        await crash_quarantine.wait_while_unconfirmed(
+            entry, make_request(entry)
+        )
+        return entry.now() - started
+
+    @pytest.mark.parametrize("index", [0, 1], ids=["same", "peer"])
+    @pytest.mark.parametrize("is_dead", [False, True])
+    def test_a_resend_waits_until_the_probe_has_ended(
+        self, loop, linked_entries, monkeypatch, index, is_dead
+    ):
+        self.lose_attempt(
+            loop, linked_entries[0], monkeypatch, probe_s=0.3, is_dead=is_dead
         )
+        entry = linked_entries[index]
+        held_s = loop.run_until_complete(self.held_for(entry))
+        assert 0.25 <= held_s <= 0.35
+        fingerprint = make_request(entry).fingerprint
+        assert entry.is_suspect(fingerprint) is is_dead
+
+    def test_a_resend_is_not_held_for_longer_than_a_probe_takes(
+        self, loop, linked_entries, monkeypatch
+    ):
+        self.lose_attempt(
+            loop, linked_entries[0], monkeypatch, probe_s=9.0, is_dead=False
+        )
+        held_s = loop.run_until_complete(self.held_for(linked_entries[1]))
+        assert held_s <= crash_quarantine.UNCONFIRMED_TTL_S + 0.1
 
+    def test_other_requests_are_not_held(
+        self, loop, linked_entries, monkeypatch
+    ):
+        self.lose_attempt(
+            loop, linked_entries[0], monkeypatch, probe_s=0.3, is_dead=False
+        )
+        entry = linked_entries[1]
+        request = make_request(entry)
+        request.fingerprint = "other"
+        started = entry.now()
+        loop.run_until_complete(
+            crash_quarantine.wait_while_unconfirmed(entry, request)
+        )
+        assert entry.now() == started
+
+
+class TestReservations:
     def test_request_waits_while_the_last_upstream_is_reserved(
         self, loop, entries
     ):
@@ -147,7 +237,7 @@
         )
         row = entry.upstreams.rows["u0"]
         row.isolated = "suspect"
-        request = self.make_request(entry)
+        request = make_request(entry)
         assert placement.early_refusal(entry, request) is None
 
         async def wait():
@@ -159,6 +249,6 @@
         assert loop.run_until_complete(wait()) is row
 
     def test_request_is_refused_where_no_upstream_is_up(self, entries):
-        request = self.make_request(entries[0])
+        request = make_request(entries[0])
         refusal = placement.early_refusal(entries[0], request)
         assert refusal.title == "no upstream"
