Count an entry that returns after its retention once

Callers would have seen: a workspace refused for long after an entry had been out of touch with a control process for over a minute. Found by reading the change before the landing.

Cause: a control process forgets an entry's counters with its report after 60 s, and counted the first report of an entry that is younger than itself in full.

Change: in full only if the entry has run for less than the retention.

Test: 1,300 tokens counted before, 500 after.

--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -262,8 +262,9 @@
     def _sum_counters(
         self, key: tuple[str, int], report: dict[str, Any]
     ) -> None:
-        uptime_s = self.now() - self.started_at
-        counts_from_zero = report.get("uptime_s", uptime_s) < uptime_s
+        # An older entry may have been counted before its report expired.
+        max_uptime_s = min(self.now() - self.started_at, ENTRY_RETENTION_S)
+        counts_from_zero = report.get("uptime_s", max_uptime_s) < max_uptime_s
         self.quota_use.record(
             key, report.get("taken", {}), counts_from_zero=counts_from_zero
         )
--- a/testing/test_duties.py
+++ b/testing/test_duties.py
@@ -244,6 +244,20 @@
             discovery._record_watch(message, 0)
         assert discovery.quota_use.totals == {"w": 2.0}
 
+    def test_an_entry_that_returns_after_its_retention_is_not_counted_twice(
+        self,
+    ):
+        components = make_components()
+        discovery = components.discovery
+        components.member.time += 3.0
+        for uptime_s, taken in ((0.5, 0.0), (0.9, 500.0), (62.0, 800.0)):
+            message = watch(discovery, uptime_s=uptime_s, taken={"w": taken})
+            discovery._record_watch(message, 0)
+            if taken:
+                components.member.time += discoveries.ENTRY_RETENTION_S + 1
+                discovery.remove_expired()
+        assert discovery.quota_use.totals == {"w": 500.0}
+
     def test_outcomes_before_the_start_of_control_are_no_evidence(self):
         components = make_components()
         discovery = components.discovery
