--- a/src/_arbutuswalk/agreement/membership.py
+++ b/src/_arbutuswalk/agreement/membership.py
@@ -5,15 +5,41 @@
 remembers are never counted again.
 """
 
+from typing import NamedTuple
+
 from _arbutuswalk.agreement import replica as replicas
 from _arbutuswalk.agreement import replication
 from _arbutuswalk.agreement import terms
 from _arbutuswalk.agreement import types
+from _arbutuswalk.base import events
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
 HELLO_MAX_AGE_S = 2.0
 
 
+class Change(NamedTuple):
+    """A change of the membership by one member.
+
+    Attributes:
+        kind: ``add`` as a learner, ``promote`` to a voter, or ``remove``.
+        member: Member that is added, promoted or removed.
+        reason: Why, for the log.
+        members: Membership after the change.
+    """
+
+    kind: str
+    member: str
+    reason: str
+    members: types.Members
+
+
+class Replaceable(NamedTuple):
+    """A voter that needs replacement, and why."""
+
+    member: str
+    reason: str
+
+
 def hello(replica: replicas.Replica) -> ttypes.Hello:
     """Returns the message that announces this member's id and group."""
     return ttypes.Hello(
@@ -46,9 +72,12 @@
     for member, seen in list(replica.seen_members.items()):
         if seen.address == message.address and member != message.member:
             del replica.seen_members[member]
+    before = replica.seen_members.get(message.member)
     replica.seen_members[message.member] = replicas.Seen(
         message.address, message.group, now
     )
+    if before is None or now - before.at > HELLO_MAX_AGE_S:
+        events.log(events.Event.MEMBER_SEEN, message.member, message.group)
 
 
 def tick(replica: replicas.Replica, now: float) -> None:
@@ -63,9 +92,35 @@
     if not replica.is_voter:
         terms.become_follower(replica, replica.term, "", now)
         return
-    members = _next_membership(replica, now)
-    if members is not None:
-        replication.propose(replica, types.pack_members(members), now)
+    change = _next_change(replica, now)
+    if change is not None:
+        events.log(
+            events.Event.MEMBERSHIP_CHANGE_STARTED,
+            change.kind,
+            change.member,
+            change.reason,
+            replicas.silent_s(replica, change.member, now),
+        )
+        replication.propose(replica, types.pack_members(change.members), now)
+
+
+def log_quorum_loss(replica: replicas.Replica, now: float) -> None:
+    """Logs that no majority of voters answers, once until one does again."""
+    if replica.quorum_loss_logged:
+        return
+    replica.quorum_loss_logged = True
+    voters = replica.log.members.voters
+    events.warn(
+        events.Event.QUORUM_LOST,
+        replica.term,
+        voters,
+        {
+            voter: replicas.silent_s(replica, voter, now)
+            for voter in voters
+            if voter != replica.member
+        },
+        joining_members(replica, now),
+    )
 
 
 def accepts_commands(replica: replicas.Replica) -> bool:
@@ -107,34 +162,39 @@
     replica.vote_unsaved = True
 
 
-def _next_membership(
-    replica: replicas.Replica, now: float
-) -> types.Members | None:
-    """Returns the membership after the next single change, if one is due."""
+def _next_change(replica: replicas.Replica, now: float) -> Change | None:
+    """Returns the next change by one member, if one is due."""
     members = replica.log.members
-    if len(members.voters) > replica.target_voters:
-        replaceable = _voter_to_replace(replica, now)
-        if replaceable:
-            return _without_member(members, replaceable)
+    replaceable = _voter_to_replace(replica, now)
+    if len(members.voters) > replica.target_voters and replaceable:
+        return _removal(members, *replaceable)
     caught_up = _caught_up_learner(replica, now)
     too_few_voters = len(members.voters) < replica.target_voters
-    replaceable = _voter_to_replace(replica, now)
     if caught_up and (too_few_voters or replaceable):
-        return _with_promoted_voter(replica, members, caught_up)
+        reason = "too few voters" if too_few_voters else replaceable.reason
+        return _promotion(replica, members, caught_up, reason)
     for learner in members.learners:
         if _is_unresponsive(replica, learner, now):
-            return _without_member(members, learner)
-    joining = _joining_member(replica, now)
+            return _removal(members, learner, "silent learner")
+    joining = next(iter(joining_members(replica, now)), "")
     if joining and (too_few_voters or replaceable) and not members.learners:
         addresses = dict(members.addresses)
         addresses[joining] = replica.seen_members[joining].address
         learners = (*members.learners, joining)
-        return members._replace(learners=learners, addresses=addresses)
+        reason = "too few voters" if too_few_voters else replaceable.reason
+        return Change(
+            "add",
+            joining,
+            reason,
+            members._replace(learners=learners, addresses=addresses),
+        )
     return None
 
 
-def _voter_to_replace(replica: replicas.Replica, now: float) -> str:
-    """Returns a voter that needs replacement, or an empty string."""
+def _voter_to_replace(
+    replica: replicas.Replica, now: float
+) -> Replaceable | None:
+    """Returns a voter that needs replacement, if there is one."""
     members = replica.log.members
     by_address = {
         seen.address: member
@@ -145,14 +205,13 @@
         if voter == replica.member:
             continue
         current_member = by_address.get(members.addresses[voter], voter)
-        requested = voter == replica.replacement_requested
-        if (
-            requested
-            or current_member != voter
-            or _is_unresponsive(replica, voter, now)
-        ):
-            return voter
-    return ""
+        if voter == replica.replacement_requested:
+            return Replaceable(voter, "requested")
+        if current_member != voter:
+            return Replaceable(voter, "another member at its address")
+        if _is_unresponsive(replica, voter, now):
+            return Replaceable(voter, "silent")
+    return None
 
 
 def _is_unresponsive(
@@ -175,34 +234,35 @@
     return ""
 
 
-def _joining_member(replica: replicas.Replica, now: float) -> str:
+def joining_members(replica: replicas.Replica, now: float) -> list[str]:
+    """Returns the members outside the group that could join it now."""
     members = replica.log.members
     known_members = {*members.voters, *members.learners}
-    for member, seen in sorted(replica.seen_members.items()):
-        is_recent = now - seen.at < HELLO_MAX_AGE_S
-        if (
-            is_recent
-            and member not in known_members
-            and seen.group in ("", members.group)
-        ):
-            return member
-    return ""
+    return [
+        member
+        for member, seen in sorted(replica.seen_members.items())
+        if now - seen.at < HELLO_MAX_AGE_S
+        and member not in known_members
+        and seen.group in ("", members.group)
+    ]
 
 
-def _with_promoted_voter(
-    replica: replicas.Replica, members: types.Members, member: str
-) -> types.Members:
+def _promotion(
+    replica: replicas.Replica, members: types.Members, member: str, reason: str
+) -> Change:
     voters = (*members.voters, member)
     learners = tuple(name for name in members.learners if name != member)
     formed = members.formed or len(voters) >= replica.target_voters
-    return members._replace(voters=voters, learners=learners, formed=formed)
+    changed = members._replace(voters=voters, learners=learners, formed=formed)
+    return Change("promote", member, reason, changed)
 
 
-def _without_member(members: types.Members, member: str) -> types.Members:
+def _removal(members: types.Members, member: str, reason: str) -> Change:
     addresses = dict(members.addresses)
     addresses.pop(member, None)
-    return members._replace(
+    changed = members._replace(
         voters=tuple(name for name in members.voters if name != member),
         learners=tuple(name for name in members.learners if name != member),
         addresses=addresses,
     )
+    return Change("remove", member, reason, changed)
--- a/src/_arbutuswalk/agreement/replica.py
+++ b/src/_arbutuswalk/agreement/replica.py
@@ -114,6 +114,7 @@
         installed_snapshot: Received snapshot that is yet to be made durable.
         seen_members: Members that sent a ``Hello``, by id.
         replacement_requested: Voter that an operator wants replaced, or empty.
+        quorum_loss_logged: Whether the present lack of a majority is logged.
     """
 
     def __init__(
@@ -159,6 +160,7 @@
         self.installed_snapshot: wal.Snapshot | None = None
         self.seen_members: dict[str, Seen] = {}
         self.replacement_requested = ""
+        self.quorum_loss_logged = False
 
     @property
     def is_voter(self) -> bool:
@@ -175,6 +177,18 @@
     return len(agreeing.intersection(voters)) * 2 > len(voters)
 
 
+def silent_s(replica: Replica, member: str, now: float) -> float | None:
+    """Returns the seconds since a member was last heard from; None if never."""
+    heard_at = []
+    progress = replica.progress.get(member)
+    if progress is not None and progress.acked_sent_at != float("-inf"):
+        heard_at.append(progress.last_reply_at)
+    seen = replica.seen_members.get(member)
+    if seen is not None:
+        heard_at.append(seen.at)
+    return round(now - max(heard_at), 3) if heard_at else None
+
+
 def take_ready(replica: Replica) -> types.Ready:
     """Returns the pending work and clears it."""
     vote = None
--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -29,6 +29,16 @@
     TERM_CHANGED = (400, "term=%s role=%s leader=%s")
     MEMBERS_CHANGED = (401, "voters=%s learners=%s")
     SNAPSHOT_INSTALLED = (402, "snapshot installed index=%s")
+    QUORUM_LOST = (
+        403,
+        "no majority of voters answers term=%s voters=%s silent_s=%s"
+        " joining=%s",
+    )
+    MEMBER_SEEN = (404, "member seen id=%s group=%s")
+    MEMBERSHIP_CHANGE_STARTED = (
+        405,
+        "membership change started change=%s member=%s reason=%s silent_s=%s",
+    )
     CONFIG_ACCEPTED = (500, "configuration accepted revision=%s")
     ENTRY_REGISTERED = (501, "entry registered id=%s incarnation=%s")
     ENTRY_LOST = (502, "entry lost id=%s incarnation=%s")
--- a/testing/test_agreement.py
+++ b/testing/test_agreement.py
@@ -15,6 +15,7 @@
 from _arbutuswalk.agreement import terms
 from _arbutuswalk.agreement import transfer
 from _arbutuswalk.agreement import types
+from _arbutuswalk.base import events
 from _arbutuswalk.control import durable_replica
 from _arbutuswalk.state import commands
 from _arbutuswalk.wire.gen.arbutus import ttypes
@@ -108,6 +109,34 @@
         assert cluster.leader() is leader
 
 
+class TestQuorumLoss:
+    def test_it_is_logged_once_with_the_silent_voters(
+        self, cluster, monkeypatch
+    ):
+        logged = []
+
+        def collect(event, *fields):
+            logged.append((event, fields))
+
+        monkeypatch.setattr(events, "warn", collect)
+        leader = cluster.leader()
+        others = [n for n in cluster.nodes.values() if n is not leader]
+        silent = {node.core.replica.member for node in others}
+        for node in others:
+            node.crash()
+        cluster.run(6)
+        ((event, fields),) = logged
+        assert event is events.Event.QUORUM_LOST
+        term, voters, silent_s, joining = fields
+        assert (
+            set(silent_s)
+            == silent
+            == set(voters) - {leader.core.replica.member}
+        )
+        assert all(seconds > 0.5 for seconds in silent_s.values())
+        assert (term, joining) == (leader.core.replica.term, [])
+
+
 class TestMembersOutsideThePeers:
     """Five voters, three of them at configured addresses."""
 
