--- a/testing/platform_fixtures.py
+++ b/testing/platform_fixtures.py
@@ -14,7 +14,7 @@
 ROOT = pathlib.Path(__file__).parent.parent
 HOST = "h.example"
 CALLER_HEADERS = {"X-Key": "key", "X-Deadline-Ms": "4000"}
-BOUND_SETTINGS = {"usage_window_s": 1, "grace_s": 4}
+BOUND_SETTINGS = {"usage_window_s": 1, "grace_s": 4, "catch_up_s": 4}
 
 
 def to_toml(values):
