Give each cluster of a test run a loopback network of its own

Another test run on the same machine used the same loopback addresses, where the programs serve their metrics at a fixed port. Run side by side, the test's control processes end with 'address already in use'.

--- a/testing/process_fixtures.py
+++ b/testing/process_fixtures.py
@@ -33,12 +33,17 @@
 
 
 class ProcessGroup:
-    """Processes of one test; ``stop_all`` kills those still running."""
+    """Processes of one test; ``stop_all`` kills those still running.
+
+    Attributes:
+        reservations: Sockets that keep addresses from other tests until then.
+    """
 
     def __init__(self, folder):
         self.folder = folder
         self.processes = {}
         self.all_processes = []
+        self.reservations = []
 
     def start(self, name, script, settings, *arguments):
         """Starts or restarts a process under ``name``."""
@@ -78,6 +83,8 @@
                 process.send_signal(signal.SIGCONT)
                 process.kill()
                 process.wait(STOP_TIMEOUT_S)
+        for reservation in self.reservations:
+            reservation.close()
 
 
 async def wait_until(predicate, max_polls=300, pause_s=0.1):
--- a/testing/soak/__main__.py
+++ b/testing/soak/__main__.py
@@ -10,9 +10,6 @@
 from soak import regressions
 from soak import soak
 
-LOOPBACK_NETWORKS = 200
-"""Loopback networks; concurrent soaks use different ones."""
-
 
 async def main(arguments):
     """Runs ``arguments.jobs`` seeds at a time; returns the failed seeds."""
@@ -22,11 +19,7 @@
     async def run_seed(seed):
         async with job_slots:
             folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-            soak_run = soak.Soak(
-                folder=folder,
-                seed=seed,
-                network_octet=1 + seed % LOOPBACK_NETWORKS,
-            )
+            soak_run = soak.Soak(folder=folder, seed=seed)
             violations = await soak_run.run(arguments.seconds)
             served = sum(attempt.status == 200 for attempt in soak_run.attempts)
             print(
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -48,9 +48,9 @@
         fault_log: Times and names of the injected faults.
     """
 
-    def __init__(self, *, folder, seed, network_octet):
+    def __init__(self, *, folder, seed):
         self.rng = random.Random(seed)
-        self.cluster = platform_fixtures.PlatformCluster(folder, network_octet)
+        self.cluster = platform_fixtures.PlatformCluster(folder)
         self.arrivals = []
         self.endpoints = endpoints.make_endpoints(
             self.cluster, ENDPOINT_COUNT, self.arrivals
