Replace a lost or leaving voter before another one may be lost

Operators could not read or change the configuration any more: 503 from every control process, for good. The record of the incident shows a member that is stopped and replaced by an empty one, and 5 to 8 s later another one that loses its disk.

Cause: the leader replaced a voter after 8 s of silence, a constant that had no relation to the 4 s after which the deployment may lose the next member. The successor was seen and waited outside the group meanwhile. Once a second disk was lost, one of three voters was left; a voter whose disk is lost never returns.

A leader that leaves promotes the standby and steps down. Hellos name the committed members, so a new member finds a leader that is at none of its seeds, which it did not before.

--- a/src/_arbutuswalk/agreement/election.py
+++ b/src/_arbutuswalk/agreement/election.py
@@ -16,7 +16,8 @@
             membership.log_quorum_loss(replica, now)
             terms.become_follower(replica, replica.term, "", now)
         return
-    if replica.is_voter and now >= replica.election_due_at:
+    may_lead = replica.is_voter and not replica.leaving
+    if may_lead and now >= replica.election_due_at:
         if replica.role is types.Role.TRIAL:
             membership.log_quorum_loss(replica, now)
         _start_election(replica, now, trial=True)
--- a/src/_arbutuswalk/agreement/membership.py
+++ b/src/_arbutuswalk/agreement/membership.py
@@ -3,6 +3,10 @@
 Every new data folder gets a new member id. A member that lost its disk comes
 back under a new id, so that the votes and acknowledgements it no longer
 remembers are never counted again.
+
+One member beyond the voters is kept as a learner whenever there is one. It
+replaces a voter that is silent, lost its disk or is about to end, so that the
+group is whole again before another voter may be lost.
 """
 
 from typing import NamedTuple
@@ -42,21 +46,28 @@
 
 def hello(replica: replicas.Replica) -> ttypes.Hello:
     """Returns the message that announces this member's id and group."""
+    index, members = replica.log.membership_at(replica.commit)
     return ttypes.Hello(
         member=replica.member,
         address=replica.address,
         group=replica.log.members.group,
+        leaving=replica.leaving,
+        members_index=index,
+        members=dict(members.addresses),
     )
 
 
 def greeted(replica: replicas.Replica, now: float) -> set[str]:
     """Returns the addresses to send a ``Hello`` to.
 
-    They include the senders of recent ``Hello`` messages: a member that lost
-    its disk knows only the configured addresses, and the leader may be at none
-    of them.
+    They include the senders of recent ``Hello`` messages and the members that
+    those name: a new member, or one that lost its disk, knows only the
+    configured addresses, and the leader may be at none of them.
     """
-    member_addresses = set(replica.log.members.addresses.values())
+    member_addresses = {
+        *replica.log.members.addresses.values(),
+        *replica.heard_membership.addresses.values(),
+    }
     recent = {
         seen.address
         for seen in replica.seen_members.values()
@@ -74,8 +85,14 @@
             del replica.seen_members[member]
     before = replica.seen_members.get(message.member)
     replica.seen_members[message.member] = replicas.Seen(
-        message.address, message.group, now
+        message.address, message.group, now, bool(message.leaving)
     )
+    group = replica.log.members.group
+    index = message.members_index or 0
+    if group in ("", message.group) and index > replica.heard_membership.index:
+        replica.heard_membership = replicas.HeardMembership(
+            index, message.members or {}
+        )
     if before is None or now - before.at > HELLO_MAX_AGE_S:
         events.log(events.Event.MEMBER_SEEN, message.member, message.group)
 
@@ -102,6 +119,26 @@
             replicas.silent_s(replica, change.member, now),
         )
         replication.propose(replica, types.pack_members(change.members), now)
+    elif _has_successor(replica):
+        terms.become_follower(replica, replica.term, "", now)
+
+
+def may_leave(replica: replicas.Replica, now: float) -> bool:
+    """Returns whether a leaving member need not wait for its replacement.
+
+    It waits while it is a voter and another member could take its place.
+    """
+    heard = replica.heard_membership
+    own_index, _ = replica.log.membership_history[-1]
+    was_removed = heard.index > own_index and (
+        replica.member not in heard.addresses
+    )
+    if was_removed or not replica.is_voter:
+        return True
+    members = replica.log.members
+    is_being_replaced = len(members.voters) > replica.target_voters
+    can_be_replaced = members.learners or joining_members(replica, now)
+    return not (is_being_replaced or can_be_replaced)
 
 
 def log_quorum_loss(replica: replicas.Replica, now: float) -> None:
@@ -162,11 +199,22 @@
     replica.vote_unsaved = True
 
 
+def _has_successor(replica: replicas.Replica) -> bool:
+    """Returns whether this leader is leaving and has been replaced.
+
+    Another leader then removes it; until then it still votes.
+    """
+    members = replica.log.members
+    return replica.leaving and len(members.voters) > replica.target_voters
+
+
 def _next_change(replica: replicas.Replica, now: float) -> Change | None:
     """Returns the next change by one member, if one is due."""
     members = replica.log.members
     replaceable = _voter_to_replace(replica, now)
     if len(members.voters) > replica.target_voters and replaceable:
+        if replaceable.member == replica.member:
+            return None
         return _removal(members, *replaceable)
     caught_up = _caught_up_learner(replica, now)
     too_few_voters = len(members.voters) < replica.target_voters
@@ -174,19 +222,18 @@
         reason = "too few voters" if too_few_voters else replaceable.reason
         return _promotion(replica, members, caught_up, reason)
     for learner in members.learners:
-        if _is_unresponsive(replica, learner, now):
-            return _removal(members, learner, "silent learner")
+        reason = _replacement_reason(replica, learner, now)
+        if reason:
+            return _removal(members, learner, reason)
     joining = next(iter(joining_members(replica, now)), "")
-    if joining and (too_few_voters or replaceable) and not members.learners:
+    if joining and not members.learners:
         addresses = dict(members.addresses)
         addresses[joining] = replica.seen_members[joining].address
-        learners = (*members.learners, joining)
-        reason = "too few voters" if too_few_voters else replaceable.reason
         return Change(
             "add",
             joining,
-            reason,
-            members._replace(learners=learners, addresses=addresses),
+            "too few voters" if too_few_voters else "standby",
+            members._replace(learners=(joining,), addresses=addresses),
         )
     return None
 
@@ -194,32 +241,46 @@
 def _voter_to_replace(
     replica: replicas.Replica, now: float
 ) -> Replaceable | None:
-    """Returns a voter that needs replacement, if there is one."""
-    members = replica.log.members
-    by_address = {
-        seen.address: member
-        for member, seen in replica.seen_members.items()
-        if now - seen.at < HELLO_MAX_AGE_S
-    }
-    for voter in members.voters:
-        if voter == replica.member:
-            continue
-        current_member = by_address.get(members.addresses[voter], voter)
-        if voter == replica.replacement_requested:
-            return Replaceable(voter, "requested")
-        if current_member != voter:
-            return Replaceable(voter, "another member at its address")
-        if _is_unresponsive(replica, voter, now):
-            return Replaceable(voter, "silent")
+    """Returns a voter that needs replacement, other members first."""
+    voters = replica.log.members.voters
+    for voter in sorted(voters, key=lambda voter: voter == replica.member):
+        reason = _replacement_reason(replica, voter, now)
+        if reason:
+            return Replaceable(voter, reason)
     return None
 
 
+def _replacement_reason(
+    replica: replicas.Replica, member: str, now: float
+) -> str:
+    """Returns why a member needs replacement, or an empty string."""
+    if member == replica.member:
+        return "leaving" if replica.leaving else ""
+    if member == replica.replacement_requested:
+        return "requested"
+    address = replica.log.members.addresses[member]
+    for other, seen in replica.seen_members.items():
+        if now - seen.at >= HELLO_MAX_AGE_S or seen.address != address:
+            continue
+        if other != member:
+            return "another member at its address"
+        if seen.leaving:
+            return "leaving"
+    return "silent" if _is_unresponsive(replica, member, now) else ""
+
+
 def _is_unresponsive(
     replica: replicas.Replica, member: str, now: float
 ) -> bool:
     progress = replica.progress.get(member)
-    last_reply_at = progress.last_reply_at if progress else now
-    return now - last_reply_at > replica.timing.replace_after_s
+    if progress is None:
+        return False
+    heard_at = progress.last_reply_at
+    seen = replica.seen_members.get(member)
+    if not progress.has_replied and seen is not None:
+        # A new leader may know from before its term that a member is silent.
+        heard_at = min(heard_at, seen.at)
+    return now - heard_at > replica.timing.replace_after_s
 
 
 def _caught_up_learner(replica: replicas.Replica, now: float) -> str:
@@ -229,6 +290,8 @@
         progress = replica.progress.get(learner)
         if progress is None or progress.acked_sent_at < acked_after:
             continue
+        if _replacement_reason(replica, learner, now):
+            continue
         if progress.match_index >= replica.commit:
             return learner
     return ""
@@ -244,6 +307,7 @@
         if now - seen.at < HELLO_MAX_AGE_S
         and member not in known_members
         and seen.group in ("", members.group)
+        and not seen.leaving
     ]
 
 
--- a/src/_arbutuswalk/agreement/raftlog.py
+++ b/src/_arbutuswalk/agreement/raftlog.py
@@ -109,10 +109,12 @@
 
     def members_at_index(self, index: int) -> types.Members:
         """Returns the members as of the entry at ``index``."""
+        return self.membership_at(index)[1]
+
+    def membership_at(self, index: int) -> tuple[int, types.Members]:
+        """Returns the members as of ``index``, and since which index."""
         return [
-            members
-            for start, members in self.membership_history
-            if start <= index
+            change for change in self.membership_history if change[0] <= index
         ][-1]
 
     def take_unsaved(self) -> list[wal.LogEntry]:
--- a/src/_arbutuswalk/agreement/replica.py
+++ b/src/_arbutuswalk/agreement/replica.py
@@ -31,6 +31,11 @@
         self.in_flight = 0
         self.entries_sent_at = float("-inf")
 
+    @property
+    def has_replied(self) -> bool:
+        """Whether the member has answered since it is tracked."""
+        return self.acked_sent_at != float("-inf")
+
 
 class Transfer:
     """A snapshot being received.
@@ -73,11 +78,25 @@
         address: ``IP:port`` where it listens.
         group: Group it belongs to, or empty.
         at: When the message came in.
+        leaving: Whether its process is about to end.
     """
 
     address: str
     group: str
     at: float
+    leaving: bool = False
+
+
+class HeardMembership(NamedTuple):
+    """The newest committed membership that another member stated.
+
+    Attributes:
+        index: Log index of the change that set it.
+        addresses: ``IP:port`` of each member id.
+    """
+
+    index: int = 0
+    addresses: dict[str, str] = {}
 
 
 class Replica:
@@ -114,6 +133,9 @@
         installed_snapshot: Received snapshot that is yet to be made durable.
         seen_members: Members that sent a ``Hello``, by id.
         replacement_requested: Voter that an operator wants replaced, or empty.
+        heard_membership: Newest membership that another member stated; a member
+            that was removed, or is yet to join, does not receive the log.
+        leaving: Whether this member's process is about to end.
         quorum_loss_logged: Whether the present lack of a majority is logged.
     """
 
@@ -160,6 +182,8 @@
         self.installed_snapshot: wal.Snapshot | None = None
         self.seen_members: dict[str, Seen] = {}
         self.replacement_requested = ""
+        self.heard_membership = HeardMembership()
+        self.leaving = False
         self.quorum_loss_logged = False
 
     @property
@@ -181,7 +205,7 @@
     """Returns the seconds since a member was last heard from; None if never."""
     heard_at = []
     progress = replica.progress.get(member)
-    if progress is not None and progress.acked_sent_at != float("-inf"):
+    if progress is not None and progress.has_replied:
         heard_at.append(progress.last_reply_at)
     seen = replica.seen_members.get(member)
     if seen is not None:
--- a/src/_arbutuswalk/control/member.py
+++ b/src/_arbutuswalk/control/member.py
@@ -142,6 +142,21 @@
         except TimeoutError:
             return Undecided(reason=f"not committed within {timeout_s} s")
 
+    async def leave(self, *, timeout_s: float) -> None:
+        """Waits until another member has replaced this one, if one can.
+
+        A member that ends without it leaves its group without one voter until
+        the others have noticed.
+        """
+        self.replica.leaving = True
+        self.next_hello_at = 0.0
+        self.wake.set()
+        deadline = self.now() + timeout_s
+        while self.failure is None and self.now() < deadline:
+            if membership.may_leave(self.replica, self.now()):
+                return
+            await asyncio.sleep(TICK_INTERVAL_S)
+
     def receive(self, message: object) -> None:
         """Queues a message from another member."""
         self.inbox.append(message)
--- a/src/_arbutuswalk/control/process.py
+++ b/src/_arbutuswalk/control/process.py
@@ -92,6 +92,8 @@
     await asyncio.wait(
         (member_task, stop_task), return_when=asyncio.FIRST_COMPLETED
     )
+    events.log(events.Event.PROCESS_DRAINING, "control", values["id"])
+    await member.leave(timeout_s=values["leave_s"])
     tasks = (
         member_task,
         leader_task,
--- a/src/_arbutuswalk/wire/arbutuswalk.thrift
+++ b/src/_arbutuswalk/wire/arbutuswalk.thrift
@@ -74,6 +74,9 @@
   1: required string member,
   2: required string address,
   3: required string group, // empty until the member belongs to a group
+  4: optional bool leaving, // the process is about to end
+  5: optional i64 members_index, // log index of the membership in 6
+  6: optional map<string, string> members, // committed, address by id
 }
 
 // Control: commands, leases and reads.
--- a/src/_arbutuswalk/wire/gen/arbutus/ttypes.py
+++ b/src/_arbutuswalk/wire/gen/arbutus/ttypes.py
@@ -1040,6 +1040,9 @@
      - member
      - address
      - group
+     - leaving
+     - members_index
+     - members
 
     """
 
@@ -1047,13 +1050,19 @@
         'member',
         'address',
         'group',
+        'leaving',
+        'members_index',
+        'members',
     )
 
 
-    def __init__(self, member=None, address=None, group=None,):
+    def __init__(self, member=None, address=None, group=None, leaving=None, members_index=None, members=None,):
         self.member = member
         self.address = address
         self.group = group
+        self.leaving = leaving
+        self.members_index = members_index
+        self.members = members
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1079,6 +1088,27 @@
                     self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.members_index = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.MAP:
+                    self.members = {}
+                    (_ktype15, _vtype16, _size14) = iprot.readMapBegin()
+                    for _i18 in range(_size14):
+                        _key19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val20 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.members[_key19] = _val20
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1101,6 +1131,22 @@
             oprot.writeFieldBegin('group', TType.STRING, 3)
             oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
             oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 4)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        if self.members_index is not None:
+            oprot.writeFieldBegin('members_index', TType.I64, 5)
+            oprot.writeI64(self.members_index)
+            oprot.writeFieldEnd()
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.MAP, 6)
+            oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.members))
+            for kiter21, viter22 in self.members.items():
+                oprot.writeString(kiter21.encode('utf-8') if sys.version_info[0] == 2 else kiter21)
+                oprot.writeString(viter22.encode('utf-8') if sys.version_info[0] == 2 else viter22)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2437,10 +2483,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.announcements = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = iprot.readBinary()
-                        self.announcements.append(_elem19)
+                    (_etype26, _size23) = iprot.readListBegin()
+                    for _i27 in range(_size23):
+                        _elem28 = iprot.readBinary()
+                        self.announcements.append(_elem28)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2457,8 +2503,8 @@
         if self.announcements is not None:
             oprot.writeFieldBegin('announcements', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.announcements))
-            for iter20 in self.announcements:
-                oprot.writeBinary(iter20)
+            for iter29 in self.announcements:
+                oprot.writeBinary(iter29)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2649,10 +2695,10 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.events = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = iprot.readBinary()
-                        self.events.append(_elem26)
+                    (_etype33, _size30) = iprot.readListBegin()
+                    for _i34 in range(_size30):
+                        _elem35 = iprot.readBinary()
+                        self.events.append(_elem35)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2687,8 +2733,8 @@
         if self.events is not None:
             oprot.writeFieldBegin('events', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.events))
-            for iter27 in self.events:
-                oprot.writeBinary(iter27)
+            for iter36 in self.events:
+                oprot.writeBinary(iter36)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.finished is not None:
@@ -2842,10 +2888,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.events = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = iprot.readBinary()
-                        self.events.append(_elem33)
+                    (_etype40, _size37) = iprot.readListBegin()
+                    for _i41 in range(_size37):
+                        _elem42 = iprot.readBinary()
+                        self.events.append(_elem42)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2871,8 +2917,8 @@
         if self.events is not None:
             oprot.writeFieldBegin('events', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.events))
-            for iter34 in self.events:
-                oprot.writeBinary(iter34)
+            for iter43 in self.events:
+                oprot.writeBinary(iter43)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.finished is not None:
@@ -3756,6 +3802,9 @@
     (1, TType.STRING, 'member', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'group', 'UTF8', None, ),  # 3
+    (4, TType.BOOL, 'leaving', None, None, ),  # 4
+    (5, TType.I64, 'members_index', None, None, ),  # 5
+    (6, TType.MAP, 'members', (TType.STRING, 'UTF8', TType.STRING, 'UTF8', False), None, ),  # 6
 )
 all_structs.append(Submit)
 Submit.thrift_spec = (
--- a/testing/fakes.py
+++ b/testing/fakes.py
@@ -98,6 +98,7 @@
         self.inbox = []
         self.paused = False
         self.crash_at = None
+        self.leave_until = None
 
     def start(self):
         self.core = durable_replica.DurableReplica(
@@ -105,7 +106,7 @@
             identity=durable_replica.Identity(
                 self.address, self.peers, self.cluster.target_voters
             ),
-            timing=TIMING,
+            timing=self.cluster.timing,
             rng=random.Random(self.cluster.rng.random()),
             snapshot_interval_entries=self.cluster.snapshot_interval_entries,
             segment_bytes=1500,
@@ -115,9 +116,15 @@
         self.up = True
         self.inbox = []
 
+    def leave(self, timeout_s):
+        """Lets the process end in the way that SIGTERM does."""
+        self.core.replica.leaving = True
+        self.leave_until = self.cluster.now + timeout_s
+
     def crash(self):
         self.up = False
         self.crash_at = None
+        self.leave_until = None
         self.core = None
         self.folder.crash(self.cluster.rng)
 
@@ -151,11 +158,13 @@
         snapshot_interval_entries=15,
         peer_count=3,
         target_voters=3,
+        timing=TIMING,
     ):
         self.rng = random.Random(seed)
         self.now = 100.0
         self.snapshot_interval_entries = snapshot_interval_entries
         self.target_voters = target_voters
+        self.timing = timing
         node_count = peer_count + spares
         addresses = [f"127.0.0.1:{7000 + i}" for i in range(node_count)]
         peers = tuple(addresses[:peer_count])
@@ -171,6 +180,12 @@
         for node in self.nodes.values():
             node.start()
 
+    def add_node(self, address, peers):
+        """Starts a new, empty member that knows ``peers``."""
+        node = self.nodes[address] = Node(self, address, peers)
+        node.start()
+        return node
+
     def run(self, seconds, step=0.02):
         """Advances the clock step by step and delivers messages."""
         end_time = self.now + seconds
@@ -210,6 +225,11 @@
             return
         self._send(node, ready.late)
         self._apply(node)
+        if node.leave_until is not None and (
+            membership.may_leave(core.replica, self.now)
+            or self.now >= node.leave_until
+        ):
+            node.crash()
 
     def _apply(self, node):
         core = node.core
--- a/testing/test_member_replacement.py
+++ b/testing/test_member_replacement.py
@@ -13,8 +13,9 @@
 
 from _arbutuswalk.entry import control_client
 
-CATCH_UP_S = platform_fixtures.BOUND_SETTINGS["catch_up_s"]
-"""Time after which a member that is back, or its successor, may count."""
+CATCH_UP_S = 4
+"""Time from a member's start after which another one may be lost."""
+GRACE_S = 8
 DOWN_S = 1.0
 RECOVERY_S = 12.0
 """Time after the last process is back within which reads must succeed."""
@@ -99,6 +100,7 @@
 async def group(tmp_path):
     cluster = platform_fixtures.PlatformCluster(tmp_path)
     cluster.session = aiohttp.ClientSession()
+    cluster.bounds = {"catch_up_s": CATCH_UP_S, "grace_s": GRACE_S}
     new_group = Group(cluster)
     yield new_group
     await new_group.client.stop()
