Do not add a silent member again after it was removed

A member that says Hello but never answers would have been added for ever, and kept others out.

A member is present for no longer than a voter may be silent; one that was removed is kept as the standby again once it has been away, or after 5 s, and after all others. Both tests failed before.

--- a/src/_arbutuswalk/agreement/membership.py
+++ b/src/_arbutuswalk/agreement/membership.py
@@ -19,13 +19,17 @@
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
 HELLO_MAX_AGE_S = 2.0
+ADD, PROMOTE, REMOVE = "add", "promote", "remove"
+STANDBY_RETRY_S = 5.0
+"""Time until a removed member is kept as the standby again unless it had ended.
+One that says hello but does not answer would else be added all the time."""
 
 
 class Change(NamedTuple):
     """A change of the membership by one member.
 
     Attributes:
-        kind: ``add`` as a learner, ``promote`` to a voter, or ``remove``.
+        kind: ``ADD`` as a learner, ``PROMOTE`` to a voter, or ``REMOVE``.
         member: Member that is added, promoted or removed.
         reason: Why, for the log.
         members: Membership after the change.
@@ -84,8 +88,13 @@
         if seen.address == message.address and member != message.member:
             del replica.seen_members[member]
     before = replica.seen_members.get(message.member)
+    is_new = before is None or now - before.at > _presence_timeout_s(replica)
     replica.seen_members[message.member] = replicas.Seen(
-        message.address, message.group, now, bool(message.leaving)
+        message.address,
+        message.group,
+        now,
+        now if is_new else before.since,
+        bool(message.leaving),
     )
     group = replica.log.members.group
     index = message.members_index or 0
@@ -93,7 +102,7 @@
         replica.heard_membership = replicas.HeardMembership(
             index, message.members or {}
         )
-    if before is None or now - before.at > HELLO_MAX_AGE_S:
+    if is_new:
         events.log(events.Event.MEMBER_SEEN, message.member, message.group)
 
 
@@ -118,6 +127,8 @@
             change.reason,
             replicas.silent_s(replica, change.member, now),
         )
+        if change.kind == REMOVE:
+            _record_removal(replica, change.member, now)
         replication.propose(replica, types.pack_members(change.members), now)
     elif _has_successor(replica):
         terms.become_follower(replica, replica.term, "", now)
@@ -225,12 +236,17 @@
         reason = _replacement_reason(replica, learner, now)
         if reason:
             return _removal(members, learner, reason)
-    joining = next(iter(joining_members(replica, now)), "")
-    if joining and not members.learners:
+    joining = _next_learner(replica, now)
+    is_needed = bool(too_few_voters or replaceable)
+    if (
+        joining
+        and not members.learners
+        and (is_needed or _may_be_standby(replica, joining, now))
+    ):
         addresses = dict(members.addresses)
         addresses[joining] = replica.seen_members[joining].address
         return Change(
-            "add",
+            ADD,
             joining,
             "too few voters" if too_few_voters else "standby",
             members._replace(learners=(joining,), addresses=addresses),
@@ -297,14 +313,48 @@
     return ""
 
 
+def _next_learner(replica: replicas.Replica, now: float) -> str:
+    """Returns the member to add next, the last removed ones after others."""
+    joining = joining_members(replica, now)
+    return min(
+        joining, key=lambda member: _removed_at(replica, member), default=""
+    )
+
+
+def _may_be_standby(replica: replicas.Replica, member: str, now: float) -> bool:
+    """Returns whether a member was never removed, or long ago, or came back."""
+    removed_at = _removed_at(replica, member)
+    is_back = replica.seen_members[member].since > removed_at
+    return is_back or now - removed_at > STANDBY_RETRY_S
+
+
+def _presence_timeout_s(replica: replicas.Replica) -> float:
+    """Returns the time without a ``Hello`` that ends a member's presence."""
+    return min(HELLO_MAX_AGE_S, replica.timing.replace_after_s)
+
+
+def _record_removal(replica: replicas.Replica, member: str, now: float) -> None:
+    recent = {
+        name: removed_at
+        for name, removed_at in replica.removed_at.items()
+        if now - removed_at <= STANDBY_RETRY_S
+    }
+    replica.removed_at = {**recent, member: now}
+
+
+def _removed_at(replica: replicas.Replica, member: str) -> float:
+    return replica.removed_at.get(member, float("-inf"))
+
+
 def joining_members(replica: replicas.Replica, now: float) -> list[str]:
     """Returns the members outside the group that could join it now."""
     members = replica.log.members
     known_members = {*members.voters, *members.learners}
+    max_age_s = _presence_timeout_s(replica)
     return [
         member
         for member, seen in sorted(replica.seen_members.items())
-        if now - seen.at < HELLO_MAX_AGE_S
+        if now - seen.at < max_age_s
         and member not in known_members
         and seen.group in ("", members.group)
         and not seen.leaving
@@ -318,7 +368,7 @@
     learners = tuple(name for name in members.learners if name != member)
     formed = members.formed or len(voters) >= replica.target_voters
     changed = members._replace(voters=voters, learners=learners, formed=formed)
-    return Change("promote", member, reason, changed)
+    return Change(PROMOTE, member, reason, changed)
 
 
 def _removal(members: types.Members, member: str, reason: str) -> Change:
@@ -329,4 +379,4 @@
         learners=tuple(name for name in members.learners if name != member),
         addresses=addresses,
     )
-    return Change("remove", member, reason, changed)
+    return Change(REMOVE, member, reason, changed)
--- a/src/_arbutuswalk/agreement/replica.py
+++ b/src/_arbutuswalk/agreement/replica.py
@@ -78,12 +78,14 @@
         address: ``IP:port`` where it listens.
         group: Group it belongs to, or empty.
         at: When the message came in.
+        since: When the first one came in after a time without any.
         leaving: Whether its process is about to end.
     """
 
     address: str
     group: str
     at: float
+    since: float
     leaving: bool = False
 
 
@@ -136,6 +138,7 @@
         heard_membership: Newest membership that another member stated; a member
             that was removed, or is yet to join, does not receive the log.
         leaving: Whether this member's process is about to end.
+        removed_at: When this leader removed members, those of late.
         quorum_loss_logged: Whether the present lack of a majority is logged.
     """
 
@@ -184,6 +187,7 @@
         self.replacement_requested = ""
         self.heard_membership = HeardMembership()
         self.leaving = False
+        self.removed_at: dict[str, float] = {}
         self.quorum_loss_logged = False
 
     @property
--- a/testing/test_membership.py
+++ b/testing/test_membership.py
@@ -210,6 +210,32 @@
         assert member not in voters
         assert standby.core.replica.member in voters
 
+    def test_silent_voter_is_not_added_again_after_it_was_removed(
+        self, cluster
+    ):
+        self.add_standby(cluster)
+        history = cluster.leader().core.replica.log.membership_history
+        changes_before = len(history)
+        silent = next(
+            n for n in cluster.nodes.values() if n is not cluster.leader()
+        )
+        silent.crash()
+        cluster.run(2 * TIMING.replace_after_s)
+        promoted_and_removed = 2
+        assert len(history) - changes_before == promoted_and_removed
+
+    def test_member_that_never_answers_does_not_keep_out_another(self, cluster):
+        mute = cluster.add_node("127.0.0.1:7199", tuple(cluster.nodes))
+        cluster.cut |= {
+            (address, mute.address)
+            for address in cluster.nodes
+            if address != mute.address
+        }
+        standby = self.add_standby(cluster)
+        cluster.run(2 * TIMING.replace_after_s)
+        members = cluster.leader().core.replica.log.members
+        assert members.learners == (standby.core.replica.member,)
+
     def test_replaced_voter_becomes_the_standby_when_it_returns(self, cluster):
         self.add_standby(cluster)
         frozen = next(
