End background tasks that are cancelled as they wake

A control process did not end after SIGTERM: it went on for 15 s and more, until it was killed, in 6 of 6 tries with entries and a successor beside it. asyncio.wait_for returns its result when it is cancelled in the step in which the result comes, and so swallows the cancellation: the member's loop ran on and the process waited for it.

asyncio.timeout keeps the cancellation. It replaces wait_for in the member's loop and in the calls that other loops make: links, watches, syncs, submits and the stand-in's announcer.

--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -188,7 +188,8 @@
         if not self._has_update(message, revision):
             changed = self.changed
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(changed.wait(), MAX_WATCH_WAIT_S)
+                async with asyncio.timeout(MAX_WATCH_WAIT_S):
+                    await changed.wait()
         return ttypes.WatchReply(
             session=self.session,
             version=self.directory.revision,
--- a/src/_arbutuswalk/control/member.py
+++ b/src/_arbutuswalk/control/member.py
@@ -138,7 +138,8 @@
         self.proposals.append((command, future))
         self.wake.set()
         try:
-            return await asyncio.wait_for(future, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await future
         except TimeoutError:
             return Undecided(reason=f"not committed within {timeout_s} s")
 
@@ -167,7 +168,8 @@
         role = None
         while self.failure is None:
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.wake.wait(), TICK_INTERVAL_S)
+                async with asyncio.timeout(TICK_INTERVAL_S):
+                    await self.wake.wait()
             self.wake.clear()
             self._step()
             await self._persist_and_send()
--- a/src/_arbutuswalk/control/service.py
+++ b/src/_arbutuswalk/control/service.py
@@ -124,7 +124,8 @@
         self.leases.record_sync(message, member.now())
         if not self._has_update_for(message):
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(member.changed.wait(), MAX_SYNC_WAIT_S)
+                async with asyncio.timeout(MAX_SYNC_WAIT_S):
+                    await member.changed.wait()
         rejection = self._sync_rejection(message)
         if rejection is not None:
             return rejection
--- a/src/_arbutuswalk/standin/announcer.py
+++ b/src/_arbutuswalk/standin/announcer.py
@@ -51,9 +51,8 @@
                         session, "events", self._with_identity(event)
                     )
                 with contextlib.suppress(TimeoutError):
-                    await asyncio.wait_for(
-                        self.announce_requested.wait(), HEARTBEAT_INTERVAL_S
-                    )
+                    async with asyncio.timeout(HEARTBEAT_INTERVAL_S):
+                        await self.announce_requested.wait()
                 self.announce_requested.clear()
 
     def announce_now(self) -> None:
--- a/src/_arbutuswalk/wire/link.py
+++ b/src/_arbutuswalk/wire/link.py
@@ -82,7 +82,8 @@
         self.pending_calls[call_number] = future
         self.writer.write(codec.encode(call_number, message, reply=False))
         try:
-            return await asyncio.wait_for(future, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await future
         except TimeoutError:
             return TimedOut(after_s=timeout_s)
         finally:
@@ -113,10 +114,10 @@
                 return None
             host, _, port = self.address.rpartition(":")
             try:
-                reader, writer = await asyncio.wait_for(
-                    asyncio.open_connection(host, int(port)),
-                    self._connect_timeout_s(),
-                )
+                async with asyncio.timeout(self._connect_timeout_s()):
+                    reader, writer = await asyncio.open_connection(
+                        host, int(port)
+                    )
                 sockets.set_options(writer.get_extra_info("socket"))
             except (TimeoutError, OSError, ValueError) as error:
                 # The connection may be lost before its socket options are set,
