Replace control processes in the soak, and lose disks at the pace of the terms

The soak waited until the group had all its voters before it took the next disk, which hid how long that takes. It now waits for the 4 s after which the deployment may lose the next one, and replaces members by empty ones at other addresses, planned and after a loss.

--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -6,6 +6,9 @@
 
 import platform_fixtures
 
+CATCH_UP_S = 4.0
+"""Time from a member's start until it no longer counts as lost."""
+
 
 async def kill_entry(soak, rng):
     """Kills an entry and starts it again."""
@@ -30,7 +33,9 @@
     """Suspends a process; its connections stay open."""
     ip = rng.choice([*soak.cluster.entry_ips, *soak.cluster.control_ips])
     async with soak.exclusive_access(ip):
-        process = soak.cluster.processes[ip]
+        process = soak.cluster.processes.get(ip)
+        if process is None:  # replaced meanwhile
+            return
         process.send_signal(signal.SIGSTOP)
         await asyncio.sleep(rng.uniform(0.2, 2.5))
         process.send_signal(signal.SIGCONT)
@@ -40,20 +45,20 @@
     """Makes a process reload its settings."""
     ip = rng.choice([*soak.cluster.entry_ips, *soak.cluster.control_ips])
     async with soak.exclusive_access(ip):
-        process = soak.cluster.processes[ip]
-        if platform_fixtures.handles_sighup(process):
+        process = soak.cluster.processes.get(ip)
+        if process and platform_fixtures.handles_sighup(process):
             process.send_signal(signal.SIGHUP)
 
 
 async def kill_control(soak, rng):
     """Kills one control process, or all of them at once."""
     kill_all = rng.random() < 0.25
-    ips = (
-        soak.cluster.control_ips
-        if kill_all
-        else [rng.choice(soak.cluster.control_ips)]
-    )
+    ips = [*soak.cluster.control_ips]
+    if not kill_all:
+        ips = [rng.choice(ips)]
     async with soak.exclusive_access(*ips):
+        if not soak.cluster.processes.keys() >= {*ips}:
+            return  # one was replaced meanwhile
         for ip in ips:
             soak.cluster.kill(ip)
         await asyncio.sleep(rng.uniform(0.1, 1.0))
@@ -62,22 +67,44 @@
 
 
 async def lose_disk(soak, rng):
-    """Deletes one member's disk and waits until it is replaced.
-
-    Two disks are never lost at the same time.
-    """
-    if soak.disk_repair_lock.locked():
+    """Deletes one member's disk; the next may be lost ``CATCH_UP_S`` later."""
+    if soak.disk_loss_lock.locked():
         return
-    ip = rng.choice(soak.cluster.control_ips)
     async with (
-        soak.disk_repair_lock,
+        soak.disk_loss_lock,
         soak.exclusive_access(*soak.cluster.control_ips),
     ):
-        await soak.wait_for_full_group()
+        await soak.wait_until_loss_is_allowed()
+        ip = rng.choice(soak.cluster.control_ips)
         soak.cluster.kill(ip)
         shutil.rmtree(soak.cluster.folder / ip)
+        await asyncio.sleep(rng.uniform(0.0, 1.0))
         soak.cluster.start_control(ip)
-        await soak.wait_for_full_group()
+        await asyncio.sleep(CATCH_UP_S)
+
+
+async def replace_control(soak, rng):
+    """Replaces a member by an empty one at another address."""
+    if soak.disk_loss_lock.locked():
+        return
+    async with (
+        soak.disk_loss_lock,
+        soak.exclusive_access(*soak.cluster.control_ips),
+    ):
+        await soak.wait_until_loss_is_allowed()
+        ip = rng.choice(soak.cluster.control_ips)
+        process = soak.cluster.processes.pop(ip)
+        planned = rng.random() < 0.5
+        if not planned:
+            process.kill()
+            await asyncio.sleep(rng.uniform(0.0, 1.0))
+        soak.add_control(replaced_ip=ip)
+        if planned:
+            await asyncio.sleep(rng.uniform(0.0, CATCH_UP_S))
+            process.send_signal(signal.SIGTERM)
+        await asyncio.to_thread(process.wait, 15)
+        shutil.rmtree(soak.cluster.folder / ip)
+        await asyncio.sleep(CATCH_UP_S)
 
 
 async def disturb_connections(soak, rng):
@@ -134,6 +161,7 @@
     reload,
     kill_control,
     lose_disk,
+    replace_control,
     disturb_connections,
     disturb_connections,
     kill_endpoint,
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -18,6 +18,8 @@
 ENDPOINT_COUNT = 4
 CONCURRENT_FAULTS = 2
 """Tasks that inject faults at the same time."""
+FIRST_SUCCESSOR = 10
+"""Last octet before those of control processes that replace another."""
 MAX_FAULT_PAUSE_S = 0.4
 RECOVERY_ALLOWANCE_S = 3.0
 """Time after a fault in which a process need not be up to date."""
@@ -67,7 +69,8 @@
             ip: asyncio.Lock()
             for ip in [*self.cluster.control_ips, *self.cluster.entry_ips]
         }
-        self.disk_repair_lock = asyncio.Lock()
+        self.disk_loss_lock = asyncio.Lock()
+        self.successors = 0
         self.fault_log = []
 
     @contextlib.asynccontextmanager
@@ -127,6 +130,24 @@
             self.acked_version = max(self.acked_version, version)
         return status == 200
 
+    def add_control(self, *, replaced_ip):
+        """Starts an empty control process in the place of another one."""
+        control_ips = self.cluster.control_ips
+        self.successors += 1
+        network = replaced_ip.rpartition(".")[0]
+        ip = f"{network}.{FIRST_SUCCESSOR + self.successors}"
+        self.cluster.start_control(ip)
+        self.process_locks[ip] = asyncio.Lock()
+        control_ips[control_ips.index(replaced_ip)] = ip
+
+    async def wait_until_loss_is_allowed(self):
+        """Waits until no earlier fault of control counts as a loss any more."""
+        allowed_at = faults.CATCH_UP_S + max(
+            self.last_fault_at.get(ip, 0.0) for ip in self.cluster.control_ips
+        )
+        now = asyncio.get_running_loop().time()
+        await asyncio.sleep(max(0.0, allowed_at - now))
+
     async def wait_for_full_group(self):
         """Waits until the control group has three voters that answer."""
 
