Let a leaving voter lead if nobody else can

The group had no leader for good, and acknowledged commands were gone: a voter was stopped for a planned replacement, the leader lost its disk, and the third voter lagged by a command that only the other two had. The leaving voter refused to vote for the older log, rightly, and did not stand for election itself; after 4 s it ended, and with it the newest log.

Change: a leaving voter stands for election one election timeout later than the others. As leader it replaces the lost voter, promotes the standby and steps down, as a leader that is stopped does.

--- a/src/_arbutuswalk/agreement/election.py
+++ b/src/_arbutuswalk/agreement/election.py
@@ -16,8 +16,7 @@
             membership.log_quorum_loss(replica, now)
             terms.become_follower(replica, replica.term, "", now)
         return
-    may_lead = replica.is_voter and not replica.leaving
-    if may_lead and now >= replica.election_due_at:
+    if replica.is_voter and now >= _election_due_at(replica):
         if replica.role is types.Role.TRIAL:
             membership.log_quorum_loss(replica, now)
         _start_election(replica, now, trial=True)
@@ -64,6 +63,16 @@
     _advance_on_majority(replica, now)
 
 
+def _election_due_at(replica: replicas.Replica) -> float:
+    """Returns when to start an election, later for a leaving member.
+
+    A leaving member prefers others to lead, but it may be the only one left
+    that has all committed entries.
+    """
+    delay_s = replica.timing.election_s if replica.leaving else 0.0
+    return replica.election_due_at + delay_s
+
+
 def _start_election(
     replica: replicas.Replica, now: float, *, trial: bool
 ) -> None:
