Add a second learner while a voter is needed

The group lost its majority for good: a member beyond the voters could be heard by the leader but not reached, and took the only place of a learner again each time that it was removed as silent. A healthy new member did not become a learner at all, so a lost voter was not replaced before the next disk was lost.

Change: two learners while voters are too few or one is to be replaced.

--- a/src/_arbutuswalk/agreement/membership.py
+++ b/src/_arbutuswalk/agreement/membership.py
@@ -6,7 +6,8 @@
 
 One member beyond the voters is kept as a learner whenever there is one. It
 replaces a voter that is silent, lost its disk or is about to end, so that the
-group is whole again before another voter may be lost.
+group is whole again before another voter may be lost. While a voter is needed,
+there may be a second learner, as the first one may be out of reach.
 """
 
 from typing import NamedTuple
@@ -226,14 +227,17 @@
         if reason:
             return _removal(members, learner, reason)
     joining = next(iter(joining_members(replica, now)), "")
-    if joining and not members.learners:
+    needs_voter = too_few_voters or replaceable is not None
+    if joining and len(members.learners) < (2 if needs_voter else 1):
         addresses = dict(members.addresses)
         addresses[joining] = replica.seen_members[joining].address
         return Change(
             "add",
             joining,
             "too few voters" if too_few_voters else "standby",
-            members._replace(learners=(joining,), addresses=addresses),
+            members._replace(
+                learners=(*members.learners, joining), addresses=addresses
+            ),
         )
     return None
 
