Remove a voter that a change of the leader left beyond the wanted number

The group kept four voters for good, so that two lost processes stopped it and no standby was left: a silent voter returned after the standby had been promoted and before it was removed itself, and the leader was lost in between, with the reason for the removal.

Change: a leader with more voters than wanted removes the one that is to be replaced or else the one that it has not heard from for longest. That one returns as the standby.

--- a/src/_arbutuswalk/agreement/membership.py
+++ b/src/_arbutuswalk/agreement/membership.py
@@ -213,10 +213,11 @@
     """Returns the next change by one member, if one is due."""
     members = replica.log.members
     replaceable = _voter_to_replace(replica, now)
-    if len(members.voters) > replica.target_voters and replaceable:
-        if replaceable.member == replica.member:
+    if len(members.voters) > replica.target_voters:
+        surplus = replaceable or _surplus_voter(replica)
+        if surplus.member == replica.member:
             return None
-        return _removal(members, *replaceable)
+        return _removal(members, *surplus)
     caught_up = _caught_up_learner(replica, now)
     too_few_voters = len(members.voters) < replica.target_voters
     if caught_up and (too_few_voters or replaceable):
@@ -254,6 +255,19 @@
     return None
 
 
+def _surplus_voter(replica: replicas.Replica) -> Replaceable:
+    """Returns the other voter that has not answered for longest."""
+    others = [
+        voter
+        for voter in replica.log.members.voters
+        if voter in replica.progress
+    ]
+    member = min(
+        others, key=lambda voter: replica.progress[voter].acked_sent_at
+    )
+    return Replaceable(member, "more voters than wanted")
+
+
 def _replacement_reason(
     replica: replicas.Replica, member: str, now: float
 ) -> str:
