Ignore what another group's members state about the membership

A leaving voter could end before it had been replaced: before it joined its group it had heard of another group whose log was longer, and took that group's membership, in which it is missing, for its own removal.

Change: the membership that a member hears is kept with its group.

--- a/src/_arbutuswalk/agreement/membership.py
+++ b/src/_arbutuswalk/agreement/membership.py
@@ -88,14 +88,25 @@
     replica.seen_members[message.member] = replicas.Seen(
         message.address, message.group, now, bool(message.leaving)
     )
+    _record_membership(replica, message)
+    if before is None or now - before.at > HELLO_MAX_AGE_S:
+        events.log(events.Event.MEMBER_SEEN, message.member, message.group)
+
+
+def _record_membership(
+    replica: replicas.Replica, message: ttypes.Hello
+) -> None:
+    """Records a newer membership of this group, or of any if it has none."""
     group = replica.log.members.group
+    if group not in ("", message.group):
+        return
+    heard = replica.heard_membership
     index = message.members_index or 0
-    if group in ("", message.group) and index > replica.heard_membership.index:
+    heard_index = heard.index if heard.group == message.group else 0
+    if index > heard_index:
         replica.heard_membership = replicas.HeardMembership(
-            index, message.members or {}
+            message.group, index, message.members or {}
         )
-    if before is None or now - before.at > HELLO_MAX_AGE_S:
-        events.log(events.Event.MEMBER_SEEN, message.member, message.group)
 
 
 def tick(replica: replicas.Replica, now: float) -> None:
@@ -131,8 +142,10 @@
     """
     heard = replica.heard_membership
     own_index, _ = replica.log.membership_history[-1]
-    was_removed = heard.index > own_index and (
-        replica.member not in heard.addresses
+    was_removed = (
+        heard.group == replica.log.members.group
+        and heard.index > own_index
+        and replica.member not in heard.addresses
     )
     if was_removed or not replica.is_voter:
         return True
--- a/src/_arbutuswalk/agreement/replica.py
+++ b/src/_arbutuswalk/agreement/replica.py
@@ -91,10 +91,12 @@
     """The newest committed membership that another member stated.
 
     Attributes:
-        index: Log index of the change that set it.
+        group: Group whose membership it is.
+        index: Log index of the change that set it, or of a later snapshot.
         addresses: ``IP:port`` of each member id.
     """
 
+    group: str = ""
     index: int = 0
     addresses: dict[str, str] = {}
 
