End a control process at once when its member's loop has ended

A control process whose member loop ended with an error stayed for 4 s, without taking part in the group, if another member could have replaced it: it waited for a replacement that only the loop could have brought about.

The error of the loop itself is still not logged; it was not before either.

--- a/src/_arbutuswalk/control/process.py
+++ b/src/_arbutuswalk/control/process.py
@@ -93,9 +93,15 @@
         (member_task, stop_task), return_when=asyncio.FIRST_COMPLETED
     )
     events.log(events.Event.PROCESS_DRAINING, "control", values["id"])
-    await member.leave(timeout_s=values["leave_s"])
+    leave_task = asyncio.ensure_future(
+        member.leave(timeout_s=values["leave_s"])
+    )
+    await asyncio.wait(
+        (member_task, leave_task), return_when=asyncio.FIRST_COMPLETED
+    )
     tasks = (
         member_task,
+        leave_task,
         leader_task,
         expire_task,
         notify_task,
--- /dev/null
+++ b/testing/test_control_process.py
@@ -0,0 +1,46 @@
+"""The end of a control process."""
+
+import asyncio
+import random
+import time
+
+import process_fixtures
+
+from _arbutuswalk.agreement import membership
+from _arbutuswalk.agreement import types
+from _arbutuswalk.control import durable_replica
+from _arbutuswalk.control import member as members
+from _arbutuswalk.control import process
+from _arbutuswalk.storage import folder
+
+LEAVE_S = 4.0
+
+
+class TestMemberLoopThatEnds:
+    async def test_process_does_not_wait_for_its_replacement(
+        self, tmp_path, monkeypatch
+    ):
+        async def fail(_):
+            await asyncio.sleep(0.05)
+            raise RuntimeError
+
+        monkeypatch.setattr(members.Member, "run", fail)
+        monkeypatch.setattr(membership, "may_leave", lambda *_: False)
+        address = f"127.0.0.1:{process_fixtures.free_ports(1)[0]}"
+        values = {
+            "id": "c1",
+            "address": address,
+            "data": str(tmp_path),
+            "leave_s": LEAVE_S,
+            "platform": "",
+            "interval_s": 10.0,
+        }
+        replica = durable_replica.DurableReplica(
+            data=folder.Folder(path=str(tmp_path)),
+            identity=durable_replica.Identity(address, (address,), 1),
+            timing=types.Timing(),
+            rng=random.Random(1),
+        )
+        started_at = time.monotonic()
+        await process.run(values, replica)
+        assert time.monotonic() - started_at < LEAVE_S / 2
