Count the settling of a control process from the first watch of an entry

A control process that replaces another one at a new address stated to entries that it knew all of them as soon as the first one asked: the 0.75 s after which it says so counted from its start, but entries learn its address only when it has joined the group, a second or more later. The entries took its count of entries, one, for their quota shares, and lifted refusals of crashing requests of which it had no report yet.

Change: the time counts from the first watch.

testing/test_new_control_member.py failed before, passes now.

--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -32,8 +32,8 @@
 """Time without a watch after which an entry is no longer returned to callers:
 three watches."""
 SETTLING_TIME_S = 0.75
-"""Time after the start of this process in which every running entry sends it a
-watch: the pause after a failed watch, and two attempts to connect. Sums over
+"""Time after the first watch from an entry in which every running entry sends
+one: the pause after a failed watch, and two attempts to connect. Sums over
 entries are incomplete until then."""
 ENTRY_RETENTION_S = 60.0
 """How long the last report of a silent entry still counts towards usage."""
@@ -82,6 +82,7 @@
             in ``evidence.OutcomeCounts``.
         stated_limits: Limits that endpoints state, as entries report them.
         started_at: When this process started, in seconds.
+        first_watch_at: When an entry first sent a watch, None before.
         restored_entry_count: Number of entries before the last restart, 0 if
             unknown.
         changed: Set and replaced when there is an update for entries.
@@ -103,6 +104,7 @@
         self.changed = asyncio.Event()
         self.now: clock.Clock = member.now
         self.started_at = self.now()
+        self.first_watch_at: float | None = None
         self.restored_entry_count = 0
         self.wall: clock.Clock = member.wall
         self.metrics = metrics.Metrics()
@@ -239,8 +241,14 @@
         return len({name for name, _ in self.entries})
 
     def is_settled(self) -> bool:
-        """Returns whether every running entry has sent a watch by now."""
-        return self.now() - self.started_at >= SETTLING_TIME_S
+        """Returns whether every running entry has sent a watch by now.
+
+        It counts from the first watch: entries learn the address of a new
+        member only when it has joined the group.
+        """
+        if self.first_watch_at is None:
+            return False
+        return self.now() - self.first_watch_at >= SETTLING_TIME_S
 
     def loads(self) -> dict[str, tuple[int, int]]:
         """Returns requests and unprocessed prompt tokens, by endpoint."""
@@ -271,6 +279,8 @@
     ) -> dict[str, Any]:
         key = message.entry, message.incarnation
         report = compressed_json.decode(message.report)
+        if self.first_watch_at is None:
+            self.first_watch_at = self.now()
         self.entries[key] = KnownEntry(
             message.incarnation, revision, report, self.now()
         )
