--- a/src/_arbutuswalk/agreement/membership.py
+++ b/src/_arbutuswalk/agreement/membership.py
@@ -6,7 +6,8 @@
 
 One member beyond the voters is kept as a learner whenever there is one. It
 replaces a voter that is silent, lost its disk or is about to end, so that the
-group is whole again before another voter may be lost.
+group is whole again before another voter may be lost. While a voter is needed,
+there may be a second learner, as the first one may be out of reach.
 """
 
 from typing import NamedTuple
@@ -96,14 +97,25 @@
         now if is_new else before.since,
         bool(message.leaving),
     )
+    _record_membership(replica, message)
+    if is_new:
+        events.log(events.Event.MEMBER_SEEN, message.member, message.group)
+
+
+def _record_membership(
+    replica: replicas.Replica, message: ttypes.Hello
+) -> None:
+    """Records a newer membership of this group, or of any if it has none."""
     group = replica.log.members.group
+    if group not in ("", message.group):
+        return
+    heard = replica.heard_membership
     index = message.members_index or 0
-    if group in ("", message.group) and index > replica.heard_membership.index:
+    heard_index = heard.index if heard.group == message.group else 0
+    if index > heard_index:
         replica.heard_membership = replicas.HeardMembership(
-            index, message.members or {}
+            message.group, index, message.members or {}
         )
-    if is_new:
-        events.log(events.Event.MEMBER_SEEN, message.member, message.group)
 
 
 def tick(replica: replicas.Replica, now: float) -> None:
@@ -141,8 +153,10 @@
     """
     heard = replica.heard_membership
     own_index, _ = replica.log.membership_history[-1]
-    was_removed = heard.index > own_index and (
-        replica.member not in heard.addresses
+    was_removed = (
+        heard.group == replica.log.members.group
+        and heard.index > own_index
+        and replica.member not in heard.addresses
     )
     if was_removed or not replica.is_voter:
         return True
@@ -223,10 +237,11 @@
     """Returns the next change by one member, if one is due."""
     members = replica.log.members
     replaceable = _voter_to_replace(replica, now)
-    if len(members.voters) > replica.target_voters and replaceable:
-        if replaceable.member == replica.member:
+    if len(members.voters) > replica.target_voters:
+        surplus = replaceable or _surplus_voter(replica)
+        if surplus.member == replica.member:
             return None
-        return _removal(members, *replaceable)
+        return _removal(members, *surplus)
     caught_up = _caught_up_learner(replica, now)
     too_few_voters = len(members.voters) < replica.target_voters
     if caught_up and (too_few_voters or replaceable):
@@ -237,11 +252,12 @@
         if reason:
             return _removal(members, learner, reason)
     joining = _next_learner(replica, now)
-    is_needed = bool(too_few_voters or replaceable)
+    needs_voter = too_few_voters or replaceable is not None
+    max_learners = 2 if needs_voter else 1
     if (
         joining
-        and not members.learners
-        and (is_needed or _may_be_standby(replica, joining, now))
+        and len(members.learners) < max_learners
+        and (needs_voter or _may_be_standby(replica, joining, now))
     ):
         addresses = dict(members.addresses)
         addresses[joining] = replica.seen_members[joining].address
@@ -249,7 +265,9 @@
             ADD,
             joining,
             "too few voters" if too_few_voters else "standby",
-            members._replace(learners=(joining,), addresses=addresses),
+            members._replace(
+                learners=(*members.learners, joining), addresses=addresses
+            ),
         )
     return None
 
@@ -266,6 +284,19 @@
     return None
 
 
+def _surplus_voter(replica: replicas.Replica) -> Replaceable:
+    """Returns the other voter that has not answered for longest."""
+    others = [
+        voter
+        for voter in replica.log.members.voters
+        if voter in replica.progress
+    ]
+    member = min(
+        others, key=lambda voter: replica.progress[voter].acked_sent_at
+    )
+    return Replaceable(member, "more voters than wanted")
+
+
 def _replacement_reason(
     replica: replicas.Replica, member: str, now: float
 ) -> str:
