Decode and remember that a start of an endpoint leaves

The directory remembers the start (id and `born`) apart from its row, so that neither a ready heartbeat nor a row that was removed and announced again undoes it, while a new start of the id and another endpoint at the address are ready. Statements from other processes keep their age.

--- a/src/_arbutuswalk/routing/directory.py
+++ b/src/_arbutuswalk/routing/directory.py
@@ -9,6 +9,8 @@
 from typing import Any
 from typing import NamedTuple
 
+from _arbutuswalk.routing import leaving
+
 READY = "ready"
 LEAVING = "leaving"
 GONE = "gone"
@@ -67,10 +69,12 @@
     Attributes:
         rows: Row by endpoint id.
         ids_by_address: Endpoint id by address.
+        leaving_starts: Starts that state in their answers that they leave.
         revision: Number of updates so far.
     """
 
     def __init__(self):
+        self.leaving_starts = leaving.LeavingStarts()
         self.rows: dict[str, Row] = {}
         self.ids_by_address: dict[str, str] = {}
         self.revision = 0
@@ -83,6 +87,8 @@
         Whether it changed anything relevant to routing. A higher sequence
         alone only shows that the endpoint is alive.
     """
+    if _start(announcement) in directory.leaving_starts.stated_at:
+        announcement = _as_leaving(announcement)
     existing = directory.rows.get(announcement.id)
     merged = (
         announcement
@@ -122,6 +128,30 @@
     return True
 
 
+def record_leaving(
+    directory: Directory, start: leaving.Start, stated_at: float
+) -> bool:
+    """Records that a start stated that it leaves.
+
+    Returns:
+        Whether an endpoint that was ready is leaving now.
+    """
+    directory.leaving_starts.record(start, stated_at)
+    row = directory.rows.get(start.endpoint_id)
+    if row is None or _start(row.endpoint) != start:
+        return False
+    if row.endpoint.state != READY:
+        return False
+    _put_row(directory, _as_leaving(row.endpoint), row.announced_at)
+    return True
+
+
+def expire_leaving(directory: Directory, now: float) -> None:
+    """Forgets the old statements of starts that are not in the directory."""
+    known = {_start(row.endpoint) for row in directory.rows.values()}
+    directory.leaving_starts.expire(now, known)
+
+
 def expire(directory: Directory, now: float, silent_s: float) -> list[str]:
     """Removes rows not updated for ``silent_s`` seconds; returns their ids."""
     expired_ids = [
@@ -162,6 +192,16 @@
     return Endpoint(*fields)
 
 
+def _start(endpoint: Endpoint) -> leaving.Start:
+    return leaving.Start(endpoint.id, endpoint.born_ms)
+
+
+def _as_leaving(endpoint: Endpoint) -> Endpoint:
+    return endpoint._replace(
+        state=LEAVING if endpoint.state == READY else endpoint.state
+    )
+
+
 def _merge_announcements(
     existing: Endpoint, announcement: Endpoint
 ) -> Endpoint | None:
--- a/src/_arbutuswalk/streams/replies.py
+++ b/src/_arbutuswalk/streams/replies.py
@@ -17,6 +17,11 @@
         closes_connection: Whether the upstream closes it afterwards.
         limit_per_s: Requests per second that the upstream accepts from all
             entries together, None if it states no limit.
+        is_misdirected: Whether the upstream at the address is not the one that
+            was meant.
+        states_leaving: Whether the upstream states that it leaves.
+        invalid_leaving: Start of an invalid statement that it leaves, None if
+            there is none.
     """
 
     ran: bool
@@ -25,6 +30,9 @@
     keep_alive_s: float | None
     closes_connection: bool
     limit_per_s: float | None = None
+    is_misdirected: bool = False
+    states_leaving: bool = False
+    invalid_leaving: str | None = None
 
 
 def first_value(headers: Headers, name: bytes) -> bytes:
