Send a leaving endpoint nothing from the head of its first answer on

What callers saw: requests were sent to a runner that had stated that it leaves until its heartbeats said so, and failed when it stopped.

An entry records the statement in the parser's callback, so it also counts in a streamed, failed or refused answer and in one to another request on the same connection. A 421 with the statement comes from another runner at the address: it counts for the runner that the directory has there, and for the one that was meant, which is not there any more. The endpoint's row becomes leaving, so placement, permits, retries and resumed streams leave it out as they do after a draining heartbeat. A request that waited for a permit or a connection meanwhile is not sent and takes nothing from the retry budget. Idle connections are closed at once, those in use after their request. Invalid values are logged once for each start (E681), a leaving start with the request that showed it (E680).

If all endpoints of an upstream leave, requests are refused at once, also in the first seconds of an entry, with "all N endpoints are leaving".

The endpoint fixture of the process tests used a partial imitation of the directory; it uses the real one now, with nothing checked less.

--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -135,6 +135,11 @@
         "permits for limited endpoints source=%s entries=%s reason=%s",
     )
     ENDPOINT_LIMIT_INVALID = (677, "endpoint limit invalid value=%s")
+    ENDPOINT_LEAVING = (680, "endpoint leaving endpoint=%s born=%s source=%s")
+    ENDPOINT_LEAVING_INVALID = (
+        681,
+        "endpoint leaving invalid endpoint=%s born=%s value=%s",
+    )
 
     @property
     def number(self) -> int:
--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -3,11 +3,13 @@
 from _arbutuswalk.base import events
 from _arbutuswalk.relay import delivery
 from _arbutuswalk.relay import endpoint_limits
+from _arbutuswalk.relay import leaving_endpoints
 from _arbutuswalk.relay import placement
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import results
 from _arbutuswalk.routing import crashes
+from _arbutuswalk.routing import directory
 from _arbutuswalk.routing import stated_limits
 from _arbutuswalk.state import routeconfig
 from _arbutuswalk.streams import connection as connections
@@ -57,6 +59,7 @@
         self.exchange = connections.Exchange(
             expected_id=self.request.id,
             has_body=self.request.method != "HEAD",
+            on_reply=self._record_reply,
         )
 
     async def run(self) -> results.Result:
@@ -87,6 +90,9 @@
             )
             self.relay.pool.close_idle(self.endpoint.address)
             return results.NotSent(reason=connection.reason)
+        if self._is_leaving():
+            connection.abort()
+            return results.NotSent(reason="the endpoint is leaving")
         left_s = self.request.deadline - self.relay.now()
         if self.delivery.caller_left or left_s < results.MIN_TIME_LEFT_S:
             self.relay.pool.release(connection)
@@ -107,6 +113,15 @@
         self._release_connection(connection, result)
         return result
 
+    def _is_leaving(self) -> bool:
+        start = directory.start_of(self.endpoint)
+        return directory.is_leaving(self.relay.directory, start)
+
+    def _record_reply(self, reply: replies.Reply) -> None:
+        leaving_endpoints.record_reply(
+            self.relay, self.endpoint, reply, self.request.id
+        )
+
     def _release_connection(
         self, connection: connections.Connection, result: results.Result
     ) -> None:
@@ -114,6 +129,8 @@
         reusable = isinstance(
             result, results.Answered | results.Delivered | results.NotRun
         )
+        if self._is_leaving():
+            connection.reusable = False
         if reusable and self.exchange.complete:
             self.relay.pool.release(connection)
         else:
--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -12,6 +12,7 @@
 from _arbutuswalk.base import events
 from _arbutuswalk.relay import config_fetch
 from _arbutuswalk.relay import endpoint_limits
+from _arbutuswalk.relay import leaving_endpoints
 from _arbutuswalk.relay import permit_requests
 from _arbutuswalk.relay import quota_buckets
 from _arbutuswalk.relay import quota_reports
@@ -117,6 +118,7 @@
                 _run_in_background(feed.link.stop())
         self._expire_endpoints(now)
         endpoint_limits.remove_unknown(self.relay)
+        leaving_endpoints.expire(self.relay)
         confirmed_suspects = crashes.resolve_suspects(
             self.relay.crashes,
             self.relay.directory,
@@ -205,6 +207,7 @@
             "routes_version": relay.routes_version,
             "loads": relay.own_loads,
             "limits": relay.stated_limits.to_json(relay.now()),
+            "leaving": relay.directory.leaving_starts.to_json(relay.now()),
             "wall": relay.wall(),
             "uptime_s": relay.now() - relay.started_at,
             "deaths": {
@@ -242,7 +245,9 @@
         feed.clock_offset_s = news["wall"] - self.relay.wall()
         for fields in news["endpoints"]:
             announcement = directory.from_json(fields)
-            directory.announce(self.relay.directory, announcement, now)
+            leaving_endpoints.merge_announcement(
+                self.relay, announcement, feed.address
+            )
         for address in news["members"]:
             self._watch_address(address)
         feed.routes_version = news["routes_version"]
--- /dev/null
+++ b/src/_arbutuswalk/relay/leaving_endpoints.py
@@ -0,0 +1,103 @@
+"""Keeps requests away from endpoints that leave.
+
+An endpoint is told apart from others by its id and start. What its answers
+state holds at once and without control; other entries learn it through the
+states of endpoints that control sends.
+"""
+
+from _arbutuswalk.base import events
+from _arbutuswalk.relay import relay_state
+from _arbutuswalk.relay import request as requests
+from _arbutuswalk.routing import directory
+from _arbutuswalk.routing import leaving
+from _arbutuswalk.streams import replies
+
+
+def record_reply(
+    relay: relay_state.Relay,
+    endpoint: directory.Endpoint,
+    reply: replies.Reply,
+    request_id: str,
+) -> None:
+    """Records what the head of an answer of an endpoint states."""
+    start = directory.start_of(endpoint)
+    if reply.invalid_leaving is not None:
+        _record_invalid(relay, start, reply.invalid_leaving)
+    if not reply.states_leaving:
+        return
+    _record_statement(relay, start, request_id)
+    if reply.is_misdirected:
+        # Another endpoint uses the address and made the statement.
+        owner_id = relay.directory.ids_by_address.get(endpoint.address, "")
+        owner = relay.directory.rows.get(owner_id)
+        if owner is not None:
+            owner_start = directory.start_of(owner.endpoint)
+            _record_statement(relay, owner_start, request_id)
+
+
+def merge_announcement(
+    relay: relay_state.Relay, announcement: directory.Endpoint, source: str
+) -> None:
+    """Merges an announcement that a control process sent."""
+    before = relay.directory.rows.get(announcement.id)
+    if not directory.announce(relay.directory, announcement, relay.now()):
+        return
+    after = relay.directory.rows[announcement.id].endpoint
+    has_left = (
+        before is not None
+        and before.endpoint.state == directory.READY
+        and before.endpoint.born_ms == after.born_ms
+        and after.state == directory.LEAVING
+    )
+    if has_left:
+        _note_leaving(relay, after, source, "control")
+
+
+def count_if_none_is_ready(
+    relay: relay_state.Relay, request: requests.Request
+) -> int:
+    """Returns the number of leaving endpoints, 0 if any endpoint is ready."""
+    states = [
+        row.endpoint.state
+        for row in relay.directory.rows.values()
+        if row.endpoint.upstream == request.upstream
+    ]
+    if directory.READY in states:
+        return 0
+    return states.count(directory.LEAVING)
+
+
+def expire(relay: relay_state.Relay) -> None:
+    """Forgets old statements of starts that are no longer known."""
+    now = relay.now()
+    directory.expire_leaving(relay.directory, now)
+    relay.invalid_leaving.expire(now, directory.known_starts(relay.directory))
+
+
+def _record_statement(
+    relay: relay_state.Relay, start: leaving.Start, request_id: str
+) -> None:
+    if directory.record_leaving(relay.directory, start, relay.now()):
+        endpoint = relay.directory.rows[start.endpoint_id].endpoint
+        _note_leaving(relay, endpoint, request_id, "answer")
+
+
+def _note_leaving(
+    relay: relay_state.Relay,
+    endpoint: directory.Endpoint,
+    source: str,
+    source_kind: str,
+) -> None:
+    """Records that an endpoint is leaving and closes its idle connections."""
+    events.record(
+        events.Event.ENDPOINT_LEAVING, endpoint.id, endpoint.born_ms, source
+    )
+    relay.metrics.count("endpoints_leaving", f'source="{source_kind}"')
+    relay.pool.close_idle(endpoint.address)
+
+
+def _record_invalid(
+    relay: relay_state.Relay, start: leaving.Start, value: str
+) -> None:
+    if relay.invalid_leaving.record(start, relay.now()):
+        events.record(events.Event.ENDPOINT_LEAVING_INVALID, *start, value)
--- a/src/_arbutuswalk/relay/permitted_placement.py
+++ b/src/_arbutuswalk/relay/permitted_placement.py
@@ -3,6 +3,7 @@
 import math
 
 from _arbutuswalk.relay import endpoint_limits
+from _arbutuswalk.relay import leaving_endpoints
 from _arbutuswalk.relay import placement
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
@@ -61,6 +62,11 @@
         for endpoint in placement.ready_endpoints(relay, request, tried)
     ]
     if not waits_s:
+        leaving = leaving_endpoints.count_if_none_is_ready(relay, request)
+        if leaving:
+            return results.NotSent(
+                reason=f"all {leaving} endpoints are leaving"
+            )
         return results.NotSent(reason="no endpoint is ready")
     wait_s = max(MIN_RETRY_AFTER_S, min(waits_s))
     wait_s *= 1 + RETRY_AFTER_JITTER_FRACTION * relay.rng.random()
--- a/src/_arbutuswalk/relay/relay_state.py
+++ b/src/_arbutuswalk/relay/relay_state.py
@@ -16,6 +16,7 @@
 from _arbutuswalk.relay import usage
 from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory
+from _arbutuswalk.routing import leaving
 from _arbutuswalk.routing import outliers
 from _arbutuswalk.routing import recent_parts
 from _arbutuswalk.routing import routetable
@@ -101,6 +102,7 @@
         own_loads: Load from this entry by endpoint.
         other_loads: Load from other entries by endpoint.
         stated_limits: Limits that endpoints state.
+        invalid_leaving: Starts whose invalid statement was logged.
         permits: Permits for endpoints that state a limit.
         outlier_detector: Failure rates of endpoints that report good health.
         crashes: Requests that were running when endpoints died.
@@ -147,6 +149,7 @@
         self.own_loads: dict[str, Load] = {}
         self.other_loads: dict[str, Load] = {}
         self.stated_limits = stated_limits.StatedLimits()
+        self.invalid_leaving = leaving.LeavingStarts()
         self.permits = permit_client.PermitClient()
         self.recent_parts = recent_parts.RecentParts()
         self.lateness = lateness.LatenessTracker()
--- a/src/_arbutuswalk/relay/relaying.py
+++ b/src/_arbutuswalk/relay/relaying.py
@@ -5,6 +5,7 @@
 from _arbutuswalk.base import events
 from _arbutuswalk.relay import attempts
 from _arbutuswalk.relay import delivery
+from _arbutuswalk.relay import leaving_endpoints
 from _arbutuswalk.relay import permitted_placement
 from _arbutuswalk.relay import placement
 from _arbutuswalk.relay import relay_state
@@ -74,6 +75,8 @@
     """Waits for an endpoint in the first seconds after the process start."""
     if permitted_placement.has_endpoint(relay, request):
         return not_found
+    if leaving_endpoints.count_if_none_is_ready(relay, request):
+        return not_found
     is_available = await relay.wait_until_known(
         lambda: permitted_placement.has_endpoint(relay, request)
     )
--- a/src/_arbutuswalk/routing/directory.py
+++ b/src/_arbutuswalk/routing/directory.py
@@ -87,7 +87,7 @@
         Whether it changed anything relevant to routing. A higher sequence
         alone only shows that the endpoint is alive.
     """
-    if _start(announcement) in directory.leaving_starts.stated_at:
+    if start_of(announcement) in directory.leaving_starts.stated_at:
         announcement = _as_leaving(announcement)
     existing = directory.rows.get(announcement.id)
     merged = (
@@ -138,7 +138,7 @@
     """
     directory.leaving_starts.record(start, stated_at)
     row = directory.rows.get(start.endpoint_id)
-    if row is None or _start(row.endpoint) != start:
+    if row is None or start_of(row.endpoint) != start:
         return False
     if row.endpoint.state != READY:
         return False
@@ -148,8 +148,29 @@
 
 def expire_leaving(directory: Directory, now: float) -> None:
     """Forgets the old statements of starts that are not in the directory."""
-    known = {_start(row.endpoint) for row in directory.rows.values()}
-    directory.leaving_starts.expire(now, known)
+    directory.leaving_starts.expire(now, known_starts(directory))
+
+
+def known_starts(directory: Directory) -> set[leaving.Start]:
+    """Returns the starts of the endpoints in the directory."""
+    return {start_of(row.endpoint) for row in directory.rows.values()}
+
+
+def start_of(endpoint: Endpoint) -> leaving.Start:
+    """Returns the start of an endpoint."""
+    return leaving.Start(endpoint.id, endpoint.born_ms)
+
+
+def is_leaving(directory: Directory, start: leaving.Start) -> bool:
+    """Returns whether a start is leaving or gone."""
+    if start in directory.leaving_starts.stated_at:
+        return True
+    row = directory.rows.get(start.endpoint_id)
+    return (
+        row is not None
+        and start_of(row.endpoint) == start
+        and row.endpoint.state != READY
+    )
 
 
 def expire(directory: Directory, now: float, silent_s: float) -> list[str]:
@@ -192,10 +213,6 @@
     return Endpoint(*fields)
 
 
-def _start(endpoint: Endpoint) -> leaving.Start:
-    return leaving.Start(endpoint.id, endpoint.born_ms)
-
-
 def _as_leaving(endpoint: Endpoint) -> Endpoint:
     return endpoint._replace(
         state=LEAVING if endpoint.state == READY else endpoint.state
--- a/src/_arbutuswalk/streams/connection.py
+++ b/src/_arbutuswalk/streams/connection.py
@@ -28,6 +28,8 @@
         has_body: Whether a response to this method has a body.
         on_body: Called with each chunk of the body directly from the parser, so
             that no task is woken per chunk; None to buffer the chunks.
+        on_reply: Called with the interpretation of each response's status and
+            headers, also of a response to another exchange.
         mismatched_id: Id of a received response to another exchange, or empty.
         status: Status of the response, 0 before it is known.
         headers: Headers of the response.
@@ -46,10 +48,12 @@
         expected_id: str,
         has_body: bool,
         on_body: Callable[[bytes], None] | None = None,
+        on_reply: Callable[[replies.Reply], None] = lambda reply: None,
     ):
         self.expected_id = expected_id
         self.has_body = has_body
         self.on_body = on_body
+        self.on_reply = on_reply
         self.mismatched_id = ""
         self.status = 0
         self.headers: replies.Headers = []
@@ -185,6 +189,7 @@
         if exchange is None or exchange.ended or self._is_interim():
             return
         reply = self.read_reply(self.status, self.headers)
+        exchange.on_reply(reply)
         self.ignoring_body = reply.answered_id not in ("", exchange.expected_id)
         if self.ignoring_body:
             self.reusable = False
--- a/testing/platform_fixtures.py
+++ b/testing/platform_fixtures.py
@@ -13,6 +13,8 @@
 import relay_fixtures
 from arbutuswalk_platform import settings as platform_settings
 
+from _arbutuswalk.routing import directory as directories
+
 ROOT = pathlib.Path(__file__).parent.parent
 LOOPBACK_OCTETS = range(1, 255)
 HOST = "h.example"
@@ -180,10 +182,7 @@
         """Starts an endpoint and its heartbeats; returns the heartbeat body."""
 
         class NullRelay:
-            class directory:  # noqa: N801
-                rows = {}
-                ids_by_address = {}
-                revision = 0
+            directory = directories.Directory()
 
             @staticmethod
             def now():
--- a/testing/test_leaving.py
+++ b/testing/test_leaving.py
@@ -505,6 +505,7 @@
         assert (name, born_ms, round(age_s)) == ("e9", 5, 10)
         later = relay.now() + leaving.RETENTION_S
         relay.now = lambda: later
+        watcher.feeds.clear()
         watcher.tick()
         assert watcher._report()["leaving"] == []
 
