--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -12,11 +12,11 @@
 import json
 import secrets
 from typing import Any
-from typing import NamedTuple
 
 from _arbutuswalk.base import clock
 from _arbutuswalk.base import events
 from _arbutuswalk.base import metrics
+from _arbutuswalk.control import entry_reports
 from _arbutuswalk.control import member as members
 from _arbutuswalk.control import shared_pools
 from _arbutuswalk.routing import crashes
@@ -48,22 +48,6 @@
 """Largest part of a configuration per reply: 0.05 s on a 5 Mbit/s link."""
 
 
-class KnownEntry(NamedTuple):
-    """An entry as this member knows it.
-
-    Attributes:
-        incarnation: Incarnation of the entry process.
-        revision: Directory revision that the entry has.
-        report: Its last report.
-        last_watch_at: When it last sent a watch, in seconds.
-    """
-
-    incarnation: int
-    revision: int
-    report: dict[str, Any]
-    last_watch_at: float
-
-
 class Discovery:
     """Endpoints and entries known to one control process.
 
@@ -94,7 +78,7 @@
         self.member = member
         self.session = secrets.token_hex(8)
         self.directory = directories.Directory()
-        self.entries: dict[tuple[str, int], KnownEntry] = {}
+        self.entries: dict[tuple[str, int], entry_reports.KnownEntry] = {}
         self.quota_use = counter_sum.CounterSum()
         self.quota_returned = counter_sum.CounterSum()
         self.shared_pools = shared_pools.SharedPools()
@@ -169,10 +153,10 @@
             if entry.report.get("ready")
         ]
 
-    def reachable_entries(self) -> dict[str, KnownEntry]:
+    def reachable_entries(self) -> dict[str, entry_reports.KnownEntry]:
         """Returns the newest incarnation of each reachable entry, by id."""
         cutoff = self.now() - ENTRY_SILENCE_TIMEOUT_S
-        return _newest_incarnations(
+        return entry_reports.newest_incarnations(
             {
                 key: entry
                 for key, entry in self.entries.items()
@@ -230,7 +214,9 @@
         """
         return {
             name
-            for name, entry in _newest_incarnations(self.entries).items()
+            for name, entry in entry_reports.newest_incarnations(
+                self.entries
+            ).items()
             if not entry.report.get("left")
         }
 
@@ -251,7 +237,7 @@
                 totals[endpoint] = (running + load[0], tokens + load[1])
         return totals
 
-    def wall_at_last_watch(self, entry: KnownEntry) -> float:
+    def wall_at_last_watch(self, entry: entry_reports.KnownEntry) -> float:
         """Returns this process's wall clock time of an entry's last watch."""
         return self.wall() - (self.now() - entry.last_watch_at)
 
@@ -271,7 +257,7 @@
     ) -> dict[str, Any]:
         key = message.entry, message.incarnation
         report = compressed_json.decode(message.report)
-        self.entries[key] = KnownEntry(
+        self.entries[key] = entry_reports.KnownEntry(
             message.incarnation, revision, report, self.now()
         )
         self._sum_counters(key, report)
@@ -379,14 +365,3 @@
         for address in self.member_addresses():
             if address != self.member.address:
                 self.member.link_to(address).send_oneway(message)
-
-
-def _newest_incarnations(
-    entries: dict[tuple[str, int], KnownEntry],
-) -> dict[str, KnownEntry]:
-    """Returns the newest incarnation of each entry, by id."""
-    newest: dict[str, KnownEntry] = {}
-    for (name, incarnation), entry in entries.items():
-        if name not in newest or newest[name].incarnation < incarnation:
-            newest[name] = entry
-    return newest
--- /dev/null
+++ b/src/_arbutuswalk/control/entry_reports.py
@@ -0,0 +1,31 @@
+"""Entries as one control process knows them."""
+
+from typing import Any
+from typing import NamedTuple
+
+
+class KnownEntry(NamedTuple):
+    """An entry as this member knows it.
+
+    Attributes:
+        incarnation: Incarnation of the entry process.
+        revision: Directory revision that the entry has.
+        report: Its last report.
+        last_watch_at: When it last sent a watch, in seconds.
+    """
+
+    incarnation: int
+    revision: int
+    report: dict[str, Any]
+    last_watch_at: float
+
+
+def newest_incarnations(
+    entries: dict[tuple[str, int], KnownEntry],
+) -> dict[str, KnownEntry]:
+    """Returns the newest incarnation of each entry, by id."""
+    newest: dict[str, KnownEntry] = {}
+    for (name, incarnation), entry in entries.items():
+        if name not in newest or newest[name].incarnation < incarnation:
+            newest[name] = entry
+    return newest
