Tell all entries through control that an endpoint is leaving

Entries report leaving starts with their age in their watches. Control makes the endpoint's row leaving, wakes the entries' watches and forwards the row to the other members, for entries that reach only one. It remembers the start as entries do, so that a late ready heartbeat after a restart or a removed row does not undo it.

A draining heartbeat after the statement changes nothing any more; it would have been acknowledged before the entries knew. It now waits for the entries to have the endpoint's last change.

--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -21,6 +21,7 @@
 from _arbutuswalk.control import shared_pools
 from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory as directories
+from _arbutuswalk.routing import leaving
 from _arbutuswalk.routing import stated_limits
 from _arbutuswalk.state import counter_sum
 from _arbutuswalk.wire import compressed_json
@@ -130,13 +131,18 @@
         directories.remove(self.directory, endpoint_id)
         events.record(events.Event.ENDPOINT_FORGOTTEN, endpoint_id)
 
-    async def wait_for_entries(self) -> bool:
+    async def wait_for_entries(self, endpoint_id: str | None = None) -> bool:
         """Waits until every reachable entry has the current directory.
 
+        Args:
+            endpoint_id: Endpoint whose current state is enough, None for all.
+
         Returns:
             Whether all of them have it within the timeout.
         """
         revision = self.directory.revision
+        if endpoint_id in self.directory.rows:
+            revision = self.directory.rows[endpoint_id].change_revision
         deadline = self.now() + ENTRIES_UPDATE_TIMEOUT_S
         while self._has_entry_behind(revision):
             remaining_s = deadline - self.now()
@@ -196,6 +202,7 @@
         ):
             events.record(events.Event.ENDPOINT_FORGOTTEN, name)
         self.stated_limits.remove_unknown(self.directory.rows)
+        directories.expire_leaving(self.directory, now)
         for key, entry in list(self.entries.items()):
             if now - entry.last_watch_at > ENTRY_RETENTION_S:
                 del self.entries[key]
@@ -263,8 +270,23 @@
         self._sum_counters(key, report)
         limits = report.get("limits", {})
         self.record_limits(stated_limits.from_json(limits, self.now()))
+        statements = report.get("leaving", [])
+        self.record_leaving(
+            leaving.from_json(statements, self.now()), message.entry
+        )
         return report
 
+    def record_leaving(
+        self, statements: dict[leaving.Start, float], source: str
+    ) -> None:
+        """Records that endpoints leave and sends changes to the entries."""
+        for start, stated_at in statements.items():
+            if directories.record_leaving(self.directory, start, stated_at):
+                events.record(events.Event.ENDPOINT_LEAVING, *start, source)
+                row = self.directory.rows[start.endpoint_id]
+                self._forward_to_members(row.endpoint)
+                self.notify_watches()
+
     def record_limits(
         self, statements: dict[str, stated_limits.Statement]
     ) -> None:
--- a/testing/test_leaving.py
+++ b/testing/test_leaving.py
@@ -1,9 +1,13 @@
 """Endpoints that state in their answers that they leave."""
 
 import asyncio
+import json
+import types
 
 import pytest
 import relay_fixtures
+import test_crashes
+import test_duties
 import test_watching
 from arbutuswalk_platform import headers
 
@@ -13,6 +17,7 @@
 from _arbutuswalk.routing import directory
 from _arbutuswalk.routing import leaving
 from _arbutuswalk.state import routeconfig
+from _arbutuswalk.wire import compressed_json
 
 STATEMENT = "Server-Leaving: 1\r\n"
 STREAM_ROUTE = relay_fixtures.make_route(
@@ -483,6 +488,16 @@
         told.stop()
 
 
+def forward_to(discovery, *addresses):
+    """Adds members; returns the messages that they are sent."""
+    messages = []
+    discovery.member_addresses = lambda: [discovery.member.address, *addresses]
+    discovery.member.link_to = lambda address: types.SimpleNamespace(
+        send_oneway=lambda message: messages.append((address, message))
+    )
+    return messages
+
+
 class TestControl:
     """What entries tell each other through control."""
 
@@ -509,6 +524,69 @@
         watcher.tick()
         assert watcher._report()["leaving"] == []
 
+    async def test_control_tells_the_waiting_entries_and_members(self):
+        components = test_duties.make_components()
+        discovery = components.discovery
+        forwarded = forward_to(discovery, "127.0.0.1:9")
+        discovery.apply_announcement(test_crashes.make_endpoint("a"))
+        first = await discovery.watch(test_duties.watch(discovery, "e2"))
+        waiting = asyncio.ensure_future(
+            discovery.watch(
+                test_duties.watch(discovery, "e2", version=first.version)
+            )
+        )
+        await asyncio.sleep(0)
+        born_ms = discovery.directory.rows["a"].endpoint.born_ms
+        statements = [["a", born_ms, 0.5]]
+        discovery._record_watch(
+            test_duties.watch(discovery, "e1", leaving=statements), 0
+        )
+        reply = await asyncio.wait_for(waiting, 0.2)
+        (sent,) = compressed_json.decode(reply.news)["endpoints"]
+        assert directory.from_json(sent).state == directory.LEAVING
+        ((address, message),) = forwarded
+        assert address == "127.0.0.1:9"
+        announced = directory.from_json(json.loads(message.announcements[0]))
+        assert (announced.id, announced.state) == ("a", directory.LEAVING)
+
+    def test_control_applies_a_statement_to_a_later_heartbeat(self):
+        discovery = test_duties.make_components().discovery
+        endpoint = test_crashes.make_endpoint("a")
+        statements = [["a", endpoint.born_ms, 0.5]]
+        discovery._record_watch(
+            test_duties.watch(discovery, leaving=statements), 0
+        )
+        discovery.apply_announcement(endpoint)
+        assert state_of(discovery.directory) == directory.LEAVING
+
+    def test_control_forgets_statements_in_time(self):
+        components = test_duties.make_components()
+        discovery = components.discovery
+        discovery._record_watch(
+            test_duties.watch(discovery, leaving=[["a", 1, 0.0]]), 0
+        )
+        components.member.time += leaving.RETENTION_S + 1.0
+        discovery.remove_expired()
+        assert not discovery.directory.leaving_starts.stated_at
+
+    async def test_a_drain_after_a_statement_is_acknowledged_once_entries_know(
+        self,
+    ):
+        discovery = test_duties.make_components().discovery
+        discovery.now = asyncio.get_running_loop().time
+        endpoint = test_crashes.make_endpoint("a")
+        discovery.apply_announcement(endpoint)
+        behind = test_duties.watch(discovery)
+        discovery._record_watch(behind, discovery.directory.revision)
+        discovery.record_leaving({directory.start_of(endpoint): 0.0}, "e1")
+        discovery.apply_announcement(
+            endpoint._replace(sequence=9, state=directory.LEAVING)
+        )
+        assert not await discovery.wait_for_entries("a")
+        discovery._record_watch(behind, discovery.directory.revision)
+        discovery.apply_announcement(test_crashes.make_endpoint("b"))
+        assert await discovery.wait_for_entries("a")
+
     async def test_an_entry_learns_of_it_and_closes_its_idle_connections(
         self, recorded
     ):
