Let endpoints of the soak state that they leave, and check the rule

One endpoint after another states it in all its answers while its heartbeats say ready, then drains and starts again. Checked over every entry, start and fault: no request that a caller sent 2 s after the entry had passed the statement on reaches that start; a restart or pause of the entry in between excuses it, a reload does not.

Nothing that was checked before is checked less; reloads are marked in the records of faults, which the check of limits treats as before.

--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -35,6 +35,7 @@
         sent_at: Event loop time of sending, in seconds.
         limited_by: Id of the endpoint if its response stated a limit.
         answered_at: Event loop time of the response head, in seconds.
+        leaving: Id of the endpoint if its response stated that it leaves.
     """
 
     request_id: str
@@ -47,6 +48,7 @@
     sent_at: float
     limited_by: str = ""
     answered_at: float = 0.0
+    leaving: str = ""
 
 
 async def run(cluster, name, rng, attempts):
@@ -78,7 +80,7 @@
     status, received, complete = 0, b"", False
     loop = asyncio.get_running_loop()
     sent_at = loop.time()
-    limited_by, answered_at = "", 0.0
+    limited_by, answered_at, leaving = "", 0.0, ""
     try:
         async with session.request(
             method,
@@ -89,6 +91,8 @@
             status, answered_at = response.status, loop.time()
             if "Server-Limit" in response.headers:
                 limited_by = response.headers["X-Server-Signature"]
+            if "Server-Leaving" in response.headers:
+                leaving = response.headers["X-Server-Signature"]
             async for chunk in response.content.iter_any():
                 received += chunk
             complete = True
@@ -105,4 +109,5 @@
         sent_at,
         limited_by,
         answered_at,
+        leaving,
     )
--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -16,6 +16,11 @@
 the limit has to be kept."""
 
 
+DRAIN_DEADLINE_S = 2.0
+"""Time after an entry passed on that an endpoint leaves until it may not send
+it any request that a caller sends from then on."""
+
+
 class LimitedPeriod(NamedTuple):
     """Time in which an endpoint stated a limit without interruption."""
 
@@ -25,12 +30,76 @@
     ended_at: float
 
 
+class LeavingPeriod(NamedTuple):
+    """Time from which one start of an endpoint stated that it leaves."""
+
+    endpoint_id: str
+    started_at: float
+    ended_at: float
+
+
 class FaultPeriod(NamedTuple):
-    """Time in which a fault was injected into a process."""
+    """Time in which a fault was injected into a process.
+
+    Attributes:
+        ip: IP address of the process.
+        started_at: Begin, in seconds.
+        ended_at: End, in seconds.
+        is_interruption: Whether the process was restarted or suspended.
+    """
 
     ip: str
     started_at: float
     ended_at: float
+    is_interruption: bool = True
+
+
+def find_late_after_leaving(leaving_periods, attempts, arrivals, fault_periods):
+    """Returns the late requests to endpoints that leave, one line each.
+
+    A restart or suspension of the entry since the answer excuses it.
+    """
+    attempts_by_id = {attempt.request_id: attempt for attempt in attempts}
+    violations = []
+    for period in leaving_periods:
+        told = [
+            (attempt.entry_ip, attempt.answered_at)
+            for attempt in attempts
+            if attempt.leaving == period.endpoint_id
+            and period.started_at <= attempt.answered_at <= period.ended_at
+        ]
+        for arrival in arrivals:
+            if arrival.endpoint_id != period.endpoint_id:
+                continue
+            if not period.started_at <= arrival.received_at <= period.ended_at:
+                continue
+            attempt = attempts_by_id.get(arrival.request_id)
+            if attempt is not None and _is_late(attempt, told, fault_periods):
+                violations.append(
+                    f"{period.endpoint_id} received {attempt.request_id}, sent"
+                    f" at {attempt.sent_at:.3f}, although {attempt.entry_ip}"
+                    " had passed on that it leaves"
+                )
+    return violations
+
+
+def _is_late(attempt, told, fault_periods):
+    return any(
+        ip == attempt.entry_ip
+        and attempt.sent_at > told_at + DRAIN_DEADLINE_S
+        and not _is_interrupted(ip, told_at, attempt.sent_at, fault_periods)
+        for ip, told_at in told
+    )
+
+
+def _is_interrupted(ip, since, until, fault_periods):
+    return any(
+        fault.is_interruption
+        and fault.ip == ip
+        and fault.started_at <= until
+        and fault.ended_at >= since
+        for fault in fault_periods
+    )
 
 
 def find_exceeded_limits(limited_periods, attempts, arrivals, fault_periods):
--- a/testing/soak/endpoints.py
+++ b/testing/soak/endpoints.py
@@ -51,6 +51,7 @@
         state: State in its heartbeats.
         drain_acked_at: When control acknowledged its drain, or None.
         limit_per_s: Limit that its responses state, None for no limit.
+        states_leaving: Whether its responses state that it leaves.
     """
 
     def __init__(self, *, name, cluster, arrivals):
@@ -60,6 +61,7 @@
         self.state = "ready"
         self.drain_acked_at = None
         self.limit_per_s = None
+        self.states_leaving = False
         self.proxy = None
         self.app_runner = None
         self.heartbeat_task = None
@@ -80,6 +82,7 @@
         self.incarnation += 1
         self.state, self.drain_acked_at = "ready", None
         self.limit_per_s = None
+        self.states_leaving = False
         self.heartbeat_task = asyncio.ensure_future(self._heartbeat_loop())
 
     async def stop(self):
@@ -135,6 +138,8 @@
         }
         if self.limit_per_s is not None:
             response_headers["Server-Limit"] = str(self.limit_per_s)
+        if self.states_leaving:
+            response_headers["Server-Leaving"] = "1"
         if request.headers.get("X-Expected-Instance") != self.name:
             return web.Response(status=421, headers=response_headers)
         body = await request.read()
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -39,7 +39,7 @@
 async def reload(soak, rng):
     """Makes a process reload its settings."""
     ip = rng.choice([*soak.cluster.entry_ips, *soak.cluster.control_ips])
-    async with soak.exclusive_access(ip):
+    async with soak.exclusive_access(ip, is_interruption=False):
         process = soak.cluster.processes[ip]
         if platform_fixtures.handles_sighup(process):
             process.send_signal(signal.SIGHUP)
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -26,6 +26,9 @@
 LOWEST_LIMIT_PER_S = 1.0
 HIGHEST_LIMIT_PER_S = 6.0
 """Below what the callers send an endpoint without a limit."""
+SHORTEST_LEAVING_S = 2.5
+LONGEST_LEAVING_S = 5.0
+LEAVING_POLL_INTERVAL_S = 0.2
 DRAIN_PROPAGATION_S = 2.0
 """Time after an acknowledged drain until no request may arrive any more."""
 PATH_PREFIXES = ("/a/", "/o/", "/s/")
@@ -43,6 +46,7 @@
         acked_version: Highest version that was acknowledged.
         no_traffic_windows: (endpoint, from, until) without any arrival.
         limited_periods: Times in which endpoints stated a limit.
+        leaving_periods: Times in which endpoints stated that they leave.
         fault_periods: Times of the faults of processes.
         last_fault_at: End of the last fault of a process, by IP address.
         fault_log: Times and names of the injected faults.
@@ -61,6 +65,7 @@
         self.last_version = 0
         self.no_traffic_windows = []
         self.limited_periods = []
+        self.leaving_periods = []
         self.fault_periods = []
         self.last_fault_at = {}
         self.process_locks = {
@@ -71,7 +76,7 @@
         self.fault_log = []
 
     @contextlib.asynccontextmanager
-    async def exclusive_access(self, *ips):
+    async def exclusive_access(self, *ips, is_interruption=True):
         """Keeps other faults away from processes and records the end time."""
         async with contextlib.AsyncExitStack() as stack:
             for ip in sorted(ips):
@@ -83,7 +88,8 @@
                 now = asyncio.get_running_loop().time()
                 self.last_fault_at |= dict.fromkeys(ips, now)
                 self.fault_periods += [
-                    checks.FaultPeriod(ip, started_at, now) for ip in ips
+                    checks.FaultPeriod(ip, started_at, now, is_interruption)
+                    for ip in ips
                 ]
 
     def record_drain(self, endpoint):
@@ -216,6 +222,13 @@
                 self._limit_endpoints(random.Random(self.rng.random()), seconds)
             )
         )
+        fault_tasks.append(
+            asyncio.ensure_future(
+                self._let_endpoints_leave(
+                    random.Random(self.rng.random()), seconds
+                )
+            )
+        )
         try:
             await asyncio.gather(*fault_tasks)
         finally:
@@ -257,6 +270,36 @@
                 )
             endpoint.limit_per_s = None
 
+    async def _let_endpoints_leave(self, rng, seconds):
+        """Lets one endpoint after the other state that it leaves.
+
+        Its heartbeats say ready until it drains and starts again.
+        """
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        while loop.time() < end:
+            endpoint = rng.choice(self.endpoints)
+            if endpoint.heartbeat_task is None or endpoint.state != "ready":
+                await asyncio.sleep(LEAVING_POLL_INTERVAL_S)
+                continue
+            incarnation, started_at = endpoint.incarnation, loop.time()
+            endpoint.states_leaving = True
+            await asyncio.sleep(
+                rng.uniform(SHORTEST_LEAVING_S, LONGEST_LEAVING_S)
+            )
+            was_restarted = (
+                endpoint.incarnation != incarnation
+                or endpoint.heartbeat_task is None
+                or endpoint.state != "ready"
+            )
+            if was_restarted:
+                continue
+            await endpoint.drain()
+            self.leaving_periods.append(
+                checks.LeavingPeriod(endpoint.name, started_at, loop.time())
+            )
+            await endpoint.start()
+
     def _log_fault(self, fault, phase):
         at = asyncio.get_running_loop().time()
         self.fault_log.append(f"{at:.3f} {fault.__name__} {phase}")
@@ -287,6 +330,12 @@
             self.arrivals,
             self.fault_periods,
         )
+        violations += checks.find_late_after_leaving(
+            self.leaving_periods,
+            self.attempts,
+            self.arrivals,
+            self.fault_periods,
+        )
         status, data = await self.cluster.call_control(
             "GET", "/v1/Configuration.Read"
         )
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -110,6 +110,40 @@
         period = checks.LimitedPeriod("i", 1.0, 0.5, 9.0)
         assert not checks.find_exceeded_limits([period], [told], arrivals, [])
 
+    @pytest.mark.parametrize(
+        ("sent_at", "fault_periods", "is_reported"),
+        [
+            (3.1, [], True),
+            (2.9, [], False),
+            (3.1, [checks.FaultPeriod("e", 1.5, 2.0)], False),
+            (3.1, [checks.FaultPeriod("e", 0.5, 0.9)], True),
+            (3.1, [checks.FaultPeriod("f", 1.5, 2.0)], True),
+            (3.1, [checks.FaultPeriod("e", 1.5, 2.0, False)], True),
+        ],
+        ids=[
+            "late",
+            "in time",
+            "restarted entry",
+            "restarted before",
+            "restarted other",
+            "reloaded entry",
+        ],
+    )
+    def test_late_requests_to_leaving_endpoints_are_reported(
+        self, sent_at, fault_periods, is_reported
+    ):
+        told = make_attempt()._replace(
+            request_id="t", leaving="i", answered_at=1.0
+        )
+        late = make_attempt()._replace(sent_at=sent_at)
+        violations = checks.find_late_after_leaving(
+            [checks.LeavingPeriod("i", 0.5, 9.0)],
+            [told, late],
+            [make_arrival(received_at=sent_at + 0.1)],
+            fault_periods,
+        )
+        assert bool(violations) == is_reported
+
     def test_arrivals_after_a_drain_are_reported(self):
         no_traffic_windows = [("i", 0.5, 2.0)]
         assert checks.find_violations(
