--- a/testing/test_leaving.py
+++ b/testing/test_leaving.py
@@ -12,8 +12,11 @@
 from arbutuswalk_platform import headers
 
 from _arbutuswalk.base import events
+from _arbutuswalk.limits import permits
 from _arbutuswalk.relay import control_watch
+from _arbutuswalk.relay import permit_client
 from _arbutuswalk.relay import relaying
+from _arbutuswalk.relay import request as requests
 from _arbutuswalk.routing import directory
 from _arbutuswalk.routing import leaving
 from _arbutuswalk.state import routeconfig
@@ -424,6 +427,83 @@
         endpoint.stop()
 
 
+class TestWithOtherRules:
+    async def test_a_request_that_waited_for_a_permit_is_not_sent(self):
+        relay = make_relay()
+        limit = relay_fixtures.send_answer(extra="Server-Limit: 50\r\n")
+        told, other = await start_endpoints(
+            relay,
+            relay_fixtures.ScriptedEndpoint(limit),
+            relay_fixtures.ScriptedEndpoint(name="e2"),
+        )
+        relay.suspect_until["e2"] = relay.now() + 60.0
+        assert (await relay_once(relay)).status == 200
+
+        async def grant_late(endpoint, *_):
+            directory.record_leaving(
+                relay.directory, directory.start_of(endpoint), relay.now()
+            )
+            granted = permits.Granted(wait_s=0.0)
+            return permit_client.LeaderDecision("c", granted, 1)
+
+        relay.permits.ask_leader = grant_late
+        assert (await relay_once(relay)).status == 200
+        assert len(told.request_heads) == 1
+        assert len(other.request_heads) == 1
+        told.stop()
+        other.stop()
+
+    async def test_an_old_version_that_leaves_is_replaced_by_its_rest(self):
+        relay = make_relay()
+        relay.rollouts["ops"] = ["v2", "growing", 100, 1, 1]
+        told, rest = await start_endpoints(
+            relay,
+            relay_fixtures.ScriptedEndpoint(answer()),
+            relay_fixtures.ScriptedEndpoint(name="e2"),
+        )
+        relay.suspect_until["e2"] = relay.now() + 60.0
+        statuses = [(await relay_once(relay)).status for _ in range(10)]
+        assert statuses == [200] * 10
+        assert len(told.request_heads) == 1
+        assert len(rest.request_heads) == 9
+        told.stop()
+        rest.stop()
+
+    async def test_shared_parts_are_placed_elsewhere(self):
+        relay = make_relay()
+        prompt = requests.Prompt(
+            "m", 1000, 10, (requests.Part("s", 900), requests.Part("u", 100))
+        )
+        endpoints = await start_endpoints(
+            relay,
+            relay_fixtures.ScriptedEndpoint(answer()),
+            relay_fixtures.ScriptedEndpoint(answer(), name="e2"),
+            relay_fixtures.ScriptedEndpoint(name="e3"),
+        )
+        relay.suspect_until["e3"] = relay.now() + 60.0
+        for _ in range(10):
+            caller = await relay_once(relay, prompt=prompt)
+            assert caller.status == 200
+        arrived = [len(endpoint.request_heads) for endpoint in endpoints]
+        assert arrived == [1, 1, 8]
+        for endpoint in endpoints:
+            endpoint.stop()
+
+    async def test_a_request_that_may_not_run_twice_is_sent_once(self):
+        route = relay_fixtures.make_route(kind=routeconfig.ONCE, max_attempts=1)
+        relay = make_relay(route)
+        told, other = await start_endpoints(
+            relay,
+            relay_fixtures.ScriptedEndpoint(answer("500 No")),
+            relay_fixtures.ScriptedEndpoint(name="e2"),
+        )
+        relay.suspect_until["e2"] = relay.now() + 60.0
+        assert (await relay_once(relay)).status == 500
+        assert not other.request_heads
+        told.stop()
+        other.stop()
+
+
 def other_row(relay, name):
     return relay.directory.rows[name].endpoint
 
