Hold back a start that stated leaving before its entry knew of it

What callers saw: an entry that had been cut off from control sent one more request to a runner that had restarted under its id and stated leaving meanwhile.

Cause: the entry had counted the statement for the start it knew, the former one, so the new start was ready once the entry learnt of it.

The new start is now leaving at this entry, if nothing was heard of the former start since the statement and the new one was born before it. The first condition keeps the clocks of runners out of it while control is in touch. It is not reported to control, so a clock that is ahead can keep only one entry from one start.

--- a/src/_arbutuswalk/relay/leaving_endpoints.py
+++ b/src/_arbutuswalk/relay/leaving_endpoints.py
@@ -12,6 +12,8 @@
 from _arbutuswalk.routing import leaving
 from _arbutuswalk.streams import replies
 
+MS_PER_S = 1000
+
 
 def record_reply(
     relay: relay_state.Relay,
@@ -40,17 +42,16 @@
 ) -> None:
     """Merges an announcement that a control process sent."""
     before = relay.directory.rows.get(announcement.id)
-    if not directory.announce(relay.directory, announcement, relay.now()):
+    is_change = directory.announce(relay.directory, announcement, relay.now())
+    if before is None or not is_change:
         return
     after = relay.directory.rows[announcement.id].endpoint
-    has_left = (
-        before is not None
-        and before.endpoint.state == directory.READY
-        and before.endpoint.born_ms == after.born_ms
-        and after.state == directory.LEAVING
-    )
-    if has_left:
+    if _has_left(before.endpoint, after):
         _note_leaving(relay, after, source, "control")
+    elif _may_have_stated(relay, after, before):
+        directory.mark_leaving(relay.directory, directory.start_of(after))
+        former = f"start {before.endpoint.born_ms}"
+        _note_leaving(relay, after, former, "former_start")
 
 
 def count_if_none_is_ready(
@@ -74,6 +75,36 @@
     relay.invalid_leaving.expire(now, directory.known_starts(relay.directory))
 
 
+def _has_left(before: directory.Endpoint, after: directory.Endpoint) -> bool:
+    return (
+        before.born_ms == after.born_ms
+        and before.state == directory.READY
+        and after.state == directory.LEAVING
+    )
+
+
+def _may_have_stated(
+    relay: relay_state.Relay, successor: directory.Endpoint, row: directory.Row
+) -> bool:
+    """Returns whether a new start made the statement of the former one.
+
+    It did if it answered before this entry knew of it: nothing was heard of the
+    former start after the statement, and the new one is older than that.
+    """
+    former = directory.start_of(row.endpoint)
+    stated_at = relay.directory.leaving_starts.stated_at.get(former)
+    if stated_at is None or successor.state != directory.READY:
+        return False
+    if successor.born_ms <= row.endpoint.born_ms:
+        return False
+    age_s = relay.now() - stated_at
+    stated_wall_s = relay.wall() + relay.usage.clock_offset_s - age_s
+    return (
+        row.announced_at <= stated_at
+        and successor.born_ms <= stated_wall_s * MS_PER_S
+    )
+
+
 def _record_statement(
     relay: relay_state.Relay, start: leaving.Start, request_id: str
 ) -> None:
--- a/src/_arbutuswalk/routing/directory.py
+++ b/src/_arbutuswalk/routing/directory.py
@@ -137,6 +137,15 @@
         Whether an endpoint that was ready is leaving now.
     """
     directory.leaving_starts.record(start, stated_at)
+    return mark_leaving(directory, start)
+
+
+def mark_leaving(directory: Directory, start: leaving.Start) -> bool:
+    """Makes the row of a start leaving, if it is ready.
+
+    Returns:
+        Whether it was ready.
+    """
     row = directory.rows.get(start.endpoint_id)
     if row is None or start_of(row.endpoint) != start:
         return False
--- a/testing/leaving_cluster.py
+++ b/testing/leaving_cluster.py
@@ -150,7 +150,7 @@
     def start_runner(self, address, name=None):
         """Starts a runner at an address, in place of the one there."""
         self.runner_count += 1
-        born_ms = 1000 * self.runner_count
+        born_ms = int(self.now * 1000) + self.runner_count
         start = Start(name or f"i-{self.runner_count}", born_ms, address)
         self.running[address] = start
         self.starts.append(start)
--- a/testing/test_leaving_interleavings.py
+++ b/testing/test_leaving_interleavings.py
@@ -119,6 +119,36 @@
         assert play([((state_leaving, 0), 0.0)], 1)
 
 
+class TestOutOfTouch:
+    @pytest.mark.parametrize(
+        "successor", [restart_under_the_same_id, replace_at_the_same_address]
+    )
+    def test_a_start_that_leaves_before_its_entry_knows_it(self, successor):
+        cluster = leaving_cluster.Cluster(seed=1)
+        cut_off_an_entry(cluster, 0)
+        successor(cluster, 0)
+        state_leaving(cluster, 0)
+        cluster.run(3.0, requests_per_s=REQUESTS_PER_S, entries=[0])
+        cut_off_an_entry(cluster, 0)
+        cluster.run(3.0, requests_per_s=REQUESTS_PER_S, entries=[0])
+        late = cluster.late_arrivals()
+        cluster.close()
+        assert late == []
+
+    def test_a_start_after_the_statement_is_used(self):
+        cluster = leaving_cluster.Cluster(seed=1)
+        cut_off_an_entry(cluster, 0)
+        state_leaving(cluster, 0)
+        cluster.run(3.0, requests_per_s=REQUESTS_PER_S, entries=[0])
+        restart_under_the_same_id(cluster, 0)
+        cluster.run(1.0, requests_per_s=REQUESTS_PER_S, entries=[0])
+        cut_off_an_entry(cluster, 0)
+        cluster.run(3.0, requests_per_s=REQUESTS_PER_S, entries=[0])
+        arrivals = cluster.running[address(0)].arrivals
+        cluster.close()
+        assert arrivals
+
+
 class TestRecovery:
     """A start that does not leave is used, whatever others stated."""
 
