--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -12,15 +12,16 @@
 import json
 import secrets
 from typing import Any
-from typing import NamedTuple
 
 from _arbutuswalk.base import clock
 from _arbutuswalk.base import events
 from _arbutuswalk.base import metrics
+from _arbutuswalk.control import entry_reports
 from _arbutuswalk.control import member as members
 from _arbutuswalk.control import shared_pools
 from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory as directories
+from _arbutuswalk.routing import leaving
 from _arbutuswalk.routing import stated_limits
 from _arbutuswalk.state import counter_sum
 from _arbutuswalk.wire import compressed_json
@@ -48,22 +49,6 @@
 """Largest part of a configuration per reply: 0.05 s on a 5 Mbit/s link."""
 
 
-class KnownEntry(NamedTuple):
-    """An entry as this member knows it.
-
-    Attributes:
-        incarnation: Incarnation of the entry process.
-        revision: Directory revision that the entry has.
-        report: Its last report.
-        last_watch_at: When it last sent a watch, in seconds.
-    """
-
-    incarnation: int
-    revision: int
-    report: dict[str, Any]
-    last_watch_at: float
-
-
 class Discovery:
     """Endpoints and entries known to one control process.
 
@@ -95,7 +80,7 @@
         self.member = member
         self.session = secrets.token_hex(8)
         self.directory = directories.Directory()
-        self.entries: dict[tuple[str, int], KnownEntry] = {}
+        self.entries: dict[tuple[str, int], entry_reports.KnownEntry] = {}
         self.quota_use = counter_sum.CounterSum()
         self.quota_returned = counter_sum.CounterSum()
         self.shared_pools = shared_pools.SharedPools()
@@ -148,13 +133,18 @@
         directories.remove(self.directory, endpoint_id)
         events.record(events.Event.ENDPOINT_FORGOTTEN, endpoint_id)
 
-    async def wait_for_entries(self) -> bool:
+    async def wait_for_entries(self, endpoint_id: str | None = None) -> bool:
         """Waits until every reachable entry has the current directory.
 
+        Args:
+            endpoint_id: Endpoint whose current state is enough, None for all.
+
         Returns:
             Whether all of them have it within the timeout.
         """
         revision = self.directory.revision
+        if endpoint_id in self.directory.rows:
+            revision = self.directory.rows[endpoint_id].change_revision
         deadline = self.now() + ENTRIES_UPDATE_TIMEOUT_S
         while self._has_entry_behind(revision):
             remaining_s = deadline - self.now()
@@ -171,10 +161,10 @@
             if entry.report.get("ready")
         ]
 
-    def reachable_entries(self) -> dict[str, KnownEntry]:
+    def reachable_entries(self) -> dict[str, entry_reports.KnownEntry]:
         """Returns the newest incarnation of each reachable entry, by id."""
         cutoff = self.now() - ENTRY_SILENCE_TIMEOUT_S
-        return _newest_incarnations(
+        return entry_reports.newest_incarnations(
             {
                 key: entry
                 for key, entry in self.entries.items()
@@ -215,6 +205,7 @@
         ):
             events.record(events.Event.ENDPOINT_FORGOTTEN, name)
         self.stated_limits.remove_unknown(self.directory.rows)
+        directories.expire_leaving(self.directory, now)
         for key, entry in list(self.entries.items()):
             if now - entry.last_watch_at > ENTRY_RETENTION_S:
                 del self.entries[key]
@@ -233,7 +224,9 @@
         """
         return {
             name
-            for name, entry in _newest_incarnations(self.entries).items()
+            for name, entry in entry_reports.newest_incarnations(
+                self.entries
+            ).items()
             if not entry.report.get("left")
         }
 
@@ -260,7 +253,7 @@
                 totals[endpoint] = (running + load[0], tokens + load[1])
         return totals
 
-    def wall_at_last_watch(self, entry: KnownEntry) -> float:
+    def wall_at_last_watch(self, entry: entry_reports.KnownEntry) -> float:
         """Returns this process's wall clock time of an entry's last watch."""
         return self.wall() - (self.now() - entry.last_watch_at)
 
@@ -282,14 +275,29 @@
         report = compressed_json.decode(message.report)
         if self.first_watch_at is None:
             self.first_watch_at = self.now()
-        self.entries[key] = KnownEntry(
+        self.entries[key] = entry_reports.KnownEntry(
             message.incarnation, revision, report, self.now()
         )
         self._sum_counters(key, report)
         limits = report.get("limits", {})
         self.record_limits(stated_limits.from_json(limits, self.now()))
+        statements = report.get("leaving", [])
+        self.record_leaving(
+            leaving.from_json(statements, self.now()), message.entry
+        )
         return report
 
+    def record_leaving(
+        self, statements: dict[leaving.Start, float], source: str
+    ) -> None:
+        """Records that endpoints leave and sends changes to the entries."""
+        for start, stated_at in statements.items():
+            if directories.record_leaving(self.directory, start, stated_at):
+                events.record(events.Event.ENDPOINT_LEAVING, *start, source)
+                row = self.directory.rows[start.endpoint_id]
+                self._forward_to_members(row.endpoint)
+                self.notify_watches()
+
     def record_limits(
         self, statements: dict[str, stated_limits.Statement]
     ) -> None:
@@ -390,14 +398,3 @@
         for address in self.member_addresses():
             if address != self.member.address:
                 self.member.link_to(address).send_oneway(message)
-
-
-def _newest_incarnations(
-    entries: dict[tuple[str, int], KnownEntry],
-) -> dict[str, KnownEntry]:
-    """Returns the newest incarnation of each entry, by id."""
-    newest: dict[str, KnownEntry] = {}
-    for (name, incarnation), entry in entries.items():
-        if name not in newest or newest[name].incarnation < incarnation:
-            newest[name] = entry
-    return newest
