--- /dev/null
+++ b/testing/test_pauses.py
@@ -0,0 +1,175 @@
+"""Pauses that endpoints ask an entry for."""
+
+import pytest
+import relay_fixtures
+from arbutuswalk_platform import headers
+
+from _arbutuswalk.relay import relaying
+from _arbutuswalk.state import routeconfig
+
+PAUSE_3_S = "Retry-After: 3\r\n"
+NOT_EXECUTED = "X-Not-Executed: 1\r\n"
+
+
+class World:
+    """An entry on a clock of its own, and endpoints on loopback."""
+
+    def __init__(self, **route):
+        route = {"objective_s": 0.4, **route}
+        config = relay_fixtures.make_config(relay_fixtures.make_route(**route))
+        self.relay = relay_fixtures.make_relay(config)
+        self.now = 1000.0
+        self.relay.now = lambda: self.now
+        self.relay.rng.random = lambda: 0.0
+        self.endpoints = []
+
+    async def add(self, *steps, **announced):
+        name = announced.pop("name", f"e{len(self.endpoints) + 1}")
+        endpoint = relay_fixtures.ScriptedEndpoint(
+            *steps, name=name, **announced
+        )
+        self.endpoints.append(await endpoint.start(self.relay))
+        return endpoint
+
+    async def send(self, **changes):
+        request = relay_fixtures.make_request(self.relay, **changes)
+        caller = relay_fixtures.RecordingCaller()
+        await relaying.relay_request(
+            self.relay, request, caller.make_delivery(self.relay, request)
+        )
+        return caller
+
+    async def send_many(self, count):
+        return [(await self.send()).status for _ in range(count)]
+
+
+@pytest.fixture
+async def make_world():
+    worlds = []
+
+    def make(**route):
+        worlds.append(World(**route))
+        return worlds[-1]
+
+    yield make
+    for world in worlds:
+        world.relay.pool.close()
+        for endpoint in world.endpoints:
+            endpoint.stop()
+
+
+def turn_away(extra=PAUSE_3_S):
+    return relay_fixtures.send_answer(status="503 Busy", extra=extra)
+
+
+class TestStatedPauses:
+    @pytest.mark.parametrize(
+        ("value", "pause_s"),
+        [(b"3", 3.0), (b"0.25", 0.25), (b" 2 ", 2.0), (b"0", 0.0)],
+        ids=str,
+    )
+    def test_seconds_are_read(self, value, pause_s):
+        reply = headers.interpret_response(503, [(b"retry-after", value)])
+        assert reply.pause_s == pause_s
+
+    @pytest.mark.parametrize(
+        "value",
+        [
+            b"",
+            b"-1",
+            b"nan",
+            b"inf",
+            b"1e3",
+            b"soon",
+            b"99999999",
+            b"9" * 400,
+            b"3, 3",
+            b"Fri, 04 Dec 2026 10:00:00 GMT",
+            b"\xff",
+        ],
+        ids=repr,
+    )
+    def test_other_values_state_no_pause(self, value):
+        reply = headers.interpret_response(503, [(b"retry-after", value)])
+        assert reply.pause_s is None
+        assert reply.invalid_pause is not None
+
+    def test_two_values_state_no_pause(self):
+        twice = [(b"retry-after", b"3"), (b"retry-after", b"3")]
+        reply = headers.interpret_response(503, twice)
+        assert reply.pause_s is None
+        assert reply.invalid_pause is not None
+
+    @pytest.mark.parametrize("status", [200, 429, 500, 502, 504])
+    def test_only_the_status_503_states_a_pause(self, status):
+        reply = headers.interpret_response(status, [(b"retry-after", b"3")])
+        assert reply.pause_s is None
+        assert reply.invalid_pause is None
+
+    def test_an_answer_without_the_header_states_none(self):
+        reply = headers.interpret_response(503, [])
+        assert reply.pause_s is None
+        assert reply.invalid_pause is None
+
+
+class TestPausedEndpoints:
+    @pytest.mark.parametrize("extra", ["", NOT_EXECUTED])
+    async def test_other_endpoints_get_the_requests(self, make_world, extra):
+        world = make_world()
+        pausing = await world.add(turn_away(PAUSE_3_S + extra))
+        other = await world.add()
+        assert await world.send_many(20) == [200] * 20
+        assert len(pausing.request_heads) == 1
+        assert len(other.request_heads) == 20
+
+    async def test_a_call_that_may_have_run_is_not_sent_again(self, make_world):
+        world = make_world(kind=routeconfig.ONCE)
+        await world.add(turn_away(), slots=99)
+        await world.add(turn_away())
+        assert (await world.send()).status == 503
+        assert sum(len(e.request_heads) for e in world.endpoints) == 1
+
+    async def test_a_pause_ends_after_its_time(self, make_world):
+        world = make_world()
+        pausing = await world.add(turn_away())
+        assert (await world.send()).status == 503
+        world.now += 2.9
+        assert (await world.send()).status == 503
+        assert len(pausing.request_heads) == 1
+        world.now += 0.2
+        assert (await world.send()).status == 200
+
+    async def test_another_start_is_not_held_back(self, make_world):
+        world = make_world()
+        old = await world.add(turn_away(), born_ms=1)
+        await world.send()
+        old.stop()
+        restarted = await world.add(name="e1", born_ms=2)
+        assert (await world.send()).status == 200
+        assert len(restarted.request_heads) == 1
+
+    async def test_the_refusal_names_the_end_of_the_first_pause(
+        self, make_world
+    ):
+        world = make_world(max_attempts=3)
+        await world.add(turn_away(NOT_EXECUTED + "Retry-After: 9\r\n"))
+        await world.add(turn_away(NOT_EXECUTED + "Retry-After: 6\r\n"))
+        told = await world.send()
+        assert told.status == 503
+        assert (b"retry-after", b"6.00") in told.headers
+        world.now += 1.0
+        refused = await world.send()
+        assert refused.status == 503
+        assert b"paused" in refused.data
+        assert (b"retry-after", b"5.00") in refused.headers
+        assert sum(len(e.request_heads) for e in world.endpoints) == 2
+
+    async def test_the_own_answer_reaches_the_caller_if_nothing_else_serves(
+        self, make_world
+    ):
+        world = make_world()
+        await world.add(turn_away())
+        told = await world.send()
+        assert told.status == 503
+        assert (b"retry-after", b"3") in told.headers
+        assert (b"x-server-signature", b"s") in told.headers
