--- a/src/_arbutuswalk/streams/replies.py
+++ b/src/_arbutuswalk/streams/replies.py
@@ -17,6 +17,10 @@
         closes_connection: Whether the upstream closes it afterwards.
         limit_per_s: Requests per second that the upstream accepts from all
             entries together, None if it states no limit.
+        pause_s: Time for which the upstream, which turned the request away,
+            wants no request from this entry; None if it states none.
+        invalid_pause: Start of what it states instead of a valid pause, None
+            if it states none or a valid one.
     """
 
     ran: bool
@@ -25,6 +29,8 @@
     keep_alive_s: float | None
     closes_connection: bool
     limit_per_s: float | None = None
+    pause_s: float | None = None
+    invalid_pause: str | None = None
 
 
 def first_value(headers: Headers, name: bytes) -> bytes:
