Send no requests to an endpoint that asked this entry for a pause

Callers saw the 503 of such an endpoint although another one was free, and it got up to 18 requests of one entry inside a pause of 3 s. Cause: Retry-After of an endpoint's answer was read nowhere; the outlier detection does not see answers that are marked as not executed and yields to silent heartbeats when control is dead.

An entry records the pause with the head of the answer, chooses other endpoints first, waits only within a quarter of the objective and inside it, and refuses otherwise with the end of the first pause. A request that was waiting for a connection or a permit when the pause was stated goes to another endpoint.

--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -135,6 +135,15 @@
         "permits for limited endpoints source=%s entries=%s reason=%s",
     )
     ENDPOINT_LIMIT_INVALID = (677, "endpoint limit invalid value=%s")
+    ENDPOINT_PAUSED = (
+        685,
+        "endpoint asked for a pause request=%s endpoint=%s pause_s=%s"
+        " ends_in_s=%s",
+    )
+    ENDPOINT_PAUSE_INVALID = (
+        686,
+        "endpoint pause invalid endpoint=%s value=%s",
+    )
 
     @property
     def number(self) -> int:
--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -3,6 +3,7 @@
 from _arbutuswalk.base import events
 from _arbutuswalk.relay import delivery
 from _arbutuswalk.relay import endpoint_limits
+from _arbutuswalk.relay import endpoint_pauses
 from _arbutuswalk.relay import placement
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
@@ -93,6 +94,9 @@
             if self.delivery.caller_left:
                 return results.CallerLeft()
             return results.NotSent(reason="no time left")
+        if endpoint_pauses.is_paused(self.relay, self.endpoint):
+            self.relay.pool.release(connection)
+            return results.NotSent(reason="the endpoint is paused")
         options = requests.AttemptOptions(
             endpoint=self.endpoint.id,
             left_s=left_s,
@@ -127,7 +131,9 @@
         while self.exchange.reply is None and not self.exchange.ended:
             early_result = await self._wait_for_progress(deadline)
             if early_result is not None:
+                self._record_pause()
                 return early_result
+        self._record_pause()
         self.first_byte_s = self.relay.now() - self.started_at
         reply = self.exchange.reply
         if reply is None:
@@ -145,6 +151,16 @@
             self.relay, self.endpoint.id, statement, self.request.id
         )
 
+    def _record_pause(self) -> None:
+        """Records a pause, also in an answer to a caller that has left."""
+        if self.exchange.reply is not None:
+            endpoint_pauses.record_reply(
+                self.relay,
+                self.endpoint,
+                self.exchange.reply,
+                self.request.id,
+            )
+
     def _is_stream(self) -> bool:
         return self.request.route.kind == routeconfig.STREAM
 
--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -117,6 +117,7 @@
                 _run_in_background(feed.link.stop())
         self._expire_endpoints(now)
         endpoint_limits.remove_unknown(self.relay)
+        self.relay.pauses.remove_unused(self.relay.directory.rows, now)
         confirmed_suspects = crashes.resolve_suspects(
             self.relay.crashes,
             self.relay.directory,
--- a/src/_arbutuswalk/relay/permitted_placement.py
+++ b/src/_arbutuswalk/relay/permitted_placement.py
@@ -1,18 +1,20 @@
-"""Finds an endpoint for a request and acquires the permit that it requires."""
+"""Finds an endpoint for a request, which may have to wait to be sent there."""
 
 import math
 
 from _arbutuswalk.relay import endpoint_limits
+from _arbutuswalk.relay import endpoint_pauses
 from _arbutuswalk.relay import placement
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import results
+from _arbutuswalk.routing import directory
 
 MAX_PERMIT_REQUESTS = 3
 """Permits that one request asks for before it is refused."""
 MAX_WAIT_FRACTION = 0.25
-"""Longest wait for a permit, as a fraction of the route's objective: most of it
-remains for the endpoint."""
+"""Longest wait for a permit or the end of a pause, as a fraction of the route's
+objective: most of it remains for the endpoint."""
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 5.0
 RETRY_AFTER_JITTER_FRACTION = 0.5
@@ -21,10 +23,14 @@
 
 
 def has_endpoint(relay: relay_state.Relay, request: requests.Request) -> bool:
-    """Returns whether an endpoint is known, with or without a permit."""
+    """Returns whether an endpoint is known, however long the wait for it."""
     return (
         placement.find_placement(
-            relay, request, set(), max_permit_wait_s=math.inf
+            relay,
+            request,
+            set(),
+            max_permit_wait_s=math.inf,
+            max_pause_wait_s=math.inf,
         )
         is not None
     )
@@ -36,18 +42,27 @@
     """Returns an endpoint that the request may be sent to now.
 
     Endpoints that need no wait are preferred. If there is none, the request
-    waits a short time for a permit.
+    waits a short time for a permit or the end of a pause.
     """
     for _ in range(MAX_PERMIT_REQUESTS):
-        max_wait_s = 0.0
+        max_wait_s = max_pause_wait_s = 0.0
         chosen = placement.find_placement(relay, request, tried)
         if chosen is None:
             max_wait_s = MAX_WAIT_FRACTION * request.route.objective_s
+            max_pause_wait_s = min(max_wait_s, _objective_left(relay, request))
             chosen = placement.find_placement(
-                relay, request, tried, max_permit_wait_s=max_wait_s
+                relay,
+                request,
+                tried,
+                max_permit_wait_s=max_wait_s,
+                max_pause_wait_s=max_pause_wait_s,
             )
         if chosen is None:
             break
+        if not await endpoint_pauses.acquire(
+            relay, chosen.endpoint, max_pause_wait_s
+        ):
+            continue
         if await endpoint_limits.acquire(relay, chosen.endpoint, max_wait_s):
             return chosen
     return _no_endpoint(relay, request, tried)
@@ -56,15 +71,51 @@
 def _no_endpoint(
     relay: relay_state.Relay, request: requests.Request, tried: set[str]
 ) -> results.NotSent:
-    waits_s = [
-        endpoint_limits.expected_wait(relay, endpoint)
-        for endpoint in placement.ready_endpoints(relay, request, tried)
+    endpoints = placement.ready_endpoints(relay, request, set())
+    untried = [e for e in endpoints if e.id not in tried]
+    paused = [
+        e for e in endpoints if endpoint_pauses.expected_wait(relay, e) > 0
     ]
-    if not waits_s:
+    if not untried and not paused:
         return results.NotSent(reason="no endpoint is ready")
-    wait_s = max(MIN_RETRY_AFTER_S, min(waits_s))
-    wait_s *= 1 + RETRY_AFTER_JITTER_FRACTION * relay.rng.random()
+    waits_s = [_expected_wait(relay, e) for e in {*untried, *paused}]
+    first_wait_s = min([wait_s for wait_s in waits_s if wait_s], default=0.0)
+    retry_after_s = _spread(relay, max(MIN_RETRY_AFTER_S, first_wait_s))
+    limited = [e for e in untried if e not in paused]
+    if not paused:
+        retry_after_s = min(MAX_RETRY_AFTER_S, retry_after_s)
+    reasons = []
+    if paused:
+        reasons.append(
+            f"{len(paused)} endpoints are paused, the first wait ends in"
+            f" {first_wait_s:.2f} s"
+        )
+    if limited:
+        reasons.append(f"the limits of {len(limited)} endpoints are used up")
     return results.NotSent(
-        reason=f"the limits of {len(waits_s)} endpoints are used up",
-        retry_after_s=min(MAX_RETRY_AFTER_S, wait_s),
+        reason=", ".join(reasons), retry_after_s=retry_after_s
     )
+
+
+def _objective_left(
+    relay: relay_state.Relay, request: requests.Request
+) -> float:
+    """Returns the time in seconds for which waiting may be of use."""
+    ends_at = min(
+        request.deadline, request.received_at + request.route.objective_s
+    )
+    return max(0.0, ends_at - relay.now())
+
+
+def _expected_wait(
+    relay: relay_state.Relay, endpoint: directory.Endpoint
+) -> float:
+    return max(
+        endpoint_pauses.expected_wait(relay, endpoint),
+        endpoint_limits.expected_wait(relay, endpoint),
+    )
+
+
+def _spread(relay: relay_state.Relay, wait_s: float) -> float:
+    longest_s = RETRY_AFTER_JITTER_FRACTION * min(wait_s, MAX_RETRY_AFTER_S)
+    return wait_s + longest_s * relay.rng.random()
--- a/src/_arbutuswalk/relay/placement.py
+++ b/src/_arbutuswalk/relay/placement.py
@@ -5,6 +5,7 @@
 
 from _arbutuswalk.base import events
 from _arbutuswalk.relay import endpoint_limits
+from _arbutuswalk.relay import endpoint_pauses
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.routing import directory
@@ -32,11 +33,13 @@
     tried: set[str],
     *,
     max_permit_wait_s: float = 0.0,
+    max_pause_wait_s: float = 0.0,
 ) -> Placement | None:
     """Returns an endpoint that was not tried yet, None if there is none.
 
     Endpoints with a limit are left out if no permit is expected within
-    ``max_permit_wait_s``.
+    ``max_permit_wait_s``, paused ones if no request may be sent within
+    ``max_pause_wait_s``.
     """
     now = relay.now()
     rows = _ready_rows(relay, request, tried)
@@ -47,6 +50,13 @@
             if endpoint_limits.expected_wait(relay, row.endpoint)
             <= max_permit_wait_s
         ]
+    if relay.pauses.rows:
+        rows = [
+            row
+            for row in rows
+            if endpoint_pauses.expected_wait(relay, row.endpoint)
+            <= max_pause_wait_s
+        ]
     eligible = _filter_by_version(relay, request, rows)
     prompt_profile = _prompt_profile(request)
     outliers = relay.outlier_detector.outliers(
--- a/src/_arbutuswalk/relay/relay_state.py
+++ b/src/_arbutuswalk/relay/relay_state.py
@@ -7,6 +7,7 @@
 
 from _arbutuswalk.base import clock
 from _arbutuswalk.base import metrics
+from _arbutuswalk.limits import pauses
 from _arbutuswalk.limits import quota
 from _arbutuswalk.limits import quota_levels
 from _arbutuswalk.limits import retries
@@ -102,6 +103,7 @@
         other_loads: Load from other entries by endpoint.
         stated_limits: Limits that endpoints state.
         permits: Permits for endpoints that state a limit.
+        pauses: Pauses that endpoints asked this entry for.
         outlier_detector: Failure rates of endpoints that report good health.
         crashes: Requests that were running when endpoints died.
         refused_fingerprints: Requests that control has told entries to refuse.
@@ -148,6 +150,7 @@
         self.other_loads: dict[str, Load] = {}
         self.stated_limits = stated_limits.StatedLimits()
         self.permits = permit_client.PermitClient()
+        self.pauses = pauses.Pauses()
         self.recent_parts = recent_parts.RecentParts()
         self.lateness = lateness.LatenessTracker()
         self.crashes = crashes.CrashTracker()
--- a/src/_arbutuswalk/relay/relaying.py
+++ b/src/_arbutuswalk/relay/relaying.py
@@ -35,7 +35,9 @@
         if isinstance(chosen, results.NotSent) and not tried:
             chosen = await _find_after_startup(relay, request, chosen)
         if isinstance(chosen, results.NotSent):
-            result = result if tried else chosen
+            has_run = tally.runs or isinstance(result, results.Answered)
+            if not tried or (not has_run and chosen.retry_after_s is not None):
+                result = chosen
             break
         if not _may_attempt(relay, request, tally):
             break
