Keep a pause that a start stated before its announcement was known

An endpoint that starts again under its id may turn a request away before the entry knows of the new start. A pause now holds for every start that was born before the pause was received.

--- a/src/_arbutuswalk/limits/pauses.py
+++ b/src/_arbutuswalk/limits/pauses.py
@@ -25,10 +25,12 @@
 
 
 class Pause(NamedTuple):
-    """The pause of one start of an endpoint.
+    """The last pause of an endpoint.
 
     Attributes:
-        born_ms: Start of the endpoint, in Unix milliseconds.
+        born_ms: Start of the endpoint as known then, in Unix milliseconds.
+        stated_ms: When a pause was last stated, in Unix milliseconds. A start
+            between the two has stated it, although it was not known yet.
         ends_at: When its last pause ends, in seconds.
         delay_s: Time from its end to the first request.
         ramp_requests: Requests that are released in the first ``RAMP_S``.
@@ -36,11 +38,16 @@
     """
 
     born_ms: int
+    stated_ms: int
     ends_at: float
     delay_s: float
     ramp_requests: float
     released: int = 0
 
+    def is_of(self, born_ms: int) -> bool:
+        """Returns whether it may have been stated by a start."""
+        return self.born_ms <= born_ms <= max(self.born_ms, self.stated_ms)
+
     @property
     def next_at(self) -> float:
         """Time from which the next request may be sent, in seconds."""
@@ -68,6 +75,7 @@
         pause_s: float,
         now: float,
         *,
+        now_ms: int,
         slot_share: float,
         draw: float,
     ) -> float:
@@ -78,9 +86,11 @@
 
         Args:
             endpoint_id: Id of the endpoint.
-            born_ms: Start of the endpoint that stated the pause.
+            born_ms: Start of the endpoint to which the request was sent. A
+                later one, born before now, may have answered.
             pause_s: Time for which it wants no requests.
             now: Current time in seconds.
+            now_ms: Current time of day in Unix milliseconds.
             slot_share: This entry's share of the endpoint's slots.
             draw: Random number from 0 to 1 for the first request after it.
 
@@ -89,14 +99,26 @@
         """
         known = self.rows.get(endpoint_id)
         if known is not None and born_ms < known.born_ms:
-            return 0.0
+            if now_ms < known.born_ms:
+                return 0.0
+            born_ms = known.born_ms
         ends_at = now + pause_s
-        if known is None or known.born_ms < born_ms or known.ends_at < ends_at:
-            ramp_requests = max(MIN_RAMP_REQUESTS, slot_share)
-            delay_s = draw * END_SPREAD_S
-            known = Pause(born_ms, ends_at, delay_s, ramp_requests)
-            self.rows[endpoint_id] = known
-        return known.ends_at - now
+        if (
+            known is not None
+            and known.is_of(born_ms)
+            and known.ends_at >= ends_at
+        ):
+            row = known._replace(stated_ms=now_ms)
+        else:
+            row = Pause(
+                born_ms=born_ms,
+                stated_ms=now_ms,
+                ends_at=ends_at,
+                delay_s=draw * END_SPREAD_S,
+                ramp_requests=max(MIN_RAMP_REQUESTS, slot_share),
+            )
+        self.rows[endpoint_id] = row
+        return row.ends_at - now
 
     def left_s(self, endpoint_id: str, born_ms: int, now: float) -> float:
         """Returns the time until the pause ends, 0 without one."""
@@ -144,6 +166,6 @@
 
     def _find(self, endpoint_id: str, born_ms: int, now: float) -> Pause | None:
         pause = self.rows.get(endpoint_id)
-        if pause is None or pause.born_ms != born_ms:
+        if pause is None or not pause.is_of(born_ms):
             return None
         return pause if now < pause.ends_at + RELEASE_S else None
--- a/src/_arbutuswalk/relay/endpoint_pauses.py
+++ b/src/_arbutuswalk/relay/endpoint_pauses.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from _arbutuswalk.base import clock
 from _arbutuswalk.base import events
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.routing import directory
@@ -24,6 +25,7 @@
         endpoint.born_ms,
         reply.pause_s,
         relay.now(),
+        now_ms=int(relay.wall() * clock.MS_PER_S),
         slot_share=endpoint.slots / max(1, relay.entry_count),
         draw=relay.rng.random(),
     )
