--- a/testing/test_pauses.py
+++ b/testing/test_pauses.py
@@ -1,9 +1,14 @@
 """Pauses that endpoints ask an entry for."""
 
+import asyncio
+
 import pytest
 import relay_fixtures
+import test_events
 from arbutuswalk_platform import headers
 
+from _arbutuswalk.base import events
+from _arbutuswalk.base import structured_log
 from _arbutuswalk.relay import relaying
 from _arbutuswalk.state import routeconfig
 
@@ -173,3 +178,92 @@
         assert told.status == 503
         assert (b"retry-after", b"3") in told.headers
         assert (b"x-server-signature", b"s") in told.headers
+
+    @pytest.mark.parametrize("kind", [routeconfig.ONCE, routeconfig.STREAM])
+    async def test_kinds_that_are_not_repeated_go_elsewhere_if_not_executed(
+        self, make_world, kind
+    ):
+        world = make_world(kind=kind, max_attempts=1)
+        await world.add(turn_away(PAUSE_3_S + NOT_EXECUTED))
+        await world.add(turn_away(PAUSE_3_S + NOT_EXECUTED))
+        third = await world.add()
+        assert await world.send_many(5) == [200] * 5
+        assert len(third.request_heads) == 5
+
+    async def test_a_request_that_was_connecting_goes_elsewhere(
+        self, make_world
+    ):
+        world = make_world()
+        pausing = await world.add(turn_away(PAUSE_3_S))
+        pool = world.relay.pool
+        acquire, connected = pool.acquire, asyncio.Event()
+
+        async def acquire_late(address, *, non_idempotent):
+            connection = await acquire(address, non_idempotent=non_idempotent)
+            await connected.wait()
+            return connection
+
+        pool.acquire = acquire_late
+        late = asyncio.ensure_future(world.send())
+        await asyncio.sleep(0.05)
+        pool.acquire = acquire
+        assert (await world.send()).status == 503
+        other = await world.add()
+        connected.set()
+        assert (await late).status == 200
+        assert len(pausing.request_heads) == 1
+        assert len(other.request_heads) == 1
+
+    async def test_the_answer_to_a_caller_that_has_left_counts(
+        self, make_world
+    ):
+        world = make_world()
+        released = asyncio.Event()
+
+        async def turn_away_later(head, writer):
+            await released.wait()
+            await turn_away()(head, writer)
+
+        pausing = await world.add(turn_away_later)
+        request = relay_fixtures.make_request(world.relay)
+        caller = relay_fixtures.RecordingCaller()
+        delivery = caller.make_delivery(world.relay, request)
+        task = asyncio.ensure_future(
+            relaying.relay_request(world.relay, request, delivery)
+        )
+        while not pausing.request_heads:
+            await asyncio.sleep(0.01)
+        delivery.caller_left = True
+        released.set()
+        await task
+        assert world.relay.pauses.rows
+
+
+class TestLog:
+    async def test_a_pause_is_logged_with_the_request(
+        self, make_world, monkeypatch
+    ):
+        writer = test_events.RecordingWriter()
+        monkeypatch.setattr(structured_log, "_writers", [writer])
+        world = make_world()
+        await world.add(turn_away())
+        await world.send()
+        fields = dict(writer.lines)[events.Event.ENDPOINT_PAUSED.number]
+        assert fields["request"] == "attempt-1"
+        assert fields["endpoint"] == "e1"
+        assert fields["pause_s"] == fields["ends_in_s"] == 3.0
+
+    async def test_an_invalid_one_is_logged_once_for_each_endpoint(
+        self, make_world, monkeypatch
+    ):
+        writer = test_events.RecordingWriter()
+        monkeypatch.setattr(structured_log, "_writers", [writer])
+        world = make_world(max_attempts=1)
+        date = "Retry-After: Fri, 04 Dec 2026 10:00:00 GMT" + "x" * 99
+        for _ in range(2):
+            await world.add(*[turn_away(date + "\r\n")] * 9)
+        assert await world.send_many(8) == [503] * 8
+        number = events.Event.ENDPOINT_PAUSE_INVALID.number
+        lines = [fields for at, fields in writer.lines if at == number]
+        assert sorted(line["endpoint"] for line in lines) == ["e1", "e2"]
+        assert all(len(line["value"]) == 40 for line in lines)
