Let the endpoints of the soak ask for pauses and check that they are kept

Single endpoints, and at times all, turn requests away for up to 0.8 s, each answer with a pause of its own of up to 2 s, most of them marked as not executed. No more than two requests of an entry may arrive between half a second after such an answer and the end of its pause, unless a fault of the entry or of the endpoint's connections falls into it. Endpoints state their start in Unix milliseconds, as the platform's do.

--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -16,6 +16,11 @@
 the limit has to be kept."""
 
 
+PAUSE_GRACE_S = 0.5
+"""Time after an endpoint's answer from which its pause has to be kept."""
+MAX_REQUESTS_IN_PAUSE = 2
+
+
 class LimitedPeriod(NamedTuple):
     """Time in which an endpoint stated a limit without interruption."""
 
@@ -26,7 +31,14 @@
 
 
 class FaultPeriod(NamedTuple):
-    """Time in which a fault was injected into a process."""
+    """Time in which a fault was injected.
+
+    Attributes:
+        ip: IP address of the process, or id of the endpoint whose connections
+            were disturbed.
+        started_at: Event loop time of its begin, in seconds.
+        ended_at: Event loop time of its end, in seconds.
+    """
 
     ip: str
     started_at: float
@@ -88,6 +100,40 @@
     )
 
 
+def find_requests_in_pauses(turned_away, attempts, arrivals, fault_periods):
+    """Returns the pauses that entries did not keep, one line each.
+
+    A fault of the entry or of the endpoint's connections during the pause
+    excuses the entry.
+    """
+    entry_ips = {attempt.request_id: attempt.entry_ip for attempt in attempts}
+    times = collections.defaultdict(list)
+    for arrival in [*arrivals, *turned_away]:
+        ip = entry_ips.get(arrival.request_id, "")
+        key = ip, arrival.endpoint_id, arrival.incarnation
+        times[key].append(arrival.received_at)
+    violations = []
+    for told in turned_away:
+        ip = entry_ips.get(told.request_id, "")
+        first = told.received_at + PAUSE_GRACE_S
+        last = told.received_at + told.pause_s
+        key = ip, told.endpoint_id, told.incarnation
+        count = sum(first < at < last for at in times[key])
+        excused = not ip or any(
+            fault.ip in (ip, told.endpoint_id)
+            and fault.started_at <= last
+            and fault.ended_at >= told.received_at
+            for fault in fault_periods
+        )
+        if count > MAX_REQUESTS_IN_PAUSE and not excused:
+            violations.append(
+                f"{told.endpoint_id} received {count} requests of {ip} in a"
+                f" pause of {told.pause_s} s since {told.received_at:.3f}"
+                f" ({told.request_id})"
+            )
+    return violations
+
+
 def find_violations(attempts, arrivals, no_traffic_windows):
     """Returns the violated invariants, one line each.
 
--- a/testing/soak/endpoints.py
+++ b/testing/soak/endpoints.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import hashlib
+import random
+import time
 from typing import NamedTuple
 
 from aiohttp import web
@@ -13,6 +15,10 @@
 EVENT_INTERVAL_S = 0.02
 SERVICE_TIME_S = 0.01
 HEARTBEAT_INTERVAL_S = 0.3
+SHORTEST_PAUSE_S = 0.6
+LONGEST_PAUSE_S = 2.0
+NOT_EXECUTED_RATIO = 0.7
+"""Fraction of the requests turned away that are marked as not executed."""
 
 
 class Arrival(NamedTuple):
@@ -23,12 +29,17 @@
         signature: ``request_signature`` of the request.
         endpoint_id: Id of the endpoint.
         received_at: Event loop time of the arrival, in seconds.
+        incarnation: Number of the endpoint's start.
+        pause_s: Pause that its answer asked for if it was turned away, None
+            if it was run.
     """
 
     request_id: str
     signature: str
     endpoint_id: str
     received_at: float
+    incarnation: int = 0
+    pause_s: float | None = None
 
 
 def request_signature(method, target, body):
@@ -51,12 +62,18 @@
         state: State in its heartbeats.
         drain_acked_at: When control acknowledged its drain, or None.
         limit_per_s: Limit that its responses state, None for no limit.
+        pausing: Whether it turns all requests away and asks for pauses.
+        turned_away: Requests that endpoints turned away, shared.
     """
 
-    def __init__(self, *, name, cluster, arrivals):
+    def __init__(self, *, name, cluster, arrivals, turned_away):
         self.name = name
         self.cluster = cluster
         self.arrivals = arrivals
+        self.turned_away = turned_away
+        self.pausing = False
+        self.rng = random.Random(name)
+        self.born_ms = 0
         self.state = "ready"
         self.drain_acked_at = None
         self.limit_per_s = None
@@ -79,7 +96,8 @@
         self.address = await self.proxy.start()
         self.incarnation += 1
         self.state, self.drain_acked_at = "ready", None
-        self.limit_per_s = None
+        self.limit_per_s, self.pausing = None, False
+        self.born_ms = time.time_ns() // 1_000_000
         self.heartbeat_task = asyncio.ensure_future(self._heartbeat_loop())
 
     async def stop(self):
@@ -114,7 +132,7 @@
             "slots": 8,
             "state": state,
             "sequence": self.sequence,
-            "born": self.incarnation,
+            "born": self.born_ms,
         }
         for ip in self.cluster.control_ips:
             url = f"http://{ip}:{self.cluster.operators_port}"
@@ -140,7 +158,11 @@
         body = await request.read()
         signature = request_signature(request.method, request.raw_path, body)
         now = asyncio.get_running_loop().time()
-        self.arrivals.append(Arrival(request_id, signature, self.name, now))
+        if self.pausing:
+            return self._turn_away(request_id, signature, response_headers)
+        self.arrivals.append(
+            Arrival(request_id, signature, self.name, now, self.incarnation)
+        )
         if request.path.startswith("/s/"):
             return await self._send_stream(request, response_headers)
         await asyncio.sleep(SERVICE_TIME_S)
@@ -148,6 +170,21 @@
             body=expected_body(request_id, signature), headers=response_headers
         )
 
+    def _turn_away(self, request_id, signature, response_headers):
+        """Returns a response that asks the entry for a pause."""
+        now = asyncio.get_running_loop().time()
+        pause_s = self.rng.uniform(SHORTEST_PAUSE_S, LONGEST_PAUSE_S)
+        pause_s = round(pause_s, 2)
+        self.turned_away.append(
+            Arrival(
+                request_id, signature, self.name, now, self.incarnation, pause_s
+            )
+        )
+        response_headers["Retry-After"] = str(pause_s)
+        if self.rng.random() < NOT_EXECUTED_RATIO:
+            response_headers["X-Not-Executed"] = "1"
+        return web.Response(status=503, headers=response_headers)
+
     async def _send_stream(self, request, response_headers):
         first_event_id = int(request.headers.get("Last-Event-Id") or 0) + 1
         response = web.StreamResponse(
@@ -177,9 +214,14 @@
     )
 
 
-def make_endpoints(cluster, count, arrivals):
+def make_endpoints(cluster, count, arrivals, turned_away):
     """Returns the endpoints of a soak, not started."""
     return [
-        SoakEndpoint(name=f"i-{number}", cluster=cluster, arrivals=arrivals)
+        SoakEndpoint(
+            name=f"i-{number}",
+            cluster=cluster,
+            arrivals=arrivals,
+            turned_away=turned_away,
+        )
         for number in range(count)
     ]
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -6,6 +6,8 @@
 
 import platform_fixtures
 
+from soak import checks
+
 
 async def kill_entry(soak, rng):
     """Kills an entry and starts it again."""
@@ -86,6 +88,7 @@
     if endpoint.heartbeat_task is None:
         return
     proxy = endpoint.proxy
+    started_at = asyncio.get_running_loop().time()
     connection_fault = rng.choice(["delay", "to", "back", "silent", "reset"])
     if connection_fault == "delay":
         proxy.delay_s = rng.uniform(0.05, 0.4)
@@ -97,6 +100,10 @@
         proxy.block(connection_fault)
     await asyncio.sleep(rng.uniform(0.2, 2.0))
     proxy.restore()
+    ended_at = asyncio.get_running_loop().time()
+    soak.fault_periods.append(
+        checks.FaultPeriod(endpoint.name, started_at, ended_at)
+    )
 
 
 async def kill_endpoint(soak, rng):
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -23,6 +23,11 @@
 """Time after a fault in which a process need not be up to date."""
 SHORTEST_LIMIT_S = 5.0
 LONGEST_LIMIT_S = 9.0
+LONGEST_TIME_BETWEEN_PAUSES_S = 3.0
+LONGEST_PAUSING_S = 0.8
+"""Longest time for which an endpoint turns all requests away."""
+ALL_PAUSE_RATIO = 0.1
+"""Fraction of these times in which all endpoints do so together."""
 LOWEST_LIMIT_PER_S = 1.0
 HIGHEST_LIMIT_PER_S = 6.0
 """Below what the callers send an endpoint without a limit."""
@@ -38,6 +43,7 @@
         cluster: The control and entry processes.
         endpoints: The endpoints.
         arrivals: Arrivals of requests at endpoints.
+        turned_away: Requests that endpoints turned away with a pause.
         attempts: Attempts of callers.
         published_configs: Configuration by version.
         acked_version: Highest version that was acknowledged.
@@ -52,8 +58,9 @@
         self.rng = random.Random(seed)
         self.cluster = platform_fixtures.PlatformCluster(folder)
         self.arrivals = []
+        self.turned_away = []
         self.endpoints = endpoints.make_endpoints(
-            self.cluster, ENDPOINT_COUNT, self.arrivals
+            self.cluster, ENDPOINT_COUNT, self.arrivals, self.turned_away
         )
         self.attempts = []
         self.published_configs = {}
@@ -216,6 +223,11 @@
                 self._limit_endpoints(random.Random(self.rng.random()), seconds)
             )
         )
+        fault_tasks.append(
+            asyncio.ensure_future(
+                self._pause_endpoints(random.Random(self.rng.random()), seconds)
+            )
+        )
         try:
             await asyncio.gather(*fault_tasks)
         finally:
@@ -257,6 +269,21 @@
                 )
             endpoint.limit_per_s = None
 
+    async def _pause_endpoints(self, rng, seconds):
+        """Lets one endpoint or all turn requests away for some time."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        while loop.time() < end:
+            await asyncio.sleep(rng.uniform(0, LONGEST_TIME_BETWEEN_PAUSES_S))
+            pausing = [rng.choice(self.endpoints)]
+            if rng.random() < ALL_PAUSE_RATIO:
+                pausing = self.endpoints
+            for endpoint in pausing:
+                endpoint.pausing = True
+            await asyncio.sleep(rng.uniform(0, LONGEST_PAUSING_S))
+            for endpoint in pausing:
+                endpoint.pausing = False
+
     def _log_fault(self, fault, phase):
         at = asyncio.get_running_loop().time()
         self.fault_log.append(f"{at:.3f} {fault.__name__} {phase}")
@@ -287,6 +314,9 @@
             self.arrivals,
             self.fault_periods,
         )
+        violations += checks.find_requests_in_pauses(
+            self.turned_away, self.attempts, self.arrivals, self.fault_periods
+        )
         status, data = await self.cluster.call_control(
             "GET", "/v1/Configuration.Read"
         )
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -110,6 +110,38 @@
         period = checks.LimitedPeriod("i", 1.0, 0.5, 9.0)
         assert not checks.find_exceeded_limits([period], [told], arrivals, [])
 
+    @pytest.mark.parametrize(
+        ("fault_periods", "is_reported"),
+        [
+            ([], True),
+            ([checks.FaultPeriod("other", 0.0, 9.0)], True),
+            ([checks.FaultPeriod("e", 0.0, 0.9)], True),
+            ([checks.FaultPeriod("e", 1.5, 1.6)], False),
+            ([checks.FaultPeriod("i", 1.5, 1.6)], False),
+        ],
+        ids=["undisturbed", "another", "before", "entry", "connections"],
+    )
+    def test_requests_in_a_pause_are_reported(self, fault_periods, is_reported):
+        told = make_arrival()._replace(pause_s=3.0)
+        arrivals = [make_arrival(received_at=1.6 + n) for n in (0, 1, 2)]
+        violations = checks.find_requests_in_pauses(
+            [told], [make_attempt()], arrivals, fault_periods
+        )
+        assert bool(violations) == is_reported
+
+    @pytest.mark.parametrize(
+        "changes",
+        [{"received_at": 4.1}, {"received_at": 1.4}, {"incarnation": 1}],
+        ids=["after its end", "at its begin", "at another start"],
+    )
+    def test_other_requests_are_no_requests_in_a_pause(self, changes):
+        told = make_arrival()._replace(pause_s=3.0)
+        arrivals = [make_arrival(received_at=1.6 + n) for n in (0, 1)]
+        arrivals.append(make_arrival(received_at=2.0)._replace(**changes))
+        assert not checks.find_requests_in_pauses(
+            [told], [make_attempt()], arrivals, []
+        )
+
     def test_arrivals_after_a_drain_are_reported(self):
         no_traffic_windows = [("i", 0.5, 2.0)]
         assert checks.find_violations(
