Let the stand-ins ask for pauses; say how many endpoints are paused

A fault switch pause_s makes the stand-in runner and service turn requests away with Retry-After. The reason of a refusal names the paused endpoints out of all instead of counting endpoints of excluded versions as limited.

--- a/src/_arbutuswalk/relay/permitted_placement.py
+++ b/src/_arbutuswalk/relay/permitted_placement.py
@@ -81,19 +81,15 @@
     waits_s = [_expected_wait(relay, e) for e in {*untried, *paused}]
     first_wait_s = min([wait_s for wait_s in waits_s if wait_s], default=0.0)
     retry_after_s = _spread(relay, max(MIN_RETRY_AFTER_S, first_wait_s))
-    limited = [e for e in untried if e not in paused]
     if not paused:
-        retry_after_s = min(MAX_RETRY_AFTER_S, retry_after_s)
-    reasons = []
-    if paused:
-        reasons.append(
-            f"{len(paused)} endpoints are paused, the first wait ends in"
-            f" {first_wait_s:.2f} s"
+        return results.NotSent(
+            reason=f"the limits of {len(untried)} endpoints are used up",
+            retry_after_s=min(MAX_RETRY_AFTER_S, retry_after_s),
         )
-    if limited:
-        reasons.append(f"the limits of {len(limited)} endpoints are used up")
     return results.NotSent(
-        reason=", ".join(reasons), retry_after_s=retry_after_s
+        reason=f"{len(paused)} of {len(endpoints)} endpoints are paused, the"
+        f" first wait ends in {first_wait_s:.2f} s",
+        retry_after_s=retry_after_s,
     )
 
 
--- a/src/_arbutuswalk/standin/base_upstream.py
+++ b/src/_arbutuswalk/standin/base_upstream.py
@@ -111,6 +111,15 @@
         self.faults = faults.Faults(values=values, set_at=time.monotonic())
         return responses.JSONResponse({})
 
+    def turn_away(self, echo_headers: dict[str, str]) -> responses.Response:
+        """Returns an answer that asks the sender for a pause."""
+        pause_s = self.faults.values["pause_s"]
+        return responses.Response(
+            "paused",
+            status_code=503,
+            headers={**echo_headers, "Retry-After": f"{pause_s:g}"},
+        )
+
     def _changing_fields(self) -> dict[str, Any]:
         leaving = self.reclaim_at is not None
         leave_in_s = (
--- a/src/_arbutuswalk/standin/faults.py
+++ b/src/_arbutuswalk/standin/faults.py
@@ -27,6 +27,7 @@
     ),
     settings.Field("cross", "true or false", settings.is_bool, False),
     settings.Field("late_s", "seconds", settings.is_non_negative, 0.0),
+    settings.Field("pause_s", "seconds", settings.is_non_negative, 0.0),
 )
 
 
--- a/src/_arbutuswalk/standin/runner.py
+++ b/src/_arbutuswalk/standin/runner.py
@@ -103,6 +103,8 @@
         ):
             self.kill()
         echo_headers = base_upstream.headers_to_echo(request)
+        if faults_active and switches["pause_s"]:
+            return self.turn_away(echo_headers)
         if faults_active and self.faults.should_fail(self.rng):
             text = '{"error": "stand-in fault"}'
             return responses.Response(
--- a/src/_arbutuswalk/standin/service.py
+++ b/src/_arbutuswalk/standin/service.py
@@ -63,6 +63,8 @@
         switches = self.faults.values
         path = request.url.path
         faults_active = self.has_active_faults(path, self.calls_in_progress)
+        if faults_active and switches["pause_s"]:
+            return self.turn_away(echo_headers)
         if faults_active and self.faults.should_fail(self.rng):
             return responses.Response(
                 "fault", status_code=500, headers=echo_headers
