--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -140,6 +140,15 @@
         681,
         "endpoint leaving invalid endpoint=%s born=%s value=%s",
     )
+    ENDPOINT_PAUSED = (
+        685,
+        "endpoint asked for a pause request=%s endpoint=%s pause_s=%s"
+        " ends_in_s=%s",
+    )
+    ENDPOINT_PAUSE_INVALID = (
+        686,
+        "endpoint pause invalid endpoint=%s value=%s",
+    )
 
     @property
     def number(self) -> int:
--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -119,6 +119,7 @@
         self._expire_endpoints(now)
         endpoint_limits.remove_unknown(self.relay)
         leaving_endpoints.expire(self.relay)
+        self.relay.pauses.remove_unused(self.relay.directory.rows, now)
         confirmed_suspects = crashes.resolve_suspects(
             self.relay.crashes,
             self.relay.directory,
--- a/src/_arbutuswalk/streams/replies.py
+++ b/src/_arbutuswalk/streams/replies.py
@@ -22,6 +22,10 @@
         states_leaving: Whether the upstream states that it leaves.
         invalid_leaving: Start of an invalid statement that it leaves, None if
             there is none.
+        pause_s: Time for which the upstream, which turned the request away,
+            wants no request from this entry; None if it states none.
+        invalid_pause: Start of what it states instead of a valid pause, None
+            if it states none or a valid one.
     """
 
     ran: bool
@@ -33,6 +37,8 @@
     is_misdirected: bool = False
     states_leaving: bool = False
     invalid_leaving: str | None = None
+    pause_s: float | None = None
+    invalid_pause: str | None = None
 
 
 def first_value(headers: Headers, name: bytes) -> bytes:
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -6,6 +6,8 @@
 
 import platform_fixtures
 
+from soak import checks
+
 CATCH_UP_S = 4.0
 """Time from a member's start until it no longer counts as lost."""
 
@@ -113,6 +115,7 @@
     if endpoint.heartbeat_task is None:
         return
     proxy = endpoint.proxy
+    started_at = asyncio.get_running_loop().time()
     connection_fault = rng.choice(["delay", "to", "back", "silent", "reset"])
     if connection_fault == "delay":
         proxy.delay_s = rng.uniform(0.05, 0.4)
@@ -124,6 +127,10 @@
         proxy.block(connection_fault)
     await asyncio.sleep(rng.uniform(0.2, 2.0))
     proxy.restore()
+    ended_at = asyncio.get_running_loop().time()
+    soak.fault_periods.append(
+        checks.FaultPeriod(endpoint.name, started_at, ended_at)
+    )
 
 
 async def kill_endpoint(soak, rng):
