Name the version whose endpoints leave in a refusal during a rollout

What callers saw: while all endpoints of the old version leave, a request beyond the share of the new one was refused with "the limits of 1 endpoints are used up", though none stated a limit. The reason counted ready endpoints of any version. It is "all 1 endpoints of the version are leaving" now; whether the request is refused does not change (EXPOSURE bounds the share of a new version). The test fails before this commit.

--- a/src/_arbutuswalk/relay/leaving_endpoints.py
+++ b/src/_arbutuswalk/relay/leaving_endpoints.py
@@ -6,6 +6,7 @@
 """
 
 from _arbutuswalk.base import events
+from _arbutuswalk.relay import placement
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.routing import directory
@@ -54,18 +55,25 @@
         _note_leaving(relay, after, former, "former_start")
 
 
-def count_if_none_is_ready(
+def explain_if_all_leave(
     relay: relay_state.Relay, request: requests.Request
-) -> int:
-    """Returns the number of leaving endpoints, 0 if any endpoint is ready."""
-    states = [
-        row.endpoint.state
+) -> str:
+    """Returns a reason if a request's endpoints are leaving, or an empty text.
+
+    It is empty if any endpoint for the request is ready.
+    """
+    rows = [
+        row
         for row in relay.directory.rows.values()
         if row.endpoint.upstream == request.upstream
+        and row.endpoint.state != directory.GONE
     ]
-    if directory.READY in states:
-        return 0
-    return states.count(directory.LEAVING)
+    assigned = placement.filter_by_version(relay, request, rows)
+    states = {row.endpoint.state for row in assigned}
+    if states != {directory.LEAVING}:
+        return ""
+    version = " of the version" if len(assigned) < len(rows) else ""
+    return f"all {len(assigned)} endpoints{version} are leaving"
 
 
 def expire(relay: relay_state.Relay) -> None:
--- a/src/_arbutuswalk/relay/permitted_placement.py
+++ b/src/_arbutuswalk/relay/permitted_placement.py
@@ -62,12 +62,8 @@
         for endpoint in placement.ready_endpoints(relay, request, tried)
     ]
     if not waits_s:
-        leaving = leaving_endpoints.count_if_none_is_ready(relay, request)
-        if leaving:
-            return results.NotSent(
-                reason=f"all {leaving} endpoints are leaving"
-            )
-        return results.NotSent(reason="no endpoint is ready")
+        reason = leaving_endpoints.explain_if_all_leave(relay, request)
+        return results.NotSent(reason=reason or "no endpoint is ready")
     wait_s = max(MIN_RETRY_AFTER_S, min(waits_s))
     wait_s *= 1 + RETRY_AFTER_JITTER_FRACTION * relay.rng.random()
     return results.NotSent(
--- a/src/_arbutuswalk/relay/placement.py
+++ b/src/_arbutuswalk/relay/placement.py
@@ -47,7 +47,7 @@
             if endpoint_limits.expected_wait(relay, row.endpoint)
             <= max_permit_wait_s
         ]
-    eligible = _filter_by_version(relay, request, rows)
+    eligible = filter_by_version(relay, request, rows)
     prompt_profile = _prompt_profile(request)
     outliers = relay.outlier_detector.outliers(
         [row.endpoint.id for row in eligible], now
@@ -68,8 +68,9 @@
 def ready_endpoints(
     relay: relay_state.Relay, request: requests.Request, tried: set[str]
 ) -> list[directory.Endpoint]:
-    """Returns the request's ready endpoints that were not tried yet."""
-    return [row.endpoint for row in _ready_rows(relay, request, tried)]
+    """Returns the ready endpoints for a request that were not tried yet."""
+    rows = filter_by_version(relay, request, _ready_rows(relay, request, tried))
+    return [row.endpoint for row in rows]
 
 
 def _ready_rows(
@@ -143,7 +144,7 @@
     )
 
 
-def _filter_by_version(
+def filter_by_version(
     relay: relay_state.Relay,
     request: requests.Request,
     rows: list[directory.Row],
--- a/src/_arbutuswalk/relay/relaying.py
+++ b/src/_arbutuswalk/relay/relaying.py
@@ -75,7 +75,7 @@
     """Waits for an endpoint in the first seconds after the process start."""
     if permitted_placement.has_endpoint(relay, request):
         return not_found
-    if leaving_endpoints.count_if_none_is_ready(relay, request):
+    if leaving_endpoints.explain_if_all_leave(relay, request):
         return not_found
     is_available = await relay.wait_until_known(
         lambda: permitted_placement.has_endpoint(relay, request)
--- a/testing/test_leaving.py
+++ b/testing/test_leaving.py
@@ -555,6 +555,22 @@
             assert len(endpoint.request_heads) == 1
             endpoint.stop()
 
+    async def test_the_old_version_leaves_and_the_refusal_says_so(self):
+        relay = make_relay()
+        relay.rollouts["ops"] = ["v2", "growing", 0, 1, 1]
+        told, new = await start_endpoints(
+            relay,
+            relay_fixtures.ScriptedEndpoint(answer()),
+            relay_fixtures.ScriptedEndpoint(name="e2", version="v2"),
+        )
+        assert (await relay_once(relay)).status == 200
+        refused = await relay_once(relay)
+        assert refused.status == 503
+        assert b"all 1 endpoints of the version are leaving" in refused.data
+        assert not new.request_heads
+        told.stop()
+        new.stop()
+
     async def test_an_entry_that_has_just_started_does_not_wait_either(self):
         relay = make_relay()
         relay.started_at = relay.now()
