--- a/testing/test_leaving_processes.py
+++ b/testing/test_leaving_processes.py
@@ -26,6 +26,7 @@
         status: Status of its answers.
         is_leaving: Whether its answers state that it leaves.
         arrived_ids: Ids of the requests that reached it.
+        stated_at: When it answered with the statement, by request id.
     """
 
     def __init__(self, name):
@@ -33,6 +34,7 @@
         self.status = "200 OK"
         self.is_leaving = False
         self.arrived_ids = set()
+        self.stated_at = {}
         self.steps = self
 
     def pop(self, index):
@@ -45,6 +47,9 @@
         await relay_fixtures.send_answer(
             status=self.status, echo=request_id, extra=statement
         )(head, writer)
+        if self.is_leaving:
+            now = asyncio.get_running_loop().time()
+            self.stated_at.setdefault(request_id, now)
 
 
 class Load:
@@ -52,7 +57,6 @@
 
     Attributes:
         sent: Time of sending and entry of each request, by id.
-        told_at: When each entry first passed on an answer that states leaving.
         statuses: Statuses that callers got.
     """
 
@@ -60,7 +64,6 @@
         self.cluster = cluster
         self.rng = random.Random(24)
         self.sent = {}
-        self.told_at = {}
         self.statuses = []
 
     async def run(self, duration_s):
@@ -72,17 +75,17 @@
             await asyncio.sleep(self.rng.expovariate(REQUESTS_PER_S))
         await asyncio.gather(*tasks)
 
-    async def tell_all(self):
+    async def tell_all(self, runner):
         """Sends requests until every entry was told.
 
         Some at a time, as an entry keeps the last loads that control sent.
         """
         for ip in self.cluster.entry_ips:
             for _ in range(50):
-                if ip in self.told_at:
+                if ip in self.told_at(runner):
                     break
                 await asyncio.gather(*(self.send(ip) for _ in range(6)))
-        assert len(self.told_at) == ENTRY_COUNT
+        assert len(self.told_at(runner)) == ENTRY_COUNT
 
     async def send(self, ip=None):
         loop = asyncio.get_running_loop()
@@ -101,23 +104,31 @@
             ) as response:
                 await response.read()
                 self.statuses.append(response.status)
-                if LEAVING in response.headers:
-                    self.told_at.setdefault(ip, loop.time())
         except (aiohttp.ClientError, TimeoutError):
             self.statuses.append(0)
 
+    def told_at(self, runner):
+        """Returns when each entry was first sent the statement."""
+        told_at = {}
+        for request_id, stated_at in runner.stated_at.items():
+            if request_id in self.sent:
+                ip = self.sent[request_id][1]
+                told_at[ip] = min(stated_at, told_at.get(ip, stated_at))
+        return told_at
+
     def late_arrivals(self, runner):
-        """Returns the requests sent later than the deadline after the answer.
+        """Returns the requests sent later than the deadline after an answer.
 
-        The answer is the first with a statement that the request's entry
-        passed on.
+        The answer is the first with the statement that the request's entry was
+        sent, whether it passed it on or sent the request elsewhere.
         """
         never = float("inf")
+        told_at = self.told_at(runner)
         return [
             request_id
             for request_id in runner.arrived_ids & self.sent.keys()
             for sent_at, ip in [self.sent[request_id]]
-            if sent_at > self.told_at.get(ip, never) + DRAIN_DEADLINE_S
+            if sent_at > told_at.get(ip, never) + DRAIN_DEADLINE_S
         ]
 
     def log_figures(self, runner):
@@ -192,7 +203,7 @@
         runners[0].is_leaving, runners[0].status = True, status
         load = Load(cluster)
         await load.run(DURATION_S)
-        assert load.told_at
+        assert load.told_at(runners[0])
         load.log_figures(runners[0])
         assert len(load.late_arrivals(runners[0])) == 0
         assert load.served_fraction() >= MIN_SERVED_FRACTION
@@ -204,7 +215,7 @@
             cluster.kill(ip)
         runners[0].is_leaving = True
         load = Load(cluster)
-        await load.tell_all()
+        await load.tell_all(runners[0])
         await load.run(DURATION_S)
         load.log_figures(runners[0])
         assert len(load.late_arrivals(runners[0])) == 0
