--- a/src/_arbutuswalk/relay/permitted_placement.py
+++ b/src/_arbutuswalk/relay/permitted_placement.py
@@ -78,12 +78,8 @@
         e for e in endpoints if endpoint_pauses.expected_wait(relay, e) > 0
     ]
     if not untried and not paused:
-        leaving = leaving_endpoints.count_if_none_is_ready(relay, request)
-        if leaving:
-            return results.NotSent(
-                reason=f"all {leaving} endpoints are leaving"
-            )
-        return results.NotSent(reason="no endpoint is ready")
+        reason = leaving_endpoints.explain_if_all_leave(relay, request)
+        return results.NotSent(reason=reason or "no endpoint is ready")
     waits_s = [_expected_wait(relay, e) for e in {*untried, *paused}]
     first_wait_s = min([wait_s for wait_s in waits_s if wait_s], default=0.0)
     retry_after_s = _spread(relay, max(MIN_RETRY_AFTER_S, first_wait_s))
