--- a/src/_arbutuswalk/agreement/membership.py
+++ b/src/_arbutuswalk/agreement/membership.py
@@ -3,6 +3,11 @@
 Every new data folder gets a new member id. A member that lost its disk comes
 back under a new id, so that the votes and acknowledgements it no longer
 remembers are never counted again.
+
+One member beyond the voters is kept as a learner whenever there is one. It
+replaces a voter that is silent, lost its disk or is about to end, so that the
+group is whole again before another voter may be lost. While a voter is needed,
+there may be a second learner, as the first one may be out of reach.
 """
 
 from typing import NamedTuple
@@ -15,13 +20,17 @@
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
 HELLO_MAX_AGE_S = 2.0
+ADD, PROMOTE, REMOVE = "add", "promote", "remove"
+STANDBY_RETRY_S = 5.0
+"""Time until a removed member is kept as the standby again unless it had ended.
+One that says hello but does not answer would else be added all the time."""
 
 
 class Change(NamedTuple):
     """A change of the membership by one member.
 
     Attributes:
-        kind: ``add`` as a learner, ``promote`` to a voter, or ``remove``.
+        kind: ``ADD`` as a learner, ``PROMOTE`` to a voter, or ``REMOVE``.
         member: Member that is added, promoted or removed.
         reason: Why, for the log.
         members: Membership after the change.
@@ -42,21 +51,28 @@
 
 def hello(replica: replicas.Replica) -> ttypes.Hello:
     """Returns the message that announces this member's id and group."""
+    index, members = replica.log.membership_at(replica.commit)
     return ttypes.Hello(
         member=replica.member,
         address=replica.address,
         group=replica.log.members.group,
+        leaving=replica.leaving,
+        members_index=index,
+        members=dict(members.addresses),
     )
 
 
 def greeted(replica: replicas.Replica, now: float) -> set[str]:
     """Returns the addresses to send a ``Hello`` to.
 
-    They include the senders of recent ``Hello`` messages: a member that lost
-    its disk knows only the configured addresses, and the leader may be at none
-    of them.
+    They include the senders of recent ``Hello`` messages and the members that
+    those name: a new member, or one that lost its disk, knows only the
+    configured addresses, and the leader may be at none of them.
     """
-    member_addresses = set(replica.log.members.addresses.values())
+    member_addresses = {
+        *replica.log.members.addresses.values(),
+        *replica.heard_membership.addresses.values(),
+    }
     recent = {
         seen.address
         for seen in replica.seen_members.values()
@@ -73,13 +89,35 @@
         if seen.address == message.address and member != message.member:
             del replica.seen_members[member]
     before = replica.seen_members.get(message.member)
+    is_new = before is None or now - before.at > _presence_timeout_s(replica)
     replica.seen_members[message.member] = replicas.Seen(
-        message.address, message.group, now
+        message.address,
+        message.group,
+        now,
+        now if is_new else before.since,
+        bool(message.leaving),
     )
-    if before is None or now - before.at > HELLO_MAX_AGE_S:
+    _record_membership(replica, message)
+    if is_new:
         events.log(events.Event.MEMBER_SEEN, message.member, message.group)
 
 
+def _record_membership(
+    replica: replicas.Replica, message: ttypes.Hello
+) -> None:
+    """Records a newer membership of this group, or of any if it has none."""
+    group = replica.log.members.group
+    if group not in ("", message.group):
+        return
+    heard = replica.heard_membership
+    index = message.members_index or 0
+    heard_index = heard.index if heard.group == message.group else 0
+    if index > heard_index:
+        replica.heard_membership = replicas.HeardMembership(
+            message.group, index, message.members or {}
+        )
+
+
 def tick(replica: replicas.Replica, now: float) -> None:
     """Bootstraps a group, or makes the leader's next membership change."""
     if not replica.log.members.group:
@@ -101,7 +139,31 @@
             change.reason,
             replicas.silent_s(replica, change.member, now),
         )
+        if change.kind == REMOVE:
+            _record_removal(replica, change.member, now)
         replication.propose(replica, types.pack_members(change.members), now)
+    elif _has_successor(replica):
+        terms.become_follower(replica, replica.term, "", now)
+
+
+def may_leave(replica: replicas.Replica, now: float) -> bool:
+    """Returns whether a leaving member need not wait for its replacement.
+
+    It waits while it is a voter and another member could take its place.
+    """
+    heard = replica.heard_membership
+    own_index, _ = replica.log.membership_history[-1]
+    was_removed = (
+        heard.group == replica.log.members.group
+        and heard.index > own_index
+        and replica.member not in heard.addresses
+    )
+    if was_removed or not replica.is_voter:
+        return True
+    members = replica.log.members
+    is_being_replaced = len(members.voters) > replica.target_voters
+    can_be_replaced = members.learners or joining_members(replica, now)
+    return not (is_being_replaced or can_be_replaced)
 
 
 def log_quorum_loss(replica: replicas.Replica, now: float) -> None:
@@ -162,31 +224,50 @@
     replica.vote_unsaved = True
 
 
+def _has_successor(replica: replicas.Replica) -> bool:
+    """Returns whether this leader is leaving and has been replaced.
+
+    Another leader then removes it; until then it still votes.
+    """
+    members = replica.log.members
+    return replica.leaving and len(members.voters) > replica.target_voters
+
+
 def _next_change(replica: replicas.Replica, now: float) -> Change | None:
     """Returns the next change by one member, if one is due."""
     members = replica.log.members
     replaceable = _voter_to_replace(replica, now)
-    if len(members.voters) > replica.target_voters and replaceable:
-        return _removal(members, *replaceable)
+    if len(members.voters) > replica.target_voters:
+        surplus = replaceable or _surplus_voter(replica)
+        if surplus.member == replica.member:
+            return None
+        return _removal(members, *surplus)
     caught_up = _caught_up_learner(replica, now)
     too_few_voters = len(members.voters) < replica.target_voters
     if caught_up and (too_few_voters or replaceable):
         reason = "too few voters" if too_few_voters else replaceable.reason
         return _promotion(replica, members, caught_up, reason)
     for learner in members.learners:
-        if _is_unresponsive(replica, learner, now):
-            return _removal(members, learner, "silent learner")
-    joining = next(iter(joining_members(replica, now)), "")
-    if joining and (too_few_voters or replaceable) and not members.learners:
+        reason = _replacement_reason(replica, learner, now)
+        if reason:
+            return _removal(members, learner, reason)
+    joining = _next_learner(replica, now)
+    needs_voter = too_few_voters or replaceable is not None
+    max_learners = 2 if needs_voter else 1
+    if (
+        joining
+        and len(members.learners) < max_learners
+        and (needs_voter or _may_be_standby(replica, joining, now))
+    ):
         addresses = dict(members.addresses)
         addresses[joining] = replica.seen_members[joining].address
-        learners = (*members.learners, joining)
-        reason = "too few voters" if too_few_voters else replaceable.reason
         return Change(
-            "add",
+            ADD,
             joining,
-            reason,
-            members._replace(learners=learners, addresses=addresses),
+            "too few voters" if too_few_voters else "standby",
+            members._replace(
+                learners=(*members.learners, joining), addresses=addresses
+            ),
         )
     return None
 
@@ -194,32 +275,59 @@
 def _voter_to_replace(
     replica: replicas.Replica, now: float
 ) -> Replaceable | None:
-    """Returns a voter that needs replacement, if there is one."""
-    members = replica.log.members
-    by_address = {
-        seen.address: member
-        for member, seen in replica.seen_members.items()
-        if now - seen.at < HELLO_MAX_AGE_S
-    }
-    for voter in members.voters:
-        if voter == replica.member:
-            continue
-        current_member = by_address.get(members.addresses[voter], voter)
-        if voter == replica.replacement_requested:
-            return Replaceable(voter, "requested")
-        if current_member != voter:
-            return Replaceable(voter, "another member at its address")
-        if _is_unresponsive(replica, voter, now):
-            return Replaceable(voter, "silent")
+    """Returns a voter that needs replacement, other members first."""
+    voters = replica.log.members.voters
+    for voter in sorted(voters, key=lambda voter: voter == replica.member):
+        reason = _replacement_reason(replica, voter, now)
+        if reason:
+            return Replaceable(voter, reason)
     return None
 
 
+def _surplus_voter(replica: replicas.Replica) -> Replaceable:
+    """Returns the other voter that has not answered for longest."""
+    others = [
+        voter
+        for voter in replica.log.members.voters
+        if voter in replica.progress
+    ]
+    member = min(
+        others, key=lambda voter: replica.progress[voter].acked_sent_at
+    )
+    return Replaceable(member, "more voters than wanted")
+
+
+def _replacement_reason(
+    replica: replicas.Replica, member: str, now: float
+) -> str:
+    """Returns why a member needs replacement, or an empty string."""
+    if member == replica.member:
+        return "leaving" if replica.leaving else ""
+    if member == replica.replacement_requested:
+        return "requested"
+    address = replica.log.members.addresses[member]
+    for other, seen in replica.seen_members.items():
+        if now - seen.at >= HELLO_MAX_AGE_S or seen.address != address:
+            continue
+        if other != member:
+            return "another member at its address"
+        if seen.leaving:
+            return "leaving"
+    return "silent" if _is_unresponsive(replica, member, now) else ""
+
+
 def _is_unresponsive(
     replica: replicas.Replica, member: str, now: float
 ) -> bool:
     progress = replica.progress.get(member)
-    last_reply_at = progress.last_reply_at if progress else now
-    return now - last_reply_at > replica.timing.replace_after_s
+    if progress is None:
+        return False
+    heard_at = progress.last_reply_at
+    seen = replica.seen_members.get(member)
+    if not progress.has_replied and seen is not None:
+        # A new leader may know from before its term that a member is silent.
+        heard_at = min(heard_at, seen.at)
+    return now - heard_at > replica.timing.replace_after_s
 
 
 def _caught_up_learner(replica: replicas.Replica, now: float) -> str:
@@ -229,21 +337,58 @@
         progress = replica.progress.get(learner)
         if progress is None or progress.acked_sent_at < acked_after:
             continue
+        if _replacement_reason(replica, learner, now):
+            continue
         if progress.match_index >= replica.commit:
             return learner
     return ""
 
 
+def _next_learner(replica: replicas.Replica, now: float) -> str:
+    """Returns the member to add next, the last removed ones after others."""
+    joining = joining_members(replica, now)
+    return min(
+        joining, key=lambda member: _removed_at(replica, member), default=""
+    )
+
+
+def _may_be_standby(replica: replicas.Replica, member: str, now: float) -> bool:
+    """Returns whether a member was never removed, or long ago, or came back."""
+    removed_at = _removed_at(replica, member)
+    is_back = replica.seen_members[member].since > removed_at
+    return is_back or now - removed_at > STANDBY_RETRY_S
+
+
+def _presence_timeout_s(replica: replicas.Replica) -> float:
+    """Returns the time without a ``Hello`` that ends a member's presence."""
+    return min(HELLO_MAX_AGE_S, replica.timing.replace_after_s)
+
+
+def _record_removal(replica: replicas.Replica, member: str, now: float) -> None:
+    recent = {
+        name: removed_at
+        for name, removed_at in replica.removed_at.items()
+        if now - removed_at <= STANDBY_RETRY_S
+    }
+    replica.removed_at = {**recent, member: now}
+
+
+def _removed_at(replica: replicas.Replica, member: str) -> float:
+    return replica.removed_at.get(member, float("-inf"))
+
+
 def joining_members(replica: replicas.Replica, now: float) -> list[str]:
     """Returns the members outside the group that could join it now."""
     members = replica.log.members
     known_members = {*members.voters, *members.learners}
+    max_age_s = _presence_timeout_s(replica)
     return [
         member
         for member, seen in sorted(replica.seen_members.items())
-        if now - seen.at < HELLO_MAX_AGE_S
+        if now - seen.at < max_age_s
         and member not in known_members
         and seen.group in ("", members.group)
+        and not seen.leaving
     ]
 
 
@@ -254,7 +399,7 @@
     learners = tuple(name for name in members.learners if name != member)
     formed = members.formed or len(voters) >= replica.target_voters
     changed = members._replace(voters=voters, learners=learners, formed=formed)
-    return Change("promote", member, reason, changed)
+    return Change(PROMOTE, member, reason, changed)
 
 
 def _removal(members: types.Members, member: str, reason: str) -> Change:
@@ -265,4 +410,4 @@
         learners=tuple(name for name in members.learners if name != member),
         addresses=addresses,
     )
-    return Change("remove", member, reason, changed)
+    return Change(REMOVE, member, reason, changed)
--- a/src/_arbutuswalk/control/member.py
+++ b/src/_arbutuswalk/control/member.py
@@ -138,10 +138,26 @@
         self.proposals.append((command, future))
         self.wake.set()
         try:
-            return await asyncio.wait_for(future, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await future
         except TimeoutError:
             return Undecided(reason=f"not committed within {timeout_s} s")
 
+    async def leave(self, *, timeout_s: float) -> None:
+        """Waits until another member has replaced this one, if one can.
+
+        A member that ends without it leaves its group without one voter until
+        the others have noticed.
+        """
+        self.replica.leaving = True
+        self.next_hello_at = 0.0
+        self.wake.set()
+        deadline = self.now() + timeout_s
+        while self.failure is None and self.now() < deadline:
+            if membership.may_leave(self.replica, self.now()):
+                return
+            await asyncio.sleep(TICK_INTERVAL_S)
+
     def receive(self, message: object) -> None:
         """Queues a message from another member."""
         self.inbox.append(message)
@@ -152,7 +168,8 @@
         role = None
         while self.failure is None:
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.wake.wait(), TICK_INTERVAL_S)
+                async with asyncio.timeout(TICK_INTERVAL_S):
+                    await self.wake.wait()
             self.wake.clear()
             self._step()
             await self._persist_and_send()
