Limit what an upstream may send beside the body of an answer

A caller whose request an endpoint answered with endless bytes that are no answer got 504 at its deadline; an idempotent request was not sent to another endpoint. No case looked complete to the caller or passed bytes to another one.

The parser limits neither lines nor the number of responses, and headers were counted only once they were complete. Now the bytes beside the body are limited to 64 KB more than 16 for each byte of the body, responses before the answer to 100 and 1 MB of body, and headers count with their separators. The reason of the attempt's end names the limit. 101 no longer raises out of the protocol. The caller of each endless head, garbage or body at full speed is answered at once, an idempotent request by the next endpoint; a trickle ends at the deadline.

--- a/src/_arbutuswalk/streams/connection.py
+++ b/src/_arbutuswalk/streams/connection.py
@@ -12,9 +12,9 @@
 
 from _arbutuswalk.base import clock
 from _arbutuswalk.streams import replies
+from _arbutuswalk.streams import response_limits
 from _arbutuswalk.wire import sockets
 
-MAX_HEADER_BYTES = 64 * 1024
 MAX_BUFFERED_BYTES = 256 * 1024
 """Bytes buffered for a slow caller above which reading is paused."""
 NO_BODY_STATUSES = (204, 304)
@@ -97,6 +97,7 @@
         reusable: Whether the connection may carry another exchange.
         ends_at_close: Whether the end of the connection ends the body.
         ignoring_body: Whether the current response is a mismatched one.
+        limits: What was received of the answer beside its body.
     """
 
     def __init__(
@@ -116,10 +117,10 @@
         self.transport: asyncio.Transport | None = None
         self.parser: httptools.HttpResponseParser | None = None
         self.headers: replies.Headers = []
-        self.header_bytes = 0
         self.status = 0
         self.ends_at_close = False
         self.ignoring_body = False
+        self.limits = response_limits.ResponseLimits()
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Configures detection of dead peers on the socket."""
@@ -132,6 +133,7 @@
         """Sends a request; its response is stored in ``exchange``."""
         self.exchange = exchange
         self.parser = httptools.HttpResponseParser(self)
+        self.limits = response_limits.ResponseLimits()
         self.transport.write(data)
 
     def abort(self) -> None:
@@ -147,10 +149,18 @@
             self.abort()
             return
         exchange.last_received_at = clock.monotonic()
+        self.limits.add_received(len(data))
         try:
             self.parser.feed_data(data)
+            self.limits.check_framing()
         except httptools.HttpParserError as error:
-            self._set_failure(f"not HTTP: {error}")
+            self._set_failure(self.limits.exceeded or f"not HTTP: {error}")
+            self.abort()
+        except httptools.HttpParserUpgrade:
+            self._set_failure("not HTTP: the upstream switches protocols")
+            self.abort()
+        except response_limits.LimitExceededError as error:
+            self._set_failure(str(error))
             self.abort()
 
     def eof_received(self) -> None:
@@ -167,15 +177,12 @@
     def on_message_begin(self) -> None:
         """Starts a response; an unexpected one excludes reuse."""
         self.headers = []
-        self.header_bytes = 0
         if self.exchange is None or self.exchange.ended:
             self.reusable = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores a header, up to the limit for all headers together."""
-        self.header_bytes += len(name) + len(value)
-        if self.header_bytes > MAX_HEADER_BYTES:
-            raise ValueError("headers too large")
+        self.limits.add_header(name, value)
         self.headers.append((name.lower(), value.strip()))
 
     def on_headers_complete(self) -> None:
@@ -206,8 +213,12 @@
     def on_body(self, data: bytes) -> None:
         """Buffers a chunk of the body or passes it to the callback."""
         exchange = self.exchange
-        if exchange is None or exchange.ended or self.ignoring_body:
+        if exchange is None or exchange.ended:
             return
+        if self.ignoring_body:
+            self.limits.add_skipped_body(len(data))
+            return
+        self.limits.add_body(len(data))
         if exchange.on_body is not None:
             exchange.on_body(data)
             return
@@ -219,8 +230,11 @@
 
     def on_message_complete(self) -> None:
         """Completes the response, unless it is interim or mismatched."""
-        if self._is_interim() or self.ignoring_body or self.ends_at_close:
+        if self._is_interim() or self.ignoring_body:
             self.ignoring_body = False
+            self.limits.add_skipped_response()
+            return
+        if self.ends_at_close:
             return
         if not self.parser.should_keep_alive():
             self.reusable = False
--- /dev/null
+++ b/testing/test_endless.py
@@ -0,0 +1,272 @@
+"""Answers without end: bounded in time, memory and processor time."""
+
+import asyncio
+import contextlib
+import time
+
+import endless_endpoint
+import pytest
+import relay_fixtures
+from arbutuswalk_platform import callers
+from arbutuswalk_platform import server
+
+from _arbutuswalk.base import events
+from _arbutuswalk.relay import attempts
+from _arbutuswalk.state import routeconfig
+
+TIMEOUT_S = 0.8
+ANSWER_LATENESS_S = 0.25
+MAX_MEMORY_BYTES = 4 * attempts.MAX_BUFFERED_ANSWER_BYTES
+"""Growth that one request may cause: its answer as it is received, joined,
+passed on and freed."""
+CLOSE_WAIT_S = 2.0
+MAX_REASON_CHARACTERS = 200
+SAMPLE_INTERVAL_S = 0.01
+
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nX-Attempt-Id: attempt-1\r\nX-Server-Signature: s\r\n"
+)
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+HEADS = {
+    "one header": (HEAD + b"X-Long: ", b"a"),
+    "one header name": (HEAD, b"a"),
+    "many headers": (HEAD, b"X-A: b\r\n"),
+    "empty headers": (HEAD, b"a:\r\n"),
+    "reason phrase": (b"HTTP/1.1 200 ", b"a"),
+    "folded lines": (HEAD + b"X-Long: a\r\n", b" b\r\n"),
+    "empty lines": (b"", b"\r\n"),
+    "interim responses": (b"", INTERIM),
+    "interim headers": (b"HTTP/1.1 103 Early Hints\r\n", b"X-A: b\r\n"),
+}
+OTHER_ANSWER = (
+    b"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nContent-Length: 2\r\n\r\nno"
+)
+GARBAGE = {
+    "letters": (b"", b"garbage "),
+    "zeros": (b"", b"\x00"),
+    "late garbage": (b"HTTP/1.1 200 OK\r\n", b"\x00\xff"),
+    "upgrade": (
+        b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n"
+        b"Connection: upgrade\r\n\r\n",
+        b"data",
+    ),
+    "answers to others": (b"", OTHER_ANSWER),
+    "body of another answer": (
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\n\r\n",
+        b"a",
+    ),
+}
+BODIES = {
+    "until the close": (HEAD + b"\r\n", b"a"),
+    "declared length": (HEAD + b"Content-Length: 999999999999\r\n\r\n", b"a"),
+    "huge chunk": (CHUNKED + b"fffffffffffff\r\n", b"a"),
+    "chunk extension": (CHUNKED + b"1;a=", b"a"),
+    "chunk size": (CHUNKED, b"0"),
+    "trailer": (CHUNKED + b"0\r\nX-Long: ", b"a"),
+    "trailers": (CHUNKED + b"0\r\n", b"X-A: b\r\n"),
+    "trailers after a chunk": (
+        CHUNKED + b"1\r\na\r\n0\r\n",
+        b"X-A: b\r\n",
+    ),
+}
+REJECTED = {**HEADS, **GARBAGE, **BODIES}
+"""Bytes that are rejected before the timeout if they come at full speed."""
+ALL = REJECTED
+
+
+def each(cases):
+    return pytest.mark.parametrize(
+        "answer", list(cases.values()), ids=list(cases)
+    )
+
+
+both_speeds = pytest.mark.parametrize(
+    "trickle", [False, True], ids=["full speed", "trickle"]
+)
+
+
+def make_request(path="/a/x"):
+    return (
+        f"POST {path} HTTP/1.1\r\nHost: h.example\r\n"
+        "X-Attempt-Id: attempt-1\r\nX-Key: key\r\n"
+        "X-Deadline-Ms: 20000\r\nContent-Length: 4\r\n\r\nbody"
+    ).encode()
+
+
+class Answer:
+    """What a caller received until its connection ended or was complete."""
+
+    def __init__(self):
+        self.data = b""
+        self.took_s = 0.0
+
+    @property
+    def status(self):
+        return int(self.data.split()[1]) if self.data else 0
+
+    @property
+    def looks_complete(self):
+        head, _, body = self.data.partition(b"\r\n\r\n")
+        if b"transfer-encoding: chunked" in head.lower():
+            return body.endswith(b"0\r\n\r\n")
+        for line in head.lower().split(b"\r\n"):
+            if line.startswith(b"content-length:"):
+                return len(body) == int(line.partition(b":")[2])
+        return False
+
+
+class EntryUnderTest:
+    """An entry whose route /a/ may be answered endlessly, and /b/ is sound."""
+
+    def __init__(self, **route):
+        endless = relay_fixtures.make_route(
+            **{"timeout_s": TIMEOUT_S, "max_attempts": 1, **route}
+        )
+        sound = relay_fixtures.make_route(
+            name="sound",
+            prefix="/b/",
+            targets=(routeconfig.Target("sound", 1),),
+        )
+        config = relay_fixtures.make_config(endless, sound)
+        upstreams = tuple(
+            routeconfig.Upstream(name, 100, None, None)
+            for name in ("ops", "sound")
+        )
+        config = config._replace(upstreams=upstreams)
+        self.relay = relay_fixtures.make_relay(config)
+        self.relay.started_at -= 60
+        self.sound_endpoint = relay_fixtures.ScriptedEndpoint(
+            name="sound", upstream="sound"
+        )
+        self.listener = server.Listener(
+            address="127.0.0.1:0", app=callers.make_app(self.relay)
+        )
+        self.slowest_s = 0.0
+        self.memory_growth = 0
+        self.tasks = []
+
+    async def __aenter__(self):
+        await self.sound_endpoint.start(self.relay)
+        await self.listener.start()
+        self.port = self.listener.server.sockets[0].getsockname()[1]
+        await self.request("/b/x")
+        self.first_memory = endless_endpoint.resident_bytes()
+        self.tasks = [
+            asyncio.ensure_future(self.observe_other_requests()),
+            asyncio.ensure_future(self.observe_memory()),
+        ]
+        return self
+
+    async def __aexit__(self, *_):
+        for task in self.tasks:
+            task.cancel()
+        self.sound_endpoint.stop()
+        self.relay.pool.close()
+        await self.listener.stop()
+
+    async def observe_other_requests(self):
+        while True:
+            answer = await self.request("/b/x")
+            assert answer.status == 200
+            self.slowest_s = max(self.slowest_s, answer.took_s)
+            await asyncio.sleep(SAMPLE_INTERVAL_S)
+
+    async def observe_memory(self):
+        while True:
+            grown = endless_endpoint.resident_bytes() - self.first_memory
+            self.memory_growth = max(self.memory_growth, grown)
+            await asyncio.sleep(SAMPLE_INTERVAL_S)
+
+    async def request(self, path="/a/x"):
+        answer = Answer()
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        started_at = time.monotonic()
+        writer.write(make_request(path))
+        async with asyncio.timeout(10):
+            while data := await reader.read(65536):
+                answer.data += data
+                if answer.looks_complete:
+                    break
+        answer.took_s = time.monotonic() - started_at
+        writer.close()
+        return answer
+
+    def assert_unharmed(self, answer):
+        assert answer.took_s < TIMEOUT_S + ANSWER_LATENESS_S
+        assert self.memory_growth < MAX_MEMORY_BYTES
+        objective_s = self.relay.route_table.config.routes[1].objective_s
+        assert self.slowest_s < objective_s
+
+
+@pytest.fixture
+def logged(monkeypatch):
+    """Events recorded by the entry, as (event, fields)."""
+    recorded = []
+    monkeypatch.setattr(
+        events, "record", lambda *fields: recorded.append(fields)
+    )
+    return recorded
+
+
+@contextlib.asynccontextmanager
+async def playing(answer, *, trickle=False, **route):
+    async with EntryUnderTest(**route) as entry:
+        endpoint = endless_endpoint.EndlessEndpoint(*answer, trickle=trickle)
+        endpoint.listen().announce(entry.relay)
+        try:
+            yield entry, endpoint
+        finally:
+            endpoint.stop()
+
+
+async def wait_until_closed(endpoint):
+    async with asyncio.timeout(CLOSE_WAIT_S):
+        while len(endpoint.ends) < endpoint.connection_count:
+            await asyncio.sleep(0.01)
+
+
+def ended_attempts(logged):
+    return [
+        fields[1:]
+        for fields in logged
+        if fields[0] == events.Event.ATTEMPT_ENDED
+    ]
+
+
+class TestAnswersToRequests:
+    @both_speeds
+    @each(ALL)
+    async def test_the_caller_gets_a_failure_in_time(
+        self, answer, trickle, logged
+    ):
+        route = {"kind": routeconfig.ONCE}
+        async with playing(answer, trickle=trickle, **route) as (
+            entry,
+            endpoint,
+        ):
+            received = await entry.request()
+            assert received.status in (502, 504)
+            entry.assert_unharmed(received)
+            await wait_until_closed(endpoint)
+            assert not entry.relay.pool.idle.get(endpoint.address)
+            ((_, endpoint_id, _, reason, _),) = ended_attempts(logged)
+            assert endpoint_id == "endless"
+            assert 0 < len(reason) < MAX_REASON_CHARACTERS
+
+    @each(REJECTED)
+    async def test_an_idempotent_request_is_answered_by_another_endpoint(
+        self, answer
+    ):
+        route = {"kind": routeconfig.IDEMPOTENT, "max_attempts": 2}
+        async with playing(answer, **route) as (entry, endpoint):
+            other = relay_fixtures.ScriptedEndpoint(name="other", slots=1)
+            entry.relay.suspect_until["other"] = entry.relay.now() + 60
+            await other.start(entry.relay)
+            received = await entry.request()
+            other.stop()
+            assert endpoint.request_heads
+            assert (received.status, received.data[-2:]) == (200, b"ok")
+            entry.assert_unharmed(received)
+            assert "endless" in entry.relay.suspect_until
+            await wait_until_closed(endpoint)
