Limit the part of an event that is buffered

A stream whose event did not end was buffered until the deadline, all of it copied at each read: the caller got nothing after the last complete event, the entry's memory grew with what the endpoint sent, and a stream that another endpoint could have resumed was not.

An incomplete event over 256 KB now ends the attempt where the route permits to resume the stream, and is passed on in parts where it does not: there an answer without events may be valid, and nothing can continue it.

--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -11,6 +11,7 @@
 from _arbutuswalk.routing import stated_limits
 from _arbutuswalk.state import routeconfig
 from _arbutuswalk.streams import connection as connections
+from _arbutuswalk.streams import framing
 from _arbutuswalk.streams import pool
 from _arbutuswalk.streams import replies
 
@@ -196,7 +197,9 @@
                     self._record_prompt_read()
                     self._count_usage(self.relay.now())
                 has_data = True
-                await self.delivery.send_events(data)
+                early_result = await self._send_events(data)
+                if early_result is not None:
+                    return early_result
             if self.exchange.ended and not self.exchange.chunks:
                 break
             early_result = await self._wait_for_progress(
@@ -209,6 +212,21 @@
         await self.delivery.finish_stream()
         return results.Delivered()
 
+    async def _send_events(self, data: bytes) -> results.Result | None:
+        """Sends events to the caller.
+
+        Returns:
+            The result if the attempt is over, None if it goes on.
+        """
+        await self.delivery.send_events(data)
+        if self.delivery.has_large_event:
+            if self.request.route.resumable:
+                return self._record_lost(
+                    f"event over {framing.MAX_EVENT_BYTES} bytes"
+                )
+            await self.delivery.send_event_part()
+        return None
+
     async def _wait_for_progress(
         self, deadline: float, *, detect_stall: bool = False
     ) -> results.Result | None:
--- a/src/_arbutuswalk/relay/delivery.py
+++ b/src/_arbutuswalk/relay/delivery.py
@@ -2,7 +2,8 @@
 
 A resumed stream keeps the status and headers of its first attempt. Only
 complete events are forwarded, so that an attempt that ended within an event can
-be continued by another one.
+be continued by another one. Events over the size limit are forwarded in parts
+if the stream cannot be continued anyway.
 """
 
 from _arbutuswalk.relay import relay_state
@@ -25,6 +26,7 @@
         event_count: Number of events sent.
         first_event_at: When the first event was sent, in seconds.
         framer: Splits the current attempt's data into events.
+        inside_event: Whether a part of the current event has been sent.
         on_caller_left: Called when the caller closes the connection.
     """
 
@@ -44,6 +46,7 @@
         self.event_count = 0
         self.first_event_at = 0.0
         self.framer = framing.Framer()
+        self.inside_event = False
         self.on_caller_left = lambda: None
 
     def mark_caller_left(self) -> None:
@@ -61,21 +64,54 @@
             status, self.relay.dialect.answer_headers(headers)
         )
 
-    async def send_events(self, data: bytes) -> None:
-        """Sends the events that ``data`` completes."""
+    @property
+    def has_large_event(self) -> bool:
+        """Whether the incomplete event is over the size limit."""
+        return len(self.framer.rest) > framing.MAX_EVENT_BYTES
+
+    async def send_event_part(self) -> None:
+        """Sends the incomplete event as far as it was received."""
+        data, self.framer.rest = self.framer.rest, b""
+        self.inside_event = True
+        await self._continue_event(data)
+
+    async def _continue_event(self, data: bytes) -> bytes:
+        """Sends ``data`` up to the end of the event; returns what follows.
+
+        A line end that may be half of the separator is kept for the next call.
+        """
+        data = self.framer.rest + data
+        self.framer.rest = b""
+        part, separator, following = data.partition(framing.SEPARATOR)
+        if separator:
+            self.inside_event = False
+        elif part.endswith(b"\n"):
+            part, self.framer.rest = part[:-1], b"\n"
+        if part or separator:
+            await self.sender.send_body(part + separator)
+        return following
+
+    async def send_events(self, data: bytes) -> bool:
+        """Sends the events that ``data`` completes; returns whether it does."""
+        if self.inside_event:
+            data = await self._continue_event(data)
+            if self.inside_event:
+                return False
         new_events = []
-        for event in self.framer.feed(data):
+        received_events = self.framer.feed(data)
+        for event in received_events:
             event_id = sse.parse_id(event)
             if not sse.is_newer(event_id, self.last_event):
                 continue
             self.last_event = event_id or self.last_event
             new_events.append(event + framing.SEPARATOR)
         if not new_events:
-            return
+            return bool(received_events)
         if not self.event_count:
             self.first_event_at = self.relay.now()
         self.event_count += len(new_events)
         await self.sender.send_body(b"".join(new_events))
+        return True
 
     async def finish_stream(self) -> None:
         """Ends a complete stream, sending the rest after the last event."""
--- a/testing/test_endless.py
+++ b/testing/test_endless.py
@@ -13,6 +13,7 @@
 from _arbutuswalk.base import events
 from _arbutuswalk.relay import attempts
 from _arbutuswalk.state import routeconfig
+from _arbutuswalk.streams import framing
 
 TIMEOUT_S = 0.8
 ANSWER_LATENESS_S = 0.25
@@ -22,6 +23,8 @@
 CLOSE_WAIT_S = 2.0
 MAX_REASON_CHARACTERS = 200
 SAMPLE_INTERVAL_S = 0.01
+MAX_KEPT_BYTES = 256 * 1024
+KEPT_BODY_BYTES = 1024
 
 HEAD = (
     b"HTTP/1.1 200 OK\r\nX-Attempt-Id: attempt-1\r\nX-Server-Signature: s\r\n"
@@ -95,12 +98,26 @@
 
 
 class Answer:
-    """What a caller received until its connection ended or was complete."""
+    """What a caller received until its connection ended or was complete.
+
+    Attributes:
+        data: Received bytes; of a large body only the last ones.
+        size: Number of received bytes.
+        took_s: Time to the end.
+    """
 
     def __init__(self):
         self.data = b""
+        self.size = 0
         self.took_s = 0.0
 
+    def add(self, data):
+        self.size += len(data)
+        self.data += data
+        if len(self.data) > MAX_KEPT_BYTES:
+            head, separator, body = self.data.partition(b"\r\n\r\n")
+            self.data = head + separator + body[-KEPT_BODY_BYTES:]
+
     @property
     def status(self):
         return int(self.data.split()[1]) if self.data else 0
@@ -185,7 +202,7 @@
         writer.write(make_request(path))
         async with asyncio.timeout(10):
             while data := await reader.read(65536):
-                answer.data += data
+                answer.add(data)
                 if answer.looks_complete:
                     break
         answer.took_s = time.monotonic() - started_at
@@ -270,3 +287,112 @@
             entry.assert_unharmed(received)
             assert "endless" in entry.relay.suspect_until
             await wait_until_closed(endpoint)
+
+
+EVENTS = {
+    "one line": b"data: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa",
+    "one event": b"data: a\n",
+}
+ENDLESS_EVENT_STARTS = {
+    "until the close": HEAD + b"\r\n",
+    "declared length": HEAD + b"Content-Length: 999999999999\r\n\r\n",
+    "huge chunk": CHUNKED + b"fffffffffffff\r\n",
+}
+STREAM_BODIES = {
+    **EVENTS,
+    "events": b"data: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\n\n",
+    "empty events": b"\n\n",
+    "no events": b"\xff",
+}
+FIRST_EVENT = b"id: 1\ndata: first\n\n"
+
+
+class TestStreams:
+    """Streams are passed on until the timeout, and buffered within limits."""
+
+    @pytest.mark.parametrize(
+        "start", list(ENDLESS_EVENT_STARTS.values()), ids=ENDLESS_EVENT_STARTS
+    )
+    @pytest.mark.parametrize(
+        "body", list(STREAM_BODIES.values()), ids=STREAM_BODIES
+    )
+    async def test_a_stream_ends_incomplete_at_the_timeout(
+        self, start, body, logged
+    ):
+        answer = (start + FIRST_EVENT, body)
+        async with playing(answer, kind=routeconfig.STREAM) as (
+            entry,
+            endpoint,
+        ):
+            received = await entry.request()
+            assert received.status == 200
+            assert not received.looks_complete
+            assert received.size > framing.MAX_EVENT_BYTES
+            entry.assert_unharmed(received)
+            await wait_until_closed(endpoint)
+            assert not entry.relay.pool.idle.get(endpoint.address)
+            assert len(ended_attempts(logged)) == 1
+
+    async def test_a_trickled_stream_ends_incomplete_at_the_timeout(self):
+        answer = (CHUNKED + b"ffff\r\n" + FIRST_EVENT, b"a")
+        async with playing(answer, trickle=True, kind=routeconfig.STREAM) as (
+            entry,
+            endpoint,
+        ):
+            received = await entry.request()
+            assert FIRST_EVENT in received.data
+            assert not received.looks_complete
+            entry.assert_unharmed(received)
+            await wait_until_closed(endpoint)
+
+    @pytest.mark.parametrize("body", list(EVENTS.values()), ids=EVENTS)
+    async def test_an_endless_event_is_replaced_by_another_endpoints(
+        self, body
+    ):
+        answer = (CHUNKED + b"fffffffffffff\r\n" + FIRST_EVENT, body)
+        route = {
+            "kind": routeconfig.STREAM,
+            "resumable": True,
+            "max_attempts": 2,
+            "timeout_s": 4.0,
+        }
+        async with playing(answer, **route) as (
+            entry,
+            endpoint,
+        ):
+            other = relay_fixtures.ScriptedEndpoint(
+                relay_fixtures.send_stream((1, "again"), (2, "second")),
+                name="other",
+            )
+            entry.relay.suspect_until["other"] = entry.relay.now() + 60
+            await other.start(entry.relay)
+            received = await entry.request()
+            other.stop()
+            assert received.looks_complete
+            assert FIRST_EVENT in received.data
+            assert b"id: 2\ndata: second\n\n" in received.data
+            assert b"aa" not in received.data.partition(FIRST_EVENT)[2]
+            assert received.took_s < 2.0
+            await wait_until_closed(endpoint)
+
+    @pytest.mark.parametrize("size", [1, 7, 4096, 70_000])
+    async def test_a_large_event_is_passed_on_unchanged(
+        self, size, monkeypatch
+    ):
+        monkeypatch.setattr(framing, "MAX_EVENT_BYTES", 10_000)
+        route = relay_fixtures.make_route(kind=routeconfig.STREAM)
+        relay = relay_fixtures.make_relay(relay_fixtures.make_config(route))
+        caller = relay_fixtures.RecordingCaller()
+        caller_delivery = caller.make_delivery(
+            relay, relay_fixtures.make_request(relay)
+        )
+        line = b"data: " + 20_000 * b"x"
+        large = line + b"\n" + line + b"\n\n"
+        small = b"id: 3\ndata: y\n\n"
+        stream = FIRST_EVENT + large + small + b"id: 4\n" + large + b"rest"
+        for start in range(0, len(stream), size):
+            await caller_delivery.send_events(stream[start : start + size])
+            if caller_delivery.has_large_event:
+                await caller_delivery.send_event_part()
+        await caller_delivery.finish_stream()
+        assert caller.data == stream
