Resume a stream whose endpoint sends bytes but no complete event

A caller waited without an event until the deadline while the endpoint sent a byte every 0.1 s: any byte restarted the 1 s after which a stream is resumed. Now complete events do, also those that the caller already has.

--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -19,8 +19,8 @@
 """Time after the deadline for which an endpoint's own time-out answer is
 awaited: less than the quarter of a second by which an answer may be late."""
 STALL_TIMEOUT_S = 1.0
-"""Time without data after which a stream is resumed at another endpoint: half
-of the shortest time after which callers abandon a stream."""
+"""Time without a complete event after which a stream is resumed at another
+endpoint: half of the shortest time after which callers abandon a stream."""
 MAX_BUFFERED_ANSWER_BYTES = 8 * 1024 * 1024
 """Largest answer that is buffered completely: a tenth of the memory that a
 process may use on the smallest instances in addition to its own 30 MB."""
@@ -39,6 +39,7 @@
         started_at: When the attempt started, in seconds.
         unread_tokens: Prompt tokens that the endpoint has not read yet.
         first_byte_s: Seconds to the first byte of the answer, 0 before.
+        last_event_at: When events of a stream were last sent, in seconds.
     """
 
     def __init__(
@@ -55,6 +56,7 @@
         self.unread_tokens = chosen.uncached_tokens
         self.started_at = relay.now()
         self.first_byte_s = 0.0
+        self.last_event_at = 0.0
         self.exchange = connections.Exchange(
             expected_id=self.request.id,
             has_body=self.request.method != "HEAD",
@@ -196,6 +198,7 @@
                     self.first_byte_s = self.relay.now() - self.started_at
                     self._record_prompt_read()
                     self._count_usage(self.relay.now())
+                    self.last_event_at = self.relay.now()
                 has_data = True
                 early_result = await self._send_events(data)
                 if early_result is not None:
@@ -218,7 +221,8 @@
         Returns:
             The result if the attempt is over, None if it goes on.
         """
-        await self.delivery.send_events(data)
+        if await self.delivery.send_events(data):
+            self.last_event_at = self.relay.now()
         if self.delivery.has_large_event:
             if self.request.route.resumable:
                 return self._record_lost(
@@ -239,9 +243,7 @@
         wait_until = deadline
         may_resume = detect_stall and self.request.route.resumable
         if may_resume:
-            wait_until = min(
-                wait_until, self.exchange.last_received_at + STALL_TIMEOUT_S
-            )
+            wait_until = min(wait_until, self.last_event_at + STALL_TIMEOUT_S)
         if self.delivery.caller_left:
             return results.CallerLeft()
         if not await self.exchange.wait_for_change(wait_until - now):
--- a/testing/test_endless.py
+++ b/testing/test_endless.py
@@ -345,10 +345,12 @@
             entry.assert_unharmed(received)
             await wait_until_closed(endpoint)
 
+    @both_speeds
     @pytest.mark.parametrize("body", list(EVENTS.values()), ids=EVENTS)
     async def test_an_endless_event_is_replaced_by_another_endpoints(
-        self, body
+        self, body, trickle
     ):
+        """A byte now and then kept a stream without events from resuming."""
         answer = (CHUNKED + b"fffffffffffff\r\n" + FIRST_EVENT, body)
         route = {
             "kind": routeconfig.STREAM,
@@ -356,7 +358,7 @@
             "max_attempts": 2,
             "timeout_s": 4.0,
         }
-        async with playing(answer, **route) as (
+        async with playing(answer, trickle=trickle, **route) as (
             entry,
             endpoint,
         ):
