End a stream at its deadline if its caller does not read it

An attempt waited for a slow caller without a limit, so its endpoint worked on and its connection stayed open: the endpoint of test_a_caller_that_does_not_read_is_cut_off_at_the_timeout was disconnected 1.98 s after the request (route's time-out 0.8 s), by the kernel's limit for unacknowledged data. Sending to the caller now ends at the deadline, too.

--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -1,5 +1,7 @@
 """Sends a request to one endpoint and processes the answer."""
 
+import asyncio
+
 from _arbutuswalk.base import events
 from _arbutuswalk.relay import delivery
 from _arbutuswalk.relay import endpoint_limits
@@ -200,7 +202,7 @@
                     self._count_usage(self.relay.now())
                     self.last_event_at = self.relay.now()
                 has_data = True
-                early_result = await self._send_events(data)
+                early_result = await self._send_events(data, deadline)
                 if early_result is not None:
                     return early_result
             if self.exchange.ended and not self.exchange.chunks:
@@ -215,20 +217,26 @@
         await self.delivery.finish_stream()
         return results.Delivered()
 
-    async def _send_events(self, data: bytes) -> results.Result | None:
-        """Sends events to the caller.
+    async def _send_events(
+        self, data: bytes, deadline: float
+    ) -> results.Result | None:
+        """Sends events to the caller, until the deadline if it is slow.
 
         Returns:
             The result if the attempt is over, None if it goes on.
         """
-        if await self.delivery.send_events(data):
-            self.last_event_at = self.relay.now()
-        if self.delivery.has_large_event:
-            if self.request.route.resumable:
-                return self._record_lost(
-                    f"event over {framing.MAX_EVENT_BYTES} bytes"
-                )
-            await self.delivery.send_event_part()
+        try:
+            async with asyncio.timeout(max(0.0, deadline - self.relay.now())):
+                if await self.delivery.send_events(data):
+                    self.last_event_at = self.relay.now()
+                if self.delivery.has_large_event:
+                    if self.request.route.resumable:
+                        return self._record_lost(
+                            f"event over {framing.MAX_EVENT_BYTES} bytes"
+                        )
+                    await self.delivery.send_event_part()
+        except TimeoutError:
+            return results.TimedOut(reason="caller reads too slowly")
         return None
 
     async def _wait_for_progress(
--- a/testing/test_endless.py
+++ b/testing/test_endless.py
@@ -377,6 +377,25 @@
             assert received.took_s < 2.0
             await wait_until_closed(endpoint)
 
+    async def test_a_caller_that_does_not_read_is_cut_off_at_the_timeout(self):
+        answer = (HEAD + b"\r\n", STREAM_BODIES["events"])
+        async with playing(answer, kind=routeconfig.STREAM) as (
+            entry,
+            endpoint,
+        ):
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", entry.port, limit=1024
+            )
+            started_at = time.monotonic()
+            writer.write(make_request())
+            await reader.readuntil(b"\r\n\r\n")
+            await wait_until_closed(endpoint)
+            assert endpoint.ends[0] - started_at < (
+                TIMEOUT_S + ANSWER_LATENESS_S
+            )
+            assert entry.memory_growth < MAX_MEMORY_BYTES
+            writer.close()
+
     @pytest.mark.parametrize("size", [1, 7, 4096, 70_000])
     async def test_a_large_event_is_passed_on_unchanged(
         self, size, monkeypatch
