Log bytes after a complete answer and stop reading them at once

Bytes after an answer, or on an idle connection, closed the connection without any line in the log, so a faulty endpoint could not be found from it; further answers after the first were parsed until the read was used up. Callers saw nothing of it: they got their own answer, and another connection carried the next request. The endpoint is not suspected, as its answer was complete and its own.

--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -135,6 +135,10 @@
         "permits for limited endpoints source=%s entries=%s reason=%s",
     )
     ENDPOINT_LIMIT_INVALID = (677, "endpoint limit invalid value=%s")
+    UNEXPECTED_BYTES = (
+        679,
+        "unexpected bytes after an answer address=%s reason=%s",
+    )
 
     @property
     def number(self) -> int:
--- a/src/_arbutuswalk/streams/connection.py
+++ b/src/_arbutuswalk/streams/connection.py
@@ -11,6 +11,7 @@
 import httptools
 
 from _arbutuswalk.base import clock
+from _arbutuswalk.base import events
 from _arbutuswalk.streams import replies
 from _arbutuswalk.streams import response_limits
 from _arbutuswalk.wire import sockets
@@ -160,8 +161,8 @@
     def data_received(self, data: memoryview) -> None:
         """Passes data to the parser, which calls the ``on_`` methods."""
         exchange = self.exchange
-        if exchange is None:
-            self.abort()
+        if exchange is None or exchange.ended:
+            self._fail_and_abort("bytes on an idle connection")
             return
         exchange.last_received_at = clock.monotonic()
         self.limits.add_received(len(data))
@@ -169,14 +170,11 @@
             self.parser.feed_data(data)
             self.limits.check_framing()
         except httptools.HttpParserError as error:
-            self._set_failure(self.limits.exceeded or f"not HTTP: {error}")
-            self.abort()
+            self._fail_and_abort(self.limits.exceeded or f"not HTTP: {error}")
         except httptools.HttpParserUpgrade:
-            self._set_failure("not HTTP: the upstream switches protocols")
-            self.abort()
+            self._fail_and_abort("not HTTP: the upstream switches protocols")
         except response_limits.LimitExceededError as error:
-            self._set_failure(str(error))
-            self.abort()
+            self._fail_and_abort(str(error))
 
     def eof_received(self) -> None:
         """Completes a response whose body ends with the connection."""
@@ -190,10 +188,10 @@
         self.on_close(self)
 
     def on_message_begin(self) -> None:
-        """Starts a response; an unexpected one excludes reuse."""
+        """Starts a response, unless the answer is already complete."""
         self.headers = []
-        if self.exchange is None or self.exchange.ended:
-            self.reusable = False
+        if self.exchange.ended:
+            self.limits.reject_response()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores a header, up to the limit for all headers together."""
@@ -204,7 +202,7 @@
         """Stores status and headers if they belong to this exchange."""
         self.status = self.parser.get_status_code()
         exchange = self.exchange
-        if exchange is None or exchange.ended or self._is_interim():
+        if exchange.ended or self._is_interim():
             return
         reply = self.read_reply(self.status, self.headers)
         self.ignoring_body = reply.answered_id not in ("", exchange.expected_id)
@@ -228,7 +226,7 @@
     def on_body(self, data: bytes) -> None:
         """Buffers a chunk of the body or passes it to the callback."""
         exchange = self.exchange
-        if exchange is None or exchange.ended:
+        if exchange.ended:
             return
         if self.ignoring_body:
             self.limits.add_skipped_body(len(data))
@@ -280,10 +278,16 @@
         return not names & {b"content-length", b"transfer-encoding"}
 
     def _complete(self) -> None:
-        exchange = self.exchange
-        if exchange is not None and not exchange.ended:
-            exchange.complete = True
-            exchange.changed.set()
+        if not self.exchange.ended:
+            self.exchange.complete = True
+            self.exchange.changed.set()
+
+    def _fail_and_abort(self, reason: str) -> None:
+        """Fails the exchange, unless the bytes follow a complete answer."""
+        if self.exchange is None or self.exchange.ended:
+            events.record(events.Event.UNEXPECTED_BYTES, self.address, reason)
+        self._set_failure(reason)
+        self.abort()
 
     def _set_failure(self, reason: str) -> None:
         self.reusable = False
--- a/src/_arbutuswalk/streams/response_limits.py
+++ b/src/_arbutuswalk/streams/response_limits.py
@@ -72,6 +72,11 @@
             "responses before the answer",
         )
 
+    def reject_response(self) -> None:
+        """Rejects a response after the answer."""
+        self.exceeded = "a response after the answer"
+        raise LimitExceededError(self.exceeded)
+
     def add_header(self, name: bytes, value: bytes) -> None:
         """Counts a header or trailer."""
         self.header_bytes += len(name) + len(value) + HEADER_SEPARATOR_BYTES
--- a/testing/endless_endpoint.py
+++ b/testing/endless_endpoint.py
@@ -25,6 +25,7 @@
         start: First bytes of each answer, sent at once.
         repeated: Bytes that follow until the connection is closed.
         trickle: Whether the repeated part comes a byte at a time.
+        pause_s: Seconds between the first and the repeated part.
         ends: Times at which connections were closed by the other side.
         sent_bytes: Bytes sent on all connections.
     """
@@ -33,6 +34,7 @@
         self.start = start
         self.repeated = repeated
         self.trickle = trickle
+        self.pause_s = 0.0
         self.name = name
         self.request_heads = []
         self.connection_count = 0
@@ -99,6 +101,7 @@
     def _send_endlessly(self, connection):
         stop_at = time.monotonic() + MAX_SENDING_S
         connection.sendall(self.start)
+        time.sleep(self.pause_s)
         if self.trickle:
             for number in itertools.cycle(range(len(self.repeated))):
                 connection.sendall(self.repeated[number : number + 1])
--- a/testing/test_endless.py
+++ b/testing/test_endless.py
@@ -417,3 +417,71 @@
                 await caller_delivery.send_event_part()
         await caller_delivery.finish_stream()
         assert caller.data == stream
+
+
+ANSWER = HEAD + b"Content-Length: 2\r\n\r\nok"
+EXTRA_BYTES = {
+    "letters": b"a",
+    "zeros": b"\x00",
+    "line ends": b"\r\n",
+    "answers": ANSWER,
+    "answers to others": OTHER_ANSWER,
+    "interim responses": INTERIM,
+}
+
+
+class TestBytesAfterAnAnswer:
+    """A complete answer is passed on; its connection carries no other one."""
+
+    async def request_twice(self, entry, endpoint, logged):
+        for number in (1, 2):
+            received = await entry.request()
+            assert received.status == 200
+            assert received.data.endswith(b"\r\n\r\nok")
+            entry.assert_unharmed(received)
+            await wait_until_closed(endpoint)
+            assert endpoint.connection_count == number
+            assert not entry.relay.pool.idle.get(endpoint.address)
+        lines = [
+            fields[1:]
+            for fields in logged
+            if fields[0] == events.Event.UNEXPECTED_BYTES
+        ]
+        assert [address for address, _ in lines] == 2 * [endpoint.address]
+        assert all(len(reason) < MAX_REASON_CHARACTERS for _, reason in lines)
+
+    @both_speeds
+    @pytest.mark.parametrize(
+        "extra", list(EXTRA_BYTES.values()), ids=EXTRA_BYTES
+    )
+    async def test_bytes_that_follow_at_once(self, extra, trickle, logged):
+        async with playing((ANSWER, extra), trickle=trickle) as (
+            entry,
+            endpoint,
+        ):
+            await self.request_twice(entry, endpoint, logged)
+
+    @both_speeds
+    @pytest.mark.parametrize(
+        "extra", list(EXTRA_BYTES.values()), ids=EXTRA_BYTES
+    )
+    async def test_bytes_on_an_idle_connection(self, extra, trickle, logged):
+        async with playing((ANSWER, extra), trickle=trickle) as (
+            entry,
+            endpoint,
+        ):
+            endpoint.pause_s = 0.1
+            await self.request_twice(entry, endpoint, logged)
+
+    async def test_bytes_while_the_request_is_not_read(self, logged):
+        size = 90_000
+        async with playing((ANSWER, b"a")) as (entry, endpoint):
+            head = make_request().partition(b"\r\n\r\n")[0]
+            head = head.replace(b"Length: 4", b"Length: %d" % size)
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", entry.port
+            )
+            writer.write(head + b"\r\n\r\n" + size * b"x")
+            assert (await reader.readuntil(b"\r\n")).split()[1] == b"200"
+            await wait_until_closed(endpoint)
+            writer.close()
