Do not reuse a connection on which bytes wait to be read

A caller got an answer that was not to its request: an endpoint had sent another answer, without an id, on an idle connection, and the connection was taken for the next request before the event loop had read it. Its bytes were then parsed as the start of the new answer. An answer with an id would have been skipped; garbage would have lost the request.

The pool now asks the kernel whether anything waits on a connection, bytes or its end, and discards it then. Bytes that arrive after the request was written cannot be told from its answer; endpoints that send an id are safe there.

--- a/src/_arbutuswalk/streams/connection.py
+++ b/src/_arbutuswalk/streams/connection.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import select
 from collections.abc import Callable
 
 import httptools
@@ -137,6 +138,16 @@
         if sock is not None:
             sockets.set_options(sock)
 
+    def has_unread_data(self) -> bool:
+        """Whether data or the end of the connection waits to be read.
+
+        Such bytes were sent before the next request and would be taken for the
+        start of its answer.
+        """
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket"), select.POLLIN)
+        return bool(poll.poll(0))
+
     def send_request(self, data: bytes, exchange: Exchange) -> None:
         """Sends a request; its response is stored in ``exchange``."""
         self.exchange = exchange
--- a/src/_arbutuswalk/streams/pool.py
+++ b/src/_arbutuswalk/streams/pool.py
@@ -73,8 +73,11 @@
         now = self.now()
         while idle:
             candidate = idle.pop()
-            if candidate.reusable and now - candidate.idle_since < _max_idle_s(
-                candidate, non_idempotent
+            idle_s = now - candidate.idle_since
+            if (
+                candidate.reusable
+                and idle_s < _max_idle_s(candidate, non_idempotent)
+                and not candidate.has_unread_data()
             ):
                 return candidate
             candidate.abort()
--- a/testing/test_endless.py
+++ b/testing/test_endless.py
@@ -12,6 +12,7 @@
 
 from _arbutuswalk.base import events
 from _arbutuswalk.relay import attempts
+from _arbutuswalk.relay import relaying
 from _arbutuswalk.state import routeconfig
 from _arbutuswalk.streams import framing
 
@@ -209,6 +210,16 @@
         writer.close()
         return answer
 
+    def make_attempt_request(self):
+        return relay_fixtures.make_request(self.relay)
+
+    async def relay_directly(self, request):
+        caller = relay_fixtures.RecordingCaller()
+        await relaying.relay_request(
+            self.relay, request, caller.make_delivery(self.relay, request)
+        )
+        return caller
+
     def assert_unharmed(self, answer):
         assert answer.took_s < TIMEOUT_S + ANSWER_LATENESS_S
         assert self.memory_growth < MAX_MEMORY_BYTES
@@ -485,3 +496,16 @@
             assert (await reader.readuntil(b"\r\n")).split()[1] == b"200"
             await wait_until_closed(endpoint)
             writer.close()
+
+    async def test_unread_bytes_are_not_taken_for_the_next_answer(self):
+        """An idle connection was reused before its bytes had been read."""
+        unsigned = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
+        async with playing((ANSWER, unsigned)) as (entry, endpoint):
+            endpoint.pause_s = 0.1
+            first = entry.make_attempt_request()
+            assert (await entry.relay_directly(first)).data == b"ok"
+            # The event loop does not read while the endpoint sends.
+            time.sleep(0.2)
+            second = entry.make_attempt_request()
+            assert (await entry.relay_directly(second)).data == b"ok"
+            assert endpoint.connection_count == 2
