Drop the trailers of an upstream's answer

Fields after the last chunk were added to the answer's headers, so a caller got a second signature or any other header that the endpoint had not sent in its head (test_trailers_are_not_passed_on_as_headers failed). A Content-Length there was already refused by the parser. Trailers are dropped, and still count against the limit of an answer's headers.

--- a/src/_arbutuswalk/streams/connection.py
+++ b/src/_arbutuswalk/streams/connection.py
@@ -104,6 +104,7 @@
         idle_since: When the last exchange ended.
         keep_alive_s: How long the upstream keeps an idle connection, if known.
         reusable: Whether the connection may carry another exchange.
+        in_body: Whether the headers of the current response are complete.
         ends_at_close: Whether the end of the connection ends the body.
         ignoring_body: Whether the current response is a mismatched one.
         limits: What was received of the answer beside its body.
@@ -127,6 +128,7 @@
         self.parser: httptools.HttpResponseParser | None = None
         self.headers: replies.Headers = []
         self.status = 0
+        self.in_body = False
         self.ends_at_close = False
         self.ignoring_body = False
         self.limits = response_limits.ResponseLimits()
@@ -201,16 +203,22 @@
     def on_message_begin(self) -> None:
         """Starts a response, unless the answer is already complete."""
         self.headers = []
+        self.in_body = False
         if self.exchange.ended:
             self.limits.reject_response()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header, up to the limit for all headers together."""
+        """Stores a header, up to the limit for all headers together.
+
+        Trailers are dropped: they must not be taken for headers.
+        """
         self.limits.add_header(name, value)
-        self.headers.append((name.lower(), value.strip()))
+        if not self.in_body:
+            self.headers.append((name.lower(), value.strip()))
 
     def on_headers_complete(self) -> None:
         """Stores status and headers if they belong to this exchange."""
+        self.in_body = True
         self.status = self.parser.get_status_code()
         exchange = self.exchange
         if exchange.ended or self._is_interim():
--- a/testing/test_relay.py
+++ b/testing/test_relay.py
@@ -117,6 +117,23 @@
         )
         assert caller.status == 502
 
+    async def test_trailers_are_not_passed_on_as_headers(self):
+        relay = relay_fixtures.make_relay()
+        chunked = (
+            b"HTTP/1.1 200 OK\r\nX-Attempt-Id: attempt-1\r\n"
+            b"X-Server-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"2\r\nok\r\n0\r\nX-Server-Signature: other\r\nX-A: b\r\n\r\n"
+        )
+        caller = await relay_to(
+            relay,
+            relay_fixtures.ScriptedEndpoint(relay_fixtures.send_bytes(chunked)),
+        )
+        assert (caller.status, caller.data) == (200, b"ok")
+        assert caller.headers == [
+            (b"x-attempt-id", b"attempt-1"),
+            (b"x-server-signature", b"s"),
+        ]
+
     async def test_a_late_answer_to_another_request_is_skipped(self):
         relay = relay_fixtures.make_relay(
             relay_fixtures.make_config(NON_IDEMPOTENT_ROUTE)
