--- a/src/_arbutuswalk/control/platform_client.py
+++ b/src/_arbutuswalk/control/platform_client.py
@@ -2,9 +2,13 @@
 
 import dataclasses
 import importlib
+import json
 from typing import Any
 
+from _arbutuswalk.wire import http_answers
+
 CALL_TIMEOUT_S = 5.0
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -53,11 +57,16 @@
             async with self.session.request(
                 method, self.base_url + path, json=body
             ) as response:
-                if response.status >= 400:
-                    reason = (await response.read())[:200].decode(
-                        errors="replace"
+                answer = await http_answers.read_body(
+                    response, MAX_ANSWER_BYTES
+                )
+                if answer is None:
+                    return NoAnswer(
+                        reason=f"answer over {MAX_ANSWER_BYTES} bytes"
                     )
+                if response.status >= 400:
+                    reason = answer[:200].decode(errors="replace")
                     return Refused(status=response.status, reason=reason)
-                return await response.json()
-        except (TimeoutError, aiohttp.ClientError, ValueError) as e:
-            return NoAnswer(reason=f"{type(e).__name__}: {e}")
+                return json.loads(answer)
+        except (TimeoutError, aiohttp.ClientError, ValueError) as error:
+            return NoAnswer(reason=http_answers.describe_error(error))
--- a/testing/test_endless.py
+++ b/testing/test_endless.py
@@ -16,7 +16,7 @@
 from _arbutuswalk.state import routeconfig
 from _arbutuswalk.streams import framing
 
-TIMEOUT_S = 0.8
+TIMEOUT_S = 0.5
 ANSWER_LATENESS_S = 0.25
 MAX_MEMORY_BYTES = 4 * attempts.MAX_BUFFERED_ANSWER_BYTES
 """Growth that one request may cause: its answer as it is received, joined,
