Limit the body of an error that an upstream sends to the chat front

An attempt that was answered with a failure and a body without end did not end: the body was kept whole, and any byte postponed the time-out between reads (2 of 13 cases of TestAnswersWithoutEnd ran into the test's second). The attempt now ends with 64 KB of it. The other cases hold by the limits of the shared connection.

--- a/src/_arbutuswalk/streams/attempts.py
+++ b/src/_arbutuswalk/streams/attempts.py
@@ -18,6 +18,9 @@
 CACHED_HEADER = "X-Cached-Tokens"
 PRIORITY_HEADER = "X-Priority"
 MAX_ERROR_CHUNK_BYTES = 64 * 1024
+MAX_ERROR_BODY_BYTES = 64 * 1024
+"""Size of an error's body at which the rest is not read."""
+MAX_ERROR_DETAIL_BYTES = 500
 
 
 class Deadlines(NamedTuple):
@@ -142,7 +145,7 @@
     def receive_body(self, data: bytes) -> None:
         """Processes a chunk of the body."""
         if self.exchange.status != STATUS_OK:
-            self.error_body += data[:MAX_ERROR_CHUNK_BYTES]
+            self._receive_error_body(data)
             return
         if self.result is not None or is_mismatched(self.exchange, self.echo):
             return
@@ -152,6 +155,13 @@
         elif events:
             self._deliver_events(events)
 
+    def _receive_error_body(self, data: bytes) -> None:
+        self.error_body += data[:MAX_ERROR_CHUNK_BYTES]
+        if len(self.error_body) >= MAX_ERROR_BODY_BYTES:
+            self._set_result(
+                _make_declined(self.exchange.status, self.error_body)
+            )
+
     def _deliver_events(self, events: list[bytes]) -> None:
         end = _find_end_marker(events)
         if end is None:
@@ -228,12 +238,16 @@
     if state.result is not None:
         return _with_cached_tokens(exchange, state.result)
     if exchange.status and exchange.status != STATUS_OK:
-        detail = state.error_body[:500].decode(errors="replace")
-        return Declined(status=exchange.status, detail=detail)
+        return _make_declined(exchange.status, state.error_body)
     reason = exchange.failure or "closed before the end marker"
     return _with_cached_tokens(exchange, Broke(reason=reason))
 
 
+def _make_declined(status: int, body: bytes) -> Declined:
+    detail = body[:MAX_ERROR_DETAIL_BYTES].decode(errors="replace")
+    return Declined(status=status, detail=detail)
+
+
 async def _wait_for_headers(
     exchange: connections.Exchange, timeout_s: float
 ) -> bool:
--- a/testing/test_attempts.py
+++ b/testing/test_attempts.py
@@ -3,7 +3,9 @@
 import asyncio
 import socket
 
+import endless_endpoint
 import pytest
+import test_endless
 
 from _arbutuswalk.streams import attempts
 
@@ -45,9 +47,15 @@
     upstream = Upstream(pieces, **options)
     server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
+    result_and_events = await run_at(f"127.0.0.1:{port}")
+    server.close()
+    return result_and_events
+
+
+async def run_at(address):
     events = []
     order = attempts.Order(
-        address=f"127.0.0.1:{port}",
+        address=address,
         path="/v1/completions",
         request_id="r",
         attempt_id="mine",
@@ -56,7 +64,6 @@
         echo=True,
     )
     result = await attempts.run(order, SHORT_DEADLINES, events.extend)
-    server.close()
     return result, events
 
 
@@ -136,3 +143,47 @@
         order = attempts.Order(address, "/", "r", "mine", {}, 1, True)
         result = await attempts.run(order, SHORT_DEADLINES, print)
         assert isinstance(result, attempts.NotConnected)
+
+
+ERROR_HEAD = HEAD.replace(b"200 OK", b"500 Bad")
+
+
+class TestAnswersWithoutEnd:
+    """Full speed only: a trickle goes on while bytes come, as an event may."""
+
+    @pytest.mark.parametrize(
+        ("answer", "outcome"),
+        [
+            *(
+                (answer, attempts.Broke)
+                for answer in test_endless.HEADS.values()
+            ),
+            ((CHUNKED + b"1;a=", b"a"), attempts.Broke),
+            ((CHUNKED + b"fffffff\r\ndata: ", b"a"), attempts.Broke),
+            ((PLAIN + b"data: ", b"a"), attempts.Broke),
+            ((ERROR_HEAD + b"\r\n", b"a"), attempts.Declined),
+            (
+                (ERROR_HEAD + b"Content-Length: 999999999999\r\n\r\n", b"a"),
+                attempts.Declined,
+            ),
+        ],
+        ids=[
+            *test_endless.HEADS,
+            "extension",
+            "chunk",
+            "close",
+            "error",
+            "long",
+        ],
+    )
+    async def test_the_attempt_ends(self, answer, outcome):
+        endpoint = endless_endpoint.EndlessEndpoint(*answer).listen()
+        memory = endless_endpoint.resident_bytes()
+        async with asyncio.timeout(1.0):
+            result, events = await run_at(endpoint.address)
+        assert isinstance(result, outcome)
+        assert events == []
+        growth = endless_endpoint.resident_bytes() - memory
+        assert growth < test_endless.MAX_MEMORY_BYTES
+        await test_endless.wait_until_closed(endpoint)
+        endpoint.stop()
