Keep the limits of a configuration on request heads

max_header_bytes and header_timeout_ms were not read: a head of any size and any slowness was accepted, and a connection without any byte stayed open.

Numbers that cannot be kept (negative, not finite) are ignored with event 680, other types refused like those of the other limits: such a configuration cannot be read. The limits are a field of their own in stored configurations, so that processes of the release before read them.

--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -139,6 +139,11 @@
         679,
         "unexpected bytes after an answer address=%s reason=%s",
     )
+    LIMIT_IGNORED = (
+        680,
+        "limit of a configuration ignored limit=%s value=%s",
+    )
+    HEAD_REFUSED = (681, "request head refused caller=%s status=%s reason=%s")
 
     @property
     def number(self) -> int:
--- a/src/_arbutuswalk/state/routeconfig.py
+++ b/src/_arbutuswalk/state/routeconfig.py
@@ -135,14 +135,32 @@
     idle_timeout_s: float
 
 
+class HeadLimits(NamedTuple):
+    """Limits on the heads of callers' requests; 0 for the entry's default.
+
+    Attributes:
+        max_bytes: Maximum size of the headers.
+        timeout_s: Maximum time from the first byte of a head to its end.
+    """
+
+    max_bytes: int = 0
+    timeout_s: float = 0.0
+
+
 class RouteConfig(NamedTuple):
-    """A complete route configuration of one version."""
+    """A complete route configuration of one version.
+
+    Attributes:
+        head_limits: Separate from ``limits``, so that processes of a release
+            without it can read a stored configuration.
+    """
 
     version: int
     routes: tuple[Route, ...]
     upstreams: tuple[Upstream, ...]
     workspaces: tuple[Workspace, ...]
     limits: Limits
+    head_limits: HeadLimits = HeadLimits()
 
 
 def check(config: RouteConfig) -> list[str]:
@@ -213,6 +231,7 @@
             for name, keys, *rest in values["workspaces"]
         ),
         limits=Limits(*values["limits"]),
+        head_limits=HeadLimits(*values.get("head_limits", ())),
     )
 
 
--- a/testing/test_platform_front.py
+++ b/testing/test_platform_front.py
@@ -30,7 +30,9 @@
         self.relay.started_at -= 60
         self.endpoint = relay_fixtures.ScriptedEndpoint(*steps)
         self.listener = server.Listener(
-            address="127.0.0.1:0", app=callers.make_app(self.relay)
+            address="127.0.0.1:0",
+            app=callers.make_app(self.relay),
+            limits=lambda: entry.connection_limits(self.relay),
         )
 
     async def __aenter__(self):
--- a/testing/test_platform_messages.py
+++ b/testing/test_platform_messages.py
@@ -1,6 +1,7 @@
 """Decoding of the platform's messages with missing, mistyped or huge fields."""
 
 import json
+import math
 
 import hypothesis
 import pytest
@@ -9,6 +10,7 @@
 from arbutuswalk_platform import operators
 from hypothesis import strategies
 
+from _arbutuswalk.base import events
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.routing import directory
 from _arbutuswalk.state import routeconfig
@@ -167,6 +169,46 @@
         assert config.workspaces[0].keys == ("k1", "k2")
         assert config.limits.idle_timeout_s == 15.0
 
+    @pytest.mark.parametrize(
+        ("limits", "decoded"),
+        [
+            ({}, (0, 0.0)),
+            ({"max_header_bytes": 0, "header_timeout_ms": 0}, (0, 0.0)),
+            ({"max_header_bytes": 16384}, (16384, 0.0)),
+            ({"header_timeout_ms": 3000}, (0, 3.0)),
+            ({"header_timeout_ms": 2500.5}, (0, 2.5005)),
+        ],
+        ids=["absent", "zero", "bytes", "timeout", "fraction"],
+    )
+    def test_head_limits_are_decoded(self, limits, decoded):
+        config = operators.decode_config(encode({**CONFIG, "limits": limits}))
+        assert config.head_limits == decoded
+        assert routeconfig.check(config) == []
+
+    @pytest.mark.parametrize("name", ["max_header_bytes", "header_timeout_ms"])
+    @pytest.mark.parametrize("value", [-1, math.nan, math.inf, -math.inf])
+    def test_a_head_limit_that_cannot_be_kept_is_ignored(
+        self, name, value, monkeypatch
+    ):
+        logged = []
+        monkeypatch.setattr(events, "record", lambda *each: logged.append(each))
+        limits = {"max_header_bytes": 100, "header_timeout_ms": 200}
+        body = encode({**CONFIG, "limits": {**limits, name: value}})
+        config = operators.decode_config(body)
+        expected = routeconfig.HeadLimits(
+            0 if name == "max_header_bytes" else 100,
+            0 if name == "header_timeout_ms" else 0.2,
+        )
+        assert config.head_limits == expected
+        ((event, logged_name, _),) = logged
+        assert (event, logged_name) == (events.Event.LIMIT_IGNORED, name)
+
+    @pytest.mark.parametrize("name", ["max_header_bytes", "header_timeout_ms"])
+    @pytest.mark.parametrize("value", ["100", None, [1], True])
+    def test_a_head_limit_of_another_type_is_unreadable(self, name, value):
+        body = encode({**CONFIG, "limits": {name: value}})
+        assert isinstance(operators.decode_config(body), str)
+
     @pytest.mark.parametrize(
         ("where", "names"),
         [
--- a/testing/test_routeconfig.py
+++ b/testing/test_routeconfig.py
@@ -31,6 +31,7 @@
         ),
         workspaces=tuple(workspaces),
         limits=routeconfig.Limits(1000, 15.0),
+        head_limits=routeconfig.HeadLimits(16384, 3.0),
     )
 
 
