Limit the memory of all answers that are buffered together

TestManyAnswers checks the growth against twice the limit, as a buffer is copied when it grows and when it is sent.

--- /dev/null
+++ b/src/_arbutuswalk/relay/answer_buffers.py
@@ -0,0 +1,51 @@
+"""Limits the memory of all answers that are buffered at the same time."""
+
+from _arbutuswalk.streams import connection as connections
+
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+"""Largest answer that is buffered completely: a tenth of the memory that a
+process may use on the smallest instances in addition to its own 30 MB."""
+MAX_TOTAL_BYTES = 4 * MAX_ANSWER_BYTES
+"""Size of all answers that are buffered: most of that memory, together with the
+copies that growing and sending an answer take."""
+
+
+class AnswerBuffers:
+    """Sizes of the answers that are being buffered.
+
+    Attributes:
+        sizes: Bytes buffered of each answer, by exchange.
+        total: Sum of these.
+    """
+
+    def __init__(self):
+        self.sizes: dict[connections.Exchange, int] = {}
+        self.total = 0
+
+    def add(self, exchange: connections.Exchange, size: int) -> str:
+        """Counts a part of an answer; fails answers that are too large.
+
+        If all answers together are, the largest one fails, so that an answer
+        without end does not cost others theirs.
+
+        Returns:
+            Why this answer has failed, empty if it has not.
+        """
+        self.sizes[exchange] = self.sizes.get(exchange, 0) + size
+        self.total += size
+        if self.sizes[exchange] > MAX_ANSWER_BYTES:
+            reason = f"answer over {MAX_ANSWER_BYTES} bytes"
+            self._fail(exchange, reason)
+            return reason
+        reason = f"largest of answers over {MAX_TOTAL_BYTES} bytes in all"
+        while self.total > MAX_TOTAL_BYTES:
+            self._fail(max(self.sizes, key=self.sizes.get), reason)
+        return "" if exchange in self.sizes else reason
+
+    def remove(self, exchange: connections.Exchange) -> None:
+        """Ends the buffering of an answer."""
+        self.total -= self.sizes.pop(exchange, 0)
+
+    def _fail(self, exchange: connections.Exchange, reason: str) -> None:
+        self.remove(exchange)
+        exchange.fail(reason)
--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -23,9 +23,6 @@
 STALL_TIMEOUT_S = 1.0
 """Time without a complete event after which a stream is resumed at another
 endpoint: half of the shortest time after which callers abandon a stream."""
-MAX_BUFFERED_ANSWER_BYTES = 8 * 1024 * 1024
-"""Largest answer that is buffered completely: a tenth of the memory that a
-process may use on the smallest instances in addition to its own 30 MB."""
 LOWEST_PRIORITY = 9
 
 
@@ -161,18 +158,12 @@
     ) -> results.Result:
         """Buffers a complete answer before any of it is sent to the caller."""
         body = bytearray()
-        while True:
-            body += self.exchange.take_body()
-            connection.resume_reading()
-            if len(body) > MAX_BUFFERED_ANSWER_BYTES:
-                return self._record_lost(
-                    f"answer over {MAX_BUFFERED_ANSWER_BYTES} bytes"
-                )
-            if self.exchange.ended:
-                break
-            early_result = await self._wait_for_progress(deadline)
-            if early_result is not None:
-                return early_result
+        try:
+            early_result = await self._read_body(connection, body, deadline)
+        finally:
+            self.relay.answer_buffers.remove(self.exchange)
+        if early_result is not None:
+            return early_result
         if not reply.ran:
             return results.NotRun(reason=f"status {self.exchange.status}")
         if not self.exchange.complete:
@@ -184,6 +175,30 @@
             body=bytes(body),
         )
 
+    async def _read_body(
+        self,
+        connection: connections.Connection,
+        body: bytearray,
+        deadline: float,
+    ) -> results.Result | None:
+        """Appends the answer's body to ``body``.
+
+        Returns:
+            The result if the attempt is over before the answer has ended.
+        """
+        while True:
+            data = self.exchange.take_body()
+            body += data
+            failure = self.relay.answer_buffers.add(self.exchange, len(data))
+            if failure:
+                return self._record_lost(failure)
+            if self.exchange.ended:
+                return None
+            connection.resume_reading()
+            early_result = await self._wait_for_progress(deadline)
+            if early_result is not None:
+                return early_result
+
     async def _forward_stream(
         self, connection: connections.Connection, deadline: float
     ) -> results.Result:
--- a/src/_arbutuswalk/relay/relay_state.py
+++ b/src/_arbutuswalk/relay/relay_state.py
@@ -10,6 +10,7 @@
 from _arbutuswalk.limits import quota
 from _arbutuswalk.limits import quota_levels
 from _arbutuswalk.limits import retries
+from _arbutuswalk.relay import answer_buffers
 from _arbutuswalk.relay import lateness
 from _arbutuswalk.relay import permit_client
 from _arbutuswalk.relay import request as requests
@@ -96,6 +97,7 @@
         wall: Wall clock.
         rng: Source of random numbers.
         pool: Connections to endpoints.
+        answer_buffers: Sizes of the answers that are being buffered.
         route_table: Route configuration, None before the first.
         directory: Known endpoints.
         own_loads: Load from this entry by endpoint.
@@ -142,6 +144,7 @@
         self.rng = rng or random.Random()
         self.incarnation = int(wall() * clock.MS_PER_S)
         self.pool = pool.Pool(read_reply=dialect.read, now=now)
+        self.answer_buffers = answer_buffers.AnswerBuffers()
         self.route_table: routetable.RouteTable | None = None
         self.directory = directory.Directory()
         self.own_loads: dict[str, Load] = {}
--- a/src/_arbutuswalk/streams/connection.py
+++ b/src/_arbutuswalk/streams/connection.py
@@ -81,6 +81,12 @@
             return False
         return True
 
+    def fail(self, reason: str) -> None:
+        """Ends the response unless it has ended."""
+        if not self.ended:
+            self.failure = reason
+            self.changed.set()
+
     def take_body(self) -> bytes:
         """Removes and returns the buffered part of the body."""
         data = b"".join(self.chunks)
@@ -310,7 +316,5 @@
 
     def _set_failure(self, reason: str) -> None:
         self.reusable = False
-        exchange = self.exchange
-        if exchange is not None and not exchange.ended:
-            exchange.failure = reason
-            exchange.changed.set()
+        if self.exchange is not None:
+            self.exchange.fail(reason)
--- a/testing/test_endless.py
+++ b/testing/test_endless.py
@@ -11,14 +11,15 @@
 from arbutuswalk_platform import server
 
 from _arbutuswalk.base import events
-from _arbutuswalk.relay import attempts
+from _arbutuswalk.relay import answer_buffers
 from _arbutuswalk.relay import relaying
 from _arbutuswalk.state import routeconfig
+from _arbutuswalk.streams import connection
 from _arbutuswalk.streams import framing
 
 TIMEOUT_S = 0.5
 ANSWER_LATENESS_S = 0.25
-MAX_MEMORY_BYTES = 4 * attempts.MAX_BUFFERED_ANSWER_BYTES
+MAX_MEMORY_BYTES = 4 * answer_buffers.MAX_ANSWER_BYTES
 """Growth that one request may cause: its answer as it is received, joined,
 passed on and freed."""
 CLOSE_WAIT_S = 2.0
@@ -300,6 +301,44 @@
             await wait_until_closed(endpoint)
 
 
+MANY = 48
+
+
+class TestManyAnswers:
+    """All callers of an endpoint get answers without end at once."""
+
+    @pytest.mark.parametrize("name", list(BODIES))
+    async def test_the_memory_for_all_is_limited(self, name):
+        route = {"kind": routeconfig.ONCE, "timeout_s": 1.0}
+        async with playing(BODIES[name], **route) as (entry, endpoint):
+            received = await asyncio.gather(
+                *(entry.request() for _ in range(MANY))
+            )
+            assert {answer.status for answer in received} <= {502, 504}
+            assert entry.memory_growth < 2 * answer_buffers.MAX_TOTAL_BYTES
+            assert entry.relay.answer_buffers.total == 0
+            await wait_until_closed(endpoint)
+
+    def test_the_largest_answer_fails(self):
+        buffers = answer_buffers.AnswerBuffers()
+        part = answer_buffers.MAX_ANSWER_BYTES // 4
+        small, *large = (
+            connection.Exchange(expected_id="", has_body=True) for _ in range(6)
+        )
+        buffers.add(small, 1)
+        for each in large:
+            buffers.add(each, 3 * part)
+        buffers.add(large[0], part - 1)
+        assert buffers.total == answer_buffers.MAX_TOTAL_BYTES
+        assert not any(each.failure for each in (small, *large))
+        buffers.add(small, 1)
+        assert large[0].failure
+        assert not any(each.failure for each in (small, *large[1:]))
+        for each in (small, *large):
+            buffers.remove(each)
+        assert buffers.total == 0
+
+
 EVENTS = {
     "one line": b"data: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa",
     "one event": b"data: a\n",
--- a/testing/test_relay.py
+++ b/testing/test_relay.py
@@ -5,7 +5,7 @@
 import pytest
 import relay_fixtures
 
-from _arbutuswalk.relay import attempts
+from _arbutuswalk.relay import answer_buffers
 from _arbutuswalk.relay import relaying
 from _arbutuswalk.routing import directory
 from _arbutuswalk.state import routeconfig
@@ -83,7 +83,7 @@
     async def test_an_answer_over_the_buffer_limit_is_a_failure(
         self, monkeypatch
     ):
-        monkeypatch.setattr(attempts, "MAX_BUFFERED_ANSWER_BYTES", 1000)
+        monkeypatch.setattr(answer_buffers, "MAX_ANSWER_BYTES", 1000)
         relay = relay_fixtures.make_relay()
         endpoints = [
             relay_fixtures.ScriptedEndpoint(
