Do not wait for the whole body of an answer to a request that was not run

An endpoint that states in the head of its answer that it has not run the request, and then sends a body without end, cost the caller of a non-idempotent request 502 or 504 instead of an answer by another endpoint, and instead of 503 where there is none (10 of 12 cases of TestRejections failed): the statement was used only if the body ended, or its connection. It now counts in any case, and the body is awaited for 0.1 s at most, so that a usual one still leaves its connection usable.

--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -20,6 +20,9 @@
 TIMEOUT_ANSWER_GRACE_S = 0.1
 """Time after the deadline for which an endpoint's own time-out answer is
 awaited: less than the quarter of a second by which an answer may be late."""
+REJECTION_BODY_WAIT_S = 0.1
+"""Time for which the body of an answer is awaited whose head states that the
+request was not run. It is read only to keep the connection usable."""
 STALL_TIMEOUT_S = 1.0
 """Time without a complete event after which a stream is resumed at another
 endpoint: half of the shortest time after which callers abandon a stream."""
@@ -158,14 +161,18 @@
     ) -> results.Result:
         """Buffers a complete answer before any of it is sent to the caller."""
         body = bytearray()
+        if not reply.ran:
+            deadline = min(deadline, self.relay.now() + REJECTION_BODY_WAIT_S)
         try:
             early_result = await self._read_body(connection, body, deadline)
         finally:
             self.relay.answer_buffers.remove(self.exchange)
-        if early_result is not None:
+        if isinstance(early_result, results.CallerLeft):
             return early_result
         if not reply.ran:
             return results.NotRun(reason=f"status {self.exchange.status}")
+        if early_result is not None:
+            return early_result
         if not self.exchange.complete:
             return self._record_lost(self.exchange.failure)
         self._count_usage(self.started_at)
--- a/testing/test_endless.py
+++ b/testing/test_endless.py
@@ -12,6 +12,7 @@
 
 from _arbutuswalk.base import events
 from _arbutuswalk.relay import answer_buffers
+from _arbutuswalk.relay import attempts
 from _arbutuswalk.relay import relaying
 from _arbutuswalk.state import routeconfig
 from _arbutuswalk.streams import connection
@@ -301,6 +302,55 @@
             await wait_until_closed(endpoint)
 
 
+NOT_RUN = (
+    b"HTTP/1.1 503 Full\r\nX-Attempt-Id: attempt-1\r\nX-Not-Executed: 1\r\n"
+)
+REJECTIONS = {
+    "until the close": (NOT_RUN + b"\r\n", b"a"),
+    "declared length": (NOT_RUN + b"Content-Length: 99999999\r\n\r\n", b"a"),
+    "chunk extension": (
+        NOT_RUN + b"Transfer-Encoding: chunked\r\n\r\n1;a=",
+        b"a",
+    ),
+}
+
+
+class TestRejections:
+    """An endpoint states in the head that it has not run the request."""
+
+    @both_speeds
+    @each(REJECTIONS)
+    async def test_another_endpoint_runs_it_at_once(self, answer, trickle):
+        route = {"kind": routeconfig.ONCE, "timeout_s": 2.0}
+        async with playing(answer, trickle=trickle, **route) as (
+            entry,
+            endpoint,
+        ):
+            other = relay_fixtures.ScriptedEndpoint(name="other")
+            entry.relay.suspect_until["other"] = entry.relay.now() + 60
+            await other.start(entry.relay)
+            received = await entry.request()
+            other.stop()
+            assert received.status == 200
+            assert received.took_s < attempts.REJECTION_BODY_WAIT_S + 0.25
+            await wait_until_closed(endpoint)
+
+    @both_speeds
+    @each(REJECTIONS)
+    async def test_the_refusal_of_the_only_one_is_passed_on(
+        self, answer, trickle
+    ):
+        route = {"kind": routeconfig.ONCE}
+        async with playing(answer, trickle=trickle, **route) as (
+            entry,
+            endpoint,
+        ):
+            received = await entry.request()
+            assert received.status == 503
+            entry.assert_unharmed(received)
+            await wait_until_closed(endpoint)
+
+
 MANY = 48
 
 
