--- a/src/_arbutuswalk/relay/admission.py
+++ b/src/_arbutuswalk/relay/admission.py
@@ -78,11 +78,9 @@
         return Refusal(STATUS_NOT_FOUND, "no such route")
     if not incoming.id:
         return Refusal(STATUS_BAD_REQUEST, "the request bears no id")
-    max_body_bytes = relay.route_table.config.limits.max_body_bytes
-    if max_body_bytes and len(incoming.body) > max_body_bytes:
-        return Refusal(
-            STATUS_CONTENT_TOO_LARGE, f"body over {max_body_bytes} bytes"
-        )
+    refusal = check_body_size(relay, len(incoming.body))
+    if refusal is not None:
+        return refusal
     workspace = None
     if relay.route_table.workspaces_by_key and not route.anonymous:
         workspace = relay.route_table.workspaces_by_key.get(incoming.key)
@@ -97,6 +95,18 @@
     return refusal or request
 
 
+def check_body_size(relay: relay_state.Relay, size: int) -> Refusal | None:
+    """Returns the refusal of a body over the limit of the configuration."""
+    if relay.route_table is None:
+        return None
+    max_body_bytes = relay.route_table.config.limits.max_body_bytes
+    if not max_body_bytes or size <= max_body_bytes:
+        return None
+    return Refusal(
+        STATUS_CONTENT_TOO_LARGE, f"body over {max_body_bytes} bytes"
+    )
+
+
 def _make_request(
     relay: relay_state.Relay,
     incoming: IncomingRequest,
--- a/testing/test_platform_front.py
+++ b/testing/test_platform_front.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 
+import endless_endpoint
 import process_fixtures
 import pytest
 import relay_fixtures
@@ -167,6 +168,26 @@
             )
             assert status == 413
 
+    async def test_oversized_body_is_not_buffered(self):
+        async with RunningEntry() as running_entry:
+            head = VALID_REQUEST.partition(b"\r\n\r\n")[0].replace(
+                b"Content-Length: 4", b"Transfer-Encoding: chunked"
+            )
+            reader, writer = await running_entry.connect()
+            writer.write(head + b"\r\n\r\n")
+            memory = endless_endpoint.resident_bytes()
+            part = 1024 * 1024 * b"x"
+            for _ in range(64):
+                writer.write(b"100000\r\n" + part + b"\r\n")
+                await writer.drain()
+            growth = endless_endpoint.resident_bytes() - memory
+            writer.write(b"0\r\n\r\n")
+            answer = await asyncio.wait_for(reader.readuntil(b"\r\n"), 10)
+            assert answer.split()[1] == b"413"
+            assert growth < 16 * len(part)
+            assert not running_entry.endpoint.request_heads
+            writer.close()
+
     async def test_chunked_body_reaches_the_endpoint_complete(self):
         async with RunningEntry() as running_entry:
             data = VALID_REQUEST.partition(b"\r\n\r\n")[0].replace(
