--- a/testing/test_request_heads.py
+++ b/testing/test_request_heads.py
@@ -149,6 +149,31 @@
                 assert answer.startswith(b"HTTP/1.1 200")
             writer.close()
 
+    @pytest.mark.parametrize(
+        ("body", "status"),
+        [(b"0\r\n" + 500 * b"a:\r\n", 431), (b"x\r\n", 400)],
+        ids=["large trailers", "no chunk"],
+    )
+    async def test_a_body_that_is_refused_ends_the_request(self, body, status):
+        head = VALID_REQUEST.partition(b"\r\n\r\n")[0]
+        head = head.replace(b"Content-Length: 4", b"Transfer-Encoding: chunked")
+        async with test_platform_front.RunningEntry(
+            make_config()
+        ) as running_entry:
+            data, _ = await send(running_entry, head + b"\r\n\r\n" + body)
+            assert_refused(data, status)
+            assert not running_entry.endpoint.request_heads
+
+    async def test_a_request_line_may_take_the_size_of_the_headers(self):
+        target = b"/a/" + (MAX_BYTES + 100) * b"x"
+        async with test_platform_front.RunningEntry(
+            make_config()
+        ) as running_entry:
+            status, _ = await running_entry.send_request(
+                VALID_REQUEST.replace(b"/a/x", target + 8000 * b"x")
+            )
+            assert status == 200
+
     async def test_a_large_head_after_a_request_does_not_cut_its_answer(
         self, logged
     ):
