--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -149,6 +149,15 @@
         686,
         "endpoint pause invalid endpoint=%s value=%s",
     )
+    UNEXPECTED_BYTES = (
+        679,
+        "unexpected bytes after an answer address=%s reason=%s",
+    )
+    LIMIT_IGNORED = (
+        682,
+        "limit of a configuration ignored limit=%s value=%s",
+    )
+    HEAD_REFUSED = (683, "request head refused caller=%s status=%s reason=%s")
 
     @property
     def number(self) -> int:
--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -1,5 +1,7 @@
 """Sends a request to one endpoint and processes the answer."""
 
+import asyncio
+
 from _arbutuswalk.base import events
 from _arbutuswalk.relay import delivery
 from _arbutuswalk.relay import endpoint_limits
@@ -14,18 +16,19 @@
 from _arbutuswalk.routing import stated_limits
 from _arbutuswalk.state import routeconfig
 from _arbutuswalk.streams import connection as connections
+from _arbutuswalk.streams import framing
 from _arbutuswalk.streams import pool
 from _arbutuswalk.streams import replies
 
 TIMEOUT_ANSWER_GRACE_S = 0.1
 """Time after the deadline for which an endpoint's own time-out answer is
 awaited: less than the quarter of a second by which an answer may be late."""
+REJECTION_BODY_WAIT_S = 0.1
+"""Time for which the body of an answer is awaited whose head states that the
+request was not run. It is read only to keep the connection usable."""
 STALL_TIMEOUT_S = 1.0
-"""Time without data after which a stream is resumed at another endpoint: half
-of the shortest time after which callers abandon a stream."""
-MAX_BUFFERED_ANSWER_BYTES = 8 * 1024 * 1024
-"""Largest answer that is buffered completely: a tenth of the memory that a
-process may use on the smallest instances in addition to its own 30 MB."""
+"""Time without a complete event after which a stream is resumed at another
+endpoint: half of the shortest time after which callers abandon a stream."""
 LOWEST_PRIORITY = 9
 
 
@@ -41,6 +44,7 @@
         started_at: When the attempt started, in seconds.
         unread_tokens: Prompt tokens that the endpoint has not read yet.
         first_byte_s: Seconds to the first byte of the answer, 0 before.
+        last_event_at: When events of a stream were last sent, in seconds.
     """
 
     def __init__(
@@ -57,6 +61,7 @@
         self.unread_tokens = chosen.uncached_tokens
         self.started_at = relay.now()
         self.first_byte_s = 0.0
+        self.last_event_at = 0.0
         self.exchange = connections.Exchange(
             expected_id=self.request.id,
             has_body=self.request.method != "HEAD",
@@ -189,20 +194,18 @@
     ) -> results.Result:
         """Buffers a complete answer before any of it is sent to the caller."""
         body = bytearray()
-        while True:
-            body += self.exchange.take_body()
-            connection.resume_reading()
-            if len(body) > MAX_BUFFERED_ANSWER_BYTES:
-                return self._record_lost(
-                    f"answer over {MAX_BUFFERED_ANSWER_BYTES} bytes"
-                )
-            if self.exchange.ended:
-                break
-            early_result = await self._wait_for_progress(deadline)
-            if early_result is not None:
-                return early_result
+        if not reply.ran:
+            deadline = min(deadline, self.relay.now() + REJECTION_BODY_WAIT_S)
+        try:
+            early_result = await self._read_body(connection, body, deadline)
+        finally:
+            self.relay.answer_buffers.remove(self.exchange)
+        if isinstance(early_result, results.CallerLeft):
+            return early_result
         if not reply.ran:
             return results.NotRun(reason=f"status {self.exchange.status}")
+        if early_result is not None:
+            return early_result
         if not self.exchange.complete:
             return self._record_lost(self.exchange.failure)
         self._count_usage(self.started_at)
@@ -212,6 +215,30 @@
             body=bytes(body),
         )
 
+    async def _read_body(
+        self,
+        connection: connections.Connection,
+        body: bytearray,
+        deadline: float,
+    ) -> results.Result | None:
+        """Appends the answer's body to ``body``.
+
+        Returns:
+            The result if the attempt is over before the answer has ended.
+        """
+        while True:
+            data = self.exchange.take_body()
+            body += data
+            failure = self.relay.answer_buffers.add(self.exchange, len(data))
+            if failure:
+                return self._record_lost(failure)
+            if self.exchange.ended:
+                return None
+            connection.resume_reading()
+            early_result = await self._wait_for_progress(deadline)
+            if early_result is not None:
+                return early_result
+
     async def _forward_stream(
         self, connection: connections.Connection, deadline: float
     ) -> results.Result:
@@ -228,8 +255,11 @@
                     self.first_byte_s = self.relay.now() - self.started_at
                     self._record_prompt_read()
                     self._count_usage(self.relay.now())
+                    self.last_event_at = self.relay.now()
                 has_data = True
-                await self.delivery.send_events(data)
+                early_result = await self._send_events(data, deadline)
+                if early_result is not None:
+                    return early_result
             if self.exchange.ended and not self.exchange.chunks:
                 break
             early_result = await self._wait_for_progress(
@@ -242,6 +272,28 @@
         await self.delivery.finish_stream()
         return results.Delivered()
 
+    async def _send_events(
+        self, data: bytes, deadline: float
+    ) -> results.Result | None:
+        """Sends events to the caller, until the deadline if it is slow.
+
+        Returns:
+            The result if the attempt is over, None if it goes on.
+        """
+        try:
+            async with asyncio.timeout(max(0.0, deadline - self.relay.now())):
+                if await self.delivery.send_events(data):
+                    self.last_event_at = self.relay.now()
+                if self.delivery.has_large_event:
+                    if self.request.route.resumable:
+                        return self._record_lost(
+                            f"event over {framing.MAX_EVENT_BYTES} bytes"
+                        )
+                    await self.delivery.send_event_part()
+        except TimeoutError:
+            return results.TimedOut(reason="caller reads too slowly")
+        return None
+
     async def _wait_for_progress(
         self, deadline: float, *, detect_stall: bool = False
     ) -> results.Result | None:
@@ -254,9 +306,7 @@
         wait_until = deadline
         may_resume = detect_stall and self.request.route.resumable
         if may_resume:
-            wait_until = min(
-                wait_until, self.exchange.last_received_at + STALL_TIMEOUT_S
-            )
+            wait_until = min(wait_until, self.last_event_at + STALL_TIMEOUT_S)
         if self.delivery.caller_left:
             return results.CallerLeft()
         if not await self.exchange.wait_for_change(wait_until - now):
--- a/src/_arbutuswalk/streams/connection.py
+++ b/src/_arbutuswalk/streams/connection.py
@@ -6,17 +6,22 @@
 
 import asyncio
 import collections
+import select
 from collections.abc import Callable
 
 import httptools
 
 from _arbutuswalk.base import clock
+from _arbutuswalk.base import events
 from _arbutuswalk.streams import replies
+from _arbutuswalk.streams import response_limits
 from _arbutuswalk.wire import sockets
 
-MAX_HEADER_BYTES = 64 * 1024
 MAX_BUFFERED_BYTES = 256 * 1024
 """Bytes buffered for a slow caller above which reading is paused."""
+MAX_READ_BYTES = 16 * 1024
+"""Bytes that are read at once. Parsing them must not delay other connections,
+even if each chunk of the body is a single byte."""
 NO_BODY_STATUSES = (204, 304)
 
 
@@ -80,6 +85,12 @@
             return False
         return True
 
+    def fail(self, reason: str) -> None:
+        """Ends the response unless it has ended."""
+        if not self.ended:
+            self.failure = reason
+            self.changed.set()
+
     def take_body(self) -> bytes:
         """Removes and returns the buffered part of the body."""
         data = b"".join(self.chunks)
@@ -88,7 +99,11 @@
         return data
 
 
-class Connection(asyncio.Protocol):
+# Each read is parsed before the next, so connections can share a buffer.
+_read_buffer = memoryview(bytearray(MAX_READ_BYTES))
+
+
+class Connection(asyncio.BufferedProtocol):
     """A connection to one upstream.
 
     Attributes:
@@ -99,8 +114,10 @@
         idle_since: When the last exchange ended.
         keep_alive_s: How long the upstream keeps an idle connection, if known.
         reusable: Whether the connection may carry another exchange.
+        in_body: Whether the headers of the current response are complete.
         ends_at_close: Whether the end of the connection ends the body.
         ignoring_body: Whether the current response is a mismatched one.
+        limits: What was received of the answer beside its body.
     """
 
     def __init__(
@@ -120,10 +137,11 @@
         self.transport: asyncio.Transport | None = None
         self.parser: httptools.HttpResponseParser | None = None
         self.headers: replies.Headers = []
-        self.header_bytes = 0
         self.status = 0
+        self.in_body = False
         self.ends_at_close = False
         self.ignoring_body = False
+        self.limits = response_limits.ResponseLimits()
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Configures detection of dead peers on the socket."""
@@ -132,10 +150,21 @@
         if sock is not None:
             sockets.set_options(sock)
 
+    def has_unread_data(self) -> bool:
+        """Whether data or the end of the connection waits to be read.
+
+        Such bytes were sent before the next request and would be taken for the
+        start of its answer.
+        """
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket"), select.POLLIN)
+        return bool(poll.poll(0))
+
     def send_request(self, data: bytes, exchange: Exchange) -> None:
         """Sends a request; its response is stored in ``exchange``."""
         self.exchange = exchange
         self.parser = httptools.HttpResponseParser(self)
+        self.limits = response_limits.ResponseLimits()
         self.transport.write(data)
 
     def abort(self) -> None:
@@ -144,18 +173,31 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the buffer for the next read."""
+        return _read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Processes the data that was read into the buffer."""
+        self.data_received(_read_buffer[:nbytes])
+
+    def data_received(self, data: memoryview) -> None:
         """Passes data to the parser, which calls the ``on_`` methods."""
         exchange = self.exchange
-        if exchange is None:
-            self.abort()
+        if exchange is None or exchange.ended:
+            self._fail_and_abort("bytes on an idle connection")
             return
         exchange.last_received_at = clock.monotonic()
+        self.limits.add_received(len(data))
         try:
             self.parser.feed_data(data)
+            self.limits.check_framing()
         except httptools.HttpParserError as error:
-            self._set_failure(f"not HTTP: {error}")
-            self.abort()
+            self._fail_and_abort(self.limits.exceeded or f"not HTTP: {error}")
+        except httptools.HttpParserUpgrade:
+            self._fail_and_abort("not HTTP: the upstream switches protocols")
+        except response_limits.LimitExceededError as error:
+            self._fail_and_abort(str(error))
 
     def eof_received(self) -> None:
         """Completes a response whose body ends with the connection."""
@@ -169,24 +211,27 @@
         self.on_close(self)
 
     def on_message_begin(self) -> None:
-        """Starts a response; an unexpected one excludes reuse."""
+        """Starts a response, unless the answer is already complete."""
         self.headers = []
-        self.header_bytes = 0
-        if self.exchange is None or self.exchange.ended:
-            self.reusable = False
+        self.in_body = False
+        if self.exchange.ended:
+            self.limits.reject_response()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header, up to the limit for all headers together."""
-        self.header_bytes += len(name) + len(value)
-        if self.header_bytes > MAX_HEADER_BYTES:
-            raise ValueError("headers too large")
-        self.headers.append((name.lower(), value.strip()))
+        """Stores a header, up to the limit for all headers together.
+
+        Trailers are dropped: they must not be taken for headers.
+        """
+        self.limits.add_header(name, value)
+        if not self.in_body:
+            self.headers.append((name.lower(), value.strip()))
 
     def on_headers_complete(self) -> None:
         """Stores status and headers if they belong to this exchange."""
+        self.in_body = True
         self.status = self.parser.get_status_code()
         exchange = self.exchange
-        if exchange is None or exchange.ended or self._is_interim():
+        if exchange.ended or self._is_interim():
             return
         reply = self.read_reply(self.status, self.headers)
         exchange.on_reply(reply)
@@ -211,8 +256,12 @@
     def on_body(self, data: bytes) -> None:
         """Buffers a chunk of the body or passes it to the callback."""
         exchange = self.exchange
-        if exchange is None or exchange.ended or self.ignoring_body:
+        if exchange.ended:
+            return
+        if self.ignoring_body:
+            self.limits.add_skipped_body(len(data))
             return
+        self.limits.add_body(len(data))
         if exchange.on_body is not None:
             exchange.on_body(data)
             return
@@ -224,8 +273,11 @@
 
     def on_message_complete(self) -> None:
         """Completes the response, unless it is interim or mismatched."""
-        if self._is_interim() or self.ignoring_body or self.ends_at_close:
+        if self._is_interim() or self.ignoring_body:
             self.ignoring_body = False
+            self.limits.add_skipped_response()
+            return
+        if self.ends_at_close:
             return
         if not self.parser.should_keep_alive():
             self.reusable = False
@@ -256,14 +308,18 @@
         return not names & {b"content-length", b"transfer-encoding"}
 
     def _complete(self) -> None:
-        exchange = self.exchange
-        if exchange is not None and not exchange.ended:
-            exchange.complete = True
-            exchange.changed.set()
+        if not self.exchange.ended:
+            self.exchange.complete = True
+            self.exchange.changed.set()
+
+    def _fail_and_abort(self, reason: str) -> None:
+        """Fails the exchange, unless the bytes follow a complete answer."""
+        if self.exchange is None or self.exchange.ended:
+            events.record(events.Event.UNEXPECTED_BYTES, self.address, reason)
+        self._set_failure(reason)
+        self.abort()
 
     def _set_failure(self, reason: str) -> None:
         self.reusable = False
-        exchange = self.exchange
-        if exchange is not None and not exchange.ended:
-            exchange.failure = reason
-            exchange.changed.set()
+        if self.exchange is not None:
+            self.exchange.fail(reason)
--- a/testing/test_relay.py
+++ b/testing/test_relay.py
@@ -5,7 +5,7 @@
 import pytest
 import relay_fixtures
 
-from _arbutuswalk.relay import attempts
+from _arbutuswalk.relay import answer_buffers
 from _arbutuswalk.relay import relaying
 from _arbutuswalk.routing import directory
 from _arbutuswalk.state import routeconfig
@@ -83,7 +83,7 @@
     async def test_an_answer_over_the_buffer_limit_is_a_failure(
         self, monkeypatch
     ):
-        monkeypatch.setattr(attempts, "MAX_BUFFERED_ANSWER_BYTES", 1000)
+        monkeypatch.setattr(answer_buffers, "MAX_ANSWER_BYTES", 1000)
         relay = relay_fixtures.make_relay()
         endpoints = [
             relay_fixtures.ScriptedEndpoint(
@@ -117,6 +117,23 @@
         )
         assert caller.status == 502
 
+    async def test_trailers_are_not_passed_on_as_headers(self):
+        relay = relay_fixtures.make_relay()
+        chunked = (
+            b"HTTP/1.1 200 OK\r\nX-Attempt-Id: attempt-1\r\n"
+            b"X-Server-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"2\r\nok\r\n0\r\nX-Server-Signature: other\r\nX-A: b\r\n\r\n"
+        )
+        caller = await relay_to(
+            relay,
+            relay_fixtures.ScriptedEndpoint(relay_fixtures.send_bytes(chunked)),
+        )
+        assert (caller.status, caller.data) == (200, b"ok")
+        assert caller.headers == [
+            (b"x-attempt-id", b"attempt-1"),
+            (b"x-server-signature", b"s"),
+        ]
+
     async def test_a_late_answer_to_another_request_is_skipped(self):
         relay = relay_fixtures.make_relay(
             relay_fixtures.make_config(NON_IDEMPOTENT_ROUTE)
