Judge a rollout's version by the latencies of similar requests

Cause: an answer was slow above three times the moving average of its route, which mixes short and long prompts; it was counted when the stream had ended, so that slow answers were counted last, and those whose callers had left never; the pace of streams was not measured; three outcomes were enough to complete. The average also never followed a version once its rollout was completed.

Ruled out: late reports and a change of leader.

Change: the time to the first data and the pace are compared with those of similar requests, overdue data counts at once, groups of requests are tested apart, every control process gathers the evidence, and a version is completed only if a doubled median is excluded.

test_decisions and test_duties use the new counts; their bounds are unchanged.

--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -78,8 +78,8 @@
         quota_returned: Tokens that entries returned to the shared buckets since
             then, by workspace.
         shared_pools: The entries' shared quota buckets.
-        outcomes: Request outcomes since then, by upstream, version and position
-            in ``evidence.OutcomeCounts``.
+        outcomes: Request outcomes since then, by upstream, version, group and
+            position in ``rollout_evidence.Counts``.
         stated_limits: Limits that endpoints state, as entries report them.
         started_at: When this process started, in seconds.
         restored_entry_count: Number of entries before the last restart, 0 if
@@ -303,8 +303,10 @@
             key, report.get("returned", {}), counts_from_zero=counts_from_zero
         )
         outcomes = {
-            (upstream, version, position): count
-            for upstream, version, *counts in report.get("outcomes", [])
+            (upstream, version, group, position): count
+            for upstream, version, group, *counts in report.get(
+                "rollout_outcomes", []
+            )
             for position, count in enumerate(counts)
         }
         self.outcomes.record(key, outcomes, counts_from_zero=counts_from_zero)
--- a/src/_arbutuswalk/control/rollouts.py
+++ b/src/_arbutuswalk/control/rollouts.py
@@ -1,4 +1,8 @@
-"""Advances rollouts while this process holds the leader lease."""
+"""Advances rollouts while this process holds the leader lease.
+
+Every control process receives the entries' reports and gathers the evidence, so
+that a new leader continues with it.
+"""
 
 import asyncio
 from collections.abc import Mapping
@@ -8,7 +12,7 @@
 from _arbutuswalk.control import process
 from _arbutuswalk.routing import directory
 from _arbutuswalk.state import commands
-from _arbutuswalk.state import evidence
+from _arbutuswalk.state import rollout_evidence
 from _arbutuswalk.state import rollout_policy
 from _arbutuswalk.state import rollouts
 from _arbutuswalk.state import tables as rows
@@ -17,81 +21,83 @@
 SUBMIT_TIMEOUT_S = 1.0
 
 
-class TermTrials:
-    """Trials of the running rollouts, gathered in one term.
-
-    Attributes:
-        term: That term.
-        by_rollout: Trial by upstream, target version and start time.
-    """
-
-    def __init__(self, *, term: int):
-        self.term = term
-        self.by_rollout: dict[tuple, rollout_policy.RolloutTrial] = {}
+Trials = dict[tuple[str, str, int], rollout_policy.RolloutTrial]
+"""Trials of the running rollouts by upstream, target version and start time."""
 
 
-async def run(components: process.Components, canary_share: float) -> None:
+async def run(
+    components: process.Components, exposure: rollout_policy.Exposure
+) -> None:
     """Advances rollouts while this process holds the leader lease.
 
     Args:
         components: Components of the process.
-        canary_share: Largest share of all requests until the rollout's
-            deadline that a faulty version may receive.
+        exposure: Requests that a faulty version may receive.
     """
-    trials = TermTrials(term=0)
+    trials: Trials = {}
     while True:
         await asyncio.sleep(TICK_INTERVAL_S)
-        member = components.member
-        if not member.is_current:
-            continue
-        if trials.term != member.replica.term:
-            trials = TermTrials(term=member.replica.term)
         try:
-            await _tick(components, canary_share, trials)
+            await tick(components, exposure, trials)
         except Exception as error:  # noqa: BLE001
             # An error in one rollout must not end the loop.
             events.warn(events.Event.TASK_FAILED, "rollouts", repr(error))
 
 
-async def _tick(
-    components: process.Components, canary_share: float, trials: TermTrials
+async def tick(
+    components: process.Components,
+    exposure: rollout_policy.Exposure,
+    trials: Trials,
 ) -> None:
-    for upstream, row in list(components.member.tables.rollouts.items()):
-        if row.state != rollouts.GROWING:
-            continue
-        step = _decide(components, canary_share, trials, upstream, row)
-        if step is not None:
+    """Updates the trials; submits the steps that are due if it is the leader.
+
+    Args:
+        components: Components of the process.
+        exposure: Requests that a faulty version may receive.
+        trials: Trials so far; updated.
+    """
+    growing = {
+        (upstream, row.target, row.started_ms): row
+        for upstream, row in components.member.tables.rollouts.items()
+        if row.state == rollouts.GROWING
+    }
+    for key in trials.keys() - growing.keys():
+        del trials[key]
+    for key, row in growing.items():
+        step = _decide(components, exposure, trials, key, row)
+        if step is not None and components.member.is_current:
             await _submit(components, step)
 
 
 def _decide(
     components: process.Components,
-    canary_share: float,
-    trials: TermTrials,
-    upstream: str,
+    exposure: rollout_policy.Exposure,
+    trials: Trials,
+    key: tuple[str, str, int],
     row: rows.RolloutRow,
 ) -> commands.StepRollout | None:
+    upstream = key[0]
     now = components.member.now()
-    new, old = sum_outcomes(
+    sums = sum_outcomes(
         components.discovery.outcomes.totals, upstream, row.target
     )
-    key = (upstream, row.target, row.started_ms)
-    trial = trials.by_rollout.get(key)
+    trial = trials.get(key)
     if trial is None:
         elapsed_s = (_now_ms(components) - row.started_ms) / 1000
         began_at = now - max(0.0, elapsed_s)
-        trial = rollout_policy.RolloutTrial(new=new, old=old, began_at=began_at)
-        trials.by_rollout[key] = trial
+        trial = rollout_policy.RolloutTrial(
+            counted=sums, began_at=began_at, first_seen_at=now
+        )
+        trials[key] = trial
     return rollout_policy.decide(
         upstream,
         row,
         trial,
-        new=new,
-        old=old,
+        sums=sums,
         new_version_serving=_has_ready_endpoint(
             components, upstream, row.target
         ),
-        canary_share=canary_share,
+        exposure=exposure,
         now=now,
     )
 
@@ -113,22 +119,34 @@
 
 
 def sum_outcomes(
-    totals: Mapping[tuple[str, str, int], int], upstream: str, target: str
-) -> tuple[evidence.OutcomeCounts, evidence.OutcomeCounts]:
+    totals: Mapping[tuple[str, str, str, int], int], upstream: str, target: str
+) -> rollout_evidence.Sums:
     """Returns outcome sums of the target and of all other versions.
 
     Args:
-        totals: Outcomes by upstream, version and position in the counts.
+        totals: Outcomes by upstream, version, group and position in the counts.
         upstream: Upstream of the rollout.
         target: Version that is rolled out.
     """
-    new = [0] * len(evidence.OutcomeCounts._fields)
-    old = list(new)
-    for (name, version, position), count in totals.items():
+    new: dict[str, list[int]] = {}
+    old: dict[str, list[int]] = {}
+    for (name, version, group, position), count in totals.items():
         if name == upstream:
-            counts = new if version == target else old
+            by_group = new if version == target else old
+            counts = by_group.setdefault(
+                group, [0] * len(rollout_evidence.Counts._fields)
+            )
             counts[position] += count
-    return evidence.OutcomeCounts(*new), evidence.OutcomeCounts(*old)
+    return rollout_evidence.Sums(_to_counts(new), _to_counts(old))
+
+
+def _to_counts(
+    by_group: dict[str, list[int]],
+) -> dict[str, rollout_evidence.Counts]:
+    return {
+        group: rollout_evidence.Counts(*counts)
+        for group, counts in by_group.items()
+    }
 
 
 def _has_ready_endpoint(
--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -1,6 +1,7 @@
 """Sends a request to one endpoint and processes the answer."""
 
 from _arbutuswalk.base import events
+from _arbutuswalk.relay import attempt_timing
 from _arbutuswalk.relay import delivery
 from _arbutuswalk.relay import endpoint_limits
 from _arbutuswalk.relay import placement
@@ -37,7 +38,7 @@
         exchange: HTTP exchange on the connection.
         started_at: When the attempt started, in seconds.
         unread_tokens: Prompt tokens that the endpoint has not read yet.
-        first_byte_s: Seconds to the first byte of the answer, 0 before.
+        timing: Its latencies.
     """
 
     def __init__(
@@ -53,7 +54,11 @@
         self.endpoint = chosen.endpoint
         self.unread_tokens = chosen.uncached_tokens
         self.started_at = relay.now()
-        self.first_byte_s = 0.0
+        self.timing = attempt_timing.AttemptTiming(
+            relay=relay,
+            request=self.request,
+            version=self.endpoint.version,
+        )
         self.exchange = connections.Exchange(
             expected_id=self.request.id,
             has_body=self.request.method != "HEAD",
@@ -67,6 +72,7 @@
         try:
             result = await self._send()
         finally:
+            self.timing.stop()
             relay.add_load(endpoint_id, -1, -self.unread_tokens)
         self._record_result(result)
         return result
@@ -103,6 +109,7 @@
         self.delivery.on_caller_left = self.exchange.changed.set
         endpoint_limits.record_sent(self.relay, self.endpoint)
         connection.send_request(data, self.exchange)
+        self.timing.start()
         result = await self._receive_answer(connection)
         self._release_connection(connection, result)
         return result
@@ -128,7 +135,6 @@
             early_result = await self._wait_for_progress(deadline)
             if early_result is not None:
                 return early_result
-        self.first_byte_s = self.relay.now() - self.started_at
         reply = self.exchange.reply
         if reply is None:
             return self._record_lost(self.exchange.failure)
@@ -173,6 +179,8 @@
         if not self.exchange.complete:
             return self._record_lost(self.exchange.failure)
         self._count_usage(self.started_at)
+        if self.exchange.status < results.MIN_FAILURE_STATUS:
+            self.timing.record_first_data()
         return results.Answered(
             status=self.exchange.status,
             headers=self.exchange.headers,
@@ -191,8 +199,10 @@
             data = self.exchange.take_body()
             connection.resume_reading()
             if data:
-                if not has_data:
-                    self.first_byte_s = self.relay.now() - self.started_at
+                if has_data:
+                    self.timing.record_further_data(len(data))
+                else:
+                    self.timing.record_first_data()
                     self._record_prompt_read()
                     self._count_usage(self.relay.now())
                 has_data = True
@@ -272,36 +282,18 @@
             f'outcome="{type(result).__name__}"',
             duration_s,
         )
-        self._record_outcome(result, duration_s)
+        self._record_outcome(result)
 
-    def _record_outcome(
-        self, result: results.Result, duration_s: float
-    ) -> None:
-        key = (self.request.upstream, self.endpoint.version)
-        outcomes = self.relay.outcomes.get(key)
-        if outcomes is None:
-            outcomes = self.relay.outcomes[key] = relay_state.Outcomes()
-        if isinstance(
+    def _record_outcome(self, result: results.Result) -> None:
+        ran = not isinstance(
             result, results.NotSent | results.NotRun | results.CallerLeft
-        ):
-            return
-        outcomes.ran += 1
+        )
         succeeded = isinstance(result, results.Delivered) or (
             isinstance(result, results.Answered)
             and result.status < results.MIN_FAILURE_STATUS
         )
-        outcomes.failed += not succeeded
-        self.relay.outlier_detector.record(
-            self.endpoint.id, failed=not succeeded, now=self.relay.now()
-        )
-        if succeeded:
-            rollout = self.relay.rollouts.get(self.request.upstream)
-            is_new_version = (
-                rollout is not None and rollout[0] == self.endpoint.version
-            )
-            outcomes.timed += 1
-            outcomes.slow += self.relay.record_first_byte(
-                self.request.route.name,
-                self.first_byte_s or duration_s,
-                updates_average=not is_new_version,
+        self.timing.record_end(ran=ran, failed=not succeeded)
+        if ran:
+            self.relay.outlier_detector.record(
+                self.endpoint.id, failed=not succeeded, now=self.relay.now()
             )
--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -213,16 +213,7 @@
             },
             "usage": relay.usage.counts,
             **quota_reports.to_json(relay.quota_buckets, relay.now()),
-            "outcomes": [
-                [
-                    *key,
-                    outcomes.ran,
-                    outcomes.failed,
-                    outcomes.timed,
-                    outcomes.slow,
-                ]
-                for key, outcomes in relay.outcomes.items()
-            ],
+            "rollout_outcomes": relay.rollout_outcomes.to_json(),
         }
 
     def _apply_reply(self, feed: ControlFeed, reply: ttypes.WatchReply) -> None:
--- a/src/_arbutuswalk/relay/relay_state.py
+++ b/src/_arbutuswalk/relay/relay_state.py
@@ -13,6 +13,7 @@
 from _arbutuswalk.relay import lateness
 from _arbutuswalk.relay import permit_client
 from _arbutuswalk.relay import request as requests
+from _arbutuswalk.relay import rollout_outcomes
 from _arbutuswalk.relay import usage
 from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory
@@ -30,12 +31,6 @@
 endpoint. Every endpoint has announced itself twice by then."""
 MAX_STARTUP_WAIT_S = 1.0
 """Longest such wait of a single request."""
-FIRST_BYTE_WEIGHT = 0.05
-"""Weight of a new sample in the moving average of the time to the first byte:
-about twenty requests count."""
-SLOW_FIRST_BYTE_FACTOR = 3.0
-"""Multiple of the average time to the first byte above which an answer is slow:
-faulty versions are several times slower."""
 
 
 class Options(NamedTuple):
@@ -65,24 +60,6 @@
     waiting_tokens: int = 0
 
 
-class Outcomes:
-    """Request outcomes of one version of an upstream at this entry.
-
-    Attributes:
-        ran: Requests that ran.
-        failed: Those of them that failed.
-        timed: Those that succeeded, whose time to the first byte is checked.
-        slow: Those of the timed ones whose first byte took several times as
-            long as the average on their route.
-    """
-
-    def __init__(self):
-        self.ran = 0
-        self.failed = 0
-        self.timed = 0
-        self.slow = 0
-
-
 class Relay:
     """State of one entry, shared by the functions of the data path.
 
@@ -111,8 +88,7 @@
         retry_windows: Retry window by upstream.
         quota_buckets: Quota bucket by workspace.
         usage: Started requests by window and workspace.
-        outcomes: Outcomes by (upstream, version).
-        average_first_byte_s: Average time to the first byte, by route.
+        rollout_outcomes: Outcomes of the versions of rollouts.
         rollouts: Rollout rows from control, by upstream.
         entry_count: Entries that share limits, including unreachable ones.
         unreachable_entries: Those of them that control cannot reach.
@@ -157,8 +133,7 @@
         self.retry_windows: dict[str, retries.RetryWindow] = {}
         self.quota_buckets: dict[str, quota.Bucket] = {}
         self.usage = usage.Usage(window_s=options.usage_window_s)
-        self.outcomes: dict[tuple[str, str], Outcomes] = {}
-        self.average_first_byte_s: dict[str, float] = {}
+        self.rollout_outcomes = rollout_outcomes.RolloutOutcomes()
         self.rollouts: dict[str, list] = {}
         self.entry_count = DEFAULT_ENTRY_COUNT
         self.unreachable_entries = 0
@@ -217,28 +192,6 @@
                 return is_known()
         return True
 
-    def record_first_byte(
-        self, route: str, took_s: float, *, updates_average: bool
-    ) -> bool:
-        """Records a time to the first byte.
-
-        Args:
-            route: Name of the route.
-            took_s: Time to the first byte, in seconds.
-            updates_average: Whether to update the average with it; false for
-                a new version.
-
-        Returns:
-            Whether it took several times as long as the average.
-        """
-        average = self.average_first_byte_s.get(route)
-        if updates_average:
-            previous = took_s if average is None else average
-            self.average_first_byte_s[route] = previous + FIRST_BYTE_WEIGHT * (
-                took_s - previous
-            )
-        return average is not None and took_s > SLOW_FIRST_BYTE_FACTOR * average
-
     def retry_window(self, upstream: str) -> retries.RetryWindow:
         """Returns the upstream's retry window, creating it if needed."""
         window = self.retry_windows.get(upstream)
--- a/src/_arbutuswalk/state/rollout_policy.py
+++ b/src/_arbutuswalk/state/rollout_policy.py
@@ -2,20 +2,17 @@
 
 The traffic share of the new version grows in steps over the duration that the
 operator set, as long as no step shows a regression. A version is reverted as
-soon as the evidence of failures or slowness reaches a threshold, or if there
-is no evidence for it at the end.
+soon as the evidence of failures or slowness reaches a threshold, or if it may
+still be twice as slow as the old version at the end.
 """
 
-import math
+from typing import NamedTuple
 
 from _arbutuswalk.state import commands
-from _arbutuswalk.state import evidence
+from _arbutuswalk.state import rollout_evidence
 from _arbutuswalk.state import rollouts
 from _arbutuswalk.state import tables as rows
 
-LOG_EVIDENCE_THRESHOLD = math.log(300)
-"""Log evidence at which a version is reverted. Each of the two tests reverts
-at most one good version in 300."""
 MIN_OUTCOMES_TO_COMPLETE = 3
 """Requests of the new version required before it is completed."""
 MIN_STEP_INTERVAL_S = 0.7
@@ -23,33 +20,61 @@
 propagate."""
 FIRST_SHARE_CANARY_FRACTION = 0.6
 """Fraction of the permitted canary share that the first step uses."""
-SHARE_SCHEDULE = ((0.0, None), (0.5, 200), (0.6, 500), (0.7, 1000))
-"""Fraction of the duration from which a share, in per mille, is permitted. The
-first share, None, is derived from the permitted canary share."""
-COMPLETION_FRACTION = 0.85
+FIRST_SHARE_CANARY_EXTRA_FRACTION = 0.4
+"""Fraction of the permitted extra requests that the first step uses."""
+MAX_FIRST_SHARE = 0.45
+RATE_BASELINE_S = 1.0
+"""Time after which entries know of a rollout and count requests."""
+RATE_MEASUREMENT_S = 1.5
+"""Time over which the rate of requests is measured."""
+SHARE_SCHEDULE = ((0.6, 200), (0.72, 500), (0.8, 1000))
+"""Fraction of the duration from which a share, in per mille, is permitted. All
+requests to a bad version count, also those before its first bad answer: most of
+them are sent in the last steps, which are as short as the reports allow."""
+UNDOUBTED_SHARE_PER_MILLE = 500
+"""Share from which a version must be shown not to be twice as slow."""
+COMPLETION_FRACTION = 0.92
 """Fraction of the duration from which a version with all traffic is
 completed."""
 FULL_SHARE_PER_MILLE = 1000
 
 
+class Exposure(NamedTuple):
+    """Requests that a bad version may get until the deadline.
+
+    Attributes:
+        share: Share of all requests.
+        extra: Requests in addition.
+    """
+
+    share: float
+    extra: float
+
+
 class RolloutTrial:
     """Evidence on one rollout.
 
     Attributes:
         evidence: Tests of the new version against the old one.
         began_at: Start of the rollout on the local clock, in seconds.
+        first_seen_at: When this process began to count, in seconds.
+        rate_baseline: Time and number of requests from which their rate is
+            measured, None before.
         last_step_at: Time of the last change of the share, in seconds.
     """
 
     def __init__(
         self,
         *,
-        new: evidence.OutcomeCounts,
-        old: evidence.OutcomeCounts,
+        counted: rollout_evidence.Sums,
         began_at: float,
+        first_seen_at: float,
     ):
-        self.evidence = evidence.Evidence(new=new, old=old)
+        self.evidence = rollout_evidence.Evidence(counted=counted)
         self.began_at = began_at
+        self.first_seen_at = first_seen_at
+        self.rate_baseline: tuple[float, int] | None = None
+        self.first_share = 0
         self.last_step_at = began_at
 
 
@@ -58,10 +83,9 @@
     row: rows.RolloutRow,
     trial: RolloutTrial,
     *,
-    new: evidence.OutcomeCounts,
-    old: evidence.OutcomeCounts,
+    sums: rollout_evidence.Sums,
     new_version_serving: bool,
-    canary_share: float,
+    exposure: Exposure,
     now: float,
 ) -> commands.StepRollout | None:
     """Returns the step that is due, if one is.
@@ -70,16 +94,13 @@
         upstream: Upstream of the rollout.
         row: Current state of the rollout.
         trial: Evidence so far; updated with the new counts.
-        new: Counts of the new version.
-        old: Counts of all other versions.
+        sums: Counts of the new version and of all others.
         new_version_serving: Whether endpoints of the new version serve.
-        canary_share: Fraction of all requests that a bad version may get.
+        exposure: Requests that a bad version may get.
         now: Current time in seconds.
     """
-    evidence.update_tests(trial.evidence, new, old)
-    regression = evidence.find_regression(
-        trial.evidence, LOG_EVIDENCE_THRESHOLD
-    )
+    rollout_evidence.update(trial.evidence, sums)
+    regression = rollout_evidence.find_regression(trial.evidence)
     if regression:
         return _make_step(upstream, row, rollouts.REVERTED, 0, regression)
     elapsed_fraction = (now - trial.began_at) / max(
@@ -92,18 +113,19 @@
         or now - trial.last_step_at < MIN_STEP_INTERVAL_S
     ):
         return None
-    share = _scheduled_share(elapsed_fraction, canary_share, row.share)
-    if share > row.share:
+    obstacle = _find_obstacle(trial)
+    first_share = _first_share(row, trial, exposure, now)
+    share = _scheduled_share(elapsed_fraction, first_share, row.share)
+    if share > row.share and not (
+        share >= UNDOUBTED_SHARE_PER_MILLE and obstacle
+    ):
         trial.last_step_at = now
-        reason = f"{trial.evidence.errors.new_ran} ran without a fault"
+        reason = f"{trial.evidence.new_total.ran} ran without a fault"
         return _make_step(upstream, row, rollouts.GROWING, share, reason)
-    has_enough_outcomes = (
-        trial.evidence.errors.new_ran >= MIN_OUTCOMES_TO_COMPLETE
-    )
     if (
         row.share == FULL_SHARE_PER_MILLE
         and elapsed_fraction >= COMPLETION_FRACTION
-        and has_enough_outcomes
+        and not obstacle
     ):
         return _make_step(
             upstream,
@@ -115,28 +137,58 @@
     return None
 
 
+def _first_share(
+    row: rows.RolloutRow, trial: RolloutTrial, exposure: Exposure, now: float
+) -> int:
+    """Returns the share of the first step, in per mille.
+
+    The fewer requests there are, the larger is the share that the extra
+    requests permit, and that is needed for enough evidence.
+    """
+    if trial.first_share:
+        return trial.first_share
+    share = exposure.share * FIRST_SHARE_CANARY_FRACTION
+    rate = _measure_rate(trial, now)
+    if rate:
+        extra = exposure.extra * FIRST_SHARE_CANARY_EXTRA_FRACTION
+        share += extra / (rate * row.duration_ms / 1000)
+        share = min(share, max(MAX_FIRST_SHARE, exposure.share))
+    per_mille = max(1, int(share * FULL_SHARE_PER_MILLE))
+    if rate:
+        trial.first_share = per_mille
+    return per_mille
+
+
+def _measure_rate(trial: RolloutTrial, now: float) -> float:
+    """Returns the requests per second, 0 while it is unknown."""
+    seen = trial.evidence.seen
+    if trial.rate_baseline is None:
+        if now - trial.first_seen_at >= RATE_BASELINE_S:
+            trial.rate_baseline = now, seen
+        return 0.0
+    measured_from, seen_before = trial.rate_baseline
+    if now - measured_from < RATE_MEASUREMENT_S:
+        return 0.0
+    return (seen - seen_before) / (now - measured_from)
+
+
 def _scheduled_share(
-    elapsed_fraction: float, canary_share: float, current: int
+    elapsed_fraction: float, first_share: int, current: int
 ) -> int:
     """Returns the next share if its time has come, else the current one."""
-    first_share = max(
-        1,
-        int(canary_share * FIRST_SHARE_CANARY_FRACTION * FULL_SHARE_PER_MILLE),
-    )
+    if current < first_share:
+        return first_share
     for start_fraction, share in SHARE_SCHEDULE:
-        next_share = share or first_share
-        if next_share > current:
-            return next_share if elapsed_fraction >= start_fraction else current
+        if share > current:
+            return share if elapsed_fraction >= start_fraction else current
     return current
 
 
 def _final_step(
     upstream: str, row: rows.RolloutRow, trial: RolloutTrial
 ) -> commands.StepRollout:
-    if (
-        row.share == FULL_SHARE_PER_MILLE
-        and trial.evidence.errors.new_ran >= MIN_OUTCOMES_TO_COMPLETE
-    ):
+    obstacle = _find_obstacle(trial)
+    if row.share >= UNDOUBTED_SHARE_PER_MILLE and not obstacle:
         return _make_step(
             upstream,
             row,
@@ -144,10 +196,18 @@
             FULL_SHARE_PER_MILLE,
             "time is up",
         )
-    reason = f"time is up at {row.share} per mille"
+    reason = f"time is up at {row.share} per mille {obstacle}".strip()
     return _make_step(upstream, row, rollouts.REVERTED, 0, reason)
 
 
+def _find_obstacle(trial: RolloutTrial) -> str:
+    """Describes what prevents the completion; empty if nothing does."""
+    ran = trial.evidence.new_total.ran
+    if ran < MIN_OUTCOMES_TO_COMPLETE:
+        return f"{ran} ran"
+    return rollout_evidence.find_doubt(trial.evidence)
+
+
 def _make_step(
     upstream: str, row: rows.RolloutRow, state: str, share: int, reason: str
 ) -> commands.StepRollout:
--- a/testing/test_decisions.py
+++ b/testing/test_decisions.py
@@ -9,7 +9,7 @@
 from _arbutuswalk.routing import outliers
 from _arbutuswalk.routing import recent_parts
 from _arbutuswalk.routing import selection
-from _arbutuswalk.state import evidence
+from _arbutuswalk.state import rollout_evidence
 from _arbutuswalk.state import rollout_policy
 from _arbutuswalk.state import rollouts
 from _arbutuswalk.state import routeconfig
@@ -364,11 +364,11 @@
         self.old_rate = old_rate
         self.row = rows.RolloutRow("v2", "growing", 0, 0, 0, 12000, 0, "")
         self.trial = rollout_policy.RolloutTrial(
-            new=evidence.OutcomeCounts(),
-            old=evidence.OutcomeCounts(),
+            counted=rollout_evidence.Sums({}, {}),
             began_at=0.0,
+            first_seen_at=0.0,
         )
-        self.counts = {"v1": [0] * 4, "v2": [0] * 4}
+        self.counts = {"v1": [0] * 3, "v2": [0] * 3}
         self.history = []
         self.new_requests = 0
         self.requests = 0
@@ -387,17 +387,18 @@
                 self.request(share, now)
             new_version_serving = now > 4.0
             counts_by_version = {
-                version: evidence.OutcomeCounts(*counts)
+                version: {"r/0": rollout_evidence.Counts(*counts)}
                 for version, counts in self.counts.items()
             }
             step = rollout_policy.decide(
                 "u",
                 self.row,
                 self.trial,
-                new=counts_by_version["v2"],
-                old=counts_by_version["v1"],
+                sums=rollout_evidence.Sums(
+                    counts_by_version["v2"], counts_by_version["v1"]
+                ),
                 new_version_serving=new_version_serving,
-                canary_share=0.1,
+                exposure=rollout_policy.Exposure(share=0.1, extra=50),
                 now=now,
             )
             if step is not None:
--- a/testing/test_duties.py
+++ b/testing/test_duties.py
@@ -18,7 +18,7 @@
 from _arbutuswalk.control import shared_pools
 from _arbutuswalk.control import usage_reports
 from _arbutuswalk.routing import directory
-from _arbutuswalk.state import evidence
+from _arbutuswalk.state import rollout_evidence
 from _arbutuswalk.state import tables as rows
 from _arbutuswalk.wire import compressed_json
 from _arbutuswalk.wire.gen.arbutus import ttypes
@@ -269,25 +269,32 @@
         discovery = components.discovery
         components.member.time += 1.0
         for entry, failed in (("e1", 0), ("e2", 500), ("e1", 3)):
-            outcomes = [["u", "v1", 1000 + failed, failed, 0, 0]]
-            message = watch(discovery, entry, uptime_s=9.0, outcomes=outcomes)
+            outcomes = [["u", "v1", "r/0", 1000 + failed, failed]]
+            message = watch(
+                discovery, entry, uptime_s=9.0, rollout_outcomes=outcomes
+            )
             discovery._record_watch(message, 0)
         new, old = rollouts.sum_outcomes(discovery.outcomes.totals, "u", "v2")
-        assert new == evidence.OutcomeCounts()
-        assert old == evidence.OutcomeCounts(ran=3, failed=3)
+        assert new == {}
+        assert old == {"r/0": rollout_evidence.Counts(ran=3, failed=3)}
 
     def test_outcomes_of_an_entry_that_ended_stay_counted(self):
         components = make_components()
         discovery = components.discovery
         components.member.time += 1.0
-        outcomes = [["u", "v2", 9, 1, 8, 2]]
-        message = watch(discovery, "e1", uptime_s=0.5, outcomes=outcomes)
+        counts = [9, 1, 8, 2, 1, 6, 3, 2]
+        message = watch(
+            discovery,
+            "e1",
+            uptime_s=0.5,
+            rollout_outcomes=[["u", "v2", "r/0", *counts]],
+        )
         discovery._record_watch(message, 0)
         components.member.time += discoveries.ENTRY_RETENTION_S + 1
         discovery.remove_expired()
         new, old = rollouts.sum_outcomes(discovery.outcomes.totals, "u", "v2")
-        assert new == evidence.OutcomeCounts(9, 1, 8, 2)
-        assert old == evidence.OutcomeCounts()
+        assert new == {"r/0": rollout_evidence.Counts(*counts)}
+        assert old == {}
 
     def test_the_entry_count_of_a_new_process_is_the_restored_one(self):
         components = make_components()
