--- a/src/_arbutuswalk/state/rollout_evidence.py
+++ b/src/_arbutuswalk/state/rollout_evidence.py
@@ -15,6 +15,8 @@
 LOG_EVIDENCE_THRESHOLD = math.log(300)
 """Log evidence at which a version is reverted. The tests of all requests revert
 at most one good version in 300 each, those of the groups as many together."""
+LOG_DOUBT_THRESHOLD = math.log(20)
+"""Log evidence at which a version is not completed and gets no larger share."""
 MAX_DOUBT = 0.1
 """Highest probability that a version whose median latency has doubled has so
 few doubled latencies."""
@@ -109,14 +111,13 @@
                 test.update(block)
 
 
-def find_regression(evidence: Evidence) -> str:
-    """Describes a test at or above its threshold; empty if there is none."""
-    groups = len(evidence.new) - 1
+def find_regression(
+    evidence: Evidence, threshold: float = LOG_EVIDENCE_THRESHOLD
+) -> str:
+    """Describes a test at or above a threshold; empty if there is none."""
+    group_threshold = threshold + math.log(max(1, len(evidence.new) - 1))
     for (group, kind), test in evidence.tests.items():
-        threshold = LOG_EVIDENCE_THRESHOLD
-        if group:
-            threshold += math.log(max(1, groups))
-        if test.log_evidence >= threshold:
+        if test.log_evidence >= (group_threshold if group else threshold):
             return (
                 f"{kind}{' of ' * bool(group)}{group}: {test.new_failed} of"
                 f" {test.new_ran} new, {test.old_failed} of {test.old_ran} old"
@@ -125,7 +126,7 @@
 
 
 def find_doubt(evidence: Evidence) -> str:
-    """Describes why the version may be twice as slow; empty if it is not."""
+    """Describes why the version may be faulty; empty if it is not."""
     total = evidence.new_total
     old_total = evidence.old_total
     if not total.first_timed and old_total.ran > old_total.failed:
@@ -137,7 +138,7 @@
         timed, doubled = counts.pace_timed, counts.pace_doubled
         if timed >= MIN_STREAMS and 2 * doubled >= timed:
             return f"pace of {group or 'all'}: {doubled} of {timed} doubled"
-    return ""
+    return find_regression(evidence, LOG_DOUBT_THRESHOLD)
 
 
 def _probability_if_doubled(timed: int, doubled: int) -> float:
--- a/testing/test_rollout_speed.py
+++ b/testing/test_rollout_speed.py
@@ -196,6 +196,13 @@
         evidence = make_evidence((9, 0), (9, 9))
         assert not rollout_evidence.find_doubt(evidence)
 
+    def test_evidence_short_of_a_reversal_prevents_completion(self):
+        evidence = make_evidence(
+            (60, 0, 60, 0, 5, 60, 6, 6), (300, 0, 300, 0, 20, 300, 4, 4)
+        )
+        assert not rollout_evidence.find_regression(evidence)
+        assert "slow pace" in rollout_evidence.find_doubt(evidence)
+
     def test_streams_at_half_the_pace_prevent_completion(self):
         evidence = make_evidence((9, 0, 9, 0, 0, 4, 0, 2), (9, 0, 9, 0, 0))
         assert "pace" in rollout_evidence.find_doubt(evidence)
