Order no endpoints while a rollout's given-up version still runs

Cause: orders are suspended during a rollout and were resumed at the moment of its reversal, with two versions running. At 8.08 s b and c were ordered to 6 each while 5 + 5 ran there; six endpoints of v1 left at once and two were gone; v2's leaving endpoints then counted as reclaims, so that on-demand ones were ordered and fewer reclaimable ones in the same seconds.

Change: orders wait until no endpoint of the given-up version is ready, 15 s at most, and its leaving endpoints are not reclaims.

--- a/src/_arbutuswalk/control/scaling.py
+++ b/src/_arbutuswalk/control/scaling.py
@@ -5,11 +5,16 @@
 from _arbutuswalk.state import rollouts
 from _arbutuswalk.state import routeconfig
 from _arbutuswalk.state import scaling_policy
+from _arbutuswalk.state import tables
 
 ENDPOINT_SILENCE_TIMEOUT_S = 4.0
 """Time without an announcement after which an endpoint no longer counts as
 serving: three missed heartbeats of 1.2 s."""
 
+MAX_VERSION_OVERLAP_S = 15.0
+"""Time after the end of a rollout in which the platform stops the endpoints of
+the version that was given up."""
+
 
 class Fleets:
     """Fleet of each upstream, kept while this process holds the duty.
@@ -42,16 +47,18 @@
     loads = components.discovery.loads()
     due_orders = []
     for upstream in _scaling_upstreams(components, fleets):
-        if _is_rolling_out(components, upstream.name):
-            # Two versions run in parallel; neither is surplus.
-            continue
         rows = [
             row
             for row in components.discovery.directory.rows.values()
             if row.endpoint.upstream == upstream.name
         ]
+        if _is_rolling_out(components, upstream.name, rows):
+            # Two versions run in parallel; neither is surplus.
+            continue
         fleet = fleets.fleet(upstream.name)
-        _record_reclaims(fleet, fleets.reclaimed, rows, now)
+        rollout = components.member.tables.rollouts.get(upstream.name)
+        kept = [row for row in rows if not _is_given_up(rollout, row.endpoint)]
+        _record_reclaims(fleet, fleets.reclaimed, kept, now)
         running = sum(loads.get(row.endpoint.id, (0, 0))[0] for row in rows)
         scaling_policy.record_load(fleet, running, now)
         orders = scaling_policy.decide(
@@ -91,21 +98,47 @@
             scaling_policy.record_reclaim(fleet, endpoint.domain, now)
 
 
-def _is_rolling_out(components: process.Components, upstream: str) -> bool:
-    row = components.member.tables.rollouts.get(upstream)
-    return row is not None and row.state == rollouts.GROWING
+def _is_rolling_out(
+    components: process.Components, upstream: str, rows: list[directory.Row]
+) -> bool:
+    """Returns whether endpoints of two versions run because of a rollout.
+
+    The platform counts those of both, and would remove endpoints of the version
+    that is kept in favour of those that it is about to stop anyway.
+    """
+    rollout = components.member.tables.rollouts.get(upstream)
+    if rollout is None:
+        return False
+    if rollout.state == rollouts.GROWING:
+        return True
+    ended_s = components.member.wall() - rollout.changed_ms / 1000
+    return ended_s < MAX_VERSION_OVERLAP_S and any(
+        row.endpoint.state == directory.READY
+        and _is_given_up(rollout, row.endpoint)
+        for row in rows
+    )
+
+
+def _is_given_up(
+    rollout: tables.RolloutRow | None, endpoint: directory.Endpoint
+) -> bool:
+    """Returns whether the platform stops an endpoint after a rollout."""
+    if rollout is None or rollout.state == rollouts.GROWING:
+        return False
+    is_target = endpoint.version == rollout.target
+    return is_target == (rollout.state == rollouts.REVERTED)
 
 
 def _scaling_upstreams(
     components: process.Components, fleets: Fleets
 ) -> list[routeconfig.Upstream]:
-    tables = components.member.tables
-    if tables.routes is None:
+    state = components.member.tables
+    if state.routes is None:
         return []
-    if fleets.routes_version != tables.routes_version:
+    if fleets.routes_version != state.routes_version:
         # Tables hold tuples until a restart, and lists afterwards.
-        fleets.config = routeconfig.from_json(tables.routes)
-        fleets.routes_version = tables.routes_version
+        fleets.config = routeconfig.from_json(state.routes)
+        fleets.routes_version = state.routes_version
     return [
         upstream for upstream in fleets.config.upstreams if upstream.scaling
     ]
