Do not wait for silent endpoints of the given-up version

Endpoints that stop without a notice stay in the directory until they have been silent for a while; orders would have waited for them after each completion.

--- a/src/_arbutuswalk/control/scaling.py
+++ b/src/_arbutuswalk/control/scaling.py
@@ -111,10 +111,10 @@
         return False
     if rollout.state == rollouts.GROWING:
         return True
+    now = components.member.now()
     ended_s = components.member.wall() - rollout.changed_ms / 1000
     return ended_s < MAX_VERSION_OVERLAP_S and any(
-        row.endpoint.state == directory.READY
-        and _is_given_up(rollout, row.endpoint)
+        _is_serving(row, now) and _is_given_up(rollout, row.endpoint)
         for row in rows
     )
 
@@ -144,16 +144,20 @@
     ]
 
 
+def _is_serving(row: directory.Row, now: float) -> bool:
+    return (
+        row.endpoint.state == directory.READY
+        and now - row.announced_at <= ENDPOINT_SILENCE_TIMEOUT_S
+    )
+
+
 def _count_ready(
     rows: list[directory.Row], now: float
 ) -> dict[scaling_policy.PoolKey, int]:
     counts: dict[scaling_policy.PoolKey, int] = {}
     for row in rows:
         endpoint = row.endpoint
-        if (
-            endpoint.state != directory.READY
-            or now - row.announced_at > ENDPOINT_SILENCE_TIMEOUT_S
-        ):
+        if not _is_serving(row, now):
             continue
         key = (endpoint.domain, endpoint.reclaimable)
         counts[key] = counts.get(key, 0) + 1
--- a/testing/test_scaling_rollouts.py
+++ b/testing/test_scaling_rollouts.py
@@ -72,6 +72,12 @@
         components.member.wall_s += scaling.MAX_VERSION_OVERLAP_S
         assert scaling.decide_orders(components, scaling.Fleets())
 
+    def test_silent_endpoints_of_the_old_version_block_no_orders(self):
+        components = make_components(rollouts.COMPLETED)
+        components.member.time += scaling.ENDPOINT_SILENCE_TIMEOUT_S + 0.1
+        announce_all(components, "v2", directory.READY, 2)
+        assert scaling.decide_orders(components, scaling.Fleets())
+
     def test_the_end_of_the_given_up_version_is_no_reclaim(self):
         components = make_components(rollouts.REVERTED)
         fleets = scaling.Fleets()
