Demand more of many latencies before a rollout is completed

A bad version that is completed breaks EXPOSURE and a good one that is reverted costs its duty, hence the stricter bound.

--- a/src/_arbutuswalk/state/rollout_evidence.py
+++ b/src/_arbutuswalk/state/rollout_evidence.py
@@ -17,9 +17,13 @@
 at most one good version in 300 each, those of the groups as many together."""
 LOG_DOUBT_THRESHOLD = math.log(20)
 """Log evidence at which a version is not completed and gets no larger share."""
-MAX_DOUBT = 0.1
+MAX_DOUBT = 0.02
 """Highest probability that a version whose median latency has doubled has so
 few doubled latencies."""
+MAX_DOUBT_OF_FEW = 0.1
+"""The same where a good version could hardly show less."""
+FEW_LATENCIES = 20
+"""Number of latencies below which that holds."""
 MIN_STREAMS = 4
 """Streams of a group from which half of them at half the pace prevent the
 completion."""
@@ -132,7 +136,8 @@
     if not total.first_timed and old_total.ran > old_total.failed:
         return "no latency could be compared"
     timed, doubled = total.first_timed, total.first_doubled
-    if timed and _probability_if_doubled(timed, doubled) > MAX_DOUBT:
+    max_doubt = MAX_DOUBT_OF_FEW if timed < FEW_LATENCIES else MAX_DOUBT
+    if timed and _probability_if_doubled(timed, doubled) > max_doubt:
         return f"first data: {doubled} of {timed} doubled"
     for group, counts in evidence.new.items():
         timed, doubled = counts.pace_timed, counts.pace_doubled
--- a/testing/test_rollout_speed.py
+++ b/testing/test_rollout_speed.py
@@ -174,7 +174,9 @@
         [
             (3, 0, True),
             (4, 0, False),
-            (20, 5, False),
+            (19, 5, False),
+            (20, 4, False),
+            (20, 5, True),
             (20, 8, True),
             (500, 200, False),
             (500, 240, True),
