Run identical suspects of an entry in turn, and look again at dispatch

Two callers of one suspect at one entry shared its reservation. If the first had killed the upstream, the second was refused by it and ended the reservation before the death was reported, so that the request was not convicted and killed another upstream. A request that waited in a queue while its fingerprint became a suspect ran beside others; one that was convicted meanwhile kept its slot. Cancelled waits for a reservation end it.

--- a/src/_arbutuswalk/entry/crash_quarantine.py
+++ b/src/_arbutuswalk/entry/crash_quarantine.py
@@ -205,6 +205,19 @@
         await asyncio.sleep(PROBE_INTERVAL_S)
 
 
+def may_share(
+    entry: entry_state.Entry, request: model_requests.ModelRequest
+) -> bool:
+    """Returns whether a request may run beside others at this moment."""
+    fingerprint = request.fingerprint
+    held_until = entry.unconfirmed_until.get(fingerprint, 0.0)
+    return not (
+        entry.now() < held_until
+        or entry.is_suspect(fingerprint)
+        or entry.convicted_until_ms(fingerprint)
+    )
+
+
 def add_peer_suspects(
     entry: entry_state.Entry, fingerprints: list[str]
 ) -> None:
@@ -232,24 +245,71 @@
     *,
     avoid: frozenset[str],
 ) -> upstreams.Row | answer.Problem | None:
-    """Reserves an upstream for a suspect; None when the deadline passes."""
-    while entry.now() < request.deadline:
-        rows = _isolation_candidates(entry, request)
-        rows.sort(key=lambda row: (row.key in avoid, row.load))
-        if rows:
-            row = rows[0]
-            outcome = await _isolate(entry, row, request)
-            if isinstance(outcome, outcomes.Convicted):
-                return convicted_problem(request, outcome.until_ms)
-            if isinstance(outcome, outcomes.Granted):
-                if await _wait_until_exclusive(entry, row, request):
-                    placement.reserve(row, request)
-                    return row
-                await release_isolation(entry, request, cleared=False)
+    """Reserves an upstream for a suspect.
+
+    Identical requests of an entry take turns: the reservation must last until
+    it is known whether the upstream survived the one that runs there.
+
+    Returns:
+        The upstream, a refusal, or None if the deadline has passed or the
+        request is no suspect any more.
+    """
+    try:
+        return await _place_in_turn(entry, request, avoid)
+    except asyncio.CancelledError:
+        release_isolation_in_background(entry, request)
+        raise
+
+
+async def _place_in_turn(
+    entry: entry_state.Entry,
+    request: model_requests.ModelRequest,
+    avoid: frozenset[str],
+) -> upstreams.Row | answer.Problem | None:
+    fingerprint = request.fingerprint
+    while entry.now() < request.deadline and entry.is_suspect(fingerprint):
+        until_ms = entry.convicted_until_ms(fingerprint)
+        if until_ms:
+            return convicted_problem(request, until_ms)
+        holder = entry.isolating.setdefault(fingerprint, request.request_id)
+        if holder == request.request_id:
+            placed = await _try_to_isolate(entry, request, avoid)
+            if placed is not None:
+                return placed
         await asyncio.sleep(POLL_INTERVAL_S)
+    _end_turn(entry, request)
     return None
 
 
+async def _try_to_isolate(
+    entry: entry_state.Entry,
+    request: model_requests.ModelRequest,
+    avoid: frozenset[str],
+) -> upstreams.Row | answer.Problem | None:
+    rows = _isolation_candidates(entry, request)
+    if not rows:
+        return None
+    row = min(rows, key=lambda row: (row.key in avoid, row.load))
+    outcome = await _isolate(entry, row, request)
+    if isinstance(outcome, outcomes.Convicted):
+        _end_turn(entry, request)
+        return convicted_problem(request, outcome.until_ms)
+    if isinstance(outcome, outcomes.Granted):
+        if await _wait_until_exclusive(entry, row):
+            placement.reserve(row, request)
+            return row
+        await release_isolation(entry, request, cleared=False)
+    return None
+
+
+def _end_turn(
+    entry: entry_state.Entry, request: model_requests.ModelRequest
+) -> None:
+    """Lets the next identical request of this entry be isolated."""
+    if entry.isolating.get(request.fingerprint) == request.request_id:
+        del entry.isolating[request.fingerprint]
+
+
 def _isolation_candidates(
     entry: entry_state.Entry, request: model_requests.ModelRequest
 ) -> list[upstreams.Row]:
@@ -264,30 +324,24 @@
 
 
 async def _wait_until_exclusive(
-    entry: entry_state.Entry,
-    row: upstreams.Row,
-    request: model_requests.ModelRequest,
+    entry: entry_state.Entry, row: upstreams.Row
 ) -> bool:
     """Waits until no entry runs another request on a reserved upstream.
 
     Otherwise a second death there would not prove which request caused it.
     """
     deadline = entry.now() + EXCLUSIVE_TIMEOUT_S
-    try:
-        while entry.now() < deadline:
-            reply = await entry.control.read(
-                "alone", row.announcement["id"], timeout_s=CONTROL_TIMEOUT_S
-            )
-            if _is_replaced(entry, row):
-                return False
-            if row.health(entry.now()) is not upstreams.Health.USABLE:
-                return False
-            if isinstance(reply, dict) and reply["alone"]:
-                return True
-            await asyncio.sleep(POLL_INTERVAL_S)
-    except asyncio.CancelledError:
-        release_isolation_in_background(entry, request)
-        raise
+    while entry.now() < deadline:
+        reply = await entry.control.read(
+            "alone", row.announcement["id"], timeout_s=CONTROL_TIMEOUT_S
+        )
+        if _is_replaced(entry, row):
+            return False
+        if row.health(entry.now()) is not upstreams.Health.USABLE:
+            return False
+        if isinstance(reply, dict) and reply["alone"]:
+            return True
+        await asyncio.sleep(POLL_INTERVAL_S)
     return False
 
 
@@ -358,6 +412,7 @@
     """
     upstream_id, request.isolated_upstream = request.isolated_upstream, ""
     if not upstream_id:
+        _end_turn(entry, request)
         return
     row = entry.upstreams.rows.get(upstream_id)
     if row is not None and row.isolated == request.fingerprint:
@@ -368,6 +423,15 @@
         commands.Release(request.fingerprint, upstream_id, cleared),
         timeout_s=CONTROL_TIMEOUT_S,
     )
+    _end_turn(entry, request)
+
+
+def end_conviction(
+    entry: entry_state.Entry, request: model_requests.ModelRequest
+) -> None:
+    """Ends the turn of a convicted request, whose reservation has ended."""
+    request.isolated_upstream = ""
+    _end_turn(entry, request)
 
 
 def release_isolation_in_background(
--- a/src/_arbutuswalk/entry/entry_state.py
+++ b/src/_arbutuswalk/entry/entry_state.py
@@ -52,6 +52,8 @@
             fingerprint.
         unconfirmed_until: Time until which resends of a request wait, as its
             upstream may have died, by fingerprint.
+        isolating: Id of the request that holds the reservation of a suspect,
+            or waits for it, by fingerprint.
         death_reports: Death reports by upstream key.
         copies: Requests held for other entries, by request id.
         peer_links: Links to other entries, by address.
@@ -104,6 +106,7 @@
         self.local_suspects: set[str] = set()
         self.peer_suspects: dict[str, float] = {}
         self.unconfirmed_until: dict[str, float] = {}
+        self.isolating: dict[str, str] = {}
         self.death_reports: dict[str, Any] = {}
         self.copies: dict[str, Any] = {}
         self.peer_links: dict[str, link.Link] = {}
--- a/src/_arbutuswalk/entry/execution.py
+++ b/src/_arbutuswalk/entry/execution.py
@@ -93,25 +93,49 @@
 async def _reserve_upstream(
     state: RunState,
 ) -> upstreams.Row | answer.Problem | None:
+    """Reserves an upstream; None if the deadline passes first.
+
+    A request that becomes a suspect while it is queued leaves the queue.
+    """
+    entry, request = state.entry, state.request
+    while entry.now() < request.deadline:
+        await crash_quarantine.wait_while_unconfirmed(entry, request)
+        until_ms = entry.convicted_until_ms(request.fingerprint)
+        if until_ms:
+            _leave_queue(state)
+            return crash_quarantine.convicted_problem(request, until_ms)
+        if entry.is_suspect(request.fingerprint):
+            _leave_queue(state)
+            placed = await crash_quarantine.place_isolated(
+                entry, request, avoid=frozenset(state.avoid)
+            )
+            if placed is not None:
+                return placed
+            continue
+        row = await _reserve_shared_upstream(state)
+        if row is None or crash_quarantine.may_share(entry, request):
+            return row
+        placement.release(entry, row, request)
+    return None
+
+
+def _leave_queue(state: RunState) -> None:
+    ticket, state.ticket = state.ticket, None
+    state.row_to_retry = None
+    if ticket is not None:
+        placement.leave_queue(state.entry, ticket)
+
+
+async def _reserve_shared_upstream(state: RunState) -> upstreams.Row | None:
     entry, request = state.entry, state.request
-    await crash_quarantine.wait_while_unconfirmed(entry, request)
-    until_ms = entry.convicted_until_ms(request.fingerprint)
-    if until_ms:
-        return crash_quarantine.convicted_problem(request, until_ms)
-    avoid = frozenset(state.avoid)
     row_to_retry, state.row_to_retry = state.row_to_retry, None
     ticket, state.ticket = state.ticket, None
-    if entry.is_suspect(request.fingerprint):
-        if ticket is not None:
-            placement.leave_queue(entry, ticket)
-        return await crash_quarantine.place_isolated(
-            entry, request, avoid=avoid
-        )
     now = entry.now()
     if row_to_retry and row_to_retry.health(now) is upstreams.Health.USABLE:
         placement.reserve(row_to_retry, request)
         return row_to_retry
     if ticket is None:
+        avoid = frozenset(state.avoid)
         ticket = placement.enqueue(entry, request, avoid=avoid)
     return await placement.wait_for_placement(entry, request, ticket)
 
@@ -235,6 +259,7 @@
     # An attempt lost with its upstream is no sign of overload.
     state.budget_exempt = died or _is_leaving_or_moved(state, row, result)
     if blamed == request.fingerprint:
+        crash_quarantine.end_conviction(entry, request)
         until_ms = entry.convicted_until_ms(request.fingerprint)
         request.answer.fail(
             crash_quarantine.convicted_problem(request, until_ms)
