--- a/src/_arbutuswalk/entry/crash_quarantine.py
+++ b/src/_arbutuswalk/entry/crash_quarantine.py
@@ -144,6 +144,7 @@
         timeout_s=CONTROL_TIMEOUT_S,
     )
     if isinstance(outcome, outcomes.Convicted):
+        record_conviction(entry, outcome)
         entry.local_suspects -= fingerprints
         events.warn(
             events.Event.SUSPECT_CONVICTED,
@@ -154,6 +155,17 @@
     return ""
 
 
+def record_conviction(
+    entry: entry_state.Entry, conviction: outcomes.Convicted
+) -> None:
+    """Refuses a convicted request from now on, ahead of the view."""
+    now_ms = entry.wall() * clock.MS_PER_S
+    for fingerprint, until_ms in list(entry.own_convictions.items()):
+        if until_ms <= now_ms:
+            del entry.own_convictions[fingerprint]
+    entry.own_convictions[conviction.fingerprint] = conviction.until_ms
+
+
 def announce_lost_attempt(
     entry: entry_state.Entry, row: upstreams.Row, fingerprint: str
 ) -> None:
@@ -292,6 +304,7 @@
     row = min(rows, key=lambda row: (row.key in avoid, row.load))
     outcome = await _isolate(entry, row, request)
     if isinstance(outcome, outcomes.Convicted):
+        record_conviction(entry, outcome)
         _end_turn(entry, request)
         return convicted_problem(request, outcome.until_ms)
     if isinstance(outcome, outcomes.Granted):
--- a/src/_arbutuswalk/entry/entry_state.py
+++ b/src/_arbutuswalk/entry/entry_state.py
@@ -52,6 +52,8 @@
             fingerprint.
         unconfirmed_until: Time until which resends of a request wait, as its
             upstream may have died, by fingerprint.
+        own_convictions: Ends of convictions that control told this entry,
+            ahead of the view, in Unix milliseconds, by fingerprint.
         isolating: Id of the request that holds the reservation of a suspect,
             or waits for it, by fingerprint.
         death_reports: Death reports by upstream key.
@@ -106,6 +108,7 @@
         self.local_suspects: set[str] = set()
         self.peer_suspects: dict[str, float] = {}
         self.unconfirmed_until: dict[str, float] = {}
+        self.own_convictions: dict[str, int] = {}
         self.isolating: dict[str, str] = {}
         self.death_reports: dict[str, Any] = {}
         self.copies: dict[str, Any] = {}
@@ -206,6 +209,9 @@
     def convicted_until_ms(self, fingerprint: str) -> int:
         """Returns when a conviction ends, zero if there is none."""
         convicted = self.view.get("quarantine", {}).get("convicted", {})
-        until_ms = convicted.get(fingerprint, 0)
+        until_ms = max(
+            convicted.get(fingerprint, 0),
+            self.own_convictions.get(fingerprint, 0),
+        )
         now_ms = self.wall() * clock.MS_PER_S
         return until_ms if until_ms > now_ms else 0
--- a/testing/test_crash_quarantine.py
+++ b/testing/test_crash_quarantine.py
@@ -15,6 +15,7 @@
 from _arbutuswalk.entry import placement
 from _arbutuswalk.entry import upstream_announcements
 from _arbutuswalk.routing import upstreams
+from _arbutuswalk.state import commands
 from _arbutuswalk.streams import attempts
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
@@ -252,3 +253,26 @@
         request = make_request(entries[0])
         refusal = placement.early_refusal(entries[0], request)
         assert refusal.title == "no upstream"
+
+
+class TestConvictions:
+    def test_convicted_request_is_refused_before_the_view_tells(
+        self, loop, entries
+    ):
+        """The view of the entry is older than the first of both deaths."""
+        entry = entries[0]
+        fingerprint = make_request(entry).fingerprint
+        control = entry.control.control
+        control.commit(commands.ReportDeath("u0", 1, [fingerprint]))
+        control.commit(commands.Isolate(fingerprint, "u1", 1, entry.name))
+        announcement = entry_fixtures.make_announcement("u1", "model")
+        upstreams.announce(
+            entry.upstreams, announcement, announced_at=loop.time()
+        )
+        row = entry.upstreams.rows["u1"]
+        row.unconfirmed_crashes.add(fingerprint)
+        blamed = loop.run_until_complete(
+            crash_quarantine.report_death(entry, row)
+        )
+        assert blamed == fingerprint
+        assert entry.convicted_until_ms(fingerprint)
