Convict only on the report of the entry that isolated the request

An entry that did not know of a death yet could reserve the dead upstream for a suspect. The late report of that death by another entry then met the reservation and convicted the request after one death, although others may have run beside it there. Reports name their entry; control has to be upgraded before the entries.

--- a/src/_arbutuswalk/entry/crash_quarantine.py
+++ b/src/_arbutuswalk/entry/crash_quarantine.py
@@ -140,6 +140,7 @@
             row.announcement["id"],
             row.announcement["incarnation"],
             sorted(fingerprints),
+            entry.name,
         ),
         timeout_s=CONTROL_TIMEOUT_S,
     )
--- a/src/_arbutuswalk/state/commands.py
+++ b/src/_arbutuswalk/state/commands.py
@@ -99,11 +99,19 @@
 
 
 class ReportDeath(NamedTuple):
-    """Reports an unannounced death and the requests running at that time."""
+    """Reports an unannounced death and the requests running at that time.
+
+    Attributes:
+        upstream: Id of the upstream.
+        incarnation: Its incarnation.
+        fingerprints: Requests that the entry ran there.
+        entry: The reporting entry, empty in logs older than the field.
+    """
 
     upstream: str
     incarnation: int
     fingerprints: list[str]
+    entry: str = ""
 
 
 class StepMove(NamedTuple):
--- a/src/_arbutuswalk/state/quarantine.py
+++ b/src/_arbutuswalk/state/quarantine.py
@@ -67,13 +67,18 @@
 
     A suspect is convicted only if it ran alone: the report of the entry that
     isolated it names no other request, and no other entry reported one before.
+    Another entry's report is of what ran there before the reservation.
     Otherwise all requests that ran there become suspects, including those
     that other entries reported before the isolating entry's own report.
     """
     death = f"{command.upstream}/{command.incarnation}"
     row = tables.deaths.get(death, rows.DeathRow(tables.time_ms, "", []))
     isolation = tables.isolations.get(command.upstream)
-    ran_alone = isolation and command.fingerprints == [isolation.fingerprint]
+    ran_alone = (
+        isolation
+        and command.fingerprints == [isolation.fingerprint]
+        and command.entry in (isolation.entry, "")
+    )
     if ran_alone and not row.waiting and not row.blamed:
         del tables.isolations[command.upstream]
         row = _convict(tables, row, isolation.fingerprint)
--- a/testing/test_state.py
+++ b/testing/test_state.py
@@ -148,6 +148,14 @@
         assert tables.convicted == {}
         assert set(tables.suspects) == {"f", "other"}
 
+    def test_death_before_the_reservation_convicts_nobody(self, tables):
+        """A late report of the first death; another entry made the reservation
+        on the dead upstream, of whose death it did not know."""
+        apply(tables, commands.Isolate("f", "v", 1, "e"))
+        apply(tables, commands.ReportDeath("v", 1, ["f"], "other"))
+        assert tables.convicted == {}
+        assert set(tables.suspects) == {"f"}
+
     def test_dead_incarnation_cannot_be_reserved(self, tables):
         report(tables, "v", "f")
         assert isinstance(isolate(tables, "f", "v"), outcomes.Stale)
