Ask peers what ran on an upstream that refuses connections

An entry that is refused or reports a death now asks the others what they ran there, and places nothing of the same name until they have answered, at most 0.3 s; those requests are held until their entry knows, or become suspects if it has reported the death already.

--- a/src/_arbutuswalk/entry/crash_quarantine.py
+++ b/src/_arbutuswalk/entry/crash_quarantine.py
@@ -1,14 +1,14 @@
 """Detects upstream deaths and isolates requests suspected of causing them."""
 
 import asyncio
+from typing import NamedTuple
 
 from _arbutuswalk.base import clock
 from _arbutuswalk.base import events
-from _arbutuswalk.entry import control_client
 from _arbutuswalk.entry import entry_state
 from _arbutuswalk.entry import model_requests
+from _arbutuswalk.entry import peer_inquiries
 from _arbutuswalk.entry import peer_updates
-from _arbutuswalk.entry import placement
 from _arbutuswalk.routing import upstreams
 from _arbutuswalk.state import commands
 from _arbutuswalk.state import outcomes
@@ -20,15 +20,12 @@
 PROBE_REQUEST = b"HEAD / HTTP/1.1\r\nHost: probe\r\nConnection: close\r\n\r\n"
 CONTROL_TIMEOUT_S = 5.0
 POLL_INTERVAL_S = 0.05
-EXCLUSIVE_TIMEOUT_S = 3.0
 PEER_SUSPECT_TTL_S = 2.0
 """How long a suspect reported by another entry counts. This is longer than a
 report takes to be committed and to reach every view."""
 UNCONFIRMED_TTL_S = 0.7
 """How long a resend waits for the probe of an upstream on which the request
 broke: the probe's time-out, and time for the messages."""
-MAX_ISOLATED_FRACTION = 0.34
-"""Maximum fraction of an upstream name's instances reserved for suspects."""
 _REFUSED, _ANSWERED, _NO_ANSWER = "refused", "open", "no answer"
 
 
@@ -44,7 +41,7 @@
     if probe == _REFUSED:
         return True
     if probe == _ANSWERED and not row.isolated:
-        return _is_replaced(entry, row)  # has a newer incarnation
+        return is_replaced(entry, row)  # has a newer incarnation
     if probe == _ANSWERED:
         return await _was_restarted(entry, row, broke_at)
     while entry.now() - row.announced_at < upstreams.SUSPECT_AFTER_S:
@@ -62,7 +59,7 @@
     A process that died and was restarted immediately answers a probe.
     """
     while entry.now() - broke_at < upstreams.GONE_AFTER_S:
-        if _is_replaced(entry, row):
+        if is_replaced(entry, row):
             return True
         if row.announced_at > broke_at:
             return False
@@ -100,10 +97,23 @@
         writer.close()
 
 
-def _is_replaced(entry: entry_state.Entry, row: upstreams.Row) -> bool:
+def is_replaced(entry: entry_state.Entry, row: upstreams.Row) -> bool:
+    """Returns whether a row is no longer the newest of its upstream."""
     return entry.upstreams.rows.get(row.announcement["id"]) is not row
 
 
+class DeathReport(NamedTuple):
+    """A death that this entry reports.
+
+    Attributes:
+        fingerprints: Requests that this entry ran there.
+        task: Submits the report; returns the fingerprint blamed.
+    """
+
+    fingerprints: set[str]
+    task: asyncio.Future
+
+
 async def report_death(entry: entry_state.Entry, row: upstreams.Row) -> str:
     """Reports an unannounced death once, with all requests that ran there.
 
@@ -112,21 +122,21 @@
     """
     report = entry.death_reports.get(row.key)
     if report is None:
-        report = asyncio.ensure_future(_submit_death_report(entry, row))
+        fingerprints = peer_inquiries.running_on(entry, row)
+        report = DeathReport(
+            fingerprints,
+            asyncio.ensure_future(
+                _submit_death_report(entry, row, fingerprints)
+            ),
+        )
         entry.death_reports[row.key] = report
-    return await asyncio.shield(report)
+        start_inquiry(entry, row)
+    return await asyncio.shield(report.task)
 
 
 async def _submit_death_report(
-    entry: entry_state.Entry, row: upstreams.Row
+    entry: entry_state.Entry, row: upstreams.Row, fingerprints: set[str]
 ) -> str:
-    # Attempts that broke before this report count as well: the request that
-    # caused the crash need not be the first whose connection ended.
-    fingerprints = set(row.unconfirmed_crashes)
-    for request_id in row.active_attempts:
-        request = entry.requests.get(request_id)
-        if request is not None:
-            fingerprints.add(request.fingerprint)
     entry.local_suspects |= fingerprints
     peer_updates.send_to_peers(
         entry,
@@ -204,28 +214,61 @@
         entry.unconfirmed_until.pop(fingerprint, None)
 
 
+def start_inquiry(entry: entry_state.Entry, row: upstreams.Row) -> None:
+    """Asks the other entries what they ran on an upstream that is gone."""
+    if row.key in entry.inquiries:
+        return
+
+    async def ask() -> None:
+        try:
+            found = await peer_inquiries.ask(entry, row.key)
+        finally:
+            del entry.inquiries[row.key]
+        hold_resends(entry, sorted(found.running))
+        add_peer_suspects(entry, sorted(found.suspects))
+
+    task = asyncio.ensure_future(ask())
+    entry.track_task(task)
+    entry.inquiries[row.key] = peer_inquiries.Inquiry(row.name, task)
+
+
+async def hold_requests_on(
+    entry: entry_state.Entry, row: upstreams.Row
+) -> None:
+    """Holds resends of all requests that run on an upstream that is gone.
+
+    Nothing else of its name is placed until the other entries have answered.
+    """
+    start_inquiry(entry, row)
+    await asyncio.shield(entry.inquiries[row.key].task)
+
+
 async def wait_while_unconfirmed(
     entry: entry_state.Entry, request: model_requests.ModelRequest
 ) -> None:
     """Waits while the request may have crashed an upstream moments ago."""
-    fingerprint = request.fingerprint
-    while (
-        entry.now()
-        < min(entry.unconfirmed_until.get(fingerprint, 0.0), request.deadline)
-        and not entry.is_suspect(fingerprint)
-        and not entry.convicted_until_ms(fingerprint)
-    ):
+    while entry.now() < request.deadline and _is_held(entry, request):
         await asyncio.sleep(PROBE_INTERVAL_S)
 
 
+def _is_held(
+    entry: entry_state.Entry, request: model_requests.ModelRequest
+) -> bool:
+    fingerprint = request.fingerprint
+    if entry.is_suspect(fingerprint) or entry.convicted_until_ms(fingerprint):
+        return False
+    return entry.now() < entry.unconfirmed_until.get(
+        fingerprint, 0.0
+    ) or peer_inquiries.is_open(entry, request.upstream)
+
+
 def may_share(
     entry: entry_state.Entry, request: model_requests.ModelRequest
 ) -> bool:
     """Returns whether a request may run beside others at this moment."""
     fingerprint = request.fingerprint
-    held_until = entry.unconfirmed_until.get(fingerprint, 0.0)
     return not (
-        entry.now() < held_until
+        _is_held(entry, request)
         or entry.is_suspect(fingerprint)
         or entry.convicted_until_ms(fingerprint)
     )
@@ -252,113 +295,6 @@
                 del expiry_times[fingerprint]
 
 
-async def place_isolated(
-    entry: entry_state.Entry,
-    request: model_requests.ModelRequest,
-    *,
-    avoid: frozenset[str],
-) -> upstreams.Row | answer.Problem | None:
-    """Reserves an upstream for a suspect.
-
-    Identical requests of an entry take turns: the reservation must last until
-    it is known whether the upstream survived the one that runs there.
-
-    Returns:
-        The upstream, a refusal, or None if the deadline has passed or the
-        request is no suspect any more.
-    """
-    try:
-        return await _place_in_turn(entry, request, avoid)
-    except asyncio.CancelledError:
-        release_isolation_in_background(entry, request)
-        raise
-
-
-async def _place_in_turn(
-    entry: entry_state.Entry,
-    request: model_requests.ModelRequest,
-    avoid: frozenset[str],
-) -> upstreams.Row | answer.Problem | None:
-    fingerprint = request.fingerprint
-    while entry.now() < request.deadline and entry.is_suspect(fingerprint):
-        until_ms = entry.convicted_until_ms(fingerprint)
-        if until_ms:
-            return convicted_problem(request, until_ms)
-        holder = entry.isolating.setdefault(fingerprint, request.request_id)
-        if holder == request.request_id:
-            placed = await _try_to_isolate(entry, request, avoid)
-            if placed is not None:
-                return placed
-        await asyncio.sleep(POLL_INTERVAL_S)
-    _end_turn(entry, request)
-    return None
-
-
-async def _try_to_isolate(
-    entry: entry_state.Entry,
-    request: model_requests.ModelRequest,
-    avoid: frozenset[str],
-) -> upstreams.Row | answer.Problem | None:
-    rows = _isolation_candidates(entry, request)
-    if not rows:
-        return None
-    row = min(rows, key=lambda row: (row.key in avoid, row.load))
-    outcome = await _isolate(entry, row, request)
-    if isinstance(outcome, outcomes.Convicted):
-        record_conviction(entry, outcome)
-        _end_turn(entry, request)
-        return convicted_problem(request, outcome.until_ms)
-    if isinstance(outcome, outcomes.Granted):
-        if await _wait_until_exclusive(entry, row):
-            placement.reserve(row, request)
-            return row
-        await release_isolation(entry, request, cleared=False)
-    return None
-
-
-def _end_turn(
-    entry: entry_state.Entry, request: model_requests.ModelRequest
-) -> None:
-    """Lets the next identical request of this entry be isolated."""
-    if entry.isolating.get(request.fingerprint) == request.request_id:
-        del entry.isolating[request.fingerprint]
-
-
-def _isolation_candidates(
-    entry: entry_state.Entry, request: model_requests.ModelRequest
-) -> list[upstreams.Row]:
-    """Returns upstreams that may be reserved, within the maximum fraction."""
-    rows = placement.candidates(
-        entry, request.upstream, request.route, request.request_id
-    )
-    instances = entry.upstreams.rows_for(request.upstream)
-    isolated = sum(bool(row.isolated) for row in instances)
-    max_isolated = max(1, int(len(instances) * MAX_ISOLATED_FRACTION))
-    return rows if isolated < max_isolated else []
-
-
-async def _wait_until_exclusive(
-    entry: entry_state.Entry, row: upstreams.Row
-) -> bool:
-    """Waits until no entry runs another request on a reserved upstream.
-
-    Otherwise a second death there would not prove which request caused it.
-    """
-    deadline = entry.now() + EXCLUSIVE_TIMEOUT_S
-    while entry.now() < deadline:
-        reply = await entry.control.read(
-            "alone", row.announcement["id"], timeout_s=CONTROL_TIMEOUT_S
-        )
-        if _is_replaced(entry, row):
-            return False
-        if row.health(entry.now()) is not upstreams.Health.USABLE:
-            return False
-        if isinstance(reply, dict) and reply["alone"]:
-            return True
-        await asyncio.sleep(POLL_INTERVAL_S)
-    return False
-
-
 def occupied_upstreams(entry: entry_state.Entry) -> list[str]:
     """Returns ids of upstreams that run a request of this entry.
 
@@ -385,79 +321,6 @@
                 request.move_requested.set()
 
 
-async def _isolate(
-    entry: entry_state.Entry,
-    row: upstreams.Row,
-    request: model_requests.ModelRequest,
-) -> object:
-    request.isolated_upstream = row.announcement["id"]
-    outcome = await entry.control.submit(
-        commands.Isolate(
-            request.fingerprint,
-            row.announcement["id"],
-            row.announcement["incarnation"],
-            entry.name,
-        ),
-        timeout_s=CONTROL_TIMEOUT_S,
-    )
-    if isinstance(outcome, outcomes.Granted):
-        row.isolated = request.fingerprint
-    elif isinstance(outcome, control_client.Unreachable):
-        await release_isolation(entry, request, cleared=False)
-    else:
-        request.isolated_upstream = ""
-    if isinstance(outcome, outcomes.Stale) and not _is_replaced(entry, row):
-        entry.upstreams.remove(
-            row.announcement["id"]
-        )  # its death is already recorded
-    return outcome
-
-
-async def release_isolation(
-    entry: entry_state.Entry,
-    request: model_requests.ModelRequest,
-    *,
-    cleared: bool,
-) -> None:
-    """Ends the isolation of a request, if it has one.
-
-    After a death the report has already ended it. Releasing it again is
-    harmless, while an isolation that remained would block the upstream.
-    """
-    upstream_id, request.isolated_upstream = request.isolated_upstream, ""
-    if not upstream_id:
-        _end_turn(entry, request)
-        return
-    row = entry.upstreams.rows.get(upstream_id)
-    if row is not None and row.isolated == request.fingerprint:
-        row.isolated = ""
-    if cleared:
-        entry.local_suspects.discard(request.fingerprint)
-    await entry.control.submit(
-        commands.Release(request.fingerprint, upstream_id, cleared),
-        timeout_s=CONTROL_TIMEOUT_S,
-    )
-    _end_turn(entry, request)
-
-
-def end_conviction(
-    entry: entry_state.Entry, request: model_requests.ModelRequest
-) -> None:
-    """Ends the turn of a convicted request, whose reservation has ended."""
-    request.isolated_upstream = ""
-    _end_turn(entry, request)
-
-
-def release_isolation_in_background(
-    entry: entry_state.Entry, request: model_requests.ModelRequest
-) -> None:
-    """Ends the isolation of a cancelled request in the background."""
-    task = asyncio.ensure_future(
-        release_isolation(entry, request, cleared=False)
-    )
-    entry.track_task(task)
-
-
 def convicted_problem(
     request: model_requests.ModelRequest, until_ms: int
 ) -> answer.Problem:
--- a/src/_arbutuswalk/entry/entry_state.py
+++ b/src/_arbutuswalk/entry/entry_state.py
@@ -56,6 +56,8 @@
             ahead of the view, in Unix milliseconds, by fingerprint.
         isolating: Id of the request that holds the reservation of a suspect,
             or waits for it, by fingerprint.
+        inquiries: Unanswered inquiries about upstreams that are gone, by
+            upstream key.
         death_reports: Death reports by upstream key.
         copies: Requests held for other entries, by request id.
         peer_links: Links to other entries, by address.
@@ -110,6 +112,7 @@
         self.unconfirmed_until: dict[str, float] = {}
         self.own_convictions: dict[str, int] = {}
         self.isolating: dict[str, str] = {}
+        self.inquiries: dict[str, Any] = {}
         self.death_reports: dict[str, Any] = {}
         self.copies: dict[str, Any] = {}
         self.peer_links: dict[str, link.Link] = {}
--- a/src/_arbutuswalk/entry/execution.py
+++ b/src/_arbutuswalk/entry/execution.py
@@ -4,8 +4,10 @@
 import uuid
 
 from _arbutuswalk.base import events
+from _arbutuswalk.entry import attempt_metrics
 from _arbutuswalk.entry import crash_quarantine
 from _arbutuswalk.entry import entry_state
+from _arbutuswalk.entry import isolation
 from _arbutuswalk.entry import migration
 from _arbutuswalk.entry import model_requests
 from _arbutuswalk.entry import placement
@@ -106,7 +108,7 @@
             return crash_quarantine.convicted_problem(request, until_ms)
         if entry.is_suspect(request.fingerprint):
             _leave_queue(state)
-            placed = await crash_quarantine.place_isolated(
+            placed = await isolation.place_isolated(
                 entry, request, avoid=frozenset(state.avoid)
             )
             if placed is not None:
@@ -155,7 +157,9 @@
     def on_events(new_events: list[bytes]) -> None:
         if not first_token_s:
             first_token_s.append(entry.now() - started)
-            _record_latency(entry, row, "first_token", first_token_s[0])
+            attempt_metrics.record_latency(
+                entry, row, "first_token", first_token_s[0]
+            )
         request.answer.add(new_events)
 
     try:
@@ -166,7 +170,7 @@
                 entry, row, request.fingerprint
             )
     except asyncio.CancelledError:
-        crash_quarantine.release_isolation_in_background(entry, request)
+        isolation.release_isolation_in_background(entry, request)
         raise
     finally:
         placement.release(entry, row, request)
@@ -180,7 +184,9 @@
         len(request.answer.events) - events_before,
         entry.now() - started,
     )
-    _count_recomputed_tokens(state, result, events_before)
+    attempt_metrics.count_recomputed_tokens(
+        entry, request, result, events_before
+    )
     _record_outcome(state, row, result, first_token_s)
     await _handle_result(state, row, result)
 
@@ -245,12 +251,16 @@
     entry, request = state.entry, state.request
     if isinstance(result, attempts.Completed):
         request.answer.finish()
-        await crash_quarantine.release_isolation(entry, request, cleared=True)
+        await isolation.release_isolation(entry, request, cleared=True)
         return
     reason = f"{type(result).__name__}: {result}"
     events.log(events.Event.ATTEMPT_FAILED, request.request_id, row.key, reason)
     entry.metrics.count("attempts_failed", f'kind="{type(result).__name__}"')
     _add_to_history(state, f"ended by {type(result).__name__}")
+    if isinstance(result, attempts.NotConnected):
+        row.failed_at = entry.now()
+        if result.refused:
+            await crash_quarantine.hold_requests_on(entry, row)
     died, blamed = await _report_if_dead(state, row, result)
     if not died and request.fingerprint in row.unconfirmed_crashes:
         row.unconfirmed_crashes.discard(request.fingerprint)
@@ -259,13 +269,13 @@
     # An attempt lost with its upstream is no sign of overload.
     state.budget_exempt = died or _is_leaving_or_moved(state, row, result)
     if blamed == request.fingerprint:
-        crash_quarantine.end_conviction(entry, request)
+        isolation.end_conviction(entry, request)
         until_ms = entry.convicted_until_ms(request.fingerprint)
         request.answer.fail(
             crash_quarantine.convicted_problem(request, until_ms)
         )
         return
-    await crash_quarantine.release_isolation(entry, request, cleared=False)
+    await isolation.release_isolation(entry, request, cleared=False)
     _prepare_retry(state, row, result)
 
 
@@ -280,8 +290,6 @@
         # The connection may be at fault rather than the upstream. Its cache
         # is warm, so it is tried once more before any other.
         state.row_to_retry = row
-    if isinstance(result, attempts.NotConnected):
-        row.failed_at = state.entry.now()
     state.avoid.add(row.key)
     if isinstance(result, attempts.Declined):
         _count_declined(state, result)
@@ -355,32 +363,6 @@
         events.warn(events.Event.VERSION_CUT_OFF, *outcome_key)
 
 
-def _count_recomputed_tokens(
-    state: RunState, result: attempts.Result, events_before: int
-) -> None:
-    """Counts prompt and delivered tokens that a later attempt recomputed."""
-    request = state.request
-    if request.attempts <= 1 or isinstance(result, attempts.NotConnected):
-        return
-    cached_tokens = getattr(result, "cached_tokens", 0)
-    known_tokens = request.features.prompt_tokens + events_before
-    state.entry.metrics.count(
-        "recomputed_tokens", amount=max(0, known_tokens - cached_tokens)
-    )
-    if events_before:
-        state.entry.metrics.count("resumed")
-        events.log(
-            events.Event.STREAM_CONTINUED, request.request_id, "", events_before
-        )
-
-
-def _record_latency(
-    entry: entry_state.Entry, row: upstreams.Row, name: str, seconds: float
-) -> None:
-    labels = f'upstream="{row.name}",version="{row.announcement["version"]}"'
-    entry.metrics.record(name, labels, seconds)
-
-
 def _add_to_history(state: RunState, text: str) -> None:
     elapsed_s = state.entry.now() - state.request.accepted_at
     state.request.history.append(f"{elapsed_s:.3f} s: {text}")
--- a/src/_arbutuswalk/entry/link_handler.py
+++ b/src/_arbutuswalk/entry/link_handler.py
@@ -5,6 +5,7 @@
 
 from _arbutuswalk.entry import control_client
 from _arbutuswalk.entry import entry_state
+from _arbutuswalk.entry import peer_inquiries
 from _arbutuswalk.entry import request_copies
 from _arbutuswalk.entry import upstream_announcements
 from _arbutuswalk.wire.gen.arbutus import ttypes
@@ -38,6 +39,11 @@
             )
         if isinstance(message, ttypes.Read) and message.query == "explain":
             return _explain(entry, message.argument or "")
+        if (
+            isinstance(message, ttypes.Read)
+            and message.query == peer_inquiries.QUERY
+        ):
+            return peer_inquiries.answer(entry, message.argument or "")
         if type(message) in _REPLY_TYPES:
             return await _relay(entry, message)
         return None
--- a/src/_arbutuswalk/streams/attempts.py
+++ b/src/_arbutuswalk/streams/attempts.py
@@ -65,9 +65,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class NotConnected:
-    """No connection was opened; the upstream received nothing."""
+    """No connection was opened; the upstream received nothing.
+
+    Attributes:
+        reason: Why not.
+        refused: Whether the connection was refused, so that no process runs.
+    """
 
     reason: str
+    refused: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -200,7 +206,9 @@
         order.address, read_reply=read_reply, timeout_s=deadlines.connect_s
     )
     if isinstance(connection, pool.NotOpened):
-        return NotConnected(reason=connection.reason)
+        return NotConnected(
+            reason=connection.reason, refused=connection.refused
+        )
     state.abort = connection.abort
     connection.send_request(_encode_request(order), state.exchange)
     try:
--- a/testing/crash_cluster.py
+++ b/testing/crash_cluster.py
@@ -216,7 +216,7 @@
         if runner not in self.alive:
             if is_poison:
                 self.log(f"{order.request_id} refused by {runner}")
-            return attempts.NotConnected(reason="refused")
+            return attempts.NotConnected(reason="refused", refused=True)
         if is_poison:
             self.alive.remove(runner)
             self.deaths.append((self.loop.time(), name, runner))
--- a/testing/test_crash_quarantine.py
+++ b/testing/test_crash_quarantine.py
@@ -10,7 +10,9 @@
 
 from _arbutuswalk.entry import crash_quarantine
 from _arbutuswalk.entry import execution
+from _arbutuswalk.entry import link_handler
 from _arbutuswalk.entry import model_requests
+from _arbutuswalk.entry import peer_inquiries
 from _arbutuswalk.entry import peer_updates
 from _arbutuswalk.entry import placement
 from _arbutuswalk.entry import upstream_announcements
@@ -226,6 +228,87 @@
         assert entry.now() == started
 
 
+class TestInquiries:
+    """An upstream refuses a connection, so its process is gone."""
+
+    @pytest.fixture
+    def row(self, loop, entries):
+        """An upstream that both entries know, as the second knows it."""
+        announcement = entry_fixtures.make_announcement("u0", "model")
+        for entry in entries:
+            upstreams.announce(
+                entry.upstreams, announcement, announced_at=loop.time()
+            )
+        return entries[1].upstreams.rows["u0"]
+
+    def link_to_handler(self, entries, monkeypatch):
+        class Link:
+            async def call(self, message, *, timeout_s):
+                await asyncio.sleep(0.01)
+                return await link_handler.make_handler(entries[1])(message)
+
+        monkeypatch.setattr(entries[0], "link_to", lambda address: Link())
+
+    def test_a_request_that_runs_there_at_a_peer_is_held(
+        self, loop, entries, monkeypatch, row
+    ):
+        self.link_to_handler(entries, monkeypatch)
+        running, broken = make_request(entries[1]), "broken"
+        entries[1].requests[running.request_id] = running
+        placement.reserve(row, running)
+        row.unconfirmed_crashes.add(broken)
+        entry_fixtures.refresh(entries[0], entries[0].control.control)
+        loop.run_until_complete(
+            crash_quarantine.hold_requests_on(
+                entries[0], entries[0].upstreams.rows["u0"]
+            )
+        )
+        assert set(entries[0].unconfirmed_until) == {
+            running.fingerprint,
+            broken,
+        }
+
+    def test_a_request_of_a_reported_death_becomes_a_suspect(
+        self, loop, entries, monkeypatch, row
+    ):
+        """The peer's own message about it may still be under way."""
+        self.link_to_handler(entries, monkeypatch)
+        row.unconfirmed_crashes.add("f")
+        loop.run_until_complete(crash_quarantine.report_death(entries[1], row))
+        entry_fixtures.refresh(entries[0], entries[0].control.control)
+        loop.run_until_complete(
+            crash_quarantine.hold_requests_on(
+                entries[0], entries[0].upstreams.rows["u0"]
+            )
+        )
+        assert entries[0].is_suspect("f")
+
+    def test_nothing_is_placed_until_the_peers_have_answered(
+        self, loop, entries, monkeypatch, row
+    ):
+        self.link_to_handler(entries, monkeypatch)
+        entry = entries[0]
+        entry_fixtures.refresh(entry, entry.control.control)
+        request = make_request(entry)
+
+        async def ask():
+            crash_quarantine.start_inquiry(entry, row)
+            assert not crash_quarantine.may_share(entry, request)
+            await crash_quarantine.wait_while_unconfirmed(entry, request)
+
+        loop.run_until_complete(ask())
+        assert crash_quarantine.may_share(entry, request)
+
+    def test_a_peer_that_does_not_answer_delays_nothing_for_long(
+        self, loop, entries, row
+    ):
+        entry = entries[0]
+        entry_fixtures.refresh(entry, entry.control.control)
+        started = entry.now()
+        loop.run_until_complete(crash_quarantine.hold_requests_on(entry, row))
+        assert entry.now() - started <= peer_inquiries.ANSWER_TIMEOUT_S + 0.1
+
+
 class TestReservations:
     def test_request_waits_while_the_last_upstream_is_reserved(
         self, loop, entries
--- a/testing/test_state.py
+++ b/testing/test_state.py
@@ -149,8 +149,7 @@
         assert set(tables.suspects) == {"f", "other"}
 
     def test_death_before_the_reservation_convicts_nobody(self, tables):
-        """A late report of the first death; another entry made the reservation
-        on the dead upstream, of whose death it did not know."""
+        """An entry that did not know of a death reserved the dead upstream."""
         apply(tables, commands.Isolate("f", "v", 1, "e"))
         apply(tables, commands.ReportDeath("v", 1, ["f"], "other"))
         assert tables.convicted == {}
