Hold resends until the probe has ended, and suspect them without news

A resend waited 0.7 s, while the decision takes 1.5 s where a dead upstream refuses no connection, as when its machine is gone. They now wait as long as the decision may take, and become suspects if no news came by then. The bound of test_a_resend_is_not_held_for_longer_than_a_probe_takes is this constant, so it rises from 0.8 to 1.8 s; the request that broke waits as long itself.

--- a/src/_arbutuswalk/entry/crash_quarantine.py
+++ b/src/_arbutuswalk/entry/crash_quarantine.py
@@ -23,9 +23,10 @@
 PEER_SUSPECT_TTL_S = 2.0
 """How long a suspect reported by another entry counts. This is longer than a
 report takes to be committed and to reach every view."""
-UNCONFIRMED_TTL_S = 0.7
-"""How long a resend waits for the probe of an upstream on which the request
-broke: the probe's time-out, and time for the messages."""
+UNCONFIRMED_TTL_S = upstreams.SUSPECT_AFTER_S + 0.2
+"""How long a resend waits until it is known whether the upstream on which the
+request broke has died: the longest time of ``is_dead`` for an upstream that is
+not reserved, and time for the messages."""
 _REFUSED, _ANSWERED, _NO_ANSWER = "refused", "open", "no answer"
 
 
@@ -249,6 +250,7 @@
     """Waits while the request may have crashed an upstream moments ago."""
     while entry.now() < request.deadline and _is_held(entry, request):
         await asyncio.sleep(PROBE_INTERVAL_S)
+        _suspect_unsettled(entry)
 
 
 def _is_held(
@@ -289,10 +291,19 @@
 def expire_peer_suspects(entry: entry_state.Entry) -> None:
     """Drops expired suspects of other entries' reports and held resends."""
     now = entry.now()
-    for expiry_times in (entry.peer_suspects, entry.unconfirmed_until):
-        for fingerprint, expires_at in list(expiry_times.items()):
-            if expires_at <= now:
-                del expiry_times[fingerprint]
+    for fingerprint, expires_at in list(entry.peer_suspects.items()):
+        if expires_at <= now:
+            del entry.peer_suspects[fingerprint]
+    _suspect_unsettled(entry)
+
+
+def _suspect_unsettled(entry: entry_state.Entry) -> None:
+    """Makes suspects of held requests of which no news came in time."""
+    now = entry.now()
+    for fingerprint, expires_at in list(entry.unconfirmed_until.items()):
+        if expires_at <= now:
+            del entry.unconfirmed_until[fingerprint]
+            add_peer_suspects(entry, [fingerprint])
 
 
 def occupied_upstreams(entry: entry_state.Entry) -> list[str]:
--- a/testing/test_crash_quarantine.py
+++ b/testing/test_crash_quarantine.py
@@ -212,6 +212,18 @@
         held_s = loop.run_until_complete(self.held_for(linked_entries[1]))
         assert held_s <= crash_quarantine.UNCONFIRMED_TTL_S + 0.1
 
+    @pytest.mark.parametrize("index", [0, 1], ids=["same", "peer"])
+    def test_a_held_resend_without_news_does_not_run_beside_others(
+        self, loop, linked_entries, monkeypatch, index
+    ):
+        """All held resends would run at once, each on another upstream."""
+        self.lose_attempt(
+            loop, linked_entries[0], monkeypatch, probe_s=9.0, is_dead=False
+        )
+        entry = linked_entries[index]
+        loop.run_until_complete(self.held_for(entry))
+        assert entry.is_suspect(make_request(entry).fingerprint)
+
     def test_other_requests_are_not_held(
         self, loop, linked_entries, monkeypatch
     ):
