Report a death until control answers

A death report that control did not answer in 5 s was given up. The report and its suspects are sent again for a minute, and the reservation is kept meanwhile; requests wait for it until their deadline at most.

--- a/src/_arbutuswalk/entry/crash_quarantine.py
+++ b/src/_arbutuswalk/entry/crash_quarantine.py
@@ -1,10 +1,12 @@
 """Detects upstream deaths and isolates requests suspected of causing them."""
 
 import asyncio
+from typing import Any
 from typing import NamedTuple
 
 from _arbutuswalk.base import clock
 from _arbutuswalk.base import events
+from _arbutuswalk.entry import control_client
 from _arbutuswalk.entry import entry_state
 from _arbutuswalk.entry import model_requests
 from _arbutuswalk.entry import peer_inquiries
@@ -19,6 +21,7 @@
 """Interval between probes of an upstream that accepts but does not answer."""
 PROBE_REQUEST = b"HEAD / HTTP/1.1\r\nHost: probe\r\nConnection: close\r\n\r\n"
 CONTROL_TIMEOUT_S = 5.0
+MAX_REPORT_TIME_S = 60.0
 POLL_INTERVAL_S = 0.05
 PEER_SUSPECT_TTL_S = 2.0
 """How long a suspect reported by another entry counts. This is longer than a
@@ -139,21 +142,17 @@
     entry: entry_state.Entry, row: upstreams.Row, fingerprints: set[str]
 ) -> str:
     entry.local_suspects |= fingerprints
-    peer_updates.send_to_peers(
-        entry,
-        {"kind": peer_updates.SUSPECTS, "fingerprints": sorted(fingerprints)},
-    )
     if entry.upstreams.rows.get(row.announcement["id"]) is row:
         entry.upstreams.remove(row.announcement["id"])
     events.warn(events.Event.UPSTREAM_GONE, row.announcement["id"], "died")
-    outcome = await entry.control.submit(
+    outcome = await _submit_until_answered(
+        entry,
         commands.ReportDeath(
             row.announcement["id"],
             row.announcement["incarnation"],
             sorted(fingerprints),
             entry.name,
         ),
-        timeout_s=CONTROL_TIMEOUT_S,
     )
     if isinstance(outcome, outcomes.Convicted):
         record_conviction(entry, outcome)
@@ -167,6 +166,46 @@
     return ""
 
 
+async def _submit_until_answered(
+    entry: entry_state.Entry, report: commands.ReportDeath
+) -> object:
+    """Submits a death report until control answers, or for a limited time.
+
+    A repeated report changes nothing. Until it is committed, the peers have
+    its suspects from this entry only.
+    """
+    update = {
+        "kind": peer_updates.SUSPECTS,
+        "fingerprints": report.fingerprints,
+    }
+    peer_updates.send_to_peers(entry, update)
+    news = asyncio.ensure_future(_repeat_update(entry, update))
+    ends_at = entry.now() + MAX_REPORT_TIME_S
+    try:
+        while True:
+            outcome = await entry.control.submit(
+                report, timeout_s=CONTROL_TIMEOUT_S
+            )
+            if not isinstance(outcome, control_client.Unreachable):
+                return outcome
+            events.warn(
+                events.Event.DEATH_UNREPORTED, report.upstream, outcome.reason
+            )
+            if entry.now() > ends_at:
+                return outcome
+            await asyncio.sleep(POLL_INTERVAL_S)
+    finally:
+        news.cancel()
+
+
+async def _repeat_update(
+    entry: entry_state.Entry, update: dict[str, Any]
+) -> None:
+    while True:
+        await asyncio.sleep(PEER_SUSPECT_TTL_S / 2)
+        peer_updates.send_to_peers(entry, update)
+
+
 def record_conviction(
     entry: entry_state.Entry, conviction: outcomes.Convicted
 ) -> None:
--- a/src/_arbutuswalk/entry/execution.py
+++ b/src/_arbutuswalk/entry/execution.py
@@ -321,7 +321,18 @@
         return False, ""
     if row.health(state.entry.now()) is upstreams.Health.LEAVING:
         return False, ""
-    return True, await crash_quarantine.report_death(state.entry, row)
+    return True, await _report_death(state, row)
+
+
+async def _report_death(state: RunState, row: upstreams.Row) -> str:
+    """Reports a death; stops to wait for the outcome at the deadline."""
+    entry, request = state.entry, state.request
+    try:
+        async with asyncio.timeout(max(0.0, request.deadline - entry.now())):
+            return await crash_quarantine.report_death(entry, row)
+    except TimeoutError:
+        isolation.keep_until_reported(entry, request, row)
+        return ""
 
 
 def _is_leaving_or_moved(
--- a/src/_arbutuswalk/entry/isolation.py
+++ b/src/_arbutuswalk/entry/isolation.py
@@ -183,6 +183,26 @@
     _end_turn(entry, request)
 
 
+def keep_until_reported(
+    entry: entry_state.Entry,
+    request: model_requests.ModelRequest,
+    row: upstreams.Row,
+) -> None:
+    """Keeps a reservation whose upstream died until the report has ended it.
+
+    To end it before would hide which request the upstream ran alone.
+    """
+    if not request.isolated_upstream:
+        return
+    request.isolated_upstream = ""
+
+    async def end_turn() -> None:
+        await crash_quarantine.report_death(entry, row)
+        _end_turn(entry, request)
+
+    entry.track_task(asyncio.ensure_future(end_turn()))
+
+
 def end_conviction(
     entry: entry_state.Entry, request: model_requests.ModelRequest
 ) -> None:
--- a/testing/crash_cluster.py
+++ b/testing/crash_cluster.py
@@ -43,6 +43,10 @@
         control_s: Of a command at control.
         view_s: From a change of the state until an entry has its view.
         probe_s: Of a probe's outcome.
+        closed_link_fraction: Fraction of messages that find a link closed and
+            are lost unless they are sent again once it is open.
+        control_modes: Possible outcomes of a command, as in
+            ``entry_fixtures.Control``.
         unanswered_probes: Whether a dead runner's address refuses no
             connection, as when its machine is gone.
     """
@@ -53,6 +57,8 @@
     control_s: float = 0.01
     view_s: float = 0.1
     probe_s: float = 0.002
+    closed_link_fraction: float = 0.0
+    control_modes: tuple[str, ...] = ("ok",)
     unanswered_probes: bool = False
 
 
@@ -63,8 +69,19 @@
         self.cluster = cluster
         self.peer_name = peer_name
         self.arrives_at = 0.0
+        self.was_opened = False
+
+    async def open(self):
+        """Opens the link if it is closed; it is not lost again at once."""
+        await asyncio.sleep(self.cluster.draw(self.cluster.delays.link_s))
+        self.was_opened = True
 
     def send_oneway(self, message):
+        fraction = self.cluster.delays.closed_link_fraction
+        is_closed = self.cluster.rng.random() < fraction
+        if is_closed and not self.was_opened:
+            return False
+        self.was_opened = False
         self.cluster.loop.create_task(self._deliver(message))
         return True
 
@@ -123,6 +140,7 @@
         self.rng = random.Random(seed)
         self.delays = delays
         self.control = entry_fixtures.Control(self.loop, self.rng)
+        self.control.modes = list(delays.control_modes)
         self.alive = {f"u{i}" for i in range(RUNNER_COUNT)}
         self.sequence = 0
         self.deaths, self.trace = [], []
