End a reservation only for the entry that made it

An entry whose own reservation got no answer released it, and with that ended another entry's reservation of the same upstream for the same request.

--- a/src/_arbutuswalk/entry/isolation.py
+++ b/src/_arbutuswalk/entry/isolation.py
@@ -177,7 +177,7 @@
     if cleared:
         entry.local_suspects.discard(request.fingerprint)
     await entry.control.submit(
-        commands.Release(request.fingerprint, upstream_id, cleared),
+        commands.Release(request.fingerprint, upstream_id, cleared, entry.name),
         timeout_s=crash_quarantine.CONTROL_TIMEOUT_S,
     )
     _end_turn(entry, request)
--- a/src/_arbutuswalk/state/commands.py
+++ b/src/_arbutuswalk/state/commands.py
@@ -91,11 +91,19 @@
 
 
 class Release(NamedTuple):
-    """Ends an isolation; ``cleared`` if the suspect request completed."""
+    """Ends an isolation.
+
+    Attributes:
+        fingerprint: Fingerprint of the suspect.
+        upstream: Id of the reserved upstream.
+        cleared: Whether the suspect request completed.
+        entry: The entry that reserved it, empty in logs older than the field.
+    """
 
     fingerprint: str
     upstream: str
     cleared: bool
+    entry: str = ""
 
 
 class ReportDeath(NamedTuple):
--- a/src/_arbutuswalk/state/quarantine.py
+++ b/src/_arbutuswalk/state/quarantine.py
@@ -44,7 +44,8 @@
 def release(tables: rows.Tables, command: commands.Release) -> outcomes.Outcome:
     """Ends a reservation; clears the suspect if it completed."""
     row = tables.isolations.get(command.upstream)
-    if row is not None and row.fingerprint == command.fingerprint:
+    is_held = row is not None and row.fingerprint == command.fingerprint
+    if is_held and command.entry in (row.entry, ""):
         del tables.isolations[command.upstream]
         _add_waiting_suspects(tables, command.upstream)
     if command.cleared:
--- a/testing/test_state.py
+++ b/testing/test_state.py
@@ -155,6 +155,14 @@
         assert tables.convicted == {}
         assert set(tables.suspects) == {"f"}
 
+    def test_another_entry_does_not_end_a_reservation(self, tables):
+        """An entry whose own reservation was not answered releases it."""
+        apply(tables, commands.Isolate("f", "v", 1, "e"))
+        apply(tables, commands.Release("f", "v", False, "other"))
+        assert set(tables.isolations) == {"v"}
+        apply(tables, commands.Release("f", "v", False, "e"))
+        assert tables.isolations == {}
+
     def test_dead_incarnation_cannot_be_reserved(self, tables):
         report(tables, "v", "f")
         assert isinstance(isolate(tables, "f", "v"), outcomes.Stale)
