Retry no silent connection on a reserved upstream

A request whose connection fell silent was tried once more on the same upstream, also where that had been reserved for a suspect meanwhile. A death there would then have convicted nobody.

--- a/src/_arbutuswalk/entry/execution.py
+++ b/src/_arbutuswalk/entry/execution.py
@@ -133,7 +133,11 @@
     row_to_retry, state.row_to_retry = state.row_to_retry, None
     ticket, state.ticket = state.ticket, None
     now = entry.now()
-    if row_to_retry and row_to_retry.health(now) is upstreams.Health.USABLE:
+    if (
+        row_to_retry
+        and not row_to_retry.isolated
+        and row_to_retry.health(now) is upstreams.Health.USABLE
+    ):
         placement.reserve(row_to_retry, request)
         return row_to_retry
     if ticket is None:
--- a/testing/test_crash_quarantine.py
+++ b/testing/test_crash_quarantine.py
@@ -344,6 +344,25 @@
 
         assert loop.run_until_complete(wait()) is row
 
+    def test_silent_connection_is_not_retried_on_a_reserved_upstream(
+        self, loop, entries
+    ):
+        """The suspect there would not run alone."""
+        entry = entries[0]
+        for name in ("u0", "u1"):
+            upstreams.announce(
+                entry.upstreams,
+                entry_fixtures.make_announcement(name, "model"),
+                announced_at=loop.time(),
+            )
+        state = execution.RunState(
+            entry=entry, request=make_request(entry), ticket=None
+        )
+        state.row_to_retry = entry.upstreams.rows["u0"]
+        state.row_to_retry.isolated = "suspect"
+        row = loop.run_until_complete(execution._reserve_upstream(state))
+        assert row is entry.upstreams.rows["u1"]
+
     def test_request_is_refused_where_no_upstream_is_up(self, entries):
         request = make_request(entries[0])
         refusal = placement.early_refusal(entries[0], request)
