--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -58,6 +58,7 @@
     VERSION_CUT_OFF = (610, "version cut off upstream=%s version=%s route=%s")
     ANNOUNCE_REFUSED = (611, "announcement refused id=%s reason=%s")
     DEATH_UNREPORTED = (613, "death report unanswered id=%s reason=%s")
+    PEER_UNINFORMED = (614, "update not sent peer=%s reason=%s")
     INQUIRY_UNANSWERED = (
         612,
         "inquiry unanswered upstream=%s peer=%s reason=%s",
--- a/testing/entry_fixtures.py
+++ b/testing/entry_fixtures.py
@@ -157,6 +157,11 @@
 class UnreachableLink:
     """A link to another entry that never connects."""
 
+    address = "127.0.0.1:2"
+
+    async def open(self):
+        return link.LinkDown(reason="deaf", possibly_sent=False)
+
     async def call(self, message, *, timeout_s):
         return link.LinkDown(reason="deaf", possibly_sent=False)
 
--- a/testing/test_crash_interleavings.py
+++ b/testing/test_crash_interleavings.py
@@ -32,6 +32,23 @@
         probe_s=0.2,
     ),
 }
+CLOSED_LINKS = crash_cluster.Delays(
+    broken_s=0.02, control_s=1.5, view_s=1.0, closed_link_fraction=0.9
+)
+FAILING_CONTROL = crash_cluster.Delays(
+    broken_s=0.02, control_modes=("ok", "ok", "ok", "lost", "deaf", "late")
+)
+
+
+def play(delays, entries, seed):
+    """Returns the cluster after all requests have been answered."""
+    with pytest.MonkeyPatch.context() as monkeypatch:
+        cluster = crash_cluster.Cluster(
+            monkeypatch, seed=seed, delays=delays, entries=entries
+        )
+        cluster.play(harmless=HARMLESS, crashing=CRASHING)
+        cluster.close()
+    return cluster
 
 
 @pytest.fixture(
@@ -42,13 +59,7 @@
 def cluster(request):
     """Plays resends, each 50 ms after the last, beside harmless requests."""
     delays, entries, seed = request.param
-    with pytest.MonkeyPatch.context() as monkeypatch:
-        played = crash_cluster.Cluster(
-            monkeypatch, seed=seed, delays=DELAYS[delays], entries=entries
-        )
-        played.play(harmless=HARMLESS, crashing=CRASHING)
-        played.close()
-    return played
+    return play(DELAYS[delays], entries, seed)
 
 
 class TestResends:
@@ -72,3 +83,21 @@
             + cluster.delays.control_s
         )
         assert max(cluster.answered_at.values()) <= answers_due_at
+
+
+class TestFaults:
+    """What one crashing request costs while messages or commands are lost."""
+
+    @pytest.mark.parametrize(("entries", "seed"), [(2, 14), (2, 27), (3, 21)])
+    def test_closed_links_cost_no_third_runner(self, entries, seed):
+        cluster = play(CLOSED_LINKS, entries, seed)
+        assert len(cluster.deaths) <= MAX_DEATHS, cluster.trace
+        assert cluster.failed_harmless() == []
+
+    @pytest.mark.parametrize(
+        ("entries", "seed"), [(2, 2), (2, 10), (3, 0), (3, 8), (3, 11), (3, 17)]
+    )
+    def test_unanswered_commands_cost_no_third_runner(self, entries, seed):
+        cluster = play(FAILING_CONTROL, entries, seed)
+        assert len(cluster.deaths) <= MAX_DEATHS, cluster.trace
+        assert cluster.failed_harmless() == []
