--- a/src/_arbutuswalk/entry/crash_quarantine.py
+++ b/src/_arbutuswalk/entry/crash_quarantine.py
@@ -1,14 +1,16 @@
 """Detects upstream deaths and isolates requests suspected of causing them."""
 
 import asyncio
+from typing import Any
+from typing import NamedTuple
 
 from _arbutuswalk.base import clock
 from _arbutuswalk.base import events
 from _arbutuswalk.entry import control_client
 from _arbutuswalk.entry import entry_state
 from _arbutuswalk.entry import model_requests
+from _arbutuswalk.entry import peer_inquiries
 from _arbutuswalk.entry import peer_updates
-from _arbutuswalk.entry import placement
 from _arbutuswalk.routing import upstreams
 from _arbutuswalk.state import commands
 from _arbutuswalk.state import outcomes
@@ -19,16 +21,15 @@
 """Interval between probes of an upstream that accepts but does not answer."""
 PROBE_REQUEST = b"HEAD / HTTP/1.1\r\nHost: probe\r\nConnection: close\r\n\r\n"
 CONTROL_TIMEOUT_S = 5.0
+MAX_REPORT_TIME_S = 60.0
 POLL_INTERVAL_S = 0.05
-EXCLUSIVE_TIMEOUT_S = 3.0
 PEER_SUSPECT_TTL_S = 2.0
 """How long a suspect reported by another entry counts. This is longer than a
 report takes to be committed and to reach every view."""
-UNCONFIRMED_TTL_S = 0.7
-"""How long a resend waits for the probe of an upstream on which the request
-broke: the probe's time-out, and time for the messages."""
-MAX_ISOLATED_FRACTION = 0.34
-"""Maximum fraction of an upstream name's instances reserved for suspects."""
+UNCONFIRMED_TTL_S = upstreams.SUSPECT_AFTER_S + 0.2
+"""How long a resend waits until it is known whether the upstream on which the
+request broke has died: the longest time of ``is_dead`` for an upstream that is
+not reserved, and time for the messages."""
 _REFUSED, _ANSWERED, _NO_ANSWER = "refused", "open", "no answer"
 
 
@@ -44,7 +45,7 @@
     if probe == _REFUSED:
         return True
     if probe == _ANSWERED and not row.isolated:
-        return _is_replaced(entry, row)  # has a newer incarnation
+        return is_replaced(entry, row)  # has a newer incarnation
     if probe == _ANSWERED:
         return await _was_restarted(entry, row, broke_at)
     while entry.now() - row.announced_at < upstreams.SUSPECT_AFTER_S:
@@ -62,7 +63,7 @@
     A process that died and was restarted immediately answers a probe.
     """
     while entry.now() - broke_at < upstreams.GONE_AFTER_S:
-        if _is_replaced(entry, row):
+        if is_replaced(entry, row):
             return True
         if row.announced_at > broke_at:
             return False
@@ -100,10 +101,23 @@
         writer.close()
 
 
-def _is_replaced(entry: entry_state.Entry, row: upstreams.Row) -> bool:
+def is_replaced(entry: entry_state.Entry, row: upstreams.Row) -> bool:
+    """Returns whether a row is no longer the newest of its upstream."""
     return entry.upstreams.rows.get(row.announcement["id"]) is not row
 
 
+class DeathReport(NamedTuple):
+    """A death that this entry reports.
+
+    Attributes:
+        fingerprints: Requests that this entry ran there.
+        task: Submits the report; returns the fingerprint blamed.
+    """
+
+    fingerprints: set[str]
+    task: asyncio.Future
+
+
 async def report_death(entry: entry_state.Entry, row: upstreams.Row) -> str:
     """Reports an unannounced death once, with all requests that ran there.
 
@@ -112,38 +126,36 @@
     """
     report = entry.death_reports.get(row.key)
     if report is None:
-        report = asyncio.ensure_future(_submit_death_report(entry, row))
+        fingerprints = peer_inquiries.running_on(entry, row)
+        report = DeathReport(
+            fingerprints,
+            asyncio.ensure_future(
+                _submit_death_report(entry, row, fingerprints)
+            ),
+        )
         entry.death_reports[row.key] = report
-    return await asyncio.shield(report)
+        start_inquiry(entry, row)
+    return await asyncio.shield(report.task)
 
 
 async def _submit_death_report(
-    entry: entry_state.Entry, row: upstreams.Row
+    entry: entry_state.Entry, row: upstreams.Row, fingerprints: set[str]
 ) -> str:
-    # Attempts that broke before this report count as well: the request that
-    # caused the crash need not be the first whose connection ended.
-    fingerprints = set(row.unconfirmed_crashes)
-    for request_id in row.active_attempts:
-        request = entry.requests.get(request_id)
-        if request is not None:
-            fingerprints.add(request.fingerprint)
     entry.local_suspects |= fingerprints
-    peer_updates.send_to_peers(
-        entry,
-        {"kind": peer_updates.SUSPECTS, "fingerprints": sorted(fingerprints)},
-    )
     if entry.upstreams.rows.get(row.announcement["id"]) is row:
         entry.upstreams.remove(row.announcement["id"])
     events.warn(events.Event.UPSTREAM_GONE, row.announcement["id"], "died")
-    outcome = await entry.control.submit(
+    outcome = await _submit_until_answered(
+        entry,
         commands.ReportDeath(
             row.announcement["id"],
             row.announcement["incarnation"],
             sorted(fingerprints),
+            entry.name,
         ),
-        timeout_s=CONTROL_TIMEOUT_S,
     )
     if isinstance(outcome, outcomes.Convicted):
+        record_conviction(entry, outcome)
         entry.local_suspects -= fingerprints
         events.warn(
             events.Event.SUSPECT_CONVICTED,
@@ -154,6 +166,57 @@
     return ""
 
 
+async def _submit_until_answered(
+    entry: entry_state.Entry, report: commands.ReportDeath
+) -> object:
+    """Submits a death report until control answers, or for a limited time.
+
+    A repeated report changes nothing. Until it is committed, the peers have
+    its suspects from this entry only.
+    """
+    update = {
+        "kind": peer_updates.SUSPECTS,
+        "fingerprints": report.fingerprints,
+    }
+    peer_updates.send_to_peers(entry, update)
+    news = asyncio.ensure_future(_repeat_update(entry, update))
+    ends_at = entry.now() + MAX_REPORT_TIME_S
+    try:
+        while True:
+            outcome = await entry.control.submit(
+                report, timeout_s=CONTROL_TIMEOUT_S
+            )
+            if not isinstance(outcome, control_client.Unreachable):
+                return outcome
+            events.warn(
+                events.Event.DEATH_UNREPORTED, report.upstream, outcome.reason
+            )
+            if entry.now() > ends_at:
+                return outcome
+            await asyncio.sleep(POLL_INTERVAL_S)
+    finally:
+        news.cancel()
+
+
+async def _repeat_update(
+    entry: entry_state.Entry, update: dict[str, Any]
+) -> None:
+    while True:
+        await asyncio.sleep(PEER_SUSPECT_TTL_S / 2)
+        peer_updates.send_to_peers(entry, update)
+
+
+def record_conviction(
+    entry: entry_state.Entry, conviction: outcomes.Convicted
+) -> None:
+    """Refuses a convicted request from now on, ahead of the view."""
+    now_ms = entry.wall() * clock.MS_PER_S
+    for fingerprint, until_ms in list(entry.own_convictions.items()):
+        if until_ms <= now_ms:
+            del entry.own_convictions[fingerprint]
+    entry.own_convictions[conviction.fingerprint] = conviction.until_ms
+
+
 def announce_lost_attempt(
     entry: entry_state.Entry, row: upstreams.Row, fingerprint: str
 ) -> None:
@@ -191,18 +254,65 @@
         entry.unconfirmed_until.pop(fingerprint, None)
 
 
+def start_inquiry(entry: entry_state.Entry, row: upstreams.Row) -> None:
+    """Asks the other entries what they ran on an upstream that is gone."""
+    if row.key in entry.inquiries:
+        return
+
+    async def ask() -> None:
+        try:
+            found = await peer_inquiries.ask(entry, row.key)
+        finally:
+            del entry.inquiries[row.key]
+        hold_resends(entry, sorted(found.running))
+        add_peer_suspects(entry, sorted(found.suspects))
+
+    task = asyncio.ensure_future(ask())
+    entry.track_task(task)
+    entry.inquiries[row.key] = peer_inquiries.Inquiry(row.name, task)
+
+
+async def hold_requests_on(
+    entry: entry_state.Entry, row: upstreams.Row
+) -> None:
+    """Holds resends of all requests that run on an upstream that is gone.
+
+    Nothing else of its name is placed until the other entries have answered.
+    """
+    start_inquiry(entry, row)
+    await asyncio.shield(entry.inquiries[row.key].task)
+
+
 async def wait_while_unconfirmed(
     entry: entry_state.Entry, request: model_requests.ModelRequest
 ) -> None:
     """Waits while the request may have crashed an upstream moments ago."""
-    fingerprint = request.fingerprint
-    while (
-        entry.now()
-        < min(entry.unconfirmed_until.get(fingerprint, 0.0), request.deadline)
-        and not entry.is_suspect(fingerprint)
-        and not entry.convicted_until_ms(fingerprint)
-    ):
+    while entry.now() < request.deadline and _is_held(entry, request):
         await asyncio.sleep(PROBE_INTERVAL_S)
+        _suspect_unsettled(entry)
+
+
+def _is_held(
+    entry: entry_state.Entry, request: model_requests.ModelRequest
+) -> bool:
+    fingerprint = request.fingerprint
+    if entry.is_suspect(fingerprint) or entry.convicted_until_ms(fingerprint):
+        return False
+    return entry.now() < entry.unconfirmed_until.get(
+        fingerprint, 0.0
+    ) or peer_inquiries.is_open(entry, request.upstream)
+
+
+def may_share(
+    entry: entry_state.Entry, request: model_requests.ModelRequest
+) -> bool:
+    """Returns whether a request may run beside others at this moment."""
+    fingerprint = request.fingerprint
+    return not (
+        _is_held(entry, request)
+        or entry.is_suspect(fingerprint)
+        or entry.convicted_until_ms(fingerprint)
+    )
 
 
 def add_peer_suspects(
@@ -220,75 +330,19 @@
 def expire_peer_suspects(entry: entry_state.Entry) -> None:
     """Drops expired suspects of other entries' reports and held resends."""
     now = entry.now()
-    for expiry_times in (entry.peer_suspects, entry.unconfirmed_until):
-        for fingerprint, expires_at in list(expiry_times.items()):
-            if expires_at <= now:
-                del expiry_times[fingerprint]
-
-
-async def place_isolated(
-    entry: entry_state.Entry,
-    request: model_requests.ModelRequest,
-    *,
-    avoid: frozenset[str],
-) -> upstreams.Row | answer.Problem | None:
-    """Reserves an upstream for a suspect; None when the deadline passes."""
-    while entry.now() < request.deadline:
-        rows = _isolation_candidates(entry, request)
-        rows.sort(key=lambda row: (row.key in avoid, row.load))
-        if rows:
-            row = rows[0]
-            outcome = await _isolate(entry, row, request)
-            if isinstance(outcome, outcomes.Convicted):
-                return convicted_problem(request, outcome.until_ms)
-            if isinstance(outcome, outcomes.Granted):
-                if await _wait_until_exclusive(entry, row, request):
-                    placement.reserve(row, request)
-                    return row
-                await release_isolation(entry, request, cleared=False)
-        await asyncio.sleep(POLL_INTERVAL_S)
-    return None
-
-
-def _isolation_candidates(
-    entry: entry_state.Entry, request: model_requests.ModelRequest
-) -> list[upstreams.Row]:
-    """Returns upstreams that may be reserved, within the maximum fraction."""
-    rows = placement.candidates(
-        entry, request.upstream, request.route, request.request_id
-    )
-    instances = entry.upstreams.rows_for(request.upstream)
-    isolated = sum(bool(row.isolated) for row in instances)
-    max_isolated = max(1, int(len(instances) * MAX_ISOLATED_FRACTION))
-    return rows if isolated < max_isolated else []
+    for fingerprint, expires_at in list(entry.peer_suspects.items()):
+        if expires_at <= now:
+            del entry.peer_suspects[fingerprint]
+    _suspect_unsettled(entry)
 
 
-async def _wait_until_exclusive(
-    entry: entry_state.Entry,
-    row: upstreams.Row,
-    request: model_requests.ModelRequest,
-) -> bool:
-    """Waits until no entry runs another request on a reserved upstream.
-
-    Otherwise a second death there would not prove which request caused it.
-    """
-    deadline = entry.now() + EXCLUSIVE_TIMEOUT_S
-    try:
-        while entry.now() < deadline:
-            reply = await entry.control.read(
-                "alone", row.announcement["id"], timeout_s=CONTROL_TIMEOUT_S
-            )
-            if _is_replaced(entry, row):
-                return False
-            if row.health(entry.now()) is not upstreams.Health.USABLE:
-                return False
-            if isinstance(reply, dict) and reply["alone"]:
-                return True
-            await asyncio.sleep(POLL_INTERVAL_S)
-    except asyncio.CancelledError:
-        release_isolation_in_background(entry, request)
-        raise
-    return False
+def _suspect_unsettled(entry: entry_state.Entry) -> None:
+    """Makes suspects of held requests of which no news came in time."""
+    now = entry.now()
+    for fingerprint, expires_at in list(entry.unconfirmed_until.items()):
+        if expires_at <= now:
+            del entry.unconfirmed_until[fingerprint]
+            add_peer_suspects(entry, [fingerprint])
 
 
 def occupied_upstreams(entry: entry_state.Entry) -> list[str]:
@@ -317,69 +371,6 @@
                 request.move_requested.set()
 
 
-async def _isolate(
-    entry: entry_state.Entry,
-    row: upstreams.Row,
-    request: model_requests.ModelRequest,
-) -> object:
-    request.isolated_upstream = row.announcement["id"]
-    outcome = await entry.control.submit(
-        commands.Isolate(
-            request.fingerprint,
-            row.announcement["id"],
-            row.announcement["incarnation"],
-            entry.name,
-        ),
-        timeout_s=CONTROL_TIMEOUT_S,
-    )
-    if isinstance(outcome, outcomes.Granted):
-        row.isolated = request.fingerprint
-    elif isinstance(outcome, control_client.Unreachable):
-        await release_isolation(entry, request, cleared=False)
-    else:
-        request.isolated_upstream = ""
-    if isinstance(outcome, outcomes.Stale) and not _is_replaced(entry, row):
-        entry.upstreams.remove(
-            row.announcement["id"]
-        )  # its death is already recorded
-    return outcome
-
-
-async def release_isolation(
-    entry: entry_state.Entry,
-    request: model_requests.ModelRequest,
-    *,
-    cleared: bool,
-) -> None:
-    """Ends the isolation of a request, if it has one.
-
-    After a death the report has already ended it. Releasing it again is
-    harmless, while an isolation that remained would block the upstream.
-    """
-    upstream_id, request.isolated_upstream = request.isolated_upstream, ""
-    if not upstream_id:
-        return
-    row = entry.upstreams.rows.get(upstream_id)
-    if row is not None and row.isolated == request.fingerprint:
-        row.isolated = ""
-    if cleared:
-        entry.local_suspects.discard(request.fingerprint)
-    await entry.control.submit(
-        commands.Release(request.fingerprint, upstream_id, cleared),
-        timeout_s=CONTROL_TIMEOUT_S,
-    )
-
-
-def release_isolation_in_background(
-    entry: entry_state.Entry, request: model_requests.ModelRequest
-) -> None:
-    """Ends the isolation of a cancelled request in the background."""
-    task = asyncio.ensure_future(
-        release_isolation(entry, request, cleared=False)
-    )
-    entry.track_task(task)
-
-
 def convicted_problem(
     request: model_requests.ModelRequest, until_ms: int
 ) -> answer.Problem:
--- a/src/_arbutuswalk/entry/entry_state.py
+++ b/src/_arbutuswalk/entry/entry_state.py
@@ -52,6 +52,12 @@
             fingerprint.
         unconfirmed_until: Time until which resends of a request wait, as its
             upstream may have died, by fingerprint.
+        own_convictions: Ends of convictions that control told this entry,
+            ahead of the view, in Unix milliseconds, by fingerprint.
+        isolating: Id of the request that holds the reservation of a suspect,
+            or waits for it, by fingerprint.
+        inquiries: Unanswered inquiries about upstreams that are gone, by
+            upstream key.
         death_reports: Death reports by upstream key.
         copies: Requests held for other entries, by request id.
         peer_links: Links to other entries, by address.
@@ -104,6 +110,9 @@
         self.local_suspects: set[str] = set()
         self.peer_suspects: dict[str, float] = {}
         self.unconfirmed_until: dict[str, float] = {}
+        self.own_convictions: dict[str, int] = {}
+        self.isolating: dict[str, str] = {}
+        self.inquiries: dict[str, Any] = {}
         self.death_reports: dict[str, Any] = {}
         self.copies: dict[str, Any] = {}
         self.peer_links: dict[str, link.Link] = {}
@@ -203,6 +212,9 @@
     def convicted_until_ms(self, fingerprint: str) -> int:
         """Returns when a conviction ends, zero if there is none."""
         convicted = self.view.get("quarantine", {}).get("convicted", {})
-        until_ms = convicted.get(fingerprint, 0)
+        until_ms = max(
+            convicted.get(fingerprint, 0),
+            self.own_convictions.get(fingerprint, 0),
+        )
         now_ms = self.wall() * clock.MS_PER_S
         return until_ms if until_ms > now_ms else 0
--- a/src/_arbutuswalk/state/commands.py
+++ b/src/_arbutuswalk/state/commands.py
@@ -91,19 +91,35 @@
 
 
 class Release(NamedTuple):
-    """Ends an isolation; ``cleared`` if the suspect request completed."""
+    """Ends an isolation.
+
+    Attributes:
+        fingerprint: Fingerprint of the suspect.
+        upstream: Id of the reserved upstream.
+        cleared: Whether the suspect request completed.
+        entry: The entry that reserved it, empty in logs older than the field.
+    """
 
     fingerprint: str
     upstream: str
     cleared: bool
+    entry: str = ""
 
 
 class ReportDeath(NamedTuple):
-    """Reports an unannounced death and the requests running at that time."""
+    """Reports an unannounced death and the requests running at that time.
+
+    Attributes:
+        upstream: Id of the upstream.
+        incarnation: Its incarnation.
+        fingerprints: Requests that the entry ran there.
+        entry: The reporting entry, empty in logs older than the field.
+    """
 
     upstream: str
     incarnation: int
     fingerprints: list[str]
+    entry: str = ""
 
 
 class StepMove(NamedTuple):
--- a/testing/test_crash_quarantine.py
+++ b/testing/test_crash_quarantine.py
@@ -10,11 +10,14 @@
 
 from _arbutuswalk.entry import crash_quarantine
 from _arbutuswalk.entry import execution
+from _arbutuswalk.entry import link_handler
 from _arbutuswalk.entry import model_requests
+from _arbutuswalk.entry import peer_inquiries
 from _arbutuswalk.entry import peer_updates
 from _arbutuswalk.entry import placement
 from _arbutuswalk.entry import upstream_announcements
 from _arbutuswalk.routing import upstreams
+from _arbutuswalk.state import commands
 from _arbutuswalk.streams import attempts
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
@@ -209,6 +212,18 @@
         held_s = loop.run_until_complete(self.held_for(linked_entries[1]))
         assert held_s <= crash_quarantine.UNCONFIRMED_TTL_S + 0.1
 
+    @pytest.mark.parametrize("index", [0, 1], ids=["same", "peer"])
+    def test_a_held_resend_without_news_does_not_run_beside_others(
+        self, loop, linked_entries, monkeypatch, index
+    ):
+        """All held resends would run at once, each on another upstream."""
+        self.lose_attempt(
+            loop, linked_entries[0], monkeypatch, probe_s=9.0, is_dead=False
+        )
+        entry = linked_entries[index]
+        loop.run_until_complete(self.held_for(entry))
+        assert entry.is_suspect(make_request(entry).fingerprint)
+
     def test_other_requests_are_not_held(
         self, loop, linked_entries, monkeypatch
     ):
@@ -225,6 +240,87 @@
         assert entry.now() == started
 
 
+class TestInquiries:
+    """An upstream refuses a connection, so its process is gone."""
+
+    @pytest.fixture
+    def row(self, loop, entries):
+        """An upstream that both entries know, as the second knows it."""
+        announcement = entry_fixtures.make_announcement("u0", "model")
+        for entry in entries:
+            upstreams.announce(
+                entry.upstreams, announcement, announced_at=loop.time()
+            )
+        return entries[1].upstreams.rows["u0"]
+
+    def link_to_handler(self, entries, monkeypatch):
+        class Link:
+            async def call(self, message, *, timeout_s):
+                await asyncio.sleep(0.01)
+                return await link_handler.make_handler(entries[1])(message)
+
+        monkeypatch.setattr(entries[0], "link_to", lambda address: Link())
+
+    def test_a_request_that_runs_there_at_a_peer_is_held(
+        self, loop, entries, monkeypatch, row
+    ):
+        self.link_to_handler(entries, monkeypatch)
+        running, broken = make_request(entries[1]), "broken"
+        entries[1].requests[running.request_id] = running
+        placement.reserve(row, running)
+        row.unconfirmed_crashes.add(broken)
+        entry_fixtures.refresh(entries[0], entries[0].control.control)
+        loop.run_until_complete(
+            crash_quarantine.hold_requests_on(
+                entries[0], entries[0].upstreams.rows["u0"]
+            )
+        )
+        assert set(entries[0].unconfirmed_until) == {
+            running.fingerprint,
+            broken,
+        }
+
+    def test_a_request_of_a_reported_death_becomes_a_suspect(
+        self, loop, entries, monkeypatch, row
+    ):
+        """The peer's own message about it may still be under way."""
+        self.link_to_handler(entries, monkeypatch)
+        row.unconfirmed_crashes.add("f")
+        loop.run_until_complete(crash_quarantine.report_death(entries[1], row))
+        entry_fixtures.refresh(entries[0], entries[0].control.control)
+        loop.run_until_complete(
+            crash_quarantine.hold_requests_on(
+                entries[0], entries[0].upstreams.rows["u0"]
+            )
+        )
+        assert entries[0].is_suspect("f")
+
+    def test_nothing_is_placed_until_the_peers_have_answered(
+        self, loop, entries, monkeypatch, row
+    ):
+        self.link_to_handler(entries, monkeypatch)
+        entry = entries[0]
+        entry_fixtures.refresh(entry, entry.control.control)
+        request = make_request(entry)
+
+        async def ask():
+            crash_quarantine.start_inquiry(entry, row)
+            assert not crash_quarantine.may_share(entry, request)
+            await crash_quarantine.wait_while_unconfirmed(entry, request)
+
+        loop.run_until_complete(ask())
+        assert crash_quarantine.may_share(entry, request)
+
+    def test_a_peer_that_does_not_answer_delays_nothing_for_long(
+        self, loop, entries, row
+    ):
+        entry = entries[0]
+        entry_fixtures.refresh(entry, entry.control.control)
+        started = entry.now()
+        loop.run_until_complete(crash_quarantine.hold_requests_on(entry, row))
+        assert entry.now() - started <= peer_inquiries.ANSWER_TIMEOUT_S + 0.1
+
+
 class TestReservations:
     def test_request_waits_while_the_last_upstream_is_reserved(
         self, loop, entries
@@ -248,7 +344,49 @@
 
         assert loop.run_until_complete(wait()) is row
 
+    def test_silent_connection_is_not_retried_on_a_reserved_upstream(
+        self, loop, entries
+    ):
+        """The suspect there would not run alone."""
+        entry = entries[0]
+        for name in ("u0", "u1"):
+            upstreams.announce(
+                entry.upstreams,
+                entry_fixtures.make_announcement(name, "model"),
+                announced_at=loop.time(),
+            )
+        state = execution.RunState(
+            entry=entry, request=make_request(entry), ticket=None
+        )
+        state.row_to_retry = entry.upstreams.rows["u0"]
+        state.row_to_retry.isolated = "suspect"
+        row = loop.run_until_complete(execution._reserve_upstream(state))
+        assert row is entry.upstreams.rows["u1"]
+
     def test_request_is_refused_where_no_upstream_is_up(self, entries):
         request = make_request(entries[0])
         refusal = placement.early_refusal(entries[0], request)
         assert refusal.title == "no upstream"
+
+
+class TestConvictions:
+    def test_convicted_request_is_refused_before_the_view_tells(
+        self, loop, entries
+    ):
+        """The view of the entry is older than the first of both deaths."""
+        entry = entries[0]
+        fingerprint = make_request(entry).fingerprint
+        control = entry.control.control
+        control.commit(commands.ReportDeath("u0", 1, [fingerprint]))
+        control.commit(commands.Isolate(fingerprint, "u1", 1, entry.name))
+        announcement = entry_fixtures.make_announcement("u1", "model")
+        upstreams.announce(
+            entry.upstreams, announcement, announced_at=loop.time()
+        )
+        row = entry.upstreams.rows["u1"]
+        row.unconfirmed_crashes.add(fingerprint)
+        blamed = loop.run_until_complete(
+            crash_quarantine.report_death(entry, row)
+        )
+        assert blamed == fingerprint
+        assert entry.convicted_until_ms(fingerprint)
