--- a/src/_arbutuswalk/agreement/election.py
+++ b/src/_arbutuswalk/agreement/election.py
@@ -1,7 +1,7 @@
 """Leader election: trial votes (pre-votes), votes and stepping down."""
 
 from _arbutuswalk.agreement import lease
-from _arbutuswalk.agreement import membership
+from _arbutuswalk.agreement import presence
 from _arbutuswalk.agreement import replica as replicas
 from _arbutuswalk.agreement import replication
 from _arbutuswalk.agreement import terms
@@ -13,12 +13,12 @@
     """Starts an election at the timeout; steps down without a live quorum."""
     if replica.role is types.Role.LEADER:
         if not lease.has_live_quorum(replica, now):
-            membership.log_quorum_loss(replica, now)
+            presence.log_quorum_loss(replica, now)
             terms.become_follower(replica, replica.term, "", now)
         return
     if replica.is_voter and now >= _election_due_at(replica):
         if replica.role is types.Role.TRIAL:
-            membership.log_quorum_loss(replica, now)
+            presence.log_quorum_loss(replica, now)
         _start_election(replica, now, trial=True)
 
 
--- a/src/_arbutuswalk/agreement/membership.py
+++ b/src/_arbutuswalk/agreement/membership.py
@@ -12,6 +12,7 @@
 
 from typing import NamedTuple
 
+from _arbutuswalk.agreement import presence
 from _arbutuswalk.agreement import replica as replicas
 from _arbutuswalk.agreement import replication
 from _arbutuswalk.agreement import terms
@@ -19,7 +20,6 @@
 from _arbutuswalk.base import events
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
-HELLO_MAX_AGE_S = 2.0
 ADD, PROMOTE, REMOVE = "add", "promote", "remove"
 STANDBY_RETRY_S = 5.0
 """Time until a removed member is kept as the standby again unless it had ended.
@@ -49,75 +49,6 @@
     reason: str
 
 
-def hello(replica: replicas.Replica) -> ttypes.Hello:
-    """Returns the message that announces this member's id and group."""
-    index, members = replica.log.membership_at(replica.commit)
-    return ttypes.Hello(
-        member=replica.member,
-        address=replica.address,
-        group=replica.log.members.group,
-        leaving=replica.leaving,
-        members_index=index,
-        members=dict(members.addresses),
-    )
-
-
-def greeted(replica: replicas.Replica, now: float) -> set[str]:
-    """Returns the addresses to send a ``Hello`` to.
-
-    They include the senders of recent ``Hello`` messages and the members that
-    those name: a new member, or one that lost its disk, knows only the
-    configured addresses, and the leader may be at none of them.
-    """
-    member_addresses = {
-        *replica.log.members.addresses.values(),
-        *replica.heard_membership.addresses.values(),
-    }
-    recent = {
-        seen.address
-        for seen in replica.seen_members.values()
-        if now - seen.at < HELLO_MAX_AGE_S
-    }
-    return (member_addresses | recent | {*replica.peers}) - {replica.address}
-
-
-def on_hello(
-    replica: replicas.Replica, message: ttypes.Hello, now: float
-) -> None:
-    """Records which member listens at an address."""
-    for member, seen in list(replica.seen_members.items()):
-        if seen.address == message.address and member != message.member:
-            del replica.seen_members[member]
-    before = replica.seen_members.get(message.member)
-    is_new = before is None or now - before.at > _presence_timeout_s(replica)
-    replica.seen_members[message.member] = replicas.Seen(
-        message.address,
-        message.group,
-        now,
-        now if is_new else before.since,
-        bool(message.leaving),
-    )
-    _record_membership(replica, message)
-    if is_new:
-        events.log(events.Event.MEMBER_SEEN, message.member, message.group)
-
-
-def _record_membership(
-    replica: replicas.Replica, message: ttypes.Hello
-) -> None:
-    """Records a newer membership of this group, or of any if it has none."""
-    group = replica.log.members.group
-    if group not in ("", message.group):
-        return
-    heard = replica.heard_membership
-    index = message.members_index or 0
-    heard_index = heard.index if heard.group == message.group else 0
-    if index > heard_index:
-        replica.heard_membership = replicas.HeardMembership(
-            message.group, index, message.members or {}
-        )
-
-
 def tick(replica: replicas.Replica, now: float) -> None:
     """Bootstraps a group, or makes the leader's next membership change."""
     if not replica.log.members.group:
@@ -162,29 +93,10 @@
         return True
     members = replica.log.members
     is_being_replaced = len(members.voters) > replica.target_voters
-    can_be_replaced = members.learners or joining_members(replica, now)
+    can_be_replaced = members.learners or presence.joining_members(replica, now)
     return not (is_being_replaced or can_be_replaced)
 
 
-def log_quorum_loss(replica: replicas.Replica, now: float) -> None:
-    """Logs that no majority of voters answers, once until one does again."""
-    if replica.quorum_loss_logged:
-        return
-    replica.quorum_loss_logged = True
-    voters = replica.log.members.voters
-    events.warn(
-        events.Event.QUORUM_LOST,
-        replica.term,
-        voters,
-        {
-            voter: replicas.silent_s(replica, voter, now)
-            for voter in voters
-            if voter != replica.member
-        },
-        joining_members(replica, now),
-    )
-
-
 def accepts_commands(replica: replicas.Replica) -> bool:
     """Returns whether the group once had its full number of voters."""
     return replica.log.members.formed
@@ -200,7 +112,7 @@
     group_by_address = {
         seen.address: seen.group
         for seen in replica.seen_members.values()
-        if now - seen.at < HELLO_MAX_AGE_S
+        if now - seen.at < presence.HELLO_MAX_AGE_S
     }
     other_addresses = set(replica.peers) - {replica.address}
     no_peer_has_group = all(
@@ -307,7 +219,7 @@
         return "requested"
     address = replica.log.members.addresses[member]
     for other, seen in replica.seen_members.items():
-        if now - seen.at >= HELLO_MAX_AGE_S or seen.address != address:
+        if now - seen.at >= presence.HELLO_MAX_AGE_S or seen.address != address:
             continue
         if other != member:
             return "another member at its address"
@@ -346,7 +258,7 @@
 
 def _next_learner(replica: replicas.Replica, now: float) -> str:
     """Returns the member to add next, the last removed ones after others."""
-    joining = joining_members(replica, now)
+    joining = presence.joining_members(replica, now)
     return min(
         joining, key=lambda member: _removed_at(replica, member), default=""
     )
@@ -359,11 +271,6 @@
     return is_back or now - removed_at > STANDBY_RETRY_S
 
 
-def _presence_timeout_s(replica: replicas.Replica) -> float:
-    """Returns the time without a ``Hello`` that ends a member's presence."""
-    return min(HELLO_MAX_AGE_S, replica.timing.replace_after_s)
-
-
 def _record_removal(replica: replicas.Replica, member: str, now: float) -> None:
     recent = {
         name: removed_at
@@ -377,21 +284,6 @@
     return replica.removed_at.get(member, float("-inf"))
 
 
-def joining_members(replica: replicas.Replica, now: float) -> list[str]:
-    """Returns the members outside the group that could join it now."""
-    members = replica.log.members
-    known_members = {*members.voters, *members.learners}
-    max_age_s = _presence_timeout_s(replica)
-    return [
-        member
-        for member, seen in sorted(replica.seen_members.items())
-        if now - seen.at < max_age_s
-        and member not in known_members
-        and seen.group in ("", members.group)
-        and not seen.leaving
-    ]
-
-
 def _promotion(
     replica: replicas.Replica, members: types.Members, member: str, reason: str
 ) -> Change:
--- a/src/_arbutuswalk/agreement/step.py
+++ b/src/_arbutuswalk/agreement/step.py
@@ -2,6 +2,7 @@
 
 from _arbutuswalk.agreement import election
 from _arbutuswalk.agreement import membership
+from _arbutuswalk.agreement import presence
 from _arbutuswalk.agreement import replica as replicas
 from _arbutuswalk.agreement import replication
 from _arbutuswalk.agreement import transfer
@@ -14,7 +15,7 @@
     ttypes.AppendReply: replication.on_append_reply,
     ttypes.SnapshotOffer: transfer.on_offer,
     ttypes.Piece: transfer.on_piece,
-    ttypes.Hello: membership.on_hello,
+    ttypes.Hello: presence.on_hello,
 }
 
 
--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -246,12 +246,7 @@
 
     def loads(self) -> dict[str, tuple[int, int]]:
         """Returns requests and unprocessed prompt tokens, by endpoint."""
-        totals: dict[str, tuple[int, int]] = {}
-        for entry in self.reachable_entries().values():
-            for endpoint, load in entry.report.get("loads", {}).items():
-                running, tokens = totals.get(endpoint, (0, 0))
-                totals[endpoint] = (running + load[0], tokens + load[1])
-        return totals
+        return entry_reports.sum_loads(self.reachable_entries().values())
 
     def wall_at_last_watch(self, entry: entry_reports.KnownEntry) -> float:
         """Returns this process's wall clock time of an entry's last watch."""
--- a/src/_arbutuswalk/control/entry_reports.py
+++ b/src/_arbutuswalk/control/entry_reports.py
@@ -1,5 +1,6 @@
 """Entries as one control process knows them."""
 
+from collections.abc import Iterable
 from typing import Any
 from typing import NamedTuple
 
@@ -29,3 +30,13 @@
         if name not in newest or newest[name].incarnation < incarnation:
             newest[name] = entry
     return newest
+
+
+def sum_loads(entries: Iterable[KnownEntry]) -> dict[str, tuple[int, int]]:
+    """Returns requests and unprocessed prompt tokens, by endpoint."""
+    totals: dict[str, tuple[int, int]] = {}
+    for entry in entries:
+        for endpoint, load in entry.report.get("loads", {}).items():
+            running, tokens = totals.get(endpoint, (0, 0))
+            totals[endpoint] = (running + load[0], tokens + load[1])
+    return totals
--- a/src/_arbutuswalk/control/member.py
+++ b/src/_arbutuswalk/control/member.py
@@ -12,6 +12,7 @@
 
 from _arbutuswalk.agreement import lease
 from _arbutuswalk.agreement import membership
+from _arbutuswalk.agreement import presence
 from _arbutuswalk.agreement import replica as replicas
 from _arbutuswalk.agreement import types
 from _arbutuswalk.base import clock
@@ -312,8 +313,8 @@
         return found
 
     def _send_hello(self) -> None:
-        message = membership.hello(self.replica)
-        greeted = membership.greeted(self.replica, self.now())
+        message = presence.hello(self.replica)
+        greeted = presence.greeted(self.replica, self.now())
         for address in (greeted | {*self.seeds}) - {self.address}:
             self.link_to(address).send_oneway(message)
 
--- a/testing/fakes.py
+++ b/testing/fakes.py
@@ -4,6 +4,7 @@
 
 from _arbutuswalk.agreement import lease
 from _arbutuswalk.agreement import membership
+from _arbutuswalk.agreement import presence
 from _arbutuswalk.agreement import types
 from _arbutuswalk.control import durable_replica
 from _arbutuswalk.state import commands
@@ -271,8 +272,8 @@
         for node in self.nodes.values():
             if not node.up or node.paused:
                 continue
-            message = membership.hello(node.core.replica)
-            greeted = membership.greeted(node.core.replica, self.now)
+            message = presence.hello(node.core.replica)
+            greeted = presence.greeted(node.core.replica, self.now)
             for other in greeted & {*self.nodes}:
                 self.in_transit.append((node.address, other, "", message))
 
--- a/testing/limit_cluster.py
+++ b/testing/limit_cluster.py
@@ -162,7 +162,8 @@
             await asyncio.sleep(timeout_s)
             return link.TimedOut(after_s=timeout_s)
         try:
-            reply = await asyncio.wait_for(service.handle(message), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                reply = await service.handle(message)
         except TimeoutError:
             return link.TimedOut(after_s=timeout_s)
         await asyncio.sleep(HOP_S)
--- a/testing/test_replacement_faults.py
+++ b/testing/test_replacement_faults.py
@@ -5,6 +5,7 @@
 from arbutuswalk_platform import control
 
 from _arbutuswalk.agreement import membership
+from _arbutuswalk.agreement import presence
 from _arbutuswalk.agreement import types
 from _arbutuswalk.state import commands
 from _arbutuswalk.wire.gen.arbutus import ttypes
@@ -109,7 +110,7 @@
             members_index=10_000,
             members={"ghost": "127.0.0.1:7999"},
         )
-        membership.on_hello(joining.core.replica, hello, cluster.now)
+        presence.on_hello(joining.core.replica, hello, cluster.now)
         cluster.run(1)
         followers(cluster)[0].leave(LEAVE_S)
         cluster.run(1)
