--- a/testing/pause_world.py
+++ b/testing/pause_cluster.py
@@ -55,7 +55,7 @@
     pause_s: float | None
 
 
-class World:
+class Cluster:
     """Entries, endpoints and all requests at endpoints.
 
     Attributes:
@@ -236,16 +236,16 @@
 
 
 class Pool:
-    """Opens connections to the endpoints of a world."""
+    """Opens connections to the endpoints of a cluster."""
 
-    def __init__(self, world, entry):
-        self.world = world
+    def __init__(self, cluster, entry):
+        self.cluster = cluster
         self.entry = entry
 
     async def acquire(self, address, *, non_idempotent):
-        if self.world.rng.random() < 0.3:
-            await asyncio.sleep(self.world.rng.uniform(0, MAX_CONNECT_S))
-        return Connection(self.world, self.entry, address)
+        if self.cluster.rng.random() < 0.3:
+            await asyncio.sleep(self.cluster.rng.uniform(0, MAX_CONNECT_S))
+        return Connection(self.cluster, self.entry, address)
 
     def release(self, connection):
         pass
@@ -257,27 +257,27 @@
 class Connection:
     """A connection to the address of an endpoint."""
 
-    def __init__(self, world, entry, address):
-        self.world = world
+    def __init__(self, cluster, entry, address):
+        self.cluster = cluster
         self.entry = entry
         self.address = address
         self.timer = None
 
     def send_request(self, data, exchange):
-        hop_s = self.world.rng.uniform(0, MAX_HOP_S)
+        hop_s = self.cluster.rng.uniform(0, MAX_HOP_S)
         loop = asyncio.get_running_loop()
         self.timer = loop.call_later(hop_s, self._arrive, data, exchange)
 
     def _arrive(self, data, exchange):
-        expected = self.world.starts[self.address].id.encode()
+        expected = self.cluster.starts[self.address].id.encode()
         status, answer_headers, arrival = 421, [], None
         if b"x-expected-instance: " + expected + b"\r\n" in data:
-            status, answer_headers, arrival = self.world.make_answer(
+            status, answer_headers, arrival = self.cluster.make_answer(
                 self.entry, self.address
             )
-        told_at = arrival.told_at if arrival else self.world.now
+        told_at = arrival.told_at if arrival else self.cluster.now
         self.timer = asyncio.get_running_loop().call_at(
-            told_at + self.world.rng.uniform(0, MAX_HOP_S),
+            told_at + self.cluster.rng.uniform(0, MAX_HOP_S),
             self._answer,
             exchange,
             status,
@@ -286,7 +286,7 @@
         )
 
     def _answer(self, exchange, status, answer_headers, arrival):
-        self.world.received.add(arrival)
+        self.cluster.received.add(arrival)
         exchange.status, exchange.headers = status, answer_headers
         exchange.reply = headers.interpret_response(status, answer_headers)
         exchange.complete = True
--- a/testing/test_pause_decisions.py
+++ b/testing/test_pause_decisions.py
@@ -4,7 +4,7 @@
 import random
 
 import hypothesis
-import pause_world
+import pause_cluster
 import pytest
 import relay_fixtures
 import virtual
@@ -157,8 +157,8 @@
         self.relay.rng.random = lambda: 0.0
         self.relay.started_at = 0.0
         for name in ("i-1", "i-2"):
-            start = pause_world.Start(name, BORN_MS, f"127.1.1.1:{name[2:]}")
-            pause_world.announce(self.relay, start, BORN_MS)
+            start = pause_cluster.Start(name, BORN_MS, f"127.1.1.1:{name[2:]}")
+            pause_cluster.announce(self.relay, start, BORN_MS)
 
     def endpoint(self, name):
         return self.relay.directory.rows[name].endpoint
--- a/testing/test_pause_interleavings.py
+++ b/testing/test_pause_interleavings.py
@@ -1,6 +1,6 @@
 """Generated interleavings of pauses, restarts and requests."""
 
-import pause_world
+import pause_cluster
 import pytest
 
 SEEDS = [*range(40), 1008]
@@ -11,15 +11,15 @@
 
 @pytest.fixture
 def make_world():
-    worlds = []
+    clusters = []
 
     def make(seed):
-        worlds.append(pause_world.World(seed=seed))
-        return worlds[-1]
+        clusters.append(pause_cluster.Cluster(seed=seed))
+        return clusters[-1]
 
     yield make
-    for world in worlds:
-        world.close()
+    for cluster in clusters:
+        cluster.close()
 
 
 class TestInterleavings:
@@ -27,10 +27,10 @@
     def test_no_request_arrives_inside_a_pause_that_the_entry_knows(
         self, make_world, seed
     ):
-        world = make_world(seed)
-        world.run(DURATION_S, requests_per_s=REQUESTS_PER_S)
-        inside = world.requests_in_pauses()
+        cluster = make_world(seed)
+        cluster.run(DURATION_S, requests_per_s=REQUESTS_PER_S)
+        inside = cluster.requests_in_pauses()
         assert all(len(r) <= MAX_REQUESTS_IN_PAUSE for r in inside.values())
-        assert not inside.keys() & world.received
-        assert any(arrival.pause_s is not None for arrival in world.arrivals)
-        assert 200 in world.statuses
+        assert not inside.keys() & cluster.received
+        assert any(arrival.pause_s is not None for arrival in cluster.arrivals)
+        assert 200 in cluster.statuses
--- a/testing/test_pauses.py
+++ b/testing/test_pauses.py
@@ -16,7 +16,7 @@
 NOT_EXECUTED = "X-Not-Executed: 1\r\n"
 
 
-class World:
+class Cluster:
     """An entry on a clock of its own, and endpoints on loopback."""
 
     def __init__(self, **route):
@@ -50,16 +50,16 @@
 
 @pytest.fixture
 async def make_world():
-    worlds = []
+    clusters = []
 
     def make(**route):
-        worlds.append(World(**route))
-        return worlds[-1]
+        clusters.append(Cluster(**route))
+        return clusters[-1]
 
     yield make
-    for world in worlds:
-        world.relay.pool.close()
-        for endpoint in world.endpoints:
+    for cluster in clusters:
+        cluster.relay.pool.close()
+        for endpoint in cluster.endpoints:
             endpoint.stop()
 
 
@@ -120,61 +120,61 @@
 class TestPausedEndpoints:
     @pytest.mark.parametrize("extra", ["", NOT_EXECUTED])
     async def test_other_endpoints_get_the_requests(self, make_world, extra):
-        world = make_world()
-        pausing = await world.add(turn_away(PAUSE_3_S + extra))
-        other = await world.add()
-        assert await world.send_many(20) == [200] * 20
+        cluster = make_world()
+        pausing = await cluster.add(turn_away(PAUSE_3_S + extra))
+        other = await cluster.add()
+        assert await cluster.send_many(20) == [200] * 20
         assert len(pausing.request_heads) == 1
         assert len(other.request_heads) == 20
 
     async def test_a_call_that_may_have_run_is_not_sent_again(self, make_world):
-        world = make_world(kind=routeconfig.ONCE)
-        await world.add(turn_away(), slots=99)
-        await world.add(turn_away())
-        assert (await world.send()).status == 503
-        assert sum(len(e.request_heads) for e in world.endpoints) == 1
+        cluster = make_world(kind=routeconfig.ONCE)
+        await cluster.add(turn_away(), slots=99)
+        await cluster.add(turn_away())
+        assert (await cluster.send()).status == 503
+        assert sum(len(e.request_heads) for e in cluster.endpoints) == 1
 
     async def test_a_pause_ends_after_its_time(self, make_world):
-        world = make_world()
-        pausing = await world.add(turn_away())
-        assert (await world.send()).status == 503
-        world.now += 2.9
-        assert (await world.send()).status == 503
+        cluster = make_world()
+        pausing = await cluster.add(turn_away())
+        assert (await cluster.send()).status == 503
+        cluster.now += 2.9
+        assert (await cluster.send()).status == 503
         assert len(pausing.request_heads) == 1
-        world.now += 0.2
-        assert (await world.send()).status == 200
+        cluster.now += 0.2
+        assert (await cluster.send()).status == 200
 
     async def test_another_start_is_not_held_back(self, make_world):
-        world = make_world()
-        old = await world.add(turn_away(), born_ms=999_000)
-        await world.send()
+        cluster = make_world()
+        old = await cluster.add(turn_away(), born_ms=999_000)
+        await cluster.send()
         old.stop()
-        restarted = await world.add(name="e1", born_ms=1_000_001)
-        assert (await world.send()).status == 200
+        restarted = await cluster.add(name="e1", born_ms=1_000_001)
+        assert (await cluster.send()).status == 200
         assert len(restarted.request_heads) == 1
 
     async def test_the_refusal_names_the_end_of_the_first_pause(
         self, make_world
     ):
-        world = make_world(max_attempts=3)
-        await world.add(turn_away(NOT_EXECUTED + "Retry-After: 9\r\n"))
-        await world.add(turn_away(NOT_EXECUTED + "Retry-After: 6\r\n"))
-        told = await world.send()
+        cluster = make_world(max_attempts=3)
+        await cluster.add(turn_away(NOT_EXECUTED + "Retry-After: 9\r\n"))
+        await cluster.add(turn_away(NOT_EXECUTED + "Retry-After: 6\r\n"))
+        told = await cluster.send()
         assert told.status == 503
         assert (b"retry-after", b"6.00") in told.headers
-        world.now += 1.0
-        refused = await world.send()
+        cluster.now += 1.0
+        refused = await cluster.send()
         assert refused.status == 503
         assert b"paused" in refused.data
         assert (b"retry-after", b"5.00") in refused.headers
-        assert sum(len(e.request_heads) for e in world.endpoints) == 2
+        assert sum(len(e.request_heads) for e in cluster.endpoints) == 2
 
     async def test_the_own_answer_reaches_the_caller_if_nothing_else_serves(
         self, make_world
     ):
-        world = make_world()
-        await world.add(turn_away())
-        told = await world.send()
+        cluster = make_world()
+        await cluster.add(turn_away())
+        told = await cluster.send()
         assert told.status == 503
         assert (b"retry-after", b"3") in told.headers
         assert (b"x-server-signature", b"s") in told.headers
@@ -183,19 +183,19 @@
     async def test_kinds_that_are_not_repeated_go_elsewhere_if_not_executed(
         self, make_world, kind
     ):
-        world = make_world(kind=kind, max_attempts=1)
-        await world.add(turn_away(PAUSE_3_S + NOT_EXECUTED))
-        await world.add(turn_away(PAUSE_3_S + NOT_EXECUTED))
-        third = await world.add()
-        assert await world.send_many(5) == [200] * 5
+        cluster = make_world(kind=kind, max_attempts=1)
+        await cluster.add(turn_away(PAUSE_3_S + NOT_EXECUTED))
+        await cluster.add(turn_away(PAUSE_3_S + NOT_EXECUTED))
+        third = await cluster.add()
+        assert await cluster.send_many(5) == [200] * 5
         assert len(third.request_heads) == 5
 
     async def test_a_request_that_was_connecting_goes_elsewhere(
         self, make_world
     ):
-        world = make_world()
-        pausing = await world.add(turn_away(PAUSE_3_S))
-        pool = world.relay.pool
+        cluster = make_world()
+        pausing = await cluster.add(turn_away(PAUSE_3_S))
+        pool = cluster.relay.pool
         acquire, connected = pool.acquire, asyncio.Event()
 
         async def acquire_late(address, *, non_idempotent):
@@ -204,11 +204,11 @@
             return connection
 
         pool.acquire = acquire_late
-        late = asyncio.ensure_future(world.send())
+        late = asyncio.ensure_future(cluster.send())
         await asyncio.sleep(0.05)
         pool.acquire = acquire
-        assert (await world.send()).status == 503
-        other = await world.add()
+        assert (await cluster.send()).status == 503
+        other = await cluster.add()
         connected.set()
         assert (await late).status == 200
         assert len(pausing.request_heads) == 1
@@ -217,26 +217,26 @@
     async def test_the_answer_to_a_caller_that_has_left_counts(
         self, make_world
     ):
-        world = make_world()
+        cluster = make_world()
         released = asyncio.Event()
 
         async def turn_away_later(head, writer):
             await released.wait()
             await turn_away()(head, writer)
 
-        pausing = await world.add(turn_away_later)
-        request = relay_fixtures.make_request(world.relay)
+        pausing = await cluster.add(turn_away_later)
+        request = relay_fixtures.make_request(cluster.relay)
         caller = relay_fixtures.RecordingCaller()
-        delivery = caller.make_delivery(world.relay, request)
+        delivery = caller.make_delivery(cluster.relay, request)
         task = asyncio.ensure_future(
-            relaying.relay_request(world.relay, request, delivery)
+            relaying.relay_request(cluster.relay, request, delivery)
         )
         while not pausing.request_heads:
             await asyncio.sleep(0.01)
         delivery.caller_left = True
         released.set()
         await task
-        assert world.relay.pauses.rows
+        assert cluster.relay.pauses.rows
 
 
 class TestLog:
@@ -245,9 +245,9 @@
     ):
         writer = test_events.RecordingWriter()
         monkeypatch.setattr(structured_log, "_writers", [writer])
-        world = make_world()
-        await world.add(turn_away())
-        await world.send()
+        cluster = make_world()
+        await cluster.add(turn_away())
+        await cluster.send()
         fields = dict(writer.lines)[events.Event.ENDPOINT_PAUSED.number]
         assert fields["request"] == "attempt-1"
         assert fields["endpoint"] == "e1"
@@ -258,11 +258,11 @@
     ):
         writer = test_events.RecordingWriter()
         monkeypatch.setattr(structured_log, "_writers", [writer])
-        world = make_world(max_attempts=1)
+        cluster = make_world(max_attempts=1)
         date = "Retry-After: Fri, 04 Dec 2026 10:00:00 GMT" + "x" * 99
         for _ in range(2):
-            await world.add(*[turn_away(date + "\r\n")] * 9)
-        assert await world.send_many(8) == [503] * 8
+            await cluster.add(*[turn_away(date + "\r\n")] * 9)
+        assert await cluster.send_many(8) == [503] * 8
         number = events.Event.ENDPOINT_PAUSE_INVALID.number
         lines = [fields for at, fields in writer.lines if at == number]
         assert sorted(line["endpoint"] for line in lines) == ["e1", "e2"]
