Collect the bodies of answers in blocks

Cause: each body was one bytearray that grew by realloc. 48 of them that grow side by side leave most of the heap in gaps that none can use. Ruled out: the counted sizes (never above 32 MB) and the parts that wait to be taken (16 KB per connection and turn of the loop).

Change: a body is a list of blocks of 64 KB, joined once if the answer is complete.

--- a/src/_arbutuswalk/relay/answer_buffers.py
+++ b/src/_arbutuswalk/relay/answer_buffers.py
@@ -7,7 +7,31 @@
 process may use on the smallest instances in addition to its own 30 MB."""
 MAX_TOTAL_BYTES = 4 * MAX_ANSWER_BYTES
 """Size of all answers that are buffered: most of that memory, together with the
-copies that growing and sending an answer take."""
+copies that joining and sending an answer take."""
+BLOCK_BYTES = 64 * 1024
+"""Size of the blocks that a body is collected in. Many bodies that grow side by
+side, each in one piece, would leave most of the heap in unusable gaps."""
+
+
+class Body:
+    """The part of an answer's body that has been received.
+
+    Attributes:
+        blocks: Its bytes in order; only the last block grows.
+    """
+
+    def __init__(self):
+        self.blocks: list[bytearray] = []
+
+    def add(self, data: bytes) -> None:
+        """Appends data."""
+        if not self.blocks or len(self.blocks[-1]) >= BLOCK_BYTES:
+            self.blocks.append(bytearray())
+        self.blocks[-1] += data
+
+    def join(self) -> bytes:
+        """Returns the whole body."""
+        return b"".join(self.blocks)
 
 
 class AnswerBuffers:
--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from _arbutuswalk.base import events
+from _arbutuswalk.relay import answer_buffers
 from _arbutuswalk.relay import attempt_timing
 from _arbutuswalk.relay import delivery
 from _arbutuswalk.relay import endpoint_limits
@@ -199,7 +200,7 @@
         deadline: float,
     ) -> results.Result:
         """Buffers a complete answer before any of it is sent to the caller."""
-        body = bytearray()
+        body = answer_buffers.Body()
         if not reply.ran:
             deadline = min(deadline, self.relay.now() + REJECTION_BODY_WAIT_S)
         try:
@@ -220,13 +221,13 @@
         return results.Answered(
             status=self.exchange.status,
             headers=self.exchange.headers,
-            body=bytes(body),
+            body=body.join(),
         )
 
     async def _read_body(
         self,
         connection: connections.Connection,
-        body: bytearray,
+        body: answer_buffers.Body,
         deadline: float,
     ) -> results.Result | None:
         """Appends the answer's body to ``body``.
@@ -236,7 +237,7 @@
         """
         while True:
             data = self.exchange.take_body()
-            body += data
+            body.add(data)
             failure = self.relay.answer_buffers.add(self.exchange, len(data))
             if failure:
                 return self._record_lost(failure)
--- a/testing/test_endless.py
+++ b/testing/test_endless.py
@@ -369,6 +369,19 @@
             assert entry.relay.answer_buffers.total == 0
             await wait_until_closed(endpoint)
 
+    def test_answers_that_grow_together_leave_no_gaps_in_the_heap(self):
+        part = connection.MAX_READ_BYTES * b"a"
+        bodies = [answer_buffers.Body() for _ in range(MANY)]
+        for _ in range(20):
+            for body in bodies:
+                body.add(part)
+                body.add(b"b")
+        for body in bodies:
+            assert body.join() == 20 * (part + b"b")
+            sizes = [len(block) for block in body.blocks]
+            assert max(sizes) < answer_buffers.BLOCK_BYTES + len(part)
+            assert min(sizes[:-1]) >= answer_buffers.BLOCK_BYTES
+
     def test_the_largest_answer_fails(self):
         buffers = answer_buffers.AnswerBuffers()
         part = answer_buffers.MAX_ANSWER_BYTES // 4
