Start a segment of the log only once it is durable

An operator would have seen a confirmed change come back older: entries that a member acknowledged after its disk had been full were lost with a loss of power. Nobody has reported it; found by reading for the members' loop that ends silently. 11 tests on the simulated disk failed before.

Cause: a new segment's name was used for writing before the file existed. If the disk was full at that moment, the write was tried again, into a file whose name in the folder was never synced. And an entry that had been written was not confirmed until the new segment could be created.

Change: the current segment is kept until the new one is durable.

--- a/src/_arbutuswalk/storage/wal.py
+++ b/src/_arbutuswalk/storage/wal.py
@@ -162,7 +162,7 @@
                 self.last_index_by_segment[self.segment_name], self.last_index
             )
         if self.segment_size >= self.segment_bytes:
-            return self._start_new_segment()
+            return self._start_new_segment_if_possible()
         return None
 
     def save_snapshot(self, snapshot: Snapshot) -> errors.StorageError | None:
@@ -278,18 +278,31 @@
         self.segment_name = names[-1]
         return None
 
+    def _start_new_segment_if_possible(self) -> errors.StorageError | None:
+        """Starts a new segment; keeps the current one if the disk is full."""
+        failure = self._start_new_segment()
+        if isinstance(failure, errors.DiskFull):
+            events.record(events.Event.DISK_REFUSED, errors.describe(failure))
+            return None
+        return failure
+
     def _start_new_segment(self) -> errors.StorageError | None:
         number = int(self.segment_name[8:-4]) + 1 if self.segment_name else 1
-        self.segment_name = f"segment-{number:012d}.log"
-        self.last_index_by_segment[self.segment_name] = 0
+        name = f"segment-{number:012d}.log"
         data = records.pack(_pack_vote(self.vote))
         data += records.pack(_pack_commit(self.commit))
-        self.segment_size = len(data)
-        return (
-            self.folder.append(self.segment_name, data)
-            or self.folder.sync(self.segment_name)
+        failure = (
+            self.folder.append(name, data)
+            or self.folder.sync(name)
             or self.folder.sync_folder()
         )
+        if failure is not None:
+            self.folder.remove(name)
+            return failure
+        self.segment_name = name
+        self.last_index_by_segment[name] = 0
+        self.segment_size = len(data)
+        return None
 
     def _remove_segments(self, *, up_to: int) -> None:
         for name in self._segment_names():
--- /dev/null
+++ b/testing/test_full_disk.py
@@ -0,0 +1,91 @@
+"""A disk that is full while a new segment is due."""
+
+import random
+
+import fakes
+import pytest
+
+from _arbutuswalk.storage import errors
+from _arbutuswalk.storage import wal
+
+SEGMENT_BYTES = 200
+SNAPSHOT = wal.Snapshot(4, 1, b"state")
+VOTE = wal.Vote(3, "x")
+SEEDS = pytest.mark.parametrize("seed", range(5))
+
+
+class FillingFolder(fakes.FakeFolder):
+    """A folder in which files can be extended, but none can be created."""
+
+    def __init__(self):
+        super().__init__()
+        self.refuses_new_files = False
+
+    def _refuses(self, name):
+        return self.refuses_new_files and not self.files.get(name)
+
+    def append(self, name, data):
+        if self._refuses(name):
+            self.files[name] = b""
+            return errors.DiskFull(path=name)
+        return super().append(name, data)
+
+    def replace(self, name, data):
+        if self._refuses(name):
+            return errors.DiskFull(path=name)
+        return super().replace(name, data)
+
+
+def entries(first, last):
+    return [wal.LogEntry(i, 1, b"command") for i in range(first, last + 1)]
+
+
+def open_log(folder):
+    log = wal.Wal(folder=folder, segment_bytes=SEGMENT_BYTES)
+    recovered = log.recover()
+    assert isinstance(recovered, wal.Recovered), recovered
+    return log, recovered
+
+
+@pytest.fixture
+def folder():
+    return FillingFolder()
+
+
+class TestNewSegment:
+    def test_entries_that_were_written_are_confirmed(self, folder):
+        log, _ = open_log(folder)
+        folder.refuses_new_files = True
+        assert log.write(VOTE, entries(1, 20)) is None
+        assert log.write(None, entries(21, 22)) is None
+
+    @SEEDS
+    def test_later_entries_survive_a_loss_of_power(self, folder, seed):
+        log, _ = open_log(folder)
+        folder.refuses_new_files = True
+        log.write(VOTE, entries(1, 20))
+        folder.refuses_new_files = False
+        assert log.write(None, entries(21, 22)) is None
+        folder.crash(random.Random(seed))
+        _, recovered = open_log(folder)
+        assert recovered.entries == entries(1, 22)
+        assert recovered.vote == VOTE
+
+    @SEEDS
+    def test_entries_after_a_snapshot_survive_a_loss_of_power(
+        self, folder, seed
+    ):
+        log, _ = open_log(folder)
+        log.write(VOTE, entries(1, 4))
+        replace = folder.replace
+        folder.replace = lambda *file: fakes.FakeFolder.replace(folder, *file)
+        folder.refuses_new_files = True
+        assert isinstance(log.save_snapshot(SNAPSHOT), errors.DiskFull)
+        folder.replace = replace
+        folder.refuses_new_files = False
+        assert log.write(None, entries(5, 6)) is None
+        folder.crash(random.Random(seed))
+        _, recovered = open_log(folder)
+        assert recovered.snapshot == SNAPSHOT
+        assert recovered.entries == entries(5, 6)
+        assert recovered.vote == VOTE
