--- a/src/_arbutuswalk/control/member.py
+++ b/src/_arbutuswalk/control/member.py
@@ -263,10 +263,15 @@
         if snapshot is None:
             return
         loop = asyncio.get_running_loop()
-        self.failure = await loop.run_in_executor(
+        failure = await loop.run_in_executor(
             None, self.durable_replica.wal.save_snapshot, snapshot
         )
-        if self.failure is None:
+        if isinstance(failure, errors.DiskFull):
+            # The log still holds all entries; a later snapshot replaces this.
+            events.record(events.Event.DISK_REFUSED, errors.describe(failure))
+            return
+        self.failure = failure
+        if failure is None:
             self.durable_replica.keep_snapshot(snapshot)
 
     def _notify_changed(self) -> None:
--- a/testing/fakes.py
+++ b/testing/fakes.py
@@ -243,10 +243,11 @@
             snapshot = core.due_snapshot()
             if snapshot is None:
                 continue
-            if core.wal.save_snapshot(snapshot) is not None:
-                node.crash()
-                return
-            core.keep_snapshot(snapshot)
+            failure = core.wal.save_snapshot(snapshot)
+            if failure is None:
+                core.keep_snapshot(snapshot)
+            else:
+                assert isinstance(failure, errors.DiskFull)
 
     def _check_applied(self, node, applied):
         """Checks that all members apply the same entry at each index."""
--- a/testing/test_full_disk.py
+++ b/testing/test_full_disk.py
@@ -1,10 +1,14 @@
-"""A disk that is full while a new segment is due."""
+"""A disk that is full while a snapshot or a new segment is due."""
 
+import asyncio
 import random
 
 import fakes
 import pytest
 
+from _arbutuswalk.control import durable_replica
+from _arbutuswalk.control import member as members
+from _arbutuswalk.state import commands
 from _arbutuswalk.storage import errors
 from _arbutuswalk.storage import wal
 
@@ -12,6 +16,8 @@
 SNAPSHOT = wal.Snapshot(4, 1, b"state")
 VOTE = wal.Vote(3, "x")
 SEEDS = pytest.mark.parametrize("seed", range(5))
+ADDRESS = "127.0.0.1:1"
+TIMEOUT_S = 10.0
 
 
 class FillingFolder(fakes.FakeFolder):
@@ -89,3 +95,38 @@
         assert recovered.snapshot == SNAPSHOT
         assert recovered.entries == entries(5, 6)
         assert recovered.vote == VOTE
+
+
+class TestSnapshotOfAMember:
+    async def test_member_goes_on_and_saves_a_later_one(self, folder):
+        replica = durable_replica.DurableReplica(
+            data=folder,
+            identity=durable_replica.Identity(ADDRESS, (ADDRESS,), 1),
+            timing=fakes.TIMING,
+            rng=random.Random(1),
+            snapshot_interval_entries=2,
+        )
+        member = members.Member(durable_replica=replica)
+        assert replica.recover(member.now()) is None
+        folder.refuses_new_files = True
+        task = asyncio.ensure_future(member.run())
+        async with asyncio.timeout(TIMEOUT_S):
+            while not member.is_leader:
+                await asyncio.sleep(members.TICK_INTERVAL_S)
+            for _ in range(6):
+                await self.submit(member)
+            assert not self.snapshots(folder)
+            folder.refuses_new_files = False
+            for _ in range(3):
+                await self.submit(member)
+        assert self.snapshots(folder)
+        assert not task.done()
+        task.cancel()
+
+    async def submit(self, member):
+        command = commands.encode(commands.Tick())
+        outcome = await member.submit(command, timeout_s=TIMEOUT_S)
+        assert not isinstance(outcome, members.NotLeader | members.Undecided)
+
+    def snapshots(self, folder):
+        return [name for name in folder.files if name.startswith("snapshot")]
