--- a/testing/test_endless.py
+++ b/testing/test_endless.py
@@ -364,7 +364,11 @@
             received = await asyncio.gather(
                 *(entry.request() for _ in range(MANY))
             )
-            assert {answer.status for answer in received} <= {502, 504}
+            assert not [
+                answer.data
+                for answer in received
+                if answer.status not in (502, 504)
+            ]
             assert entry.memory_growth < 2 * answer_buffers.MAX_TOTAL_BYTES
             assert entry.relay.answer_buffers.total == 0
             await wait_until_closed(endpoint)
