Log errors that end background tasks; end a failed process with 1

A control process whose member loop failed with an error that nobody had foreseen ended without a line in its log and with exit code 0, like one that was asked to stop. An error in its other loops, or in an entry's tick, ended the loop alone: the process went on without it, and the error was dropped when the process was stopped. Found by reading; no such error is known.

--- a/src/_arbutuswalk/base/process.py
+++ b/src/_arbutuswalk/base/process.py
@@ -17,6 +17,7 @@
 from _arbutuswalk.base import settings
 
 EXIT_OK = 0
+EXIT_FAILED = 1
 
 
 def load_settings(
--- a/src/_arbutuswalk/control/process.py
+++ b/src/_arbutuswalk/control/process.py
@@ -6,6 +6,7 @@
 from typing import Any
 from typing import NamedTuple
 
+from _arbutuswalk.base import background
 from _arbutuswalk.base import clock
 from _arbutuswalk.base import events
 from _arbutuswalk.base import process
@@ -78,16 +79,19 @@
         service=request_service, values=values
     )
     request_service.extra_dump = leader_runner.dump
-    member_task = asyncio.ensure_future(member.run())
-    leader_task = asyncio.ensure_future(leader_runner.run())
-    expire_task = asyncio.ensure_future(_remove_expired(request_service))
-    notify_task = asyncio.ensure_future(_notify_on_change(components))
-    count_task = asyncio.ensure_future(
-        _maintain_entry_count_cache(discovery, values)
-    )
-    cache_task = asyncio.ensure_future(
-        _maintain_endpoint_cache(discovery, values, restored)
-    )
+    member_task = background.start("member", member.run())
+    background_tasks = [
+        background.start("systems", leader_runner.run()),
+        background.start("expiry", _remove_expired(request_service)),
+        background.start("watches", _notify_on_change(components)),
+        background.start(
+            "entry count", _maintain_entry_count_cache(discovery, values)
+        ),
+        background.start(
+            "endpoint cache",
+            _maintain_endpoint_cache(discovery, values, restored),
+        ),
+    ]
     stop_task = asyncio.ensure_future(stop.wait())
     await asyncio.wait(
         (member_task, stop_task), return_when=asyncio.FIRST_COMPLETED
@@ -99,16 +103,8 @@
     await asyncio.wait(
         (member_task, leave_task), return_when=asyncio.FIRST_COMPLETED
     )
-    tasks = (
-        member_task,
-        leave_task,
-        leader_task,
-        expire_task,
-        notify_task,
-        cache_task,
-        count_task,
-        stop_task,
-    )
+    has_failed = _has_failed(member_task)
+    tasks = (member_task, leave_task, stop_task, *background_tasks)
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
@@ -118,15 +114,22 @@
     await server.stop()
     await member.stop()
     events.log(events.Event.PROCESS_STOPPED, "control", values["id"])
-    return EXIT_STORAGE_FAILED if member.failure else process.EXIT_OK
+    if member.failure:
+        return EXIT_STORAGE_FAILED
+    return process.EXIT_FAILED if has_failed else process.EXIT_OK
+
+
+def _has_failed(task: asyncio.Task) -> bool:
+    return task.done() and not task.cancelled() and bool(task.exception())
 
 
 async def _remove_expired(request_service: service.Service) -> None:
-    while True:
-        await asyncio.sleep(EXPIRE_INTERVAL_S)
+    def remove() -> None:
         request_service.discovery.remove_expired()
         request_service.permit_issuer.remove_unknown()
 
+    await background.repeat("expiry", EXPIRE_INTERVAL_S, remove)
+
 
 async def _maintain_endpoint_cache(
     discovery: discoveries.Discovery,
--- a/src/_arbutuswalk/entry/main.py
+++ b/src/_arbutuswalk/entry/main.py
@@ -8,6 +8,7 @@
 import aiohttp
 import uvicorn
 
+from _arbutuswalk.base import background
 from _arbutuswalk.base import clock
 from _arbutuswalk.base import events
 from _arbutuswalk.base import process
@@ -128,8 +129,8 @@
         setting_values["address"],
     )
     server_task = asyncio.ensure_future(server.serve())
-    control_sync_task = asyncio.ensure_future(control_sync.run(entry))
-    maintenance_task = asyncio.ensure_future(maintenance.run(entry))
+    control_sync_task = background.start("sync", control_sync.run(entry))
+    maintenance_task = background.start("maintenance", maintenance.run(entry))
     drain_task = asyncio.ensure_future(drain_requested.wait())
     await asyncio.wait(
         (server_task, drain_task, control_sync_task, maintenance_task),
--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable
 from typing import Any
 
+from _arbutuswalk.base import background
 from _arbutuswalk.base import events
 from _arbutuswalk.relay import config_fetch
 from _arbutuswalk.relay import endpoint_limits
@@ -160,7 +161,7 @@
         if address not in self.feeds:
             feed = ControlFeed(address=address, now=self.relay.now())
             self.feeds[address] = feed
-            feed.task = asyncio.ensure_future(self._watch(feed))
+            feed.task = background.start("watch", self._watch(feed))
 
     async def _watch(self, feed: ControlFeed) -> None:
         while True:
@@ -272,12 +273,13 @@
         """Starts fetching a configuration newer than the one in use."""
         is_idle = self.fetch_task is None or self.fetch_task.done()
         if is_idle and feed.routes_version > self.relay.routes_version:
-            self.fetch_task = asyncio.ensure_future(
+            self.fetch_task = background.start(
+                "configuration",
                 config_fetch.fetch(
                     lambda: list(self.feeds.values()),
                     lambda: self.relay.routes_version,
                     self._apply_fetched_routes,
-                )
+                ),
             )
 
     def _apply_fetched_routes(
