Watch a control process again after an unusable reply

An entry that received a reply which it could not interpret (from another release, say) stopped watching that control process for good, and still counted it as connected: it heard of no endpoint and no configuration any more once this had happened with each of them. Found by reading, after the errors of background tasks; no such reply is known. The new test failed before: one watch was sent, no second one.

Change: the reply is logged (104), control counts as lost, and the next watch asks for everything, as the reply may have been applied in part.

--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -169,11 +169,13 @@
                 self._make_watch_message(feed), timeout_s=WATCH_TIMEOUT_S
             )
             if isinstance(reply, ttypes.WatchReply):
-                self._apply_reply(feed, reply)
-                continue
+                reason = self._try_apply_reply(feed, reply)
+                if not reason:
+                    continue
+            else:
+                reason = getattr(reply, "reason", "no answer")
             if feed.connected:
                 feed.connected = False
-                reason = getattr(reply, "reason", "no answer")
                 events.record(events.Event.CONTROL_LOST, feed.address, reason)
             feed.term = 0
             if isinstance(reply, link.TimedOut):
@@ -184,6 +186,21 @@
                 RETRY_INTERVAL_S if has_config else STARTUP_RETRY_INTERVAL_S
             )
 
+    def _try_apply_reply(
+        self, feed: ControlFeed, reply: ttypes.WatchReply
+    ) -> str:
+        """Applies a reply; returns why it could not be applied, if so.
+
+        Everything is asked for again after a reply that was applied in part.
+        """
+        try:
+            self._apply_reply(feed, reply)
+        except Exception as error:  # noqa: BLE001
+            background.log_error("watch", error)
+            feed.session, feed.revision, feed.routes_version = "", 0, 0
+            return f"unusable reply: {error!r}"
+        return ""
+
     def _make_watch_message(self, feed: ControlFeed) -> ttypes.Watch:
         report = self._report()
         feed.quota.reported_taken = report["taken"]
--- a/testing/test_watching.py
+++ b/testing/test_watching.py
@@ -154,3 +154,31 @@
         watcher._apply_reply(feed, make_reply(endpoints=[leaving]))
         row = watcher.relay.directory.rows["a"]
         assert row.endpoint.state == directory.LEAVING
+
+
+class TestUnusableReply:
+    async def test_the_watch_goes_on_and_asks_for_everything(
+        self, monkeypatch, caplog
+    ):
+        watcher, feed = make_watcher()
+        replies = [make_reply(members=None), make_reply(routes_version=0)]
+        sent = []
+
+        async def call(message, *, timeout_s):
+            sent.append(message)
+            if not replies:
+                await asyncio.Event().wait()
+            return replies.pop(0)
+
+        monkeypatch.setattr(feed.link, "call", call)
+        monkeypatch.setattr(control_watch, "RETRY_INTERVAL_S", 0.01)
+        feed.session, feed.revision = "s", 7
+        task = asyncio.ensure_future(watcher._watch(feed))
+        async with asyncio.timeout(5):
+            while len(sent) < 3:
+                await asyncio.sleep(0.01)
+        assert [message.version for message in sent] == [7, 0, 1]
+        assert [message.session for message in sent] == ["s", "", "s"]
+        assert feed.connected
+        assert "E104" in caplog.text
+        task.cancel()
