Send answers without end from one thread

Cause, as far as a run shows it: the endpoint under the same interpreter sent from one thread per connection, so that up to 48 threads competed with the event loop for the interpreter lock. Ruled out: garbage collections (0.2 s of processor time then), the entry's refusals by admission, pauses, limits.

Change: one thread sends to all connections. The check is the same. Each limit is still reached: 44 of 48 answers fail as the largest of all, 4 by their own size.

--- a/testing/endless_endpoint.py
+++ b/testing/endless_endpoint.py
@@ -1,9 +1,10 @@
-"""Endpoint that sends bytes without end, from threads of its own.
+"""Endpoint that sends bytes without end, from a thread of its own.
 
-The threads keep the sending out of the event loop under test, so that its
+The thread keeps the sending out of the event loop under test, so that its
 latency and its processor time are those of the entry.
 """
 
+import asyncio
 import contextlib
 import itertools
 import socket
@@ -41,14 +42,17 @@
         self.ends = []
         self.sent_bytes = 0
         self.listener = socket.create_server(("127.0.0.1", 0))
-        self.threads = []
+        self.thread = threading.Thread(target=self._run, daemon=True)
+        self.loop = None
+        self.accept_task = None
+        self.serve_tasks = set()
 
     @property
     def address(self):
         return f"127.0.0.1:{self.listener.getsockname()[1]}"
 
     def listen(self):
-        self._start_thread(self._accept)
+        self.thread.start()
         return self
 
     def announce(self, relay, upstream="ops"):
@@ -67,52 +71,56 @@
         directory.announce(relay.directory, announced, relay.now())
 
     def stop(self):
-        with contextlib.suppress(OSError):
-            self.listener.shutdown(socket.SHUT_RDWR)
+        with contextlib.suppress(RuntimeError):
+            self.loop.call_soon_threadsafe(self.accept_task.cancel)
         self.listener.close()
 
-    def _start_thread(self, target, *args):
-        thread = threading.Thread(target=target, args=args, daemon=True)
-        self.threads.append(thread)
-        thread.start()
+    def _run(self):
+        with contextlib.suppress(asyncio.CancelledError):
+            asyncio.run(self._accept())
 
-    def _accept(self):
+    async def _accept(self):
+        self.loop = asyncio.get_running_loop()
+        self.accept_task = asyncio.current_task()
+        self.listener.setblocking(False)
         with contextlib.suppress(OSError):
             while True:
-                connection, _ = self.listener.accept()
+                connection, _ = await self.loop.sock_accept(self.listener)
                 self.connection_count += 1
-                self._start_thread(self._serve, connection)
+                task = self.loop.create_task(self._serve(connection))
+                self.serve_tasks.add(task)
+                task.add_done_callback(self.serve_tasks.discard)
 
-    def _serve(self, connection):
-        connection.settimeout(MAX_SENDING_S)
+    async def _serve(self, connection):
+        connection.setblocking(False)
         with connection, contextlib.suppress(OSError):
             head = b""
             while b"\r\n\r\n" not in head:
-                data = connection.recv(BLOCK_BYTES)
+                data = await self.loop.sock_recv(connection, BLOCK_BYTES)
                 if not data:
                     return
                 head += data
             self.request_heads.append(head)
             try:
-                self._send_endlessly(connection)
+                async with asyncio.timeout(MAX_SENDING_S):
+                    await self._send_endlessly(connection)
             finally:
                 self.ends.append(time.monotonic())
 
-    def _send_endlessly(self, connection):
-        stop_at = time.monotonic() + MAX_SENDING_S
-        connection.sendall(self.start)
-        time.sleep(self.pause_s)
+    async def _send_endlessly(self, connection):
+        await self.loop.sock_sendall(connection, self.start)
+        await asyncio.sleep(self.pause_s)
         if self.trickle:
             for number in itertools.cycle(range(len(self.repeated))):
-                connection.sendall(self.repeated[number : number + 1])
+                byte = self.repeated[number : number + 1]
+                await self.loop.sock_sendall(connection, byte)
                 self.sent_bytes += 1
-                time.sleep(TRICKLE_INTERVAL_S)
-                if time.monotonic() > stop_at:
-                    return
+                await asyncio.sleep(TRICKLE_INTERVAL_S)
         block = self.repeated * max(1, BLOCK_BYTES // len(self.repeated))
-        while time.monotonic() < stop_at:
-            connection.sendall(block)
+        while True:
+            await self.loop.sock_sendall(connection, block)
             self.sent_bytes += len(block)
+            await asyncio.sleep(0)
 
 
 def resident_bytes():
