--- a/src/_arbutuswalk/agreement/raftlog.py
+++ b/src/_arbutuswalk/agreement/raftlog.py
@@ -83,6 +83,11 @@
         offset = first - self.snapshot_index - 1
         return self.entries[offset : offset + limit]
 
+    def bytes_up_to(self, index: int) -> int:
+        """Returns the size of the entries in memory up to ``index``."""
+        entries = self.entries[: index - self.snapshot_index]
+        return sum(len(entry.command) for entry in entries)
+
     def compact(self, index: int) -> None:
         """Drops the entries up to ``index``, which a snapshot now covers."""
         term = self.term_at(index)
--- a/src/_arbutuswalk/agreement/transfer.py
+++ b/src/_arbutuswalk/agreement/transfer.py
@@ -3,6 +3,10 @@
 All members take snapshots of the same tables at the same indices, so their
 bytes are equal and a piece may come from any of them. A stalled transfer
 resumes at its offset from the next source.
+
+The leader keeps the snapshot that it offers, and the entries after it, until
+all members that answer have them. So a transfer may take longer than the
+interval between two snapshots, and its receiver continues with entries.
 """
 
 import zlib
@@ -15,6 +19,9 @@
 
 PIECE_BYTES = 256 * 1024
 PIECE_TIMEOUT_HEARTBEATS = 5
+MAX_KEPT_BYTES = 8 * 1024 * 1024
+"""Size of the entries that a leader keeps for other members though a snapshot
+covers them; half a frame, as one request may carry them all."""
 
 
 def send_offer(replica: replicas.Replica, member: str) -> None:
@@ -23,10 +30,11 @@
     data = replica.snapshots.get(index)
     if data is None:
         return
+    others_keep_it = index in sorted(replica.snapshots)[-wal.SNAPSHOTS_KEPT :]
     sources = [
         name
         for name, progress in replica.progress.items()
-        if name != member and progress.match_index >= index
+        if others_keep_it and name != member and progress.match_index >= index
     ]
     message = ttypes.SnapshotOffer(
         term=replica.term,
@@ -66,7 +74,8 @@
 
 
 def tick(replica: replicas.Replica, now: float) -> None:
-    """Requests the piece from the next source when it is overdue."""
+    """Compacts the log, and requests an overdue piece from the next source."""
+    _compact_log(replica, now)
     transfer = replica.transfer
     piece_timeout_s = PIECE_TIMEOUT_HEARTBEATS * replica.timing.heartbeat_s
     if transfer is not None and now - transfer.requested_at > piece_timeout_s:
@@ -144,13 +153,41 @@
 
 
 def retain_snapshot(replica: replicas.Replica, index: int, data: bytes) -> None:
-    """Makes a saved snapshot available to others and compacts the log."""
-    retained = sorted({*replica.snapshots, index})[-wal.SNAPSHOTS_KEPT :]
+    """Makes a saved snapshot available to others and the log compactable."""
     replica.snapshots[index] = data
+    if replica.log.bytes_up_to(index) > MAX_KEPT_BYTES:
+        replica.log.compact(index)
+    _drop_old_snapshots(replica)
+
+
+def _compact_log(replica: replicas.Replica, now: float) -> None:
+    """Drops the entries that a snapshot covers and no other member needs."""
+    first_needed = _first_needed(replica, now)
+    index = max((i for i in replica.snapshots if i < first_needed), default=0)
+    if index > replica.log.snapshot_index:
+        replica.log.compact(index)
+        _drop_old_snapshots(replica)
+
+
+def _first_needed(replica: replicas.Replica, now: float) -> int:
+    """Returns the first entry that a member which answers may lack."""
+    first_needed = replica.log.last_index + 1
+    if replica.role is not types.Role.LEADER:
+        return first_needed
+    for progress in replica.progress.values():
+        if now - progress.last_reply_at <= replica.timing.replace_after_s:
+            first_needed = min(first_needed, progress.match_index + 1)
+    return first_needed
+
+
+def _drop_old_snapshots(replica: replicas.Replica) -> None:
+    """Keeps the newest snapshots and the one that the log starts after."""
+    newest = sorted(replica.snapshots)[-wal.SNAPSHOTS_KEPT :]
     replica.snapshots = {
-        kept_index: replica.snapshots[kept_index] for kept_index in retained
+        index: data
+        for index, data in replica.snapshots.items()
+        if index in newest or index == replica.log.snapshot_index
     }
-    replica.log.compact(index)
 
 
 def members_at(replica: replicas.Replica, index: int) -> types.Members:
--- a/src/_arbutuswalk/control/durable_replica.py
+++ b/src/_arbutuswalk/control/durable_replica.py
@@ -224,9 +224,8 @@
     def due_snapshot(self) -> wal.Snapshot | None:
         """Returns a snapshot to save, at indices equal on all members."""
         index = self.applied
-        if (
-            index % self.snapshot_interval_entries
-            or index <= self.replica.log.snapshot_index
+        if index % self.snapshot_interval_entries or index <= max(
+            self.replica.snapshots, default=0
         ):
             return None
         members = transfer.members_at(self.replica, index)
@@ -234,7 +233,7 @@
         return wal.Snapshot(index, self.replica.log.term_at(index), packed)
 
     def keep_snapshot(self, saved_snapshot: wal.Snapshot) -> None:
-        """Serves a saved snapshot and drops the log entries it covers."""
+        """Serves a saved snapshot; the log entries it covers may be dropped."""
         transfer.retain_snapshot(
             self.replica, saved_snapshot.index, saved_snapshot.state
         )
