Keep an entry in the look-ups while one of its watches is lost

Callers could see an entry that runs missing from a look-up for a moment, give up their connections to it, and with one entry get a 503.

Cause: control dropped an entry from look-ups 1.5 s after its last watch. The time-out of a watch and the pause after it are constants of the entry, and the sum was not compared.

Ruled out: a shorter time-out of watches, which slow links need; the same time for sums and limits, where an entry that is taken for silent too early only makes the others more careful, and one too late lets them exceed a limit.

Change: the timing of watches is in one module of wire, and look-ups wait for what it adds up to: 0.4 s held, 1.2 s time-out, 0.2 s pause, and two round trips of at most the first connect time-out, 0.25 s: 2.3 s. The price: an entry that dies without a word stays in look-ups for 0.8 s longer; callers keep an answer for 2 s and more anyway.

Open: in sums and limits a live entry still counts as silent for that moment.

--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -25,13 +25,15 @@
 from _arbutuswalk.routing import stated_limits
 from _arbutuswalk.state import counter_sum
 from _arbutuswalk.wire import compressed_json
+from _arbutuswalk.wire import watch_timing
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
-MAX_WATCH_WAIT_S = 0.4
-"""Longest time a watch waits for an update; bounds the age of the loads."""
 ENTRY_SILENCE_TIMEOUT_S = 1.5
-"""Time without a watch after which an entry is no longer returned to callers:
-three watches."""
+"""Time without a watch after which an entry no longer counts as reachable in
+sums and limits, nor is waited for: three watches."""
+LOOKUP_SILENCE_TIMEOUT_S = watch_timing.LOST_WATCH_S
+"""The same for look-ups: callers give up their connections to an entry that is
+no longer returned."""
 SETTLING_TIME_S = 0.75
 """Time after the first watch from an entry in which every running entry sends
 one: the pause after a failed watch, and two attempts to connect. Sums over
@@ -154,22 +156,20 @@
         return True
 
     def ready_entries(self) -> list[dict[str, Any]]:
-        """Returns the reports of reachable entries that are ready."""
+        """Returns the reports of ready entries, for look-ups."""
+        recent = entry_reports.newest_incarnations(
+            self.entries, self.now() - LOOKUP_SILENCE_TIMEOUT_S
+        )
         return [
             entry.report
-            for entry in self.reachable_entries().values()
+            for entry in recent.values()
             if entry.report.get("ready")
         ]
 
     def reachable_entries(self) -> dict[str, entry_reports.KnownEntry]:
         """Returns the newest incarnation of each reachable entry, by id."""
-        cutoff = self.now() - ENTRY_SILENCE_TIMEOUT_S
         return entry_reports.newest_incarnations(
-            {
-                key: entry
-                for key, entry in self.entries.items()
-                if entry.last_watch_at >= cutoff
-            }
+            self.entries, self.now() - ENTRY_SILENCE_TIMEOUT_S
         )
 
     async def watch(self, message: ttypes.Watch) -> ttypes.WatchReply:
@@ -180,7 +180,7 @@
         if not self._has_update(message, revision):
             changed = self.changed
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(MAX_WATCH_WAIT_S):
+                async with asyncio.timeout(watch_timing.MAX_WAIT_S):
                     await changed.wait()
         return ttypes.WatchReply(
             session=self.session,
--- a/src/_arbutuswalk/control/entry_reports.py
+++ b/src/_arbutuswalk/control/entry_reports.py
@@ -23,10 +23,13 @@
 
 def newest_incarnations(
     entries: dict[tuple[str, int], KnownEntry],
+    since: float = float("-inf"),
 ) -> dict[str, KnownEntry]:
-    """Returns the newest incarnation of each entry, by id."""
+    """Returns the newest incarnation of each entry heard ``since``, by id."""
     newest: dict[str, KnownEntry] = {}
     for (name, incarnation), entry in entries.items():
+        if entry.last_watch_at < since:
+            continue
         if name not in newest or newest[name].incarnation < incarnation:
             newest[name] = entry
     return newest
--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -23,15 +23,12 @@
 from _arbutuswalk.state import routeconfig
 from _arbutuswalk.wire import compressed_json
 from _arbutuswalk.wire import link
+from _arbutuswalk.wire import watch_timing
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
-WATCH_TIMEOUT_S = 1.2
-"""Time-out of a watch: three times as long as control holds it open."""
-RETRY_INTERVAL_S = 0.2
-"""Pause after a failed watch."""
 STARTUP_RETRY_INTERVAL_S = 0.05
-"""The same before the first configuration: control may be starting at the same
-time."""
+"""Pause after a failed watch before the first configuration: control may be
+starting at the same time."""
 ENDPOINT_RETENTION_S = 20.0
 """Time without an announcement after which an endpoint is removed, the same as
 at control."""
@@ -165,7 +162,7 @@
     async def _watch(self, feed: ControlFeed) -> None:
         while True:
             reply = await feed.link.call(
-                self._make_watch_message(feed), timeout_s=WATCH_TIMEOUT_S
+                self._make_watch_message(feed), timeout_s=watch_timing.TIMEOUT_S
             )
             if isinstance(reply, ttypes.WatchReply):
                 self._apply_reply(feed, reply)
@@ -180,7 +177,9 @@
                 feed.link.close("timed out")
             has_config = self.relay.route_table is not None
             await asyncio.sleep(
-                RETRY_INTERVAL_S if has_config else STARTUP_RETRY_INTERVAL_S
+                watch_timing.RETRY_INTERVAL_S
+                if has_config
+                else STARTUP_RETRY_INTERVAL_S
             )
 
     def _make_watch_message(self, feed: ControlFeed) -> ttypes.Watch:
--- a/testing/quota_cluster.py
+++ b/testing/quota_cluster.py
@@ -18,6 +18,7 @@
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.state import routeconfig
 from _arbutuswalk.wire import compressed_json
+from _arbutuswalk.wire import watch_timing
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
 START = 1000.0
@@ -172,7 +173,7 @@
             feed = watcher.feeds[_address(control)]
             pair = entry, control
             if pair not in self.replies_due:
-                delay_s = self.rng.uniform(0, control_watch.RETRY_INTERVAL_S)
+                delay_s = self.rng.uniform(0, watch_timing.RETRY_INTERVAL_S)
                 connects_at = self.connects_at.setdefault(
                     pair, self.now + delay_s
                 )
@@ -190,7 +191,7 @@
         message = watcher._make_watch_message(feed)
         discovery._record_watch(message, 0)
         is_new = message.session != discovery.session
-        wait_s = 0.0 if is_new else discoveries.MAX_WATCH_WAIT_S
+        wait_s = 0.0 if is_new else watch_timing.MAX_WAIT_S
         self.replies_due[pair] = self.now + wait_s
 
     def _drop_replies(self, is_dropped):
--- a/testing/test_duties.py
+++ b/testing/test_duties.py
@@ -222,6 +222,12 @@
         discovery._record_watch(watch(discovery, "e1"), 0)
         components.member.time += discoveries.ENTRY_SILENCE_TIMEOUT_S + 0.1
         discovery._record_watch(watch(discovery, "e2"), 0)
+        assert set(discovery.reachable_entries()) == {"e2"}
+        components.member.time += (
+            discoveries.LOOKUP_SILENCE_TIMEOUT_S
+            - discoveries.ENTRY_SILENCE_TIMEOUT_S
+        )
+        discovery._record_watch(watch(discovery, "e2"), 0)
         assert [r["address"] for r in discovery.ready_entries()] == ["e2"]
         assert discovery.known_entries() == {"e1", "e2"}
 
--- a/testing/test_quota_restarts.py
+++ b/testing/test_quota_restarts.py
@@ -4,6 +4,7 @@
 import quota_cluster
 
 from _arbutuswalk.control import discovery as discoveries
+from _arbutuswalk.wire import watch_timing
 
 RATE = 30_603.0
 BURST = 68_877.0
@@ -130,7 +131,7 @@
             watcher.relay.quota_buckets["w"].level
             for watcher in cluster.entries
         ]
-        refill = RATE * discoveries.MAX_WATCH_WAIT_S
+        refill = RATE * watch_timing.MAX_WAIT_S
         assert started <= max(others) + refill
 
     @pytest.mark.parametrize("seed", SEEDS)
