Wait for all entries after a power loss before sums count as complete

Callers may have seen limits that all entries share exceeded after control and entries lost power together, or after control was without power for some seconds.

Cause: a control process took its sums for complete 0.75 s after the first watch. The time was added up from short attempts to connect. While a machine has no power, its first packets are lost, and an entry's attempts take up to 1.0 s; one that began just before control was up ends 1.0 s later, and 0.2 s pass until the next.

Change: the time is the longest connect time-out, the pause, and three messages of at most half the first connect time-out: 1.575 s.

--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -34,10 +34,9 @@
 LOOKUP_SILENCE_TIMEOUT_S = watch_timing.LOST_WATCH_S
 """The same for look-ups: callers give up their connections to an entry that is
 no longer returned."""
-SETTLING_TIME_S = 0.75
-"""Time after the first watch from an entry in which every running entry sends
-one: the pause after a failed watch, and two attempts to connect. Sums over
-entries are incomplete until then."""
+SETTLING_TIME_S = watch_timing.FIRST_WATCHES_S
+"""Time after the first watch from an entry until sums over entries are
+complete."""
 ENTRY_RETENTION_S = 60.0
 """How long the last report of a silent entry still counts towards usage."""
 ENDPOINT_RETENTION_S = 20.0
--- a/testing/test_lost_watches.py
+++ b/testing/test_lost_watches.py
@@ -1,11 +1,14 @@
 """What control concludes while watches of running entries are lost or late."""
 
 import asyncio
+import random
 
 import pytest
 import virtual
 import watch_network
 
+ENTRY_COUNT = 20
+LATENCY_S = 0.02
 SAMPLE_INTERVAL_S = 0.01
 
 
@@ -37,3 +40,23 @@
             await asyncio.sleep(SAMPLE_INTERVAL_S)
             assert network.discovery.ready_entries()
         assert network.next_lost == ""
+
+
+class TestRestartAfterAPowerLossOfAll:
+    @pytest.mark.parametrize("seed", range(8))
+    def test_control_counts_all_entries_before_it_is_settled(
+        self, monkeypatch, seed
+    ):
+        network = watch_network.Network(monkeypatch, latency_s=LATENCY_S)
+        run(self.start_all(network, random.Random(seed)))
+
+    async def start_all(self, network, rng):
+        for _ in range(ENTRY_COUNT):
+            network.start_entry()
+            await asyncio.sleep(rng.uniform(0, 0.4))
+        await asyncio.sleep(rng.uniform(2, 4))
+        network.start_control()
+        discovery = network.discovery
+        while not discovery.is_settled():
+            await asyncio.sleep(SAMPLE_INTERVAL_S)
+        assert len(discovery.known_entries()) == ENTRY_COUNT
