Derive when an endpoint counts as silent from its heartbeat interval

An operator would have seen endpoints ordered in place of ones that run, or too late in place of lost ones, where endpoints announce themselves at another interval than 1.2 s.

Cause: scaling counted an endpoint as silent after 4.0 s, "three missed heartbeats of 1.2 s", whatever the settings state.

Change: it is silent after 10/3 of the stated interval (heartbeat_ms): three missed heartbeats, as before 4.0 s at 1.2 s. Serving endpoints are selected once per decision.

Test: an endpoint counts after three intervals and no longer after three and a half; with the constant it failed at 0.2, 1.0, 2.0 and 5.0 s and passed at 1.2 s. The other tests of scaling use the same 4.1 s as before. Passed: test_scaling_rollouts, test_duties, test_quality, test_decisions, test_settings, test_platform_processes.

Open: endpoints are removed after 20 s without an announcement, which bounds the interval to about 6 s.

--- a/src/_arbutuswalk/control/duties.py
+++ b/src/_arbutuswalk/control/duties.py
@@ -60,6 +60,7 @@
         lease_s: Lease that the platform grants to the duty holder.
         window_s: Length of a usage window.
         delay_s: Time after a window's end by which its report is due.
+        heartbeat_s: Heartbeat interval of endpoints.
     """
 
     usage: bool
@@ -67,6 +68,7 @@
     lease_s: float
     window_s: float
     delay_s: float
+    heartbeat_s: float
 
 
 class DutyHolder:
@@ -109,12 +111,12 @@
     """Performs the duties while this process holds them."""
     holder = DutyHolder(components=components, options=options)
     sent_reports = usage_reports.SentReports(window_s=options.window_s)
-    fleets = scaling.Fleets()
+    fleets = scaling.Fleets(heartbeat_s=options.heartbeat_s)
     while True:
         await asyncio.sleep(TICK_INTERVAL_S)
         if not holder.update_term():
             sent_reports.clear()
-            fleets = scaling.Fleets()
+            fleets = scaling.Fleets(heartbeat_s=options.heartbeat_s)
             continue
         if not holder.may_act():
             continue
--- a/src/_arbutuswalk/control/scaling.py
+++ b/src/_arbutuswalk/control/scaling.py
@@ -7,9 +7,9 @@
 from _arbutuswalk.state import scaling_policy
 from _arbutuswalk.state import tables
 
-ENDPOINT_SILENCE_TIMEOUT_S = 4.0
-"""Time without an announcement after which an endpoint no longer counts as
-serving: three missed heartbeats of 1.2 s."""
+SILENT_AFTER_HEARTBEATS = 10 / 3
+"""Heartbeat intervals without an announcement after which an endpoint no longer
+counts as serving: three are missed, and the third may be late."""
 
 MAX_VERSION_OVERLAP_S = 15.0
 """Time after the end of a rollout in which the platform stops the endpoints of
@@ -20,18 +20,26 @@
     """Fleet of each upstream, kept while this process holds the duty.
 
     Attributes:
+        heartbeat_s: Heartbeat interval of endpoints.
         by_upstream: Fleet by upstream name.
         routes_version: Version of the route configuration in ``config``.
         reclaimed: Leaving endpoints already recorded, by id and start time.
         config: Route configuration that defines the scaling.
     """
 
-    def __init__(self):
+    def __init__(self, *, heartbeat_s: float):
+        self.heartbeat_s = heartbeat_s
         self.by_upstream: dict[str, scaling_policy.FleetState] = {}
         self.routes_version = 0
         self.reclaimed: set[tuple[str, int]] = set()
         self.config: routeconfig.RouteConfig | None = None
 
+    def is_serving(self, row: directory.Row, now: float) -> bool:
+        """Returns whether an endpoint is ready and announces itself."""
+        timeout_s = SILENT_AFTER_HEARTBEATS * self.heartbeat_s
+        is_ready = row.endpoint.state == directory.READY
+        return is_ready and now - row.announced_at <= timeout_s
+
     def fleet(self, upstream: str) -> scaling_policy.FleetState:
         """Returns an upstream's fleet, creating an empty one on first use."""
         return self.by_upstream.setdefault(
@@ -52,7 +60,8 @@
             for row in components.discovery.directory.rows.values()
             if row.endpoint.upstream == upstream.name
         ]
-        if _is_rolling_out(components, upstream.name, rows):
+        serving = [row for row in rows if fleets.is_serving(row, now)]
+        if _is_rolling_out(components, upstream.name, serving):
             # Two versions run in parallel; neither is surplus.
             continue
         fleet = fleets.fleet(upstream.name)
@@ -62,7 +71,7 @@
         running = sum(loads.get(row.endpoint.id, (0, 0))[0] for row in rows)
         scaling_policy.record_load(fleet, running, now)
         orders = scaling_policy.decide(
-            fleet, upstream.scaling, _count_ready(rows, now), now
+            fleet, upstream.scaling, _count_by_pool(serving), now
         )
         due_orders += [(upstream.name, order) for order in orders]
     return due_orders
@@ -99,7 +108,9 @@
 
 
 def _is_rolling_out(
-    components: process.Components, upstream: str, rows: list[directory.Row]
+    components: process.Components,
+    upstream: str,
+    serving: list[directory.Row],
 ) -> bool:
     """Returns whether endpoints of two versions run because of a rollout.
 
@@ -111,11 +122,9 @@
         return False
     if rollout.state == rollouts.GROWING:
         return True
-    now = components.member.now()
     ended_s = components.member.wall() - rollout.changed_ms / 1000
     return ended_s < MAX_VERSION_OVERLAP_S and any(
-        _is_serving(row, now) and _is_given_up(rollout, row.endpoint)
-        for row in rows
+        _is_given_up(rollout, row.endpoint) for row in serving
     )
 
 
@@ -144,21 +153,11 @@
     ]
 
 
-def _is_serving(row: directory.Row, now: float) -> bool:
-    return (
-        row.endpoint.state == directory.READY
-        and now - row.announced_at <= ENDPOINT_SILENCE_TIMEOUT_S
-    )
-
-
-def _count_ready(
-    rows: list[directory.Row], now: float
+def _count_by_pool(
+    serving: list[directory.Row],
 ) -> dict[scaling_policy.PoolKey, int]:
     counts: dict[scaling_policy.PoolKey, int] = {}
-    for row in rows:
-        endpoint = row.endpoint
-        if not _is_serving(row, now):
-            continue
-        key = (endpoint.domain, endpoint.reclaimable)
+    for row in serving:
+        key = (row.endpoint.domain, row.endpoint.reclaimable)
         counts[key] = counts.get(key, 0) + 1
     return counts
--- a/testing/test_duties.py
+++ b/testing/test_duties.py
@@ -24,7 +24,12 @@
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
 OPTIONS = duties.Options(
-    usage=True, scaling=True, lease_s=3.0, window_s=5.0, delay_s=10.0
+    usage=True,
+    scaling=True,
+    lease_s=3.0,
+    window_s=5.0,
+    delay_s=10.0,
+    heartbeat_s=1.2,
 )
 
 
--- a/testing/test_scaling_rollouts.py
+++ b/testing/test_scaling_rollouts.py
@@ -11,6 +11,8 @@
 from _arbutuswalk.state import scaling_policy
 from _arbutuswalk.state import tables as rows
 
+HEARTBEAT_S = 1.2
+SILENCE_S = 4.1
 SCALING = routeconfig.Scaling(
     1, 6, 4.0, 0.18, {"d1": 0.85, "d2": 1.2, "d3": 1.0}
 )
@@ -33,6 +35,10 @@
     return components
 
 
+def make_fleets(heartbeat_s=HEARTBEAT_S):
+    return scaling.Fleets(heartbeat_s=heartbeat_s)
+
+
 def announce_all(components, version, state, sequence):
     for domain in SCALING.prices:
         for index in range(5):
@@ -58,7 +64,7 @@
     )
     def test_none_while_the_given_up_version_still_runs(self, state, given_up):
         components = make_components(state)
-        fleets = scaling.Fleets()
+        fleets = make_fleets()
         assert scaling.decide_orders(components, fleets) == []
         announce_all(components, given_up, directory.LEAVING, 2)
         orders = scaling.decide_orders(components, fleets)
@@ -70,17 +76,17 @@
     def test_a_version_that_is_never_stopped_blocks_no_orders(self):
         components = make_components(rollouts.REVERTED)
         components.member.wall_s += scaling.MAX_VERSION_OVERLAP_S
-        assert scaling.decide_orders(components, scaling.Fleets())
+        assert scaling.decide_orders(components, make_fleets())
 
     def test_silent_endpoints_of_the_old_version_block_no_orders(self):
         components = make_components(rollouts.COMPLETED)
-        components.member.time += scaling.ENDPOINT_SILENCE_TIMEOUT_S + 0.1
+        components.member.time += SILENCE_S
         announce_all(components, "v2", directory.READY, 2)
-        assert scaling.decide_orders(components, scaling.Fleets())
+        assert scaling.decide_orders(components, make_fleets())
 
     def test_the_end_of_the_given_up_version_is_no_reclaim(self):
         components = make_components(rollouts.REVERTED)
-        fleets = scaling.Fleets()
+        fleets = make_fleets()
         fleet = fleets.fleet("ops")
         for domain in SCALING.prices:
             order = scaling_policy.Order(domain, True, 6)
@@ -90,3 +96,17 @@
         announce_all(components, "v2", directory.LEAVING, 2)
         scaling.decide_orders(components, fleets)
         assert fleet.refused_at == {}
+
+
+class TestSilentEndpoints:
+    @pytest.mark.parametrize("heartbeat_s", [0.2, 1.0, 1.2, 2.0, 5.0])
+    def test_three_missed_heartbeats_count_whatever_their_interval(
+        self, heartbeat_s
+    ):
+        components = make_components(rollouts.COMPLETED)
+        fleets = make_fleets(heartbeat_s)
+        components.member.time += 3 * heartbeat_s
+        assert scaling.decide_orders(components, fleets) == []
+        components.member.time += 0.5 * heartbeat_s
+        announce_all(components, "v2", directory.READY, 2)
+        assert scaling.decide_orders(components, fleets)
