--- a/testing/test_duties.py
+++ b/testing/test_duties.py
@@ -24,7 +24,12 @@
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
 OPTIONS = duties.Options(
-    usage=True, scaling=True, lease_s=3.0, window_s=5.0, delay_s=10.0
+    usage=True,
+    scaling=True,
+    lease_s=3.0,
+    window_s=5.0,
+    delay_s=10.0,
+    heartbeat_s=1.2,
 )
 
 
@@ -222,6 +227,12 @@
         discovery._record_watch(watch(discovery, "e1"), 0)
         components.member.time += discoveries.ENTRY_SILENCE_TIMEOUT_S + 0.1
         discovery._record_watch(watch(discovery, "e2"), 0)
+        assert set(discovery.reachable_entries()) == {"e2"}
+        components.member.time += (
+            discoveries.LOOKUP_SILENCE_TIMEOUT_S
+            - discoveries.ENTRY_SILENCE_TIMEOUT_S
+        )
+        discovery._record_watch(watch(discovery, "e2"), 0)
         assert [r["address"] for r in discovery.ready_entries()] == ["e2"]
         assert discovery.known_entries() == {"e1", "e2"}
 
--- a/testing/test_watching.py
+++ b/testing/test_watching.py
@@ -10,6 +10,7 @@
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.routing import directory
 from _arbutuswalk.wire import compressed_json
+from _arbutuswalk.wire import watch_timing
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
 
@@ -171,7 +172,7 @@
             return replies.pop(0)
 
         monkeypatch.setattr(feed.link, "call", call)
-        monkeypatch.setattr(control_watch, "RETRY_INTERVAL_S", 0.01)
+        monkeypatch.setattr(watch_timing, "RETRY_INTERVAL_S", 0.01)
         feed.session, feed.revision = "s", 7
         task = asyncio.ensure_future(watcher._watch(feed))
         async with asyncio.timeout(5):
