Reach the next leader when the old one is frozen or cut off

Callers saw 503 "entry cut off" from all entries although control had a leader.

Cause: the client of the control group. An entry waits 1.5 s for the frozen leader. It then took the next address of a rotation in which other entries come right after the last control process; these waited for the same frozen leader. If it took the new leader, 0.5 s were left of the 2 s of a sync, which is as long as the leader holds a sync without news: the sync timed out, and so did all that followed. And where only the link to the leader was cut, the rotation led from a follower to the leader and back and reached no other entry, unless the leader was the last in the settings.

Not the cause of most refusals in test_crash_processes, where control itself has no leader.

Change: a call tries all control processes before other entries, does not return to one that gave no answer while another one answers, and asks other entries if the named leader cannot be reached. A sync has time for two whole attempts; its lease counts from the attempt that was answered, as the first may be 1.5 s old by then. Two fakes in test_entry take the new parameter.

--- a/src/_arbutuswalk/entry/control_client.py
+++ b/src/_arbutuswalk/entry/control_client.py
@@ -7,7 +7,9 @@
 import asyncio
 import dataclasses
 import json
+from collections.abc import Callable
 from typing import Any
+from typing import NamedTuple
 
 from _arbutuswalk.base import clock
 from _arbutuswalk.state import commands
@@ -33,6 +35,13 @@
     reason: str
 
 
+class Tried(NamedTuple):
+    """Addresses that one call has tried, and those that gave no answer."""
+
+    addresses: set[str]
+    failed: set[str]
+
+
 class ControlClient:
     """Sends messages to the leader of the control group.
 
@@ -54,7 +63,12 @@
         self.now = now
 
     async def call(
-        self, message: object, *, timeout_s: float, relayed: bool = False
+        self,
+        message: object,
+        *,
+        timeout_s: float,
+        relayed: bool = False,
+        before_attempt: Callable[[], None] = lambda: None,
     ) -> object:
         """Sends ``message`` until a leader answers it.
 
@@ -65,6 +79,7 @@
             timeout_s: Time for all attempts.
             relayed: Whether another entry sent the message; such a message
                 is forwarded to control processes only.
+            before_attempt: Called each time before the message is sent.
 
         Returns:
             The leader's reply, or ``Unreachable``.
@@ -72,11 +87,13 @@
         deadline = self.now() + timeout_s
         reason = "no answer"
         attempts = 0
+        tried = Tried(addresses=set(), failed=set())
         while self.now() < deadline:
             attempts += 1
             address = self.preferred_address
             if relayed and address in self.relay_addresses:
                 address = self.addresses[attempts % len(self.addresses)]
+            before_attempt()
             reply = await self.link_to(address).call(
                 message, timeout_s=min(ATTEMPT_TIMEOUT_S, deadline - self.now())
             )
@@ -87,8 +104,14 @@
             if isinstance(reply, link.TimedOut):
                 # This connection may be dead while new ones still work.
                 self.link_to(address).close("timed out")
-            self.preferred_address = self._next_address(address, reply)
-            if status is None or not reply.leader:
+            tried.addresses.add(address)
+            if status is None:
+                tried.failed.add(address)
+            else:
+                tried.failed.discard(address)
+            leader = getattr(reply, "leader", None) or ""
+            self.preferred_address = self._next_address(address, leader, tried)
+            if not leader:
                 await asyncio.sleep(RETRY_INTERVAL_S)
         return Unreachable(reason=reason)
 
@@ -129,12 +152,37 @@
         for open_link in self.links_by_address.values():
             await open_link.stop()
 
-    def _next_address(self, address: str, reply: object) -> str:
-        """Returns the next address: the named leader, or the next in turn."""
-        leader = getattr(reply, "leader", None)
-        if leader and leader != address:
+    def _next_address(self, address: str, leader: str, tried: Tried) -> str:
+        """Returns the address to try after one that is not the leader.
+
+        Other entries come after the control processes: they may wait for the
+        same frozen leader, and cannot reach a leader either if there is none.
+
+        Args:
+            address: Address tried last.
+            leader: Leader that it named, if any.
+            tried: Addresses tried in this call.
+        """
+        if leader and leader not in tried.failed | {address}:
             return leader
-        rotation = [*self.addresses, *self.relay_addresses]
-        if address not in rotation:
-            return rotation[0]
-        return rotation[(rotation.index(address) + 1) % len(rotation)]
+        in_turn = _others_in_turn(self.addresses, address)
+        candidates = [a for a in in_turn if a not in tried.addresses]
+        has_answered = address not in tried.failed
+        if address in self.addresses and has_answered and not leader:
+            candidates += [a for a in in_turn if a not in tried.failed]
+        candidates += [
+            a for a in self.relay_addresses if a not in tried.addresses
+        ]
+        if candidates:
+            return candidates[0]
+        tried.addresses.clear()
+        tried.failed.clear()
+        return in_turn[0] if in_turn else address
+
+
+def _others_in_turn(addresses: list[str], address: str) -> list[str]:
+    """Returns the addresses from the one after ``address``, without it."""
+    if address not in addresses:
+        return addresses
+    position = addresses.index(address)
+    return [*addresses[position + 1 :], *addresses[:position]]
--- a/src/_arbutuswalk/entry/control_sync.py
+++ b/src/_arbutuswalk/entry/control_sync.py
@@ -16,7 +16,8 @@
 from _arbutuswalk.state import outcomes
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
-SYNC_TIMEOUT_S = 2.0
+SYNC_TIMEOUT_S = 2 * control_client.ATTEMPT_TIMEOUT_S
+"""Time for a frozen leader and for a whole attempt at its successor."""
 REGISTER_TIMEOUT_S = 2.0
 REGISTER_RETRY_INTERVAL_S = 0.1
 
@@ -55,8 +56,13 @@
 
 
 async def _sync(entry: entry_state.Entry) -> None:
-    """Renews the lease, which starts when the message is sent."""
+    """Renews the lease, which starts when the answered message is sent."""
     asked_at = entry.now()
+
+    def record_attempt() -> None:
+        nonlocal asked_at
+        asked_at = entry.now()
+
     message = ttypes.Sync(
         entry=entry.name,
         incarnation=entry.incarnation,
@@ -64,7 +70,9 @@
         revision=entry.revision,
         report=json.dumps(make_report(entry)).encode(),
     )
-    reply = await entry.control.call(message, timeout_s=SYNC_TIMEOUT_S)
+    reply = await entry.control.call(
+        message, timeout_s=SYNC_TIMEOUT_S, before_attempt=record_attempt
+    )
     if isinstance(reply, control_client.Unreachable):
         return
     if reply.status == ttypes.Status.INVALID:
--- a/testing/test_entry.py
+++ b/testing/test_entry.py
@@ -382,7 +382,7 @@
         check_generated_text("r1", text_of(events_in(response)))
 
     def test_lease_starts_when_the_sync_is_sent(self, edge):
-        async def slow(message, *, timeout_s):
+        async def slow(message, *, timeout_s, before_attempt):
             await asyncio.sleep(2.0)
             return ttypes.SyncReply(
                 status=ttypes.Status.OK,
@@ -397,7 +397,7 @@
         assert edge.entry.lease_expires_at == asked_at + 3.0
 
     def test_older_view_is_ignored(self, edge):
-        async def stale(message, *, timeout_s):
+        async def stale(message, *, timeout_s, before_attempt):
             old = {"configuration": {"revision": 0, "inventory": None}}
             return ttypes.SyncReply(
                 status=ttypes.Status.OK,
