Answer an overdue sync of an entry at once

Callers saw 503 "entry cut off" for up to half a second longer than control had no leader, or could not be reached.

Cause: a leader holds each sync without news for 0.5 s, also the first one of an entry that has looked for a leader until now. The entry gets its lease only with the answer.

Change: a leader answers at once if the entry got no lease from it in the last second, twice the time for which a sync is held.

Figures: test_leases TestSyncs: the first sync at a leader and one after 1.2 s are answered after 0.5 s before, 0 s after, on virtual time.

--- a/src/_arbutuswalk/control/leases.py
+++ b/src/_arbutuswalk/control/leases.py
@@ -63,6 +63,16 @@
             report=json.loads(message.report or b"{}"),
         )
 
+    def is_overdue(
+        self, message: ttypes.Sync, now: float, interval_s: float
+    ) -> bool:
+        """Returns whether an entry got no lease here for over ``interval_s``.
+
+        It may have asked other members meanwhile, and hold little of a lease.
+        """
+        known = self.grants.get((message.entry, message.incarnation))
+        return known is None or now > known.expires_at - LEASE_S + interval_s
+
     def grant(self, message: ttypes.Sync, now: float) -> None:
         """Records a lease granted at ``now``."""
         known = self.find(message.entry, message.incarnation)
--- a/src/_arbutuswalk/control/service.py
+++ b/src/_arbutuswalk/control/service.py
@@ -113,16 +113,19 @@
     async def _sync(self, message: ttypes.Sync) -> ttypes.SyncReply:
         """Grants an entry a lease and returns the parts of the view it lacks.
 
-        Waits a short time for a change, so that changes are pushed. The entry
-        counts its lease from when it sent the request, however long the reply
-        takes.
+        Waits a short time for a change, so that changes are pushed, unless the
+        entry's lease is overdue: the entry counts it from when it sent the
+        request, however long the reply takes.
         """
         member = self.member
         rejection = self._sync_rejection(message)
         if rejection is not None:
             return rejection
+        is_overdue = self.leases.is_overdue(
+            message, member.now(), 2 * MAX_SYNC_WAIT_S
+        )
         self.leases.record_sync(message, member.now())
-        if not self._has_update_for(message):
+        if not is_overdue and not self._has_update_for(message):
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(MAX_SYNC_WAIT_S):
                     await member.changed.wait()
--- a/testing/test_leases.py
+++ b/testing/test_leases.py
@@ -1,10 +1,14 @@
 """Leases of entries: what the leader may infer from them."""
 
+import asyncio
 import json
+import types
 
 import pytest
+import virtual
 
 from _arbutuswalk.control import leases
+from _arbutuswalk.control import service
 from _arbutuswalk.state import commands
 from _arbutuswalk.state import state_machine
 from _arbutuswalk.state import tables as rows
@@ -72,6 +76,54 @@
         ) == [("e", 1)]
 
 
+class TestSyncs:
+    """A member that leads and whose tables do not change."""
+
+    @pytest.fixture
+    def loop(self):
+        new_loop = virtual.VirtualLoop()
+        yield new_loop
+        virtual.close(new_loop)
+
+    @pytest.fixture
+    def request_service(self, loop, tables):
+        member = types.SimpleNamespace(
+            now=loop.time,
+            wall=loop.time,
+            tables=tables,
+            is_leader=True,
+            is_current=True,
+            changed=asyncio.Event(),
+            replica=types.SimpleNamespace(term=1),
+        )
+        return service.Service(member=member, name="c")
+
+    def grant_time(self, loop, request_service, at):
+        loop.run_until_complete(asyncio.sleep(at - loop.time()))
+        reply = loop.run_until_complete(
+            request_service.handle(sync(1, view_version=1))
+        )
+        assert reply.status == ttypes.Status.OK
+        return round(loop.time() - at, 3)
+
+    def test_first_sync_at_a_new_leader_is_answered_at_once(
+        self, loop, request_service
+    ):
+        """The entry may have waited for the old leader until now."""
+        start = loop.time()
+        held_s = service.MAX_SYNC_WAIT_S
+        assert self.grant_time(loop, request_service, start + 1.0) == 0
+        assert self.grant_time(loop, request_service, start + 1.1) == held_s
+
+    def test_sync_after_a_pause_is_answered_at_once(
+        self, loop, request_service
+    ):
+        """The entry may have tried to reach the leader for all that time."""
+        start = loop.time()
+        self.grant_time(loop, request_service, start + 1.0)
+        assert self.grant_time(loop, request_service, start + 2.2) == 0
+
+
 class TestIsIdle:
     def test_every_entry_must_have_seen_the_isolation(self, tables):
         lease_table = leases.Leases(leader_since=0.0)
