Keep the connections to an endpoint within their limit

An endpoint accepts connection_limit connections from all entries together and resets those above.

Cause: the limit was decoded and read nowhere. Each entry opens what its requests need and keeps every connection until its time-out. Ruled out: the load alone.

Change: each entry has some connections of its own at each endpoint, idle or in use; the rest, at least two per slot if the limit permits, are shared by those in use, as far as the reported loads show them. Placement prefers an endpoint with an own connection left. A request without any waits up to a quarter of the objective, in order of priority and deadline, and is refused with a random time to return after.

--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -5,6 +5,7 @@
 from _arbutuswalk.base import events
 from _arbutuswalk.relay import answer_buffers
 from _arbutuswalk.relay import attempt_timing
+from _arbutuswalk.relay import connection_limits
 from _arbutuswalk.relay import delivery
 from _arbutuswalk.relay import endpoint_limits
 from _arbutuswalk.relay import endpoint_pauses
@@ -84,6 +85,7 @@
         finally:
             self.timing.stop()
             relay.add_load(endpoint_id, -1, -self.unread_tokens)
+            connection_limits.wake_next(relay, self.request.upstream)
         self._record_result(result)
         return result
 
@@ -108,12 +110,12 @@
             return results.NotSent(reason="the endpoint is leaving")
         left_s = self.request.deadline - self.relay.now()
         if self.delivery.caller_left or left_s < results.MIN_TIME_LEFT_S:
-            self.relay.pool.release(connection)
+            self._return_to_pool(connection)
             if self.delivery.caller_left:
                 return results.CallerLeft()
             return results.NotSent(reason="no time left")
         if endpoint_pauses.is_paused(self.relay, self.endpoint):
-            self.relay.pool.release(connection)
+            self._return_to_pool(connection)
             return results.NotSent(reason="the endpoint is paused")
         options = requests.AttemptOptions(
             endpoint=self.endpoint.id,
@@ -149,10 +151,15 @@
         if self._is_leaving():
             connection.reusable = False
         if reusable and self.exchange.complete:
-            self.relay.pool.release(connection)
+            self._return_to_pool(connection)
         else:
             connection.abort()
 
+    def _return_to_pool(self, connection: connections.Connection) -> None:
+        if not connection_limits.may_keep_idle(self.relay, self.endpoint):
+            connection.reusable = False
+        self.relay.pool.release(connection)
+
     async def _receive_answer(
         self, connection: connections.Connection
     ) -> results.Result:
--- a/src/_arbutuswalk/relay/permitted_placement.py
+++ b/src/_arbutuswalk/relay/permitted_placement.py
@@ -2,6 +2,7 @@
 
 import math
 
+from _arbutuswalk.relay import connection_limits
 from _arbutuswalk.relay import endpoint_limits
 from _arbutuswalk.relay import endpoint_pauses
 from _arbutuswalk.relay import leaving_endpoints
@@ -14,8 +15,8 @@
 MAX_PERMIT_REQUESTS = 3
 """Permits that one request asks for before it is refused."""
 MAX_WAIT_FRACTION = 0.25
-"""Longest wait for a permit or the end of a pause, as a fraction of the route's
-objective: most of it remains for the endpoint."""
+"""Longest wait for a permit, a connection or the end of a pause, as a fraction
+of the route's objective: most of it remains for the endpoint."""
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 5.0
 RETRY_AFTER_JITTER_FRACTION = 0.5
@@ -32,6 +33,7 @@
             set(),
             max_permit_wait_s=math.inf,
             max_pause_wait_s=math.inf,
+            within_connection_limits=False,
         )
         is not None
     )
@@ -43,8 +45,33 @@
     """Returns an endpoint that the request may be sent to now.
 
     Endpoints that need no wait are preferred. If there is none, the request
-    waits a short time for a permit or the end of a pause.
+    waits a short time for a permit, a connection or the end of a pause.
     """
+    max_wait_s = MAX_WAIT_FRACTION * request.route.objective_s
+    wait_until = relay.now() + min(max_wait_s, _objective_left(relay, request))
+    found = await _find_permitted(relay, request, tried)
+    while isinstance(found, results.NotSent):
+        left_s = wait_until - relay.now()
+        if left_s <= 0 or not _awaits_connection(relay, request, tried):
+            break
+        await connection_limits.wait(relay, request, left_s)
+        found = await _find_permitted(relay, request, tried)
+    return found
+
+
+def _awaits_connection(
+    relay: relay_state.Relay, request: requests.Request, tried: set[str]
+) -> bool:
+    """Returns whether an endpoint is left out for want of a connection."""
+    return any(
+        not connection_limits.may_use_another(relay, endpoint)
+        for endpoint in placement.ready_endpoints(relay, request, tried)
+    )
+
+
+async def _find_permitted(
+    relay: relay_state.Relay, request: requests.Request, tried: set[str]
+) -> placement.Placement | results.NotSent:
     for _ in range(MAX_PERMIT_REQUESTS):
         max_wait_s = max_pause_wait_s = 0.0
         chosen = placement.find_placement(relay, request, tried)
@@ -111,6 +138,7 @@
     return max(
         endpoint_pauses.expected_wait(relay, endpoint),
         endpoint_limits.expected_wait(relay, endpoint),
+        connection_limits.expected_wait(relay, endpoint),
     )
 
 
--- a/src/_arbutuswalk/relay/placement.py
+++ b/src/_arbutuswalk/relay/placement.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from _arbutuswalk.base import events
+from _arbutuswalk.relay import connection_limits
 from _arbutuswalk.relay import endpoint_limits
 from _arbutuswalk.relay import endpoint_pauses
 from _arbutuswalk.relay import relay_state
@@ -34,12 +35,14 @@
     *,
     max_permit_wait_s: float = 0.0,
     max_pause_wait_s: float = 0.0,
+    within_connection_limits: bool = True,
 ) -> Placement | None:
     """Returns an endpoint that was not tried yet, None if there is none.
 
     Endpoints with a limit are left out if no permit is expected within
     ``max_permit_wait_s``, paused ones if no request may be sent within
-    ``max_pause_wait_s``.
+    ``max_pause_wait_s``. ``within_connection_limits`` leaves out those that
+    accept no other connection.
     """
     now = relay.now()
     rows = _ready_rows(relay, request, tried)
@@ -58,12 +61,31 @@
             <= max_pause_wait_s
         ]
     eligible = filter_by_version(relay, request, rows)
-    prompt_profile = _prompt_profile(request)
     outliers = relay.outlier_detector.outliers(
         [row.endpoint.id for row in eligible], now
     )
+    candidates = [
+        _make_candidate(relay, row, now, outliers) for row in eligible
+    ]
+    chosen = _choose(relay, request, candidates, now)
+    if (
+        chosen is None
+        or not within_connection_limits
+        or connection_limits.has_own_connection(relay, chosen.endpoint)
+    ):
+        return chosen
+    return _choose(relay, request, _with_connection(relay, candidates), now)
+
+
+def _choose(
+    relay: relay_state.Relay,
+    request: requests.Request,
+    candidates: list[selection.Candidate],
+    now: float,
+) -> Placement | None:
+    prompt_profile = _prompt_profile(request)
     choice = selection.choose(
-        [_make_candidate(relay, row, now, outliers) for row in eligible],
+        candidates,
         prompt_profile,
         relay.recent_parts.endpoints_holding(
             _last_shared_part(prompt_profile), now
@@ -75,6 +97,31 @@
     return Placement(relay.directory.rows[choice.id].endpoint, choice.tokens)
 
 
+def _with_connection(
+    relay: relay_state.Relay, candidates: list[selection.Candidate]
+) -> list[selection.Candidate]:
+    """Returns sound candidates with a connection of the entry's own.
+
+    If there are none, it returns all that may be sent another request.
+    """
+    usable = [
+        candidate
+        for candidate in candidates
+        if connection_limits.may_use_another(
+            relay, relay.directory.rows[candidate.id].endpoint
+        )
+    ]
+    preferred = [
+        candidate
+        for candidate in usable
+        if not candidate.doubtful
+        and connection_limits.has_own_connection(
+            relay, relay.directory.rows[candidate.id].endpoint
+        )
+    ]
+    return preferred or usable
+
+
 def ready_endpoints(
     relay: relay_state.Relay, request: requests.Request, tried: set[str]
 ) -> list[directory.Endpoint]:
--- a/src/_arbutuswalk/relay/relay_state.py
+++ b/src/_arbutuswalk/relay/relay_state.py
@@ -85,6 +85,7 @@
         invalid_leaving: Starts whose invalid statement was logged.
         permits: Permits for endpoints that state a limit.
         pauses: Pauses that endpoints asked this entry for.
+        connection_waiters: Requests that wait for a connection, by upstream.
         outlier_detector: Failure rates of endpoints that report good health.
         crashes: Requests that were running when endpoints died.
         refused_fingerprints: Requests that control has told entries to refuse.
@@ -133,6 +134,7 @@
         self.invalid_leaving = leaving.LeavingStarts()
         self.permits = permit_client.PermitClient()
         self.pauses = pauses.Pauses()
+        self.connection_waiters: dict[str, list] = {}
         self.recent_parts = recent_parts.RecentParts()
         self.lateness = lateness.LatenessTracker()
         self.crashes = crashes.CrashTracker()
--- a/src/_arbutuswalk/routing/routetable.py
+++ b/src/_arbutuswalk/routing/routetable.py
@@ -12,6 +12,7 @@
         config: The configuration.
         routes_by_prefix: Route by host and path prefix.
         workspaces_by_key: Workspace by API key.
+        connection_limits: Connections that an endpoint accepts, by upstream.
     """
 
     def __init__(self, *, config: routeconfig.RouteConfig):
@@ -24,6 +25,10 @@
             for workspace in config.workspaces
             for key in workspace.keys
         }
+        self.connection_limits = {
+            upstream.name: upstream.connection_limit
+            for upstream in config.upstreams
+        }
 
 
 def find_route(
--- a/testing/limit_cluster.py
+++ b/testing/limit_cluster.py
@@ -127,6 +127,7 @@
     def __init__(self, cluster, entry):
         self.cluster = cluster
         self.entry = entry
+        self.idle = {}
 
     async def acquire(self, address, *, non_idempotent):
         endpoint = self.cluster.endpoints_by_address[address]
@@ -197,9 +198,7 @@
     def __init__(self, *, seed, entries=8, controls=3, endpoints=3, limit=None):
         self.rng = random.Random(seed)
         self.loop = virtual.VirtualLoop()
-        self.config = relay_fixtures.make_config(
-            relay_fixtures.make_route(timeout_s=3.0, objective_s=0.4)
-        )
+        self.config = self.make_config()
         self.leader = 0
         self.cut_off = set()
         self.frozen = set()
@@ -208,7 +207,7 @@
         self.entries = [None] * entries
         self.controls = [None] * controls
         self.endpoints = [
-            Endpoint(f"i-{number}", f"127.1.0.1:{number + 1}")
+            self.make_endpoint(f"i-{number}", f"127.1.0.1:{number + 1}")
             for number in range(endpoints)
         ]
         self.endpoints_by_address = {e.address: e for e in self.endpoints}
@@ -268,6 +267,17 @@
                 service.member.replica.term = self.term
                 service.discovery.notify_watches()
 
+    def make_config(self):
+        return relay_fixtures.make_config(
+            relay_fixtures.make_route(timeout_s=3.0, objective_s=0.4)
+        )
+
+    def make_endpoint(self, name, address):
+        return Endpoint(name, address)
+
+    def make_pool(self, entry):
+        return FakePool(self, entry)
+
     def start_entry(self, index):
         relay = relay_state.Relay(
             name=f"e{index}",
@@ -278,7 +288,7 @@
             wall=self.loop.time,
             rng=random.Random(self.rng.random()),
         )
-        relay.pool = FakePool(self, index)
+        relay.pool = self.make_pool(index)
         watcher = control_watch.ControlWatcher(
             relay=relay, seeds=[], listen_address=relay.name
         )
@@ -337,11 +347,14 @@
                 await asyncio.sleep(end - self.now)
                 return
             await asyncio.sleep(pause_s)
-            index = self.rng.choice(entries or range(len(self.entries)))
+            index = self.choose_entry(entries)
             watcher = self.entries[index]
             if watcher is not None:
                 self.loop.create_task(self._send(watcher.relay))
 
+    def choose_entry(self, entries):
+        return self.rng.choice(entries or range(len(self.entries)))
+
     async def _send(self, relay):
         self.request_count += 1
         request = relay_fixtures.make_request(
--- a/testing/pause_cluster.py
+++ b/testing/pause_cluster.py
@@ -241,6 +241,7 @@
     def __init__(self, cluster, entry):
         self.cluster = cluster
         self.entry = entry
+        self.idle = {}
 
     async def acquire(self, address, *, non_idempotent):
         if self.cluster.rng.random() < 0.3:
