--- a/src/_arbutuswalk/base/background.py
+++ b/src/_arbutuswalk/base/background.py
@@ -19,15 +19,15 @@
 async def repeat(
     name: str, interval_s: float, step: Callable[[], Awaitable | None]
 ) -> None:
-    """Runs ``step`` after each interval until cancelled, also after errors."""
+    """Runs ``step`` at an interval until cancelled, also after errors."""
     while True:
-        await asyncio.sleep(interval_s)
         try:
             result = step()
             if inspect.isawaitable(result):
                 await result
         except Exception as error:  # noqa: BLE001
             log_error(name, error)
+        await asyncio.sleep(interval_s)
 
 
 def log_error(name: str, error: BaseException) -> None:
--- a/src/_arbutuswalk/control/process.py
+++ b/src/_arbutuswalk/control/process.py
@@ -82,15 +82,7 @@
     member_task = background.start("member", member.run())
     background_tasks = [
         background.start("systems", leader_runner.run()),
-        background.start("expiry", _remove_expired(request_service)),
-        background.start("watches", _notify_on_change(components)),
-        background.start(
-            "entry count", _maintain_entry_count_cache(discovery, values)
-        ),
-        background.start(
-            "endpoint cache",
-            _maintain_endpoint_cache(discovery, values, restored),
-        ),
+        *_start_background_tasks(components, values, restored),
     ]
     stop_task = asyncio.ensure_future(stop.wait())
     await asyncio.wait(
@@ -103,7 +95,7 @@
     await asyncio.wait(
         (member_task, leave_task), return_when=asyncio.FIRST_COMPLETED
     )
-    has_failed = _has_failed(member_task)
+    exit_code = _exit_code(member, member_task)
     tasks = (member_task, leave_task, stop_task, *background_tasks)
     for task in tasks:
         task.cancel()
@@ -114,13 +106,34 @@
     await server.stop()
     await member.stop()
     events.log(events.Event.PROCESS_STOPPED, "control", values["id"])
+    return exit_code
+
+
+def _exit_code(member: members.Member, member_task: asyncio.Task) -> int:
     if member.failure:
         return EXIT_STORAGE_FAILED
-    return process.EXIT_FAILED if has_failed else process.EXIT_OK
+    if member_task.done() and member_task.exception():
+        return process.EXIT_FAILED
+    return process.EXIT_OK
 
 
-def _has_failed(task: asyncio.Task) -> bool:
-    return task.done() and not task.cancelled() and bool(task.exception())
+def _start_background_tasks(
+    components: Components,
+    values: dict[str, Any],
+    restored: list[directory.Endpoint],
+) -> list[asyncio.Task]:
+    discovery = components.discovery
+    return [
+        background.start("expiry", _remove_expired(components.service)),
+        background.start("watches", _notify_on_change(components)),
+        background.start(
+            "entry count", _maintain_entry_count_cache(discovery, values)
+        ),
+        background.start(
+            "endpoint cache",
+            _maintain_endpoint_cache(discovery, values, restored),
+        ),
+    ]
 
 
 async def _remove_expired(request_service: service.Service) -> None:
