Run the leader's loops by base.background.repeat as well

They call it now, and repeat takes coroutines only, as nothing needs the other kind. The first step runs at once instead of after an interval; no process leads then, so it has no effect. An error while a duty's holder is determined no longer ends the duties.

--- a/src/_arbutuswalk/base/background.py
+++ b/src/_arbutuswalk/base/background.py
@@ -1,7 +1,6 @@
 """Background tasks of a process; their errors are logged when they occur."""
 
 import asyncio
-import inspect
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
@@ -12,19 +11,17 @@
 def start(name: str, coroutine: Coroutine) -> asyncio.Task:
     """Starts a task that is not expected to end with an error."""
     task = asyncio.ensure_future(coroutine)
-    task.add_done_callback(lambda ended: _log_error(name, ended))
+    task.add_done_callback(lambda ended: _log_end(name, ended))
     return task
 
 
 async def repeat(
-    name: str, interval_s: float, step: Callable[[], Awaitable | None]
+    name: str, interval_s: float, step: Callable[[], Awaitable[None]]
 ) -> None:
     """Runs ``step`` at an interval until cancelled, also after errors."""
     while True:
         try:
-            result = step()
-            if inspect.isawaitable(result):
-                await result
+            await step()
         except Exception as error:  # noqa: BLE001
             log_error(name, error)
         await asyncio.sleep(interval_s)
@@ -35,6 +32,6 @@
     events.warn(events.Event.TASK_FAILED, name, repr(error))
 
 
-def _log_error(name: str, task: asyncio.Task) -> None:
+def _log_end(name: str, task: asyncio.Task) -> None:
     if not task.cancelled() and task.exception() is not None:
         log_error(name, task.exception())
--- a/src/_arbutuswalk/control/duties.py
+++ b/src/_arbutuswalk/control/duties.py
@@ -5,12 +5,12 @@
 for its predecessor has expired, and no process acts outside its leader lease.
 """
 
-import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
 from typing import NamedTuple
 
+from _arbutuswalk.base import background
 from _arbutuswalk.base import events
 from _arbutuswalk.control import process
 from _arbutuswalk.control import scaling
@@ -112,22 +112,19 @@
     holder = DutyHolder(components=components, options=options)
     sent_reports = usage_reports.SentReports(window_s=options.window_s)
     fleets = scaling.Fleets(heartbeat_s=options.heartbeat_s)
-    while True:
-        await asyncio.sleep(TICK_INTERVAL_S)
+
+    async def tick() -> None:
+        nonlocal fleets
         if not holder.update_term():
             sent_reports.clear()
             fleets = scaling.Fleets(heartbeat_s=options.heartbeat_s)
-            continue
-        if not holder.may_act():
-            continue
-        try:
+        elif holder.may_act():
             if options.usage:
                 await _report_usage(holder, platform_calls, sent_reports)
             if options.scaling:
                 await _order_endpoints(holder, platform_calls, fleets)
-        except Exception as error:  # noqa: BLE001
-            # An error in one duty must not end the loop.
-            events.warn(events.Event.TASK_FAILED, "duties", repr(error))
+
+    await background.repeat("duties", TICK_INTERVAL_S, tick)
 
 
 async def _report_usage(
--- a/src/_arbutuswalk/control/leader_tasks.py
+++ b/src/_arbutuswalk/control/leader_tasks.py
@@ -1,8 +1,8 @@
 """Periodic tasks of the leader: lost entries, moves, reclaims and charges."""
 
-import asyncio
 from typing import Any
 
+from _arbutuswalk.base import background
 from _arbutuswalk.base import clock
 from _arbutuswalk.base import events
 from _arbutuswalk.control import metering
@@ -47,16 +47,7 @@
 
     async def run(self) -> None:
         """Runs the tasks at a fixed interval until cancelled."""
-        while True:
-            await asyncio.sleep(TICK_INTERVAL_S)
-            if not self.service.member.is_current:
-                continue
-            self._reset_on_new_term()
-            try:
-                await self._tick()
-            except Exception as error:  # noqa: BLE001
-                # An error in one task must not end the loop.
-                events.warn(events.Event.TASK_FAILED, "systems", repr(error))
+        await background.repeat("systems", TICK_INTERVAL_S, self._tick)
 
     def _reset_on_new_term(self) -> None:
         """Drops the state that was gathered in another term."""
@@ -68,6 +59,9 @@
             self.next_notice = 0
 
     async def _tick(self) -> None:
+        if not self.service.member.is_current:
+            return
+        self._reset_on_new_term()
         for command in self._lost_entries():
             await self.submit(command)
         for command in self._due_moves():
--- a/src/_arbutuswalk/control/process.py
+++ b/src/_arbutuswalk/control/process.py
@@ -137,7 +137,7 @@
 
 
 async def _remove_expired(request_service: service.Service) -> None:
-    def remove() -> None:
+    async def remove() -> None:
         request_service.discovery.remove_expired()
         request_service.permit_issuer.remove_unknown()
 
--- a/src/_arbutuswalk/control/rollouts.py
+++ b/src/_arbutuswalk/control/rollouts.py
@@ -4,9 +4,9 @@
 that a new leader continues with it.
 """
 
-import asyncio
 from collections.abc import Mapping
 
+from _arbutuswalk.base import background
 from _arbutuswalk.base import events
 from _arbutuswalk.control import leader_client
 from _arbutuswalk.control import process
@@ -35,13 +35,11 @@
         exposure: Requests that a faulty version may receive.
     """
     trials: Trials = {}
-    while True:
-        await asyncio.sleep(TICK_INTERVAL_S)
-        try:
-            await tick(components, exposure, trials)
-        except Exception as error:  # noqa: BLE001
-            # An error in one rollout must not end the loop.
-            events.warn(events.Event.TASK_FAILED, "rollouts", repr(error))
+    await background.repeat(
+        "rollouts",
+        TICK_INTERVAL_S,
+        lambda: tick(components, exposure, trials),
+    )
 
 
 async def tick(
--- a/src/_arbutuswalk/wire/link.py
+++ b/src/_arbutuswalk/wire/link.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
+from _arbutuswalk.base import background
 from _arbutuswalk.base import clock
 from _arbutuswalk.base import events
 from _arbutuswalk.wire import codec
@@ -267,9 +268,11 @@
             pong = codec.encode(0, ttypes.Ping(), reply=True)
             writer.write(pong)
             return
-        task = asyncio.ensure_future(self._handle(call_number, message, writer))
+        task = background.start(
+            "link handler", self._handle(call_number, message, writer)
+        )
         self.tasks.add(task)
-        task.add_done_callback(self._on_task_done)
+        task.add_done_callback(self.tasks.discard)
 
     async def _handle(
         self, call_number: int, message: object, writer: asyncio.StreamWriter
@@ -277,10 +280,3 @@
         reply = await self.handler(message)
         if call_number and reply is not None and not writer.is_closing():
             writer.write(codec.encode(call_number, reply, reply=True))
-
-    def _on_task_done(self, task: asyncio.Task) -> None:
-        self.tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            events.warn(
-                events.Event.TASK_FAILED, "link handler", task.exception()
-            )
--- a/testing/test_background.py
+++ b/testing/test_background.py
@@ -29,7 +29,7 @@
     async def test_an_error_does_not_end_the_repetition(self, caplog):
         counts = {"function": 0, "coroutine": 0}
 
-        def step():
+        async def step():
             counts["function"] += 1
             raise ValueError("unexpected")
 
