Compute the wait for a connection only where a request waits

Each request computed how long it may wait before an endpoint was looked for, and the share of the objective was written twice.

--- a/src/_arbutuswalk/agreement/transfer.py
+++ b/src/_arbutuswalk/agreement/transfer.py
@@ -30,7 +30,7 @@
     data = replica.snapshots.get(index)
     if data is None:
         return
-    others_keep_it = index in sorted(replica.snapshots)[-wal.SNAPSHOTS_KEPT :]
+    others_keep_it = index in _newest_snapshots(replica)
     sources = [
         name
         for name, progress in replica.progress.items()
@@ -180,9 +180,14 @@
     return first_needed
 
 
+def _newest_snapshots(replica: replicas.Replica) -> list[int]:
+    """Returns the indices of the snapshots that every member keeps."""
+    return sorted(replica.snapshots)[-wal.SNAPSHOTS_KEPT :]
+
+
 def _drop_old_snapshots(replica: replicas.Replica) -> None:
     """Keeps the newest snapshots and the one that the log starts after."""
-    newest = sorted(replica.snapshots)[-wal.SNAPSHOTS_KEPT :]
+    newest = _newest_snapshots(replica)
     replica.snapshots = {
         index: data
         for index, data in replica.snapshots.items()
--- a/src/_arbutuswalk/relay/permitted_placement.py
+++ b/src/_arbutuswalk/relay/permitted_placement.py
@@ -47,11 +47,13 @@
     Endpoints that need no wait are preferred. If there is none, the request
     waits a short time for a permit, a connection or the end of a pause.
     """
-    max_wait_s = MAX_WAIT_FRACTION * request.route.objective_s
-    wait_until = relay.now() + min(max_wait_s, _objective_left(relay, request))
+    started_at = relay.now()
     found = await _find_permitted(relay, request, tried)
     while isinstance(found, results.NotSent):
-        left_s = wait_until - relay.now()
+        left_s = min(
+            started_at + _max_wait(request) - relay.now(),
+            _objective_left(relay, request),
+        )
         if left_s <= 0 or not _awaits_connection(relay, request, tried):
             break
         await connection_limits.wait(relay, request, left_s)
@@ -76,7 +78,7 @@
         max_wait_s = max_pause_wait_s = 0.0
         chosen = placement.find_placement(relay, request, tried)
         if chosen is None:
-            max_wait_s = MAX_WAIT_FRACTION * request.route.objective_s
+            max_wait_s = _max_wait(request)
             max_pause_wait_s = min(max_wait_s, _objective_left(relay, request))
             chosen = placement.find_placement(
                 relay,
@@ -122,6 +124,11 @@
     )
 
 
+def _max_wait(request: requests.Request) -> float:
+    """Returns the longest time in seconds that a request may wait."""
+    return MAX_WAIT_FRACTION * request.route.objective_s
+
+
 def _objective_left(
     relay: relay_state.Relay, request: requests.Request
 ) -> float:
