--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -74,7 +74,7 @@
     ANSWERED = (
         654,
         "request answered request=%s route=%s upstream=%s endpoint=%s"
-        " status=%s runs=%s first_ms=%s ms=%s",
+        " status=%s runs=%s first_ms=%s ms=%s body_end=%s rest_bytes=%s",
     )
     FAILED = (
         655,
--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -229,6 +229,7 @@
             status=self.exchange.status,
             headers=self.exchange.headers,
             body=body.join(),
+            body_end=self.exchange.body_end,
         )
 
     async def _read_body(
@@ -287,8 +288,11 @@
                 return early_result
         if not self.exchange.complete:
             return self._record_lost(self.exchange.failure)
+        rest_bytes = len(self.delivery.framer.rest)
         await self.delivery.finish_stream()
-        return results.Delivered()
+        return results.Delivered(
+            body_end=self.exchange.body_end, rest_bytes=rest_bytes
+        )
 
     async def _send_events(
         self, data: bytes, deadline: float
--- a/src/_arbutuswalk/relay/relaying.py
+++ b/src/_arbutuswalk/relay/relaying.py
@@ -17,6 +17,7 @@
 """Retry-After of a refusal: about the time in which an overloaded or lost
 endpoint is detected, avoided and replaced by another."""
 PROBLEM_CONTENT_TYPE = b"application/problem+json"
+STATUS_OK = 200
 
 
 async def relay_request(
@@ -116,7 +117,7 @@
             (caller_delivery.first_event_at - request.received_at) * 1000
         )
         _record_answer(
-            relay, request, endpoint_id, 200, tally, took_ms, first_ms
+            relay, request, endpoint_id, result, tally, took_ms, first_ms
         )
         return
     if caller_delivery.headers_sent:
@@ -130,9 +131,7 @@
         )
         return
     if last_answer is not None:
-        _record_answer(
-            relay, request, endpoint_id, last_answer.status, tally, took_ms
-        )
+        _record_answer(relay, request, endpoint_id, last_answer, tally, took_ms)
         await caller_delivery.send_answer(
             last_answer.status, last_answer.headers, last_answer.body
         )
@@ -253,13 +252,15 @@
     relay: relay_state.Relay,
     request: requests.Request,
     endpoint_id: str,
-    status: int,
+    result: results.Answered | results.Delivered,
     tally: results.Tally,
     took_ms: int,
     first_ms: int | None = None,
 ) -> None:
     if first_ms is None:
         first_ms = took_ms
+    is_stream = isinstance(result, results.Delivered)
+    status = STATUS_OK if is_stream else result.status
     relay.metrics.count("answered", f'status="{status}"')
     relay.metrics.record(
         "answer", f'route="{request.route.name}"', took_ms / 1000
@@ -279,4 +280,6 @@
             tally.runs,
             first_ms,
             took_ms,
+            result.body_end,
+            result.rest_bytes if is_stream else 0,
         )
--- a/src/_arbutuswalk/relay/results.py
+++ b/src/_arbutuswalk/relay/results.py
@@ -63,11 +63,20 @@
     status: int
     headers: list[tuple[bytes, bytes]]
     body: bytes
+    body_end: str
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Delivered:
-    """A stream was forwarded to its end."""
+    """A stream was forwarded to its end.
+
+    Attributes:
+        body_end: What ended it.
+        rest_bytes: Size of what followed its last complete event.
+    """
+
+    body_end: str
+    rest_bytes: int
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/_arbutuswalk/streams/connection.py
+++ b/src/_arbutuswalk/streams/connection.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import enum
 import select
 from collections.abc import Callable
 
@@ -25,6 +26,15 @@
 NO_BODY_STATUSES = (204, 304)
 
 
+class BodyEnd(enum.StrEnum):
+    """What ends the body of a response."""
+
+    NO_BODY = "no body"
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION_END = "connection end"
+
+
 class Exchange:
     """One request on a connection and the response to it.
 
@@ -39,6 +49,7 @@
         status: Status of the response, 0 before it is known.
         headers: Headers of the response.
         reply: Interpretation of status and headers, None before they are known.
+        body_end: What ends the body, None before the headers are known.
         chunks: Buffered chunks of the body.
         buffered_bytes: Total size of the buffered chunks.
         complete: Whether the response has been received completely.
@@ -63,6 +74,7 @@
         self.status = 0
         self.headers: replies.Headers = []
         self.reply: replies.Reply | None = None
+        self.body_end: BodyEnd | None = None
         self.chunks: collections.deque[bytes] = collections.deque()
         self.buffered_bytes = 0
         self.complete = False
@@ -241,7 +253,8 @@
             exchange.mismatched_id = reply.answered_id
             exchange.changed.set()
             return
-        self.ends_at_close = exchange.has_body and self._body_ends_at_close()
+        exchange.body_end = self._find_body_end()
+        self.ends_at_close = exchange.body_end == BodyEnd.CONNECTION_END
         if self.ends_at_close or reply.closes_connection:
             self.reusable = False
         self.keep_alive_s = reply.keep_alive_s
@@ -301,11 +314,15 @@
     def _is_interim(self) -> bool:
         return 100 <= self.status < 200
 
-    def _body_ends_at_close(self) -> bool:
-        if self.status in NO_BODY_STATUSES:
-            return False
+    def _find_body_end(self) -> BodyEnd:
+        if not self.exchange.has_body or self.status in NO_BODY_STATUSES:
+            return BodyEnd.NO_BODY
         names = {name for name, _ in self.headers}
-        return not names & {b"content-length", b"transfer-encoding"}
+        if b"transfer-encoding" in names:
+            return BodyEnd.CHUNKS
+        if b"content-length" in names:
+            return BodyEnd.LENGTH
+        return BodyEnd.CONNECTION_END
 
     def _complete(self) -> None:
         if not self.exchange.ended:
