Treat a stream that ends inside an event as broken off

The end of the HTTP framing alone ended a stream: the last chunk, the length, or, without either, the end of the connection, which a crashing endpoint brings about inside an event. What had arrived of that event was sent, and then the last chunk.

Ruled out by the record: the entry's server ending the chunks of a lost attempt (no 657 or 660 for these requests) and resumption (no 658).

An attempt now fails if the framing ends inside an event, by the lines since the last blank one, comments aside, with any line ends; and if an answer that only the end of its connection ends had no data at all. It is resumed where the route allows, else the caller's answer is cut. Streams are passed on without the endpoint's Content-Length: an event over the size limit is forwarded before its end is known and could fill that length, and a resumption may need another one.

--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -286,14 +286,26 @@
             )
             if early_result is not None:
                 return early_result
-        if not self.exchange.complete:
-            return self._record_lost(self.exchange.failure)
+        failure = self._explain_broken_off(has_data)
+        if failure:
+            return self._record_lost(failure)
         rest_bytes = len(self.delivery.framer.rest)
         await self.delivery.finish_stream()
         return results.Delivered(
             body_end=self.exchange.body_end, rest_bytes=rest_bytes
         )
 
+    def _explain_broken_off(self, has_data: bool) -> str:
+        """Returns why a stream is not complete, empty if it is."""
+        body_end = self.exchange.body_end
+        if not self.exchange.complete:
+            return self.exchange.failure
+        if self.delivery.is_inside_event:
+            return f"stream ended inside an event, body end: {body_end}"
+        if not has_data and body_end == connections.BodyEnd.CONNECTION_END:
+            return "stream ended without data, body end: connection end"
+        return ""
+
     async def _send_events(
         self, data: bytes, deadline: float
     ) -> results.Result | None:
--- a/src/_arbutuswalk/relay/delivery.py
+++ b/src/_arbutuswalk/relay/delivery.py
@@ -60,9 +60,19 @@
         if self.headers_sent:
             return
         self.headers_sent = True
-        await self.sender.send_head(
-            status, self.relay.dialect.answer_headers(headers)
-        )
+        # Without a length the caller can tell a broken-off stream from a whole
+        # one, and a resumption may complete it with another length.
+        headers = [
+            header
+            for header in self.relay.dialect.answer_headers(headers)
+            if header[0] != b"content-length"
+        ]
+        await self.sender.send_head(status, headers)
+
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the data received so far ends inside an event."""
+        return self.inside_event or sse.is_inside_event(self.framer.rest)
 
     @property
     def has_large_event(self) -> bool:
--- a/src/_arbutuswalk/relay/sse.py
+++ b/src/_arbutuswalk/relay/sse.py
@@ -1,6 +1,7 @@
-"""Ids of server-sent events, which are forwarded as bytes."""
+"""Ids and ends of server-sent events, which are forwarded as bytes."""
 
 ID_FIELD = b"id:"
+COMMENT = b":"
 
 
 def parse_id(event: bytes) -> str:
@@ -11,6 +12,19 @@
     return ""
 
 
+def is_inside_event(data: bytes) -> bool:
+    """Returns whether a stream that ends with ``data`` ends inside an event.
+
+    Lines may end with CR, LF or both. Comments belong to no event.
+
+    Args:
+        data: What follows the last event that is known to be complete.
+    """
+    data = data.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
+    lines = data.rpartition(b"\n\n")[2].split(b"\n")
+    return any(line and not line.startswith(COMMENT) for line in lines)
+
+
 def is_newer(event_id: str, last_id: str) -> bool:
     """Returns whether an event follows the last one sent to the caller."""
     if not (event_id.isdigit() and last_id.isdigit()):
