Complete answers with an identity coding at the end of their connection

Callers got 502, or a stream without its end, for a whole answer whose only Transfer-Encoding is identity: such an answer has neither a length nor chunks, and the end of its connection ends it, but any transfer coding counted as chunks. Lists in headers are split in one place.

--- a/src/_arbutuswalk/streams/connection.py
+++ b/src/_arbutuswalk/streams/connection.py
@@ -24,6 +24,8 @@
 """Bytes that are read at once. Parsing them must not delay other connections,
 even if each chunk of the body is a single byte."""
 NO_BODY_STATUSES = (204, 304)
+IDENTITY_CODING = b"identity"
+"""Transfer coding that is none."""
 
 
 class BodyEnd(enum.StrEnum):
@@ -317,10 +319,10 @@
     def _find_body_end(self) -> BodyEnd:
         if not self.exchange.has_body or self.status in NO_BODY_STATUSES:
             return BodyEnd.NO_BODY
-        names = {name for name, _ in self.headers}
-        if b"transfer-encoding" in names:
+        codings = replies.list_values(self.headers, b"transfer-encoding")
+        if any(coding != IDENTITY_CODING for coding in codings):
             return BodyEnd.CHUNKS
-        if b"content-length" in names:
+        if any(name == b"content-length" for name, _ in self.headers):
             return BodyEnd.LENGTH
         return BodyEnd.CONNECTION_END
 
--- a/src/_arbutuswalk/streams/replies.py
+++ b/src/_arbutuswalk/streams/replies.py
@@ -47,3 +47,13 @@
         if header_name == name:
             return value
     return b""
+
+
+def list_values(headers: Headers, name: bytes) -> list[bytes]:
+    """Returns the items of all comma-separated values, in lower case."""
+    return [
+        item.strip().lower()
+        for header_name, value in headers
+        if header_name == name
+        for item in value.split(b",")
+    ]
