--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -114,7 +114,10 @@
     SETTINGS_RELOADED = (667, "settings reloaded outcome=%s")
     DISK_REFUSED = (668, "disk write failed reason=%s")
     ANNOUNCEMENT_BAD = (669, "announcement invalid id=%s reason=%s")
-    DEATH_NOTED = (670, "endpoint crash recorded request=%s endpoint=%s")
+    DEATH_NOTED = (
+        670,
+        "endpoint crash recorded request=%s endpoint=%s born=%s keys=%s",
+    )
     ROUTES_UNREADABLE = (
         671,
         "routes could not be decoded address=%s reason=%s",
--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -352,7 +352,8 @@
     def _record_lost(self, reason: str) -> results.Lost:
         crashes.record_lost_connection(
             self.relay.crashes,
-            self.request.fingerprint,
+            self.request.id,
+            self.request.crash_keys,
             self.endpoint,
             self.relay.now(),
         )
--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -127,8 +127,10 @@
         for suspect in confirmed_suspects:
             events.record(
                 events.Event.DEATH_NOTED,
-                suspect.fingerprint,
+                suspect.request_id,
                 suspect.endpoint_id,
+                suspect.born_ms,
+                ",".join(suspect.keys),
             )
 
     def _expire_endpoints(self, now: float) -> None:
--- a/src/_arbutuswalk/relay/request.py
+++ b/src/_arbutuswalk/relay/request.py
@@ -4,9 +4,13 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from _arbutuswalk.routing import crashes
 from _arbutuswalk.state import routeconfig
 from _arbutuswalk.streams import replies
 
+MAX_BLAMED_PARTS = 32
+"""Shared parts of a prompt that may be blamed for crashes, the first ones."""
+
 
 class Part(NamedTuple):
     """A part of a prompt that other requests may have in common."""
@@ -74,6 +78,16 @@
             return 0
         return self.prompt.tokens_in + self.prompt.tokens_out
 
+    @property
+    def crash_keys(self) -> tuple[str, ...]:
+        """What is to blame if it crashes endpoints: itself, or a shared part.
+
+        The last part of a prompt is the request's own.
+        """
+        parts = self.prompt.parts[:-1] if self.prompt is not None else ()
+        part_ids = dict.fromkeys(part.id for part in parts[:MAX_BLAMED_PARTS])
+        return self.fingerprint, *map(crashes.part_key, part_ids)
+
     @property
     def priority(self) -> int:
         """Priority, 0 the highest; the workspace's overrides the route's."""
--- a/src/_arbutuswalk/routing/crashes.py
+++ b/src/_arbutuswalk/routing/crashes.py
@@ -22,17 +22,25 @@
 request that did not cause it can be involved in one or two deaths."""
 
 
+PART_PREFIX = "part/"
+"""Start of the key of a part, which tells it from a fingerprint."""
+MAX_PART_ID_CHARACTERS = 32
+
+
 class Suspect(NamedTuple):
     """A request that lost its connection to an endpoint.
 
     Attributes:
-        fingerprint: Fingerprint of the request.
+        request_id: Id of the request.
+        keys: What may be to blame: its fingerprint, and the parts of its prompt
+            that other requests may share.
         endpoint_id: Id of the endpoint.
         born_ms: Start time of the endpoint, in Unix milliseconds.
         lost_at: When the connection was lost, in seconds.
     """
 
-    fingerprint: str
+    request_id: str
+    keys: tuple[str, ...]
     endpoint_id: str
     born_ms: int
     lost_at: float
@@ -51,6 +59,13 @@
         self.deaths: dict[str, dict[str, float]] = {}
 
 
+def part_key(part_id: str) -> str:
+    """Returns the key of a part of a prompt, limited in length."""
+    if len(part_id) > MAX_PART_ID_CHARACTERS:
+        part_id = hashlib.blake2b(part_id.encode(), digest_size=12).hexdigest()
+    return PART_PREFIX + part_id
+
+
 def fingerprint(workspace: str, target: str, body: bytes) -> str:
     """Returns a digest that identifies a request when it is sent again."""
     digest = hashlib.blake2b(body, digest_size=12)
@@ -60,13 +75,14 @@
 
 def record_lost_connection(
     crashes: CrashTracker,
-    request_fingerprint: str,
+    request_id: str,
+    keys: tuple[str, ...],
     endpoint: directory.Endpoint,
     now: float,
 ) -> None:
     """Records that a request lost its connection to an endpoint."""
     crashes.suspects.append(
-        Suspect(request_fingerprint, endpoint.id, endpoint.born_ms, now)
+        Suspect(request_id, keys, endpoint.id, endpoint.born_ms, now)
     )
 
 
@@ -90,7 +106,7 @@
         elif _is_dead(suspect, endpoint_directory):
             confirmed.append(suspect)
             endpoint_start = f"{suspect.endpoint_id}/{suspect.born_ms}"
-            death_times = crashes.deaths.setdefault(suspect.fingerprint, {})
+            death_times = crashes.deaths.setdefault(suspect.keys[0], {})
             death_times[endpoint_start] = suspect.lost_at
     crashes.suspects = undecided
     _expire_deaths(crashes, now)
--- a/testing/test_crashes.py
+++ b/testing/test_crashes.py
@@ -26,7 +26,7 @@
 class TestResolveSuspects:
     def lose_connection(self, endpoints, tracker, endpoint, at):
         directory.announce(endpoints, endpoint, at - 0.5)
-        crashes.record_lost_connection(tracker, "f", endpoint, at)
+        crashes.record_lost_connection(tracker, "r", ("f",), endpoint, at)
 
     def test_an_endpoint_without_further_heartbeats_has_died(self):
         endpoints, tracker = directory.Directory(), crashes.CrashTracker()
