Blame a part of the prompts for crashes, and confirm deaths at once

Deaths were collected by the digest of workspace, path and body alone, so each of these requests, no two alike, had one death, below the three that refuse it. Ruled out by the record: deaths collected but refused too late.

A death now counts against the request and against each shared part of its prompt. Beside the cause sound requests with the same caller and other parts run there, so entries also report the last success of the parts in question. What causes crashes never succeeds: control blames a request after three deaths since its last success, a part after four, either after six if it has ever succeeded; what never succeeded first, and deaths that a blamed key explains count against no other. Deaths of one moment are one if there are no others. A death counts once all entries have had time to report what they ran there.

A death was confirmed by a missed heartbeat, 2.0 to 2.2 s after it; the rule leaves 3 s for everything. A refused connection now confirms it: one is opened 0.1 s after a connection was lost.

A request is checked before each attempt, not only on admission.

--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -166,6 +166,10 @@
         682,
         "limit of a configuration ignored limit=%s value=%s",
     )
+    CRASHES_BLAMED = (
+        687,
+        "refused as it crashes endpoints key=%s deaths=%s last_success_s=%s",
+    )
     HEAD_REFUSED = (683, "request head refused caller=%s status=%s reason=%s")
 
     @property
--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -16,10 +16,10 @@
 from _arbutuswalk.base import clock
 from _arbutuswalk.base import events
 from _arbutuswalk.base import metrics
+from _arbutuswalk.control import crash_reports
 from _arbutuswalk.control import entry_reports
 from _arbutuswalk.control import member as members
 from _arbutuswalk.control import shared_pools
-from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory as directories
 from _arbutuswalk.routing import leaving
 from _arbutuswalk.routing import stated_limits
@@ -67,6 +67,7 @@
         outcomes: Request outcomes since then, by upstream, version, group and
             position in ``rollout_evidence.Counts``.
         stated_limits: Limits that endpoints state, as entries report them.
+        crash_reports: What entries report on crashes.
         started_at: When this process started, in seconds.
         first_watch_at: When an entry first sent a watch, None before.
         restored_entry_count: Number of entries before the last restart, 0 if
@@ -87,6 +88,7 @@
         self.shared_pools = shared_pools.SharedPools()
         self.outcomes = counter_sum.CounterSum()
         self.stated_limits = stated_limits.StatedLimits()
+        self.crash_reports = crash_reports.CrashReports()
         self.changed = asyncio.Event()
         self.now: clock.Clock = member.now
         self.started_at = self.now()
@@ -212,10 +214,6 @@
                 self.quota_returned.remove(key)
                 self.outcomes.remove(key)
 
-    def reports(self) -> list[dict[str, Any]]:
-        """Returns the last report of every incarnation of every entry."""
-        return [entry.report for entry in self.entries.values()]
-
     def known_entries(self) -> set[str]:
         """Returns the entries that may be serving, reachable or not.
 
@@ -273,6 +271,7 @@
             message.incarnation, revision, report, self.now()
         )
         self._sum_counters(key, report)
+        self._record_crashes(report)
         limits = report.get("limits", {})
         self.record_limits(stated_limits.from_json(limits, self.now()))
         statements = report.get("leaving", [])
@@ -281,6 +280,13 @@
         )
         return report
 
+    def _record_crashes(self, report: dict[str, Any]) -> None:
+        now = self.now()
+        is_new = self.crash_reports.merge_refusals(report, now)
+        is_decided = self.crash_reports.decide(self.entries.values(), now)
+        if is_new or is_decided:
+            self.notify_watches()
+
     def record_leaving(
         self, statements: dict[leaving.Start, float], source: str
     ) -> None:
@@ -373,9 +379,8 @@
             "silent": len(known - self.reachable_entries().keys()),
             "wall": self.wall(),
             "term": self._lease_term(),
-            "refused": crashes.fingerprints_to_refuse(
-                [report.get("deaths", {}) for report in self.reports()]
-            ),
+            "refused": self.crash_reports.refusals.to_json(self.now()),
+            "crash_candidates": self.crash_reports.candidates,
         }
 
     def _shared_pools(self) -> dict[str, list[float]]:
--- a/src/_arbutuswalk/relay/admission.py
+++ b/src/_arbutuswalk/relay/admission.py
@@ -5,6 +5,7 @@
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.routing import crashes
+from _arbutuswalk.routing import refusals
 from _arbutuswalk.routing import routetable
 from _arbutuswalk.state import routeconfig
 from _arbutuswalk.streams import replies
@@ -87,14 +88,27 @@
         if workspace is None:
             return Refusal(STATUS_UNAUTHORIZED, "unknown key")
     request = _make_request(relay, incoming, route, workspace)
-    if request.fingerprint in relay.refused_fingerprints:
-        reason = f"it crashed {crashes.DEATHS_TO_REFUSE} endpoints"
-        return Refusal(STATUS_UNAVAILABLE, reason, crashes.DEATH_RETENTION_S)
+    refused_key = find_refused_key(relay, request)
+    if refused_key:
+        return Refusal(
+            STATUS_UNAVAILABLE,
+            f"{refused_key} crashes endpoints",
+            refusals.RETENTION_S,
+        )
     relay.lateness.record(route.name, incoming.deadline_s)
     refusal = _take_quota(relay, request)
     return refusal or request
 
 
+def find_refused_key(
+    relay: relay_state.Relay, request: requests.Request
+) -> str:
+    """Returns what of a request is refused, empty if nothing is."""
+    if not relay.refusals.rows:
+        return ""
+    return relay.refusals.find(request.crash_keys, relay.now())
+
+
 def check_body_size(relay: relay_state.Relay, size: int) -> Refusal | None:
     """Returns the refusal of a body over the limit of the configuration."""
     if relay.route_table is None:
--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -6,6 +6,7 @@
 from _arbutuswalk.relay import answer_buffers
 from _arbutuswalk.relay import attempt_timing
 from _arbutuswalk.relay import connection_limits
+from _arbutuswalk.relay import crash_probes
 from _arbutuswalk.relay import delivery
 from _arbutuswalk.relay import endpoint_limits
 from _arbutuswalk.relay import endpoint_pauses
@@ -100,6 +101,9 @@
             self.endpoint.address, non_idempotent=non_repeatable
         )
         if isinstance(connection, pool.NotOpened):
+            crash_probes.record_not_opened(
+                self.relay, self.endpoint, connection
+            )
             placement.mark_suspect(
                 self.relay, self.endpoint.id, connection.reason
             )
@@ -110,12 +114,12 @@
             return results.NotSent(reason="the endpoint is leaving")
         left_s = self.request.deadline - self.relay.now()
         if self.delivery.caller_left or left_s < results.MIN_TIME_LEFT_S:
-            self._return_to_pool(connection)
+            connection_limits.release(self.relay, self.endpoint, connection)
             if self.delivery.caller_left:
                 return results.CallerLeft()
             return results.NotSent(reason="no time left")
         if endpoint_pauses.is_paused(self.relay, self.endpoint):
-            self._return_to_pool(connection)
+            connection_limits.release(self.relay, self.endpoint, connection)
             return results.NotSent(reason="the endpoint is paused")
         options = requests.AttemptOptions(
             endpoint=self.endpoint.id,
@@ -151,15 +155,10 @@
         if self._is_leaving():
             connection.reusable = False
         if reusable and self.exchange.complete:
-            self._return_to_pool(connection)
+            connection_limits.release(self.relay, self.endpoint, connection)
         else:
             connection.abort()
 
-    def _return_to_pool(self, connection: connections.Connection) -> None:
-        if not connection_limits.may_keep_idle(self.relay, self.endpoint):
-            connection.reusable = False
-        self.relay.pool.release(connection)
-
     async def _receive_answer(
         self, connection: connections.Connection
     ) -> results.Result:
@@ -359,6 +358,7 @@
         )
         placement.mark_suspect(self.relay, self.endpoint.id, reason)
         self.relay.pool.close_idle(self.endpoint.address)
+        crash_probes.start(self.relay, self.endpoint)
         return results.Lost(reason=reason)
 
     def _count_usage(self, started_at: float) -> None:
@@ -392,6 +392,20 @@
         )
         self._record_outcome(result)
 
+    def _record_survived(
+        self, result: results.Answered | results.Delivered
+    ) -> None:
+        """Records that the endpoint has answered without a crash.
+
+        A crash may look like the end of an answer that has no other end than
+        that of its connection.
+        """
+        is_certain = result.body_end != connections.BodyEnd.CONNECTION_END
+        if is_certain and self.exchange.reply.is_success:
+            crashes.record_success(
+                self.relay.crashes, self.request.crash_keys, self.relay.now()
+            )
+
     def _record_outcome(self, result: results.Result) -> None:
         ran = not isinstance(
             result, results.NotSent | results.NotRun | results.CallerLeft
@@ -400,6 +414,8 @@
             isinstance(result, results.Answered)
             and result.status < results.MIN_FAILURE_STATUS
         )
+        if succeeded:
+            self._record_survived(result)
         self.timing.record_end(ran=ran, failed=not succeeded)
         if ran:
             self.relay.outlier_detector.record(
--- a/src/_arbutuswalk/relay/connection_limits.py
+++ b/src/_arbutuswalk/relay/connection_limits.py
@@ -13,6 +13,7 @@
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.routing import directory
+from _arbutuswalk.streams import connection as streams_connection
 
 RETRY_AFTER_S = 0.5
 """Time after which another connection is expected to be free: that in which
@@ -66,6 +67,17 @@
     return in_use + idle <= division.own
 
 
+def release(
+    relay: relay_state.Relay,
+    endpoint: directory.Endpoint,
+    connection: streams_connection.Connection,
+) -> None:
+    """Returns a connection to the pool, or closes it if it is one too many."""
+    if not may_keep_idle(relay, endpoint):
+        connection.reusable = False
+    relay.pool.release(connection)
+
+
 def expected_wait(
     relay: relay_state.Relay, endpoint: directory.Endpoint
 ) -> float:
--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -12,6 +12,7 @@
 from _arbutuswalk.base import background
 from _arbutuswalk.base import events
 from _arbutuswalk.relay import config_fetch
+from _arbutuswalk.relay import crash_probes
 from _arbutuswalk.relay import endpoint_limits
 from _arbutuswalk.relay import leaving_endpoints
 from _arbutuswalk.relay import permit_requests
@@ -56,6 +57,7 @@
             did not answer.
         clock_offset_s: Its wall clock minus ours, None before it answered.
         reported_loads: Own loads last reported to it, by endpoint.
+        crash_candidates: Keys that it wants to know the successes of.
         quota: Quota use that it reported.
         task: Task that watches it.
     """
@@ -74,6 +76,7 @@
         self.clock_offset_s: float | None = None
         self.quota = quota_reports.QuotaFeed(address=address)
         self.reported_loads: dict[str, relay_state.Load] = {}
+        self.crash_candidates: frozenset[str] = frozenset()
         self.task: asyncio.Task | None = None
 
 
@@ -117,21 +120,9 @@
         self._expire_endpoints(now)
         endpoint_limits.remove_unknown(self.relay)
         leaving_endpoints.expire(self.relay)
+        self.relay.refusals.expire(now)
         self.relay.pauses.remove_unused(self.relay.directory.rows, now)
-        confirmed_suspects = crashes.resolve_suspects(
-            self.relay.crashes,
-            self.relay.directory,
-            now,
-            self.relay.options.heartbeat_s,
-        )
-        for suspect in confirmed_suspects:
-            events.record(
-                events.Event.DEATH_NOTED,
-                suspect.request_id,
-                suspect.endpoint_id,
-                suspect.born_ms,
-                ",".join(suspect.keys),
-            )
+        crash_probes.resolve_suspects(self.relay)
 
     def _expire_endpoints(self, now: float) -> None:
         """Removes silent endpoints if control could have announced them.
@@ -204,6 +195,9 @@
 
     def _make_watch_message(self, feed: ControlFeed) -> ttypes.Watch:
         report = self._report()
+        report["successes"] = crashes.successes_to_json(
+            self.relay.crashes, feed.crash_candidates, self.relay.now()
+        )
         feed.quota.reported_taken = report["taken"]
         feed.quota.reported_returned = report["returned"]
         feed.reported_loads = dict(report["loads"])
@@ -218,6 +212,7 @@
 
     def _report(self) -> dict[str, Any]:
         relay = self.relay
+        now = relay.now()
         return {
             "entry": relay.name,
             "address": self.listen_address,
@@ -230,10 +225,8 @@
             "leaving": relay.directory.leaving_starts.to_json(relay.now()),
             "wall": relay.wall(),
             "uptime_s": relay.now() - relay.started_at,
-            "deaths": {
-                fingerprint: sorted(death_times)
-                for fingerprint, death_times in relay.crashes.deaths.items()
-            },
+            "deaths": crashes.deaths_to_json(relay.crashes, now),
+            "refused": relay.refusals.to_json(now),
             "usage": relay.usage.counts,
             **quota_reports.to_json(relay.quota_buckets, relay.now()),
             "rollout_outcomes": relay.rollout_outcomes.to_json(),
@@ -283,7 +276,11 @@
                 [f.quota for f in self.feeds.values() if f.connected],
             )
             self.relay.unreachable_entries = news["silent"]
-        self._update_refusals(feed, frozenset(news["refused"]))
+        self.relay.refusals.merge(news["refused"], now)
+        feed.crash_candidates = frozenset(news.get("crash_candidates", ()))
+        self.relay.crashes.candidates = frozenset().union(
+            *(f.crash_candidates for f in self.feeds.values())
+        )
         self._correct_clock()
         self.relay.notify_waiters()
 
@@ -326,14 +323,6 @@
             for own_share in [feed.reported_loads.get(name, relay_state.Load())]
         }
 
-    def _update_refusals(
-        self, feed: ControlFeed, fingerprints: frozenset[str]
-    ) -> None:
-        """Lifts a refusal only if control has the reports of all entries."""
-        if not feed.is_settled:
-            fingerprints |= self.relay.refused_fingerprints
-        self.relay.refused_fingerprints = fingerprints
-
     def _correct_clock(self) -> None:
         """Corrects a clock step by the median offset of all clocks."""
         offsets = [
--- /dev/null
+++ b/src/_arbutuswalk/relay/crash_probes.py
@@ -0,0 +1,77 @@
+"""Detects the crash of an endpoint before its next heartbeat is missed.
+
+A lost connection may be the only one that failed. A refused connection shows
+that no process listens any more.
+"""
+
+import asyncio
+
+from _arbutuswalk.base import background
+from _arbutuswalk.base import events
+from _arbutuswalk.relay import connection_limits
+from _arbutuswalk.relay import relay_state
+from _arbutuswalk.routing import crashes
+from _arbutuswalk.routing import directory
+from _arbutuswalk.streams import pool
+
+PROBE_DELAY_S = 0.1
+"""Time after a lost connection at which another is opened. A process that ends
+accepts connections for a moment."""
+
+
+def start(relay: relay_state.Relay, endpoint: directory.Endpoint) -> None:
+    """Opens a connection to an endpoint soon, unless that is under way."""
+    endpoint_start = directory.start_of(endpoint)
+    if endpoint_start in relay.probed_starts:
+        return
+    relay.probed_starts.add(endpoint_start)
+    background.start("probe", _probe(relay, endpoint))
+
+
+async def _probe(
+    relay: relay_state.Relay, endpoint: directory.Endpoint
+) -> None:
+    try:
+        await asyncio.sleep(PROBE_DELAY_S)
+        if not connection_limits.may_use_another(relay, endpoint):
+            return
+        connection = await relay.pool.acquire(
+            endpoint.address, non_idempotent=True
+        )
+        if isinstance(connection, pool.NotOpened):
+            record_not_opened(relay, endpoint, connection)
+        else:
+            connection_limits.release(relay, endpoint, connection)
+    finally:
+        relay.probed_starts.discard(directory.start_of(endpoint))
+
+
+def record_not_opened(
+    relay: relay_state.Relay,
+    endpoint: directory.Endpoint,
+    failure: pool.NotOpened,
+) -> None:
+    """Records a failed connection, which may show that the endpoint crashed."""
+    if failure.refused:
+        crashes.record_refused_connection(
+            relay.crashes, directory.start_of(endpoint), relay.now()
+        )
+        resolve_suspects(relay)
+
+
+def resolve_suspects(relay: relay_state.Relay) -> None:
+    """Records which suspects ran on endpoints that have died."""
+    confirmed = crashes.resolve_suspects(
+        relay.crashes,
+        relay.directory,
+        relay.now(),
+        relay.options.heartbeat_s,
+    )
+    for suspect in confirmed:
+        events.record(
+            events.Event.DEATH_NOTED,
+            suspect.request_id,
+            suspect.endpoint_id,
+            suspect.born_ms,
+            ",".join(suspect.keys),
+        )
--- a/src/_arbutuswalk/relay/relay_state.py
+++ b/src/_arbutuswalk/relay/relay_state.py
@@ -22,6 +22,7 @@
 from _arbutuswalk.routing import leaving
 from _arbutuswalk.routing import outliers
 from _arbutuswalk.routing import recent_parts
+from _arbutuswalk.routing import refusals
 from _arbutuswalk.routing import routetable
 from _arbutuswalk.routing import stated_limits
 from _arbutuswalk.streams import pool
@@ -88,7 +89,9 @@
         connection_waiters: Requests that wait for a connection, by upstream.
         outlier_detector: Failure rates of endpoints that report good health.
         crashes: Requests that were running when endpoints died.
-        refused_fingerprints: Requests that control has told entries to refuse.
+        probed_starts: Starts of endpoints that a connection is opened to after
+            one was lost.
+        refusals: What is refused as it crashes endpoints.
         lateness: Longest deadlines of the callers of each route.
         recent_parts: Endpoints that recently received shared prompt parts.
         suspect_until: Time until which an endpoint is used last, by id.
@@ -139,7 +142,8 @@
         self.lateness = lateness.LatenessTracker()
         self.crashes = crashes.CrashTracker()
         self.outlier_detector = outliers.OutlierDetector()
-        self.refused_fingerprints: frozenset[str] = frozenset()
+        self.probed_starts: set[leaving.Start] = set()
+        self.refusals = refusals.Refusals()
         self.suspect_until: dict[str, float] = {}
         self.retry_windows: dict[str, retries.RetryWindow] = {}
         self.quota_buckets: dict[str, quota.Bucket] = {}
--- a/src/_arbutuswalk/relay/relaying.py
+++ b/src/_arbutuswalk/relay/relaying.py
@@ -3,6 +3,7 @@
 import json
 
 from _arbutuswalk.base import events
+from _arbutuswalk.relay import admission
 from _arbutuswalk.relay import attempts
 from _arbutuswalk.relay import delivery
 from _arbutuswalk.relay import leaving_endpoints
@@ -11,6 +12,7 @@
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import results
+from _arbutuswalk.routing import refusals
 from _arbutuswalk.streams import replies
 
 RETRY_AFTER_S = 0.5
@@ -41,6 +43,14 @@
             if not tried or (not has_run and chosen.retry_after_s is not None):
                 result = chosen
             break
+        refused_key = admission.find_refused_key(relay, request)
+        if refused_key:
+            if not tally.runs:
+                result = results.NotSent(
+                    reason=f"{refused_key} crashes endpoints",
+                    retry_after_s=refusals.RETENTION_S,
+                )
+            break
         if not _may_attempt(relay, request, tally):
             break
         endpoint_id = chosen.endpoint.id
--- a/src/_arbutuswalk/routing/crashes.py
+++ b/src/_arbutuswalk/routing/crashes.py
@@ -1,30 +1,28 @@
-"""Detects requests that crash the endpoints that run them.
+"""Detects the deaths of endpoints and what requests ran there.
 
-A request that loses its connection becomes a suspect. If the endpoint sends no
-further heartbeat, the request was running there when the endpoint died.
-Entries report these deaths by request fingerprint and control aggregates them;
-a request involved in several deaths is refused by all entries for a limited
-time. An endpoint that resets connections but keeps running is not a death.
+A request that loses its connection becomes a suspect. If the endpoint refuses a
+connection or sends no further heartbeat, the request was running there when the
+endpoint died. Entries report these deaths by what may be to blame, the request
+or a part of its prompt, and control decides what all entries refuse. An
+endpoint that resets connections but keeps running is not a death.
 """
 
+import collections
 import hashlib
 from typing import NamedTuple
 
+from _arbutuswalk.routing import crash_blame
 from _arbutuswalk.routing import directory
+from _arbutuswalk.routing import leaving
 
 DEATH_CONFIRMATION_HEARTBEATS = 1.5
 """Heartbeat intervals without a heartbeat after a lost connection that confirm
 an endpoint's death."""
 DEATH_RETENTION_S = 60.0
-"""Time for which a death counts against a request."""
-DEATHS_TO_REFUSE = 3
-"""Deaths at which a request is refused. When several endpoints die together, a
-request that did not cause it can be involved in one or two deaths."""
-
-
-PART_PREFIX = "part/"
-"""Start of the key of a part, which tells it from a fingerprint."""
+"""Time for which a death counts against what may be to blame."""
 MAX_PART_ID_CHARACTERS = 32
+MAX_SUCCESSES = 4096
+"""Keys whose last success is known; the oldest are forgotten first."""
 
 
 class Suspect(NamedTuple):
@@ -47,23 +45,31 @@
 
 
 class CrashTracker:
-    """Suspects and confirmed deaths known to one entry.
+    """Suspects, confirmed deaths and successes known to one entry.
 
     Attributes:
         suspects: Requests whose endpoints may have died.
-        deaths: Times of deaths by endpoint start, by request fingerprint.
+        refused_at: When starts of endpoints last refused a connection.
+        deaths: Times of deaths by endpoint start, by key.
+        successes: Time of the last success by key, the oldest first.
+        candidates: Keys that control collects successes of.
     """
 
     def __init__(self):
         self.suspects: list[Suspect] = []
+        self.refused_at: dict[leaving.Start, float] = {}
         self.deaths: dict[str, dict[str, float]] = {}
+        self.successes: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+        self.candidates: frozenset[str] = frozenset()
 
 
 def part_key(part_id: str) -> str:
     """Returns the key of a part of a prompt, limited in length."""
     if len(part_id) > MAX_PART_ID_CHARACTERS:
         part_id = hashlib.blake2b(part_id.encode(), digest_size=12).hexdigest()
-    return PART_PREFIX + part_id
+    return crash_blame.PART_PREFIX + part_id
 
 
 def fingerprint(workspace: str, target: str, body: bytes) -> str:
@@ -86,13 +92,36 @@
     )
 
 
+def record_refused_connection(
+    crashes: CrashTracker, start: leaving.Start, now: float
+) -> None:
+    """Records that no process of an endpoint listens."""
+    crashes.refused_at[start] = now
+
+
+def record_success(
+    crashes: CrashTracker, keys: tuple[str, ...], now: float
+) -> None:
+    """Records that an endpoint survived a request.
+
+    Most fingerprints never come again, so that only those with a death count.
+    """
+    for key in keys:
+        is_part = key.startswith(crash_blame.PART_PREFIX)
+        if is_part or key in crashes.deaths or key in crashes.candidates:
+            crashes.successes[key] = now
+            crashes.successes.move_to_end(key)
+    while len(crashes.successes) > MAX_SUCCESSES:
+        crashes.successes.popitem(last=False)
+
+
 def resolve_suspects(
     crashes: CrashTracker,
     endpoint_directory: directory.Directory,
     now: float,
     heartbeat_s: float,
 ) -> list[Suspect]:
-    """Resolves suspects whose confirmation time has passed.
+    """Resolves suspects whose endpoints have died or could show life.
 
     Returns:
         Suspects whose endpoints have died.
@@ -101,31 +130,47 @@
     confirmed = []
     undecided = []
     for suspect in crashes.suspects:
-        if now - suspect.lost_at < confirmation_s:
+        refuses = _refuses_connections(crashes, suspect, endpoint_directory)
+        if not refuses and now - suspect.lost_at < confirmation_s:
             undecided.append(suspect)
-        elif _is_dead(suspect, endpoint_directory):
+        elif refuses or _is_dead(suspect, endpoint_directory):
             confirmed.append(suspect)
             endpoint_start = f"{suspect.endpoint_id}/{suspect.born_ms}"
-            death_times = crashes.deaths.setdefault(suspect.keys[0], {})
-            death_times[endpoint_start] = suspect.lost_at
+            for key in suspect.keys:
+                death_times = crashes.deaths.setdefault(key, {})
+                death_times[endpoint_start] = suspect.lost_at
     crashes.suspects = undecided
-    _expire_deaths(crashes, now)
+    _expire(crashes, now, confirmation_s)
     return confirmed
 
 
-def fingerprints_to_refuse(reports: list[dict[str, list[str]]]) -> list[str]:
-    """Returns the fingerprints to refuse, given all entries' deaths."""
-    starts_by_fingerprint: dict[str, set[str]] = {}
-    for report in reports:
-        for request_fingerprint, endpoint_starts in report.items():
-            starts_by_fingerprint.setdefault(request_fingerprint, set()).update(
-                endpoint_starts
-            )
-    return sorted(
-        candidate
-        for candidate, endpoint_starts in starts_by_fingerprint.items()
-        if len(endpoint_starts) >= DEATHS_TO_REFUSE
-    )
+def deaths_to_json(crashes: CrashTracker, now: float) -> dict[str, dict]:
+    """Returns the ages of the deaths by endpoint start, by key."""
+    return {
+        key: {start: now - lost_at for start, lost_at in times.items()}
+        for key, times in crashes.deaths.items()
+    }
+
+
+def successes_to_json(
+    crashes: CrashTracker, keys: frozenset[str], now: float
+) -> dict[str, float | None]:
+    """Returns the age of the last success of each key, None without one."""
+    return {
+        key: now - crashes.successes[key] if key in crashes.successes else None
+        for key in keys
+    }
+
+
+def _refuses_connections(
+    crashes: CrashTracker,
+    suspect: Suspect,
+    endpoint_directory: directory.Directory,
+) -> bool:
+    start = leaving.Start(suspect.endpoint_id, suspect.born_ms)
+    return crashes.refused_at.get(
+        start, suspect.lost_at
+    ) > suspect.lost_at and not directory.is_leaving(endpoint_directory, start)
 
 
 def _is_dead(suspect: Suspect, endpoint_directory: directory.Directory) -> bool:
@@ -138,10 +183,15 @@
     return row.announced_at < suspect.lost_at
 
 
-def _expire_deaths(crashes: CrashTracker, now: float) -> None:
-    for request_fingerprint, death_times in list(crashes.deaths.items()):
+def _expire(crashes: CrashTracker, now: float, confirmation_s: float) -> None:
+    for key, death_times in list(crashes.deaths.items()):
         for endpoint_start, lost_at in list(death_times.items()):
             if now - lost_at > DEATH_RETENTION_S:
                 del death_times[endpoint_start]
         if not death_times:
-            del crashes.deaths[request_fingerprint]
+            del crashes.deaths[key]
+    crashes.refused_at = {
+        start: refused_at
+        for start, refused_at in crashes.refused_at.items()
+        if now - refused_at <= confirmation_s
+    }
--- a/testing/crash_parts_cluster.py
+++ b/testing/crash_parts_cluster.py
@@ -11,6 +11,7 @@
 
 from _arbutuswalk.relay import relaying
 from _arbutuswalk.relay import request as requests
+from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory
 from _arbutuswalk.state import routeconfig
 from _arbutuswalk.streams import connection as connections
@@ -23,10 +24,10 @@
 RESTART_S = 4.0
 TICK_INTERVAL_S = 0.5
 HEARTBEAT_INTERVAL_S = relay_fixtures.OPTIONS.heartbeat_s
-MAX_REQUESTS = 8
 FIRST_PARTS = [f"first-{number}" for number in range(8)]
 SUBJECT_PARTS = [f"subject-{number}" for number in range(100)]
 BAD_PART = "bad"
+BAD_KEY = crashes.part_key(BAD_PART)
 
 
 class Endpoint:
@@ -219,6 +220,12 @@
         endpoint.end()
         self.loop.call_later(RESTART_S, self.start_endpoint, endpoint.address)
 
+    def living_endpoints(self):
+        return [each for each in self.running.values() if each.alive]
+
+    def choose_endpoint(self):
+        return self.rng.choice(self.living_endpoints())
+
     def start_control(self, index):
         super().start_control(index)
         self.controls[index].member.link_to = lambda address: None
@@ -231,12 +238,7 @@
     def play(self, duration_s, *, sound_per_s, crashing_per_s, bad_position):
         """Sends sound and crashing requests at random to all entries."""
         self.loop.run_until_complete(
-            asyncio.wait_for(
-                self._play(
-                    duration_s, sound_per_s, crashing_per_s, bad_position
-                ),
-                None,
-            )
+            self._play(duration_s, sound_per_s, crashing_per_s, bad_position)
         )
 
     async def _play(
@@ -261,7 +263,6 @@
             self.loop.create_task(
                 self.send_prompt(watcher.relay, parts, crashes)
             )
-        await asyncio.sleep(3.0)
 
     async def send_prompt(self, relay, parts, crashes, fingerprint=""):
         self.request_count += 1
