--- a/src/_arbutuswalk/control/crash_reports.py
+++ b/src/_arbutuswalk/control/crash_reports.py
@@ -37,9 +37,15 @@
         self.decided_at = -math.inf
         self.reported_at: dict[str, float] = {}
 
-    def merge_refusals(self, report: dict[str, Any], now: float) -> bool:
-        """Adds the refusals of an entry; returns whether any is new."""
-        return bool(self.refusals.merge(report.get("refused", {}), now))
+    def record(
+        self,
+        report: dict[str, Any],
+        entries: Collection[entry_reports.KnownEntry],
+        now: float,
+    ) -> bool:
+        """Records a new report of an entry; returns whether there is news."""
+        new_keys = self.refusals.merge(report.get("refused", {}), now)
+        return self.decide(entries, now) or bool(new_keys)
 
     def decide(
         self, entries: Collection[entry_reports.KnownEntry], now: float
--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -271,7 +271,8 @@
             message.incarnation, revision, report, self.now()
         )
         self._sum_counters(key, report)
-        self._record_crashes(report)
+        if self.crash_reports.record(report, self.entries.values(), self.now()):
+            self.notify_watches()
         limits = report.get("limits", {})
         self.record_limits(stated_limits.from_json(limits, self.now()))
         statements = report.get("leaving", [])
@@ -280,13 +281,6 @@
         )
         return report
 
-    def _record_crashes(self, report: dict[str, Any]) -> None:
-        now = self.now()
-        is_new = self.crash_reports.merge_refusals(report, now)
-        is_decided = self.crash_reports.decide(self.entries.values(), now)
-        if is_new or is_decided:
-            self.notify_watches()
-
     def record_leaving(
         self, statements: dict[leaving.Start, float], source: str
     ) -> None:
--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from _arbutuswalk.base import events
 from _arbutuswalk.relay import answer_buffers
+from _arbutuswalk.relay import attempt_results
 from _arbutuswalk.relay import attempt_timing
 from _arbutuswalk.relay import connection_limits
 from _arbutuswalk.relay import crash_probes
@@ -87,7 +87,7 @@
             self.timing.stop()
             relay.add_load(endpoint_id, -1, -self.unread_tokens)
             connection_limits.wake_next(relay, self.request.upstream)
-        self._record_result(result)
+        attempt_results.record(self, result)
         return result
 
     def _record_prompt_read(self) -> None:
@@ -285,7 +285,9 @@
             )
             if early_result is not None:
                 return early_result
-        failure = self._explain_broken_off(has_data)
+        failure = attempt_results.explain_broken_off(
+            self.exchange, self.delivery, has_data=has_data
+        )
         if failure:
             return self._record_lost(failure)
         rest_bytes = len(self.delivery.framer.rest)
@@ -294,17 +296,6 @@
             body_end=self.exchange.body_end, rest_bytes=rest_bytes
         )
 
-    def _explain_broken_off(self, has_data: bool) -> str:
-        """Returns why a stream is not complete, empty if it is."""
-        body_end = self.exchange.body_end
-        if not self.exchange.complete:
-            return self.exchange.failure
-        if self.delivery.is_inside_event:
-            return f"stream ended inside an event, body end: {body_end}"
-        if not has_data and body_end == connections.BodyEnd.CONNECTION_END:
-            return "stream ended without data, body end: connection end"
-        return ""
-
     async def _send_events(
         self, data: bytes, deadline: float
     ) -> results.Result | None:
@@ -368,56 +359,3 @@
             self.relay.usage.count(
                 workspace.name, self.relay.wall() - elapsed_s
             )
-
-    def _record_result(self, result: results.Result) -> None:
-        """Records the result in the log, the metrics and the outcomes."""
-        duration_s = self.relay.now() - self.started_at
-        reason = getattr(result, "reason", "")
-        if isinstance(result, results.Answered):
-            reason = f"status {result.status}"
-        if not isinstance(result, results.Answered | results.Delivered):
-            events.record(
-                events.Event.ATTEMPT_ENDED,
-                self.request.id,
-                self.endpoint.id,
-                type(result).__name__,
-                reason,
-                round(duration_s * 1000),
-            )
-        self.relay.metrics.record(
-            "attempt",
-            f'upstream="{self.request.upstream}",'
-            f'outcome="{type(result).__name__}"',
-            duration_s,
-        )
-        self._record_outcome(result)
-
-    def _record_survived(
-        self, result: results.Answered | results.Delivered
-    ) -> None:
-        """Records that the endpoint has answered without a crash.
-
-        A crash may look like the end of an answer that has no other end than
-        that of its connection.
-        """
-        is_certain = result.body_end != connections.BodyEnd.CONNECTION_END
-        if is_certain and self.exchange.reply.is_success:
-            crashes.record_success(
-                self.relay.crashes, self.request.crash_keys, self.relay.now()
-            )
-
-    def _record_outcome(self, result: results.Result) -> None:
-        ran = not isinstance(
-            result, results.NotSent | results.NotRun | results.CallerLeft
-        )
-        succeeded = isinstance(result, results.Delivered) or (
-            isinstance(result, results.Answered)
-            and result.status < results.MIN_FAILURE_STATUS
-        )
-        if succeeded:
-            self._record_survived(result)
-        self.timing.record_end(ran=ran, failed=not succeeded)
-        if ran:
-            self.relay.outlier_detector.record(
-                self.endpoint.id, failed=not succeeded, now=self.relay.now()
-            )
