Open a connection after a loss only where the endpoint closed the other one

An entry opened another connection to each endpoint whose answer it gave up: one that is no HTTP, over a limit or stalled. Such an endpoint runs, and the connection stayed open for nothing. The exchange now knows whether the end of the connection ended it.

--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -349,7 +349,8 @@
         )
         placement.mark_suspect(self.relay, self.endpoint.id, reason)
         self.relay.pool.close_idle(self.endpoint.address)
-        crash_probes.start(self.relay, self.endpoint)
+        if self.exchange.closed_by_peer or self.exchange.complete:
+            crash_probes.start(self.relay, self.endpoint)
         return results.Lost(reason=reason)
 
     def _count_usage(self, started_at: float) -> None:
--- a/src/_arbutuswalk/streams/connection.py
+++ b/src/_arbutuswalk/streams/connection.py
@@ -56,6 +56,7 @@
         buffered_bytes: Total size of the buffered chunks.
         complete: Whether the response has been received completely.
         failure: Why the response ended early, empty if it has not.
+        closed_by_peer: Whether the end of the connection ended the response.
         last_received_at: When data was last received.
         changed: Set when any of these has changed.
     """
@@ -81,6 +82,7 @@
         self.buffered_bytes = 0
         self.complete = False
         self.failure = ""
+        self.closed_by_peer = False
         self.last_received_at = clock.monotonic()
         self.changed = asyncio.Event()
 
@@ -215,12 +217,14 @@
 
     def eof_received(self) -> None:
         """Completes a response whose body ends with the connection."""
+        self._record_closed_by_peer()
         if self.exchange is not None and self.ends_at_close:
             self._complete()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fails an exchange that is not complete."""
         self.reusable = False
+        self._record_closed_by_peer()
         self._set_failure(f"connection lost: {error or 'closed'}")
         self.on_close(self)
 
@@ -331,6 +335,10 @@
             self.exchange.complete = True
             self.exchange.changed.set()
 
+    def _record_closed_by_peer(self) -> None:
+        if self.exchange is not None and not self.exchange.ended:
+            self.exchange.closed_by_peer = True
+
     def _fail_and_abort(self, reason: str) -> None:
         """Fails the exchange, unless the bytes follow a complete answer."""
         if self.exchange is None or self.exchange.ended:
--- a/testing/crash_parts_cluster.py
+++ b/testing/crash_parts_cluster.py
@@ -114,6 +114,7 @@
 
     def lose(self):
         self.abort()
+        self.exchange.closed_by_peer = True
         self.exchange.failure = "connection lost: closed"
         self.exchange.changed.set()
 
