--- a/src/_arbutuswalk/control/platform_client.py
+++ b/src/_arbutuswalk/control/platform_client.py
@@ -52,7 +52,12 @@
         aiohttp = importlib.import_module("aiohttp")
         if self.session is None:
             timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
-            self.session = aiohttp.ClientSession(timeout=timeout)
+            connector = http_answers.limit_interim_responses(
+                aiohttp.TCPConnector()
+            )
+            self.session = aiohttp.ClientSession(
+                timeout=timeout, connector=connector
+            )
         try:
             async with self.session.request(
                 method, self.base_url + path, json=body
