Write what libraries log as structured lines

For each broken-off stream uvicorn's message 'ASGI callable returned without completing response.' reached standard error as plain text, and so did warnings of our own beside their structured line: no JSON, no event number, not bounded.

test_broken_off_response_leaves_structured_lines_only failed before. The platform's process tests and the soak check each line of each process.

--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -1,6 +1,7 @@
 """Numbered log events, catalogued in ``docs/events.md``."""
 
 import enum
+import logging as standard_logging
 import re
 
 from absl import logging
@@ -8,6 +9,7 @@
 from _arbutuswalk.base import clock
 from _arbutuswalk.base import structured_log
 
+MAX_LIBRARY_MESSAGE_CHARACTERS = 500
 _FIELD_PATTERN = re.compile(r"(\w+)=%s")
 
 
@@ -170,6 +172,10 @@
         687,
         "refused as it crashes endpoints key=%s deaths=%s last_success_s=%s",
     )
+    LIBRARY_MESSAGE = (
+        688,
+        "message of a library logger=%s level=%s message=%s error=%s",
+    )
     HEAD_REFUSED = (683, "request head refused caller=%s status=%s reason=%s")
 
     @property
@@ -192,11 +198,36 @@
 
 
 def warn(event: Event, *fields: object) -> None:
-    """Logs ``event`` at warning level, and as a structured line if enabled."""
-    record(event, *fields)
+    """Logs ``event`` as a structured line if enabled, else as a warning."""
+    if structured_log.current_writer() is not None:
+        record(event, *fields)
+        return
     logging.warning("E%d " + event.message, event.number, *fields)
 
 
+class LibraryLogHandler(standard_logging.Handler):
+    """Turns what libraries log into structured lines, without tracebacks."""
+
+    def emit(self, log_record: standard_logging.LogRecord) -> None:
+        """Writes one record of the standard library's logging."""
+        error = log_record.exc_info[1] if log_record.exc_info else None
+        record(
+            Event.LIBRARY_MESSAGE,
+            log_record.name,
+            log_record.levelname,
+            log_record.getMessage()[:MAX_LIBRARY_MESSAGE_CHARACTERS],
+            repr(error)[:MAX_LIBRARY_MESSAGE_CHARACTERS] if error else "",
+        )
+
+
+def start_structured_log(descriptor: int) -> structured_log.Writer:
+    """Writes all events, and what libraries log, to ``descriptor``."""
+    writer = structured_log.start(descriptor)
+    root = standard_logging.getLogger()
+    root.handlers[:] = [LibraryLogHandler()]
+    return writer
+
+
 def record(event: Event, *fields: object) -> None:
     """Writes ``event`` as one structured line if the structured log is on."""
     writer = structured_log.current_writer()
--- a/testing/platform_fixtures.py
+++ b/testing/platform_fixtures.py
@@ -144,6 +144,20 @@
     def kill(self, ip):
         self.process_group.kill(ip)
 
+    def unstructured_lines(self):
+        """Returns the output of the programs that is no JSON object."""
+        found = []
+        for path in self.folder.glob("127.*.log"):
+            # The last line may have been cut by a kill.
+            for line in path.read_bytes().split(b"\n")[:-1]:
+                try:
+                    is_structured = isinstance(json.loads(line), dict)
+                except ValueError:
+                    is_structured = False
+                if not is_structured:
+                    found.append(f"{path.name}: {line!r}")
+        return found
+
     async def http_request(self, method, url, **options):
         timeout = aiohttp.ClientTimeout(total=2)
         try:
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -369,6 +369,7 @@
                 await endpoint.start()
         await self.wait_for_full_group()
         violations = self.stopped_processes()
+        violations += self.cluster.unstructured_lines()
         violations += checks.find_violations(
             self.attempts, self.arrivals, self.no_traffic_windows
         )
--- a/testing/test_platform_front.py
+++ b/testing/test_platform_front.py
@@ -1,6 +1,8 @@
 """Callers' requests, drain and readiness of an entry, over real connections."""
 
 import asyncio
+import json
+import logging
 import platform as standard_platform
 import subprocess
 import sys
@@ -14,6 +16,8 @@
 from arbutuswalk_platform import probes
 from arbutuswalk_platform import server
 
+from _arbutuswalk.base import events
+from _arbutuswalk.base import structured_log
 from _arbutuswalk.relay import admission
 from _arbutuswalk.state import routeconfig
 
@@ -249,6 +253,29 @@
             assert not data.endswith(b"0\r\n\r\n")
             writer.close()
 
+    async def test_broken_off_response_leaves_structured_lines_only(
+        self, capfd, monkeypatch
+    ):
+        monkeypatch.setattr(logging.getLogger(), "handlers", [])
+        monkeypatch.setattr(structured_log, "_writers", [])
+        writer = events.start_structured_log(1)
+        route = relay_fixtures.make_route(
+            kind=routeconfig.STREAM, max_attempts=1, timeout_s=3.0
+        )
+        steps = [relay_fixtures.send_stream((1, "a"), end=False, close=True)]
+        config = relay_fixtures.make_config(route)
+        async with RunningEntry(config, steps) as running_entry:
+            reader, caller = await running_entry.connect()
+            caller.write(VALID_REQUEST)
+            await reader.read()
+            caller.close()
+        writer.flush()
+        output, errors = capfd.readouterr()
+        names = [json.loads(line)["name"] for line in output.splitlines()]
+        assert "broken_off" in names
+        assert "library_message" in names
+        assert errors == ""
+
 
 class TestDrain:
     """Drain of an entry, with ``DRAIN_ACCEPT_S`` set to zero."""
--- a/testing/test_platform_processes.py
+++ b/testing/test_platform_processes.py
@@ -28,6 +28,7 @@
     await asyncio.gather(*new_cluster.heartbeat_tasks, return_exceptions=True)
     await new_cluster.session.close()
     new_cluster.process_group.stop_all()
+    assert new_cluster.unstructured_lines() == []
 
 
 class TestEndToEnd:
