Remember a deregistration that arrives before the first heartbeat

It had started behind a cut: its first call that arrived was its deregistration, which control acknowledged and forgot, as it knew no such endpoint. Its second heartbeat, 2.3 s late, then made it ready.

A deregistration that names its start is now announced as its end, also of a start that is newer than the known one, to the other members too. One without a start still counts for the known one only.

Both cases of test_a_deregistration_goes_before_a_late_heartbeat failed before.

--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -123,13 +123,12 @@
         return is_change
 
     def deregister(self, endpoint_id: str, born_ms: int | None) -> bool:
-        """Applies a deregistration; returns whether it changed anything."""
-        row = self.directory.rows.get(endpoint_id)
-        if row is None:
-            return False
-        if born_ms is not None and born_ms < row.endpoint.born_ms:
-            return False
-        return self.announce(row.endpoint._replace(state=directories.GONE))
+        """Applies a deregistration; returns whether it changed anything.
+
+        It may arrive before the first heartbeat of the same start.
+        """
+        gone = directories.make_gone(self.directory, endpoint_id, born_ms)
+        return gone is not None and self.announce(gone)
 
     def remove_endpoint(self, endpoint_id: str) -> None:
         """Removes an endpoint that was restored from disk and not confirmed."""
--- a/src/_arbutuswalk/routing/directory.py
+++ b/src/_arbutuswalk/routing/directory.py
@@ -24,7 +24,7 @@
         born_ms: Time of this start, in Unix milliseconds.
         sequence: Number of the announcement within the start.
         upstream: Name of the upstream it serves.
-        address: ``IP:port``.
+        address: ``IP:port``, empty if only its end is known.
         domain: Failure domain.
         version: Software version.
         slots: Maximum number of concurrent requests.
@@ -109,7 +109,8 @@
             address_owner.announced_at,
         )
     _put_row(directory, merged, now)
-    directory.ids_by_address[merged.address] = merged.id
+    if merged.address:
+        directory.ids_by_address[merged.address] = merged.id
     return existing is None or _is_relevant_change(existing.endpoint, merged)
 
 
@@ -128,6 +129,34 @@
     return True
 
 
+def make_gone(
+    directory: Directory, endpoint_id: str, born_ms: int | None
+) -> Endpoint | None:
+    """Returns what a deregistration announces, None if it does not count.
+
+    Args:
+        directory: Endpoints known so far.
+        endpoint_id: Endpoint that deregisters.
+        born_ms: Its start, None for the one that is known.
+    """
+    row = directory.rows.get(endpoint_id)
+    if row is not None and born_ms in (None, row.endpoint.born_ms):
+        return row.endpoint._replace(state=GONE)
+    if born_ms is None or (row is not None and born_ms < row.endpoint.born_ms):
+        return None
+    return Endpoint(
+        id=endpoint_id,
+        born_ms=born_ms,
+        sequence=0,
+        upstream="",
+        address="",
+        domain="",
+        version="",
+        slots=0,
+        state=GONE,
+    )
+
+
 def record_leaving(
     directory: Directory, start: leaving.Start, stated_at: float
 ) -> bool:
--- a/testing/test_leaving.py
+++ b/testing/test_leaving.py
@@ -645,6 +645,35 @@
         announced = directory.from_json(json.loads(message.announcements[0]))
         assert (announced.id, announced.state) == ("a", directory.LEAVING)
 
+    @pytest.mark.parametrize("known_born_ms", [None, 1])
+    def test_a_deregistration_goes_before_a_late_heartbeat(self, known_born_ms):
+        receiver = test_duties.make_components().discovery
+        member = test_duties.make_components().discovery
+        forwarded = forward_to(receiver, "127.0.0.1:9")
+        if known_born_ms is not None:
+            former = test_crashes.make_endpoint("a", born_ms=known_born_ms)
+            receiver.apply_announcement(former)
+        assert receiver.deregister("a", 5)
+        ((_, message),) = forwarded
+        told = directory.from_json(json.loads(message.announcements[0]))
+        member.apply_announcement(told)
+        late = test_crashes.make_endpoint("a", born_ms=5, sequence=2)
+        for discovery in (receiver, member):
+            discovery.apply_announcement(late)
+            assert state_of(discovery.directory) == directory.GONE
+            restarted = late._replace(born_ms=6)
+            discovery.apply_announcement(restarted)
+            assert state_of(discovery.directory) == directory.READY
+
+    def test_several_unknown_endpoints_deregister(self):
+        discovery = test_duties.make_components().discovery
+        for name, born_ms in (("a", 7), ("b", 5), ("c", 6)):
+            assert discovery.deregister(name, born_ms)
+            late = test_crashes.make_endpoint(name, born_ms=born_ms)
+            discovery.apply_announcement(late)
+        states = [r.endpoint.state for r in discovery.directory.rows.values()]
+        assert states == 3 * [directory.GONE]
+
     def test_control_applies_a_statement_to_a_later_heartbeat(self):
         discovery = test_duties.make_components().discovery
         endpoint = test_crashes.make_endpoint("a")
