Remember a deregistration without a start of an endpoint that is unknown

It now ends all starts of an unknown endpoint until the time of day at which it arrives, so that a late heartbeat of that start is older than the known one, and one of a later start is not. A clock that has jumped by more than the time between them misjudges this once, for 20 s at most.

The test failed before.

--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -127,7 +127,10 @@
 
         It may arrive before the first heartbeat of the same start.
         """
-        gone = directories.make_gone(self.directory, endpoint_id, born_ms)
+        now_ms = int(self.wall() * clock.MS_PER_S)
+        gone = directories.make_gone(
+            self.directory, endpoint_id, born_ms, now_ms
+        )
         return gone is not None and self.announce(gone)
 
     def remove_endpoint(self, endpoint_id: str) -> None:
--- a/src/_arbutuswalk/routing/directory.py
+++ b/src/_arbutuswalk/routing/directory.py
@@ -130,23 +130,24 @@
 
 
 def make_gone(
-    directory: Directory, endpoint_id: str, born_ms: int | None
+    directory: Directory, endpoint_id: str, born_ms: int | None, now_ms: int
 ) -> Endpoint | None:
     """Returns what a deregistration announces, None if it does not count.
 
     Args:
         directory: Endpoints known so far.
         endpoint_id: Endpoint that deregisters.
-        born_ms: Its start, None for the one that is known.
+        born_ms: Its start, None for the one that is known, or any so far.
+        now_ms: Time of day, in Unix milliseconds.
     """
     row = directory.rows.get(endpoint_id)
     if row is not None and born_ms in (None, row.endpoint.born_ms):
         return row.endpoint._replace(state=GONE)
-    if born_ms is None or (row is not None and born_ms < row.endpoint.born_ms):
+    if row is not None and born_ms < row.endpoint.born_ms:
         return None
     return Endpoint(
         id=endpoint_id,
-        born_ms=born_ms,
+        born_ms=now_ms if born_ms is None else born_ms,
         sequence=0,
         upstream="",
         address="",
--- a/testing/test_leaving.py
+++ b/testing/test_leaving.py
@@ -665,6 +665,22 @@
             discovery.apply_announcement(restarted)
             assert state_of(discovery.directory) == directory.READY
 
+    def test_a_deregistration_without_a_start_ends_those_until_now(self):
+        receiver = test_duties.make_components().discovery
+        member = test_duties.make_components().discovery
+        forwarded = forward_to(receiver, "127.0.0.1:9")
+        receiver.wall = lambda: 0.010
+        assert receiver.deregister("a", None)
+        ((_, message),) = forwarded
+        told = directory.from_json(json.loads(message.announcements[0]))
+        member.apply_announcement(told)
+        late = test_crashes.make_endpoint("a", born_ms=9, sequence=2)
+        for discovery in (receiver, member):
+            discovery.apply_announcement(late)
+            assert state_of(discovery.directory) == directory.GONE
+            discovery.apply_announcement(late._replace(born_ms=11))
+            assert state_of(discovery.directory) == directory.READY
+
     def test_several_unknown_endpoints_deregister(self):
         discovery = test_duties.make_components().discovery
         for name, born_ms in (("a", 7), ("b", 5), ("c", 6)):
