Log what ended the search for another endpoint

The decision now returns that as its outcome, with the values it was decided on, and 655, 656 and 660 write it. The retry window tells its use and limit by the function that decides. No decision changes; may_retry's tests check why_no_retry as strictly.

--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -81,12 +81,12 @@
     FAILED = (
         655,
         "request failed request=%s route=%s upstream=%s endpoint=%s status=%s"
-        " reason=%s runs=%s ms=%s",
+        " reason=%s runs=%s ms=%s decision=%s inputs=%s",
     )
     REFUSED = (
         656,
         "request refused request=%s route=%s status=%s reason=%s ms=%s"
-        " routes_version=%s",
+        " routes_version=%s decision=%s inputs=%s",
     )
     ATTEMPT_ENDED = (
         657,
@@ -99,7 +99,8 @@
     )
     BROKEN_OFF = (
         660,
-        "answer aborted request=%s route=%s endpoint=%s reason=%s ms=%s",
+        "answer aborted request=%s route=%s endpoint=%s reason=%s ms=%s"
+        " decision=%s inputs=%s",
     )
     CONTROL_LOST = (661, "control connection lost address=%s reason=%s")
     CONTROL_FOUND = (662, "control connection established address=%s term=%s")
--- a/src/_arbutuswalk/limits/retries.py
+++ b/src/_arbutuswalk/limits/retries.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+from typing import NamedTuple
 
 USED_RATIO_FRACTION = 0.8
 """Fraction of the ratio that is used. The rest covers windows that do not start
@@ -19,6 +20,13 @@
 within a window uses no more than its share."""
 
 
+class WindowUse(NamedTuple):
+    """Retries in a window, and how many this process may make in all."""
+
+    retries: int
+    limit: float
+
+
 class RetryWindow:
     """Requests and retries of one upstream in the last window.
 
@@ -51,6 +59,14 @@
 
     def try_acquire(self, now: float, entries: int) -> bool:
         """Records a retry if the limit permits it; returns whether it does."""
+        use = self.use(now, entries)
+        if use.retries + 1 > use.limit:
+            return False
+        self.retries.append(now)
+        return True
+
+    def use(self, now: float, entries: int) -> WindowUse:
+        """Returns the retries of the last window, and its limit."""
         cutoff = now - self.window_s
         _drop_before(self.requests, cutoff)
         _drop_before(self.retries, cutoff)
@@ -61,10 +77,7 @@
             else RUNNING_EXTRA_FRACTION
         )
         limit = USED_RATIO_FRACTION * self.ratio * len(self.requests) + share
-        if len(self.retries) + 1 > limit:
-            return False
-        self.retries.append(now)
-        return True
+        return WindowUse(len(self.retries), limit)
 
 
 def _drop_before(times: collections.deque[float], cutoff: float) -> None:
--- a/src/_arbutuswalk/relay/relaying.py
+++ b/src/_arbutuswalk/relay/relaying.py
@@ -1,6 +1,8 @@
 """Relays a request: endpoint selection, retries, resumption, final answer."""
 
+import collections
 import json
+from typing import NamedTuple
 
 from _arbutuswalk.base import events
 from _arbutuswalk.relay import admission
@@ -20,6 +22,25 @@
 endpoint is detected, avoided and replaced by another."""
 PROBLEM_CONTENT_TYPE = b"application/problem+json"
 STATUS_OK = 200
+NOT_ADMITTED = results.NoRetry(decision="admission")
+
+
+class Outcome(NamedTuple):
+    """How the attempts of a request ended.
+
+    Attributes:
+        result: Result of the last attempt, or why there was none.
+        last_answer: Last complete answer of an endpoint, None without one.
+        tally: Counts of the attempts.
+        endpoint_id: Endpoint of the last attempt, or empty.
+        ended_by: Why there was no other attempt.
+    """
+
+    result: results.Result
+    last_answer: results.Answered | None
+    tally: results.Tally
+    endpoint_id: str
+    ended_by: results.NoRetry
 
 
 async def relay_request(
@@ -39,19 +60,22 @@
         if isinstance(chosen, results.NotSent) and not tried:
             chosen = await _find_after_startup(relay, request, chosen)
         if isinstance(chosen, results.NotSent):
+            ended_by = _explain_no_endpoint(relay, request, tried, chosen)
             has_run = tally.runs or isinstance(result, results.Answered)
             if not tried or (not has_run and chosen.retry_after_s is not None):
                 result = chosen
             break
         refused_key = admission.find_refused_key(relay, request)
         if refused_key:
+            ended_by = results.NoRetry(decision="refused", inputs=refused_key)
             if not tally.runs:
                 result = results.NotSent(
                     reason=f"{refused_key} crashes endpoints",
                     retry_after_s=refusals.RETENTION_S,
                 )
             break
-        if not _may_attempt(relay, request, tally):
+        ended_by = _why_no_attempt(relay, request, tally)
+        if ended_by is not None:
             break
         endpoint_id = chosen.endpoint.id
         tried.add(endpoint_id)
@@ -70,14 +94,14 @@
         if isinstance(result, results.Answered):
             last_answer = result
         left_s = request.deadline - relay.now()
-        if not results.may_retry(result, request.route, tally, left_s):
+        ended_by = results.why_no_retry(result, request.route, tally, left_s)
+        if ended_by is not None:
             break
     if isinstance(result, results.CallerLeft):
         _record_caller_left(relay, request, endpoint_id)
         return
-    await _send_final_answer(
-        relay, caller_delivery, result, last_answer, tally, endpoint_id
-    )
+    outcome = Outcome(result, last_answer, tally, endpoint_id, ended_by)
+    await _send_final_answer(relay, caller_delivery, outcome)
 
 
 async def _find_after_startup(
@@ -98,27 +122,52 @@
     return await permitted_placement.find(relay, request, set())
 
 
-def _may_attempt(
+def _explain_no_endpoint(
+    relay: relay_state.Relay,
+    request: requests.Request,
+    tried: set[str],
+    not_found: results.NotSent,
+) -> results.NoRetry:
+    endpoints_by_state = collections.Counter(
+        row.endpoint.state
+        for row in relay.directory.rows.values()
+        if row.endpoint.upstream == request.upstream
+    )
+    states = [f"{count} {state}" for state, count in endpoints_by_state.items()]
+    return results.NoRetry(
+        decision="no endpoint",
+        inputs=", ".join(
+            [not_found.reason, f"{len(tried)} tried", *sorted(states)]
+        ),
+    )
+
+
+def _why_no_attempt(
     relay: relay_state.Relay, request: requests.Request, tally: results.Tally
-) -> bool:
-    """Returns whether the retry budget permits another attempt.
+) -> results.NoRetry | None:
+    """Returns why the retry budget permits no attempt, None if it does.
 
     Attempts that did not reach an endpoint take nothing from the budget.
     """
     if not tally.arrivals:
-        return True
+        return None
     window = relay.retry_window(request.upstream)
-    return window.try_acquire(relay.now(), relay.entry_count)
+    now = relay.now()
+    if window.try_acquire(now, relay.entry_count):
+        return None
+    use = window.use(now, relay.entry_count)
+    return results.NoRetry(
+        decision="retry budget",
+        inputs=f"{use.retries} of {use.limit:.1f} in {window.window_s:g} s",
+    )
 
 
 async def _send_final_answer(
     relay: relay_state.Relay,
     caller_delivery: delivery.Delivery,
-    result: results.Result,
-    last_answer: results.Answered | None,
-    tally: results.Tally,
-    endpoint_id: str,
+    outcome: Outcome,
 ) -> None:
+    result, last_answer, tally, endpoint_id, ended_by = outcome
     request = caller_delivery.request
     took_ms = round((relay.now() - request.received_at) * 1000)
     route = request.route.name
@@ -126,9 +175,7 @@
         first_ms = round(
             (caller_delivery.first_event_at - request.received_at) * 1000
         )
-        _record_answer(
-            relay, request, endpoint_id, result, tally, took_ms, first_ms
-        )
+        _record_answer(relay, request, outcome, result, took_ms, first_ms)
         return
     if caller_delivery.headers_sent:
         events.record(
@@ -138,10 +185,12 @@
             endpoint_id,
             _result_reason(result),
             took_ms,
+            ended_by.decision,
+            ended_by.inputs,
         )
         return
     if last_answer is not None:
-        _record_answer(relay, request, endpoint_id, last_answer, tally, took_ms)
+        _record_answer(relay, request, outcome, last_answer, took_ms)
         await caller_delivery.send_answer(
             last_answer.status, last_answer.headers, last_answer.body
         )
@@ -154,6 +203,7 @@
             status=status,
             reason=_result_reason(result),
             retry_after_s=_retry_after_s(result),
+            ended_by=ended_by,
         )
         return
     events.record(
@@ -166,6 +216,8 @@
         _result_reason(result),
         tally.runs,
         took_ms,
+        ended_by.decision,
+        ended_by.inputs,
     )
     relay.metrics.count("failed", f'status="{status}"')
     await caller_delivery.send_local_answer(
@@ -179,7 +231,8 @@
     *,
     status: int,
     reason: str,
-    retry_after_s: float = 0.0,
+    retry_after_s: float,
+    ended_by: results.NoRetry,
 ) -> None:
     """Refuses a request that has not run and will not be run."""
     request = caller_delivery.request
@@ -190,6 +243,7 @@
         reason,
         route=request.route.name,
         elapsed_s=relay.now() - request.received_at,
+        ended_by=ended_by,
     )
     await caller_delivery.send_local_answer(
         *problem_answer(status, reason, retry_after_s)
@@ -204,6 +258,7 @@
     *,
     route: str = "",
     elapsed_s: float = 0.0,
+    ended_by: results.NoRetry = NOT_ADMITTED,
 ) -> None:
     """Records a refusal in the log and the metrics."""
     events.record(
@@ -214,6 +269,8 @@
         reason,
         round(elapsed_s * 1000),
         relay.routes_version,
+        ended_by.decision,
+        ended_by.inputs,
     )
     relay.metrics.count("refused", f'status="{status}"')
 
@@ -261,9 +318,8 @@
 def _record_answer(
     relay: relay_state.Relay,
     request: requests.Request,
-    endpoint_id: str,
+    outcome: Outcome,
     result: results.Answered | results.Delivered,
-    tally: results.Tally,
     took_ms: int,
     first_ms: int | None = None,
 ) -> None:
@@ -276,11 +332,24 @@
         "answer", f'route="{request.route.name}"', took_ms / 1000
     )
     failed = status >= results.MIN_FAILURE_STATUS
-    fields = [request.id, request.route.name, request.upstream, endpoint_id]
+    tally, ended_by = outcome.tally, outcome.ended_by
+    fields = [
+        request.id,
+        request.route.name,
+        request.upstream,
+        outcome.endpoint_id,
+    ]
     if failed:
         reason = "the upstream's own answer"
         events.record(
-            events.Event.FAILED, *fields, status, reason, tally.runs, took_ms
+            events.Event.FAILED,
+            *fields,
+            status,
+            reason,
+            tally.runs,
+            took_ms,
+            ended_by.decision,
+            ended_by.inputs,
         )
     else:
         events.record(
--- a/src/_arbutuswalk/relay/results.py
+++ b/src/_arbutuswalk/relay/results.py
@@ -113,24 +113,41 @@
     )
 
 
-def may_retry(
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NoRetry:
+    """The decision not to send a request to another endpoint.
+
+    Attributes:
+        decision: What decided it.
+        inputs: The values that it was decided on.
+    """
+
+    decision: str
+    inputs: str = ""
+
+
+def why_no_retry(
     result: Result, route: routeconfig.Route, tally: Tally, left_s: float
-) -> bool:
-    """Returns whether the request may be sent to another endpoint."""
-    if tally.sends >= MAX_SENDS or left_s < MIN_TIME_LEFT_S:
-        return False
-    if isinstance(result, NotSent | NotRun):
-        return tally.runs == 0 or _may_run_again(route, tally)
-    if isinstance(result, Lost):
-        return _may_run_again(route, tally)
-    if isinstance(result, Answered):
-        failed = result.status >= MIN_FAILURE_STATUS
-        return failed and _may_run_again(route, tally)
-    return False
-
-
-def _may_run_again(route: routeconfig.Route, tally: Tally) -> bool:
-    return route.repeatable and tally.runs < route.max_attempts
+) -> NoRetry | None:
+    """Returns why a request may not be retried, None if it may be."""
+    if isinstance(result, Delivered | CallerLeft):
+        return NoRetry(decision=type(result).__name__)
+    if isinstance(result, Answered) and result.status < MIN_FAILURE_STATUS:
+        return NoRetry(decision="Answered", inputs=f"status {result.status}")
+    if isinstance(result, TimedOut) or left_s < MIN_TIME_LEFT_S:
+        return NoRetry(decision="time left", inputs=f"{left_s:.3f} s")
+    if tally.sends >= MAX_SENDS:
+        return NoRetry(decision="sends", inputs=f"{tally.sends} of {MAX_SENDS}")
+    if isinstance(result, NotSent | NotRun) and not tally.runs:
+        return None
+    if not route.repeatable:
+        return NoRetry(decision="not repeatable", inputs=f"kind {route.kind}")
+    if tally.runs >= route.max_attempts:
+        return NoRetry(
+            decision="max_attempts",
+            inputs=f"{tally.runs} of {route.max_attempts}",
+        )
+    return None
 
 
 def final_status(result: Result, tally: Tally) -> int:
--- a/testing/test_decisions.py
+++ b/testing/test_decisions.py
@@ -472,7 +472,8 @@
     ):
         route = relay_fixtures.make_route(kind=kind, resumable=resumable)
         tally = results.tally_result(results.Tally(), result)
-        assert results.may_retry(result, route, tally, 1.0) == again
+        no_retry = results.why_no_retry(result, route, tally, 1.0)
+        assert (no_retry is None) == again
 
     def test_a_request_that_may_have_run_is_not_refused(self):
         tally = results.tally_result(results.Tally(), results.Lost(reason=""))
@@ -485,4 +486,5 @@
         route = relay_fixtures.make_route()
         lost = results.Lost(reason="")
         tally = results.tally_result(results.Tally(), lost)
-        assert not results.may_retry(lost, route, tally, 0.01)
+        no_retry = results.why_no_retry(lost, route, tally, 0.01)
+        assert no_retry.decision == "time left"
