--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -221,14 +221,14 @@
             "left": relay.draining,
             "routes_version": relay.routes_version,
             "loads": relay.own_loads,
-            "limits": relay.stated_limits.to_json(relay.now()),
-            "leaving": relay.directory.leaving_starts.to_json(relay.now()),
+            "limits": relay.stated_limits.to_json(now),
+            "leaving": relay.directory.leaving_starts.to_json(now),
             "wall": relay.wall(),
-            "uptime_s": relay.now() - relay.started_at,
+            "uptime_s": now - relay.started_at,
             "deaths": crashes.deaths_to_json(relay.crashes, now),
             "refused": relay.refusals.to_json(now),
             "usage": relay.usage.counts,
-            **quota_reports.to_json(relay.quota_buckets, relay.now()),
+            **quota_reports.to_json(relay.quota_buckets, now),
             "rollout_outcomes": relay.rollout_outcomes.to_json(),
         }
 
--- a/testing/crash_parts_cluster.py
+++ b/testing/crash_parts_cluster.py
@@ -12,7 +12,6 @@
 from _arbutuswalk.relay import relaying
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.routing import crashes
-from _arbutuswalk.routing import directory
 from _arbutuswalk.state import routeconfig
 from _arbutuswalk.streams import connection as connections
 from _arbutuswalk.streams import pool as pools
@@ -49,16 +48,8 @@
 
     def announcement(self):
         self.sequence += 1
-        return directory.Endpoint(
-            id=self.name,
-            born_ms=self.born_ms,
-            sequence=self.sequence,
-            upstream="ops",
-            address=self.address,
-            domain="d1",
-            version="v1",
-            slots=64,
-            state=directory.READY,
+        return limit_cluster.make_announcement(
+            self.name, self.born_ms, self.sequence, self.address
         )
 
     def end(self):
@@ -227,10 +218,6 @@
     def choose_endpoint(self):
         return self.rng.choice(self.living_endpoints())
 
-    def start_control(self, index):
-        super().start_control(index)
-        self.controls[index].member.link_to = lambda address: None
-
     def start_entry(self, index):
         start_tasks = super().start_entry(index)
         self.entries[index].relay.pool = Pool(self, index)
--- a/testing/leaving_cluster.py
+++ b/testing/leaving_cluster.py
@@ -9,8 +9,6 @@
 import limit_cluster
 from arbutuswalk_platform import headers
 
-from _arbutuswalk.routing import directory
-
 DRAIN_DEADLINE_S = 2.0
 BEAT_INTERVAL_S = 0.3
 MISDIRECTED = 421
@@ -37,16 +35,8 @@
 
     def announcement(self):
         self.sequence += 1
-        return directory.Endpoint(
-            id=self.name,
-            born_ms=self.born_ms,
-            sequence=self.sequence,
-            upstream="ops",
-            address=self.address,
-            domain="d1",
-            version="v1",
-            slots=64,
-            state=directory.READY,
+        return limit_cluster.make_announcement(
+            self.name, self.born_ms, self.sequence, self.address
         )
 
 
--- a/testing/limit_cluster.py
+++ b/testing/limit_cluster.py
@@ -27,6 +27,20 @@
 HEARTBEAT_INTERVAL_S = 0.4
 
 
+def make_announcement(name, born_ms, sequence, address):
+    return directory.Endpoint(
+        id=name,
+        born_ms=born_ms,
+        sequence=sequence,
+        upstream="ops",
+        address=address,
+        domain="d1",
+        version="v1",
+        slots=64,
+        state=directory.READY,
+    )
+
+
 class Endpoint:
     """An endpoint that records arrivals and states its limit.
 
@@ -46,17 +60,7 @@
 
     def announcement(self):
         self.sequence += 1
-        return directory.Endpoint(
-            id=self.name,
-            born_ms=1,
-            sequence=self.sequence,
-            upstream="ops",
-            address=self.address,
-            domain="d1",
-            version="v1",
-            slots=64,
-            state=directory.READY,
-        )
+        return make_announcement(self.name, 1, self.sequence, self.address)
 
     def state_limit(self, limit):
         self.limit = limit
