--- a/src/_arbutuswalk/routing/crash_blame.py
+++ b/src/_arbutuswalk/routing/crash_blame.py
@@ -75,31 +75,37 @@
     explained = {start for key in refused for start in deaths.get(key, ())}
     suspicious = {}
     for key, last_success in successes.items():
-        times = {
-            start: at
-            for start, at in deaths.get(key, {}).items()
-            if at > last_success
-        }
-        count = _count(times.values(), last_success)
-        if count >= _deaths_to_refuse(key, last_success) and key not in refused:
+        times = _deaths_after(deaths.get(key, {}), last_success)
+        enough = _deaths_to_refuse(key, last_success)
+        is_enough = _count(times.values(), last_success) >= enough
+        if is_enough and key not in refused:
             suspicious[key] = times
     blamed = []
-    while True:
-        ranked = []
-        for key, times in suspicious.items():
-            count = _count(
-                [at for start, at in times.items() if start not in explained],
-                successes[key],
-            )
-            if count >= DEATHS_TO_WATCH:
-                is_part = key.startswith(PART_PREFIX)
-                ranked.append((successes[key], -count, is_part, key))
-        if not ranked:
-            return blamed
-        key = min(ranked)[-1]
+    while key := _most_likely(suspicious, successes, explained):
         times = suspicious.pop(key)
         blamed.append(Blame(key, len(times)))
         explained.update(times)
+    return blamed
+
+
+def _most_likely(
+    suspicious: DeathTimes, successes: dict[str, float], explained: set[str]
+) -> str:
+    """Returns the key to blame for deaths not explained, empty for none."""
+    ranked = []
+    for key, times in suspicious.items():
+        unexplained = [
+            at for start, at in times.items() if start not in explained
+        ]
+        count = _count(unexplained, successes[key])
+        if count >= DEATHS_TO_WATCH:
+            is_part = key.startswith(PART_PREFIX)
+            ranked.append((successes[key], -count, is_part, key))
+    return min(ranked)[-1] if ranked else ""
+
+
+def _deaths_after(times: dict[str, float], moment: float) -> dict[str, float]:
+    return {start: at for start, at in times.items() if at > moment}
 
 
 def count_moments(times: Iterable[float]) -> int:
