Count the silence of upstreams only while the entry runs

Cause: an entry that stood still (suspended machine, no processor) found the last announcements of all upstreams over 1.5 s old when it ran again, and refused the requests that had arrived meanwhile with 503 "no upstream" before it had read the announcements that had arrived as well. With the same silence it could also conclude that an upstream whose probe was not answered had died.

Ruled out: a longer time-out (upstreams that are gone would be used longer), and a maintenance task as the detector (the tasks that handle input which arrived during the stall run before it; a timer of the loop runs first).

Change: a timer measures stalls; each row counts them since its last announcement, and silence is the time without one less that.

--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -21,6 +21,7 @@
     PROCESS_STOPPED = (102, "stopped role=%s id=%s")
     STATE_DUMPED = (103, "state dump written path=%s")
     TASK_FAILED = (104, "background task failed name=%s error=%s")
+    PROCESS_STALLED = (105, "process stood still for_s=%s")
     LINK_OPENED = (200, "link opened to=%s")
     LINK_REPLACED = (201, "link replaced to=%s reason=%s")
     FRAME_REFUSED = (202, "frame refused from=%s reason=%s")
--- a/src/_arbutuswalk/entry/crash_quarantine.py
+++ b/src/_arbutuswalk/entry/crash_quarantine.py
@@ -48,7 +48,7 @@
         return is_replaced(entry, row)  # has a newer incarnation
     if probe == _ANSWERED:
         return await _was_restarted(entry, row, broke_at)
-    while entry.now() - row.announced_at < upstreams.SUSPECT_AFTER_S:
+    while row.silence_s(entry.now()) < upstreams.SUSPECT_AFTER_S:
         if row.announced_at > broke_at:
             return False
         await asyncio.sleep(POLL_INTERVAL_S)
@@ -62,13 +62,17 @@
 
     A process that died and was restarted immediately answers a probe.
     """
-    while entry.now() - broke_at < upstreams.GONE_AFTER_S:
+    stalled_before_s = row.stalled_s
+    while (
+        entry.now() - broke_at - (row.stalled_s - stalled_before_s)
+        < upstreams.GONE_AFTER_S
+    ):
         if is_replaced(entry, row):
             return True
         if row.announced_at > broke_at:
             return False
         await asyncio.sleep(POLL_INTERVAL_S)
-    return True
+    return is_replaced(entry, row) or row.announced_at <= broke_at
 
 
 async def _probe(address: str) -> str:
--- a/src/_arbutuswalk/entry/main.py
+++ b/src/_arbutuswalk/entry/main.py
@@ -13,11 +13,13 @@
 from _arbutuswalk.base import events
 from _arbutuswalk.base import process
 from _arbutuswalk.base import settings
+from _arbutuswalk.base import stalls
 from _arbutuswalk.entry import app
 from _arbutuswalk.entry import control_sync
 from _arbutuswalk.entry import entry_state
 from _arbutuswalk.entry import link_handler
 from _arbutuswalk.entry import maintenance
+from _arbutuswalk.routing import upstreams
 from _arbutuswalk.state import commands
 from _arbutuswalk.state import entries
 from _arbutuswalk.wire import link
@@ -128,6 +130,10 @@
         entry.name,
         setting_values["address"],
     )
+    stall_detector = stalls.StallDetector(
+        on_stall=lambda stalled_s: _record_stall(entry, stalled_s)
+    )
+    stall_detector.start()
     server_task = asyncio.ensure_future(server.serve())
     control_sync_task = background.start("sync", control_sync.run(entry))
     maintenance_task = background.start("maintenance", maintenance.run(entry))
@@ -140,6 +146,7 @@
         await _drain(entry)
     server.should_exit = True
     await server_task
+    stall_detector.stop()
     for task in (control_sync_task, maintenance_task, drain_task):
         task.cancel()
     await asyncio.gather(
@@ -154,6 +161,11 @@
     return process.EXIT_OK
 
 
+def _record_stall(entry: entry_state.Entry, stalled_s: float) -> None:
+    events.warn(events.Event.PROCESS_STALLED, round(stalled_s, 3))
+    upstreams.record_stall(entry.upstreams, stalled_s)
+
+
 async def _drain(entry: entry_state.Entry) -> None:
     """Removes the entry from the list and completes running requests.
 
--- a/src/_arbutuswalk/routing/upstreams.py
+++ b/src/_arbutuswalk/routing/upstreams.py
@@ -25,6 +25,7 @@
     Attributes:
         announcement: Newest announcement.
         announced_at: When it was made, in seconds of this entry's clock.
+        stalled_s: For how long this entry has stood still since then.
         failed_at: When a connection to it last failed, or minus infinity.
         leaves_at: When it shuts down, infinity unless it is leaving.
         sent_since_report: Attempts sent since the newest announcement.
@@ -44,6 +45,7 @@
     ):
         self.announcement = announcement
         self.announced_at = announced_at
+        self.stalled_s = 0.0
         self.failed_at = float("-inf")
         self.leaves_at = float("inf")
         self.sent_since_report = 0
@@ -77,11 +79,15 @@
         )
         return max(reported, len(self.active_attempts))
 
+    def silence_s(self, now: float) -> float:
+        """Returns how long this entry has run without an announcement."""
+        return now - self.announced_at - self.stalled_s
+
     def health(self, now: float) -> Health:
         """Returns whether it is eligible for new requests at ``now``."""
         if self.announcement["leaving"] or self.leaves_at < float("inf"):
             return Health.LEAVING
-        if now - self.announced_at > SUSPECT_AFTER_S:
+        if self.silence_s(now) > SUSPECT_AFTER_S:
             return Health.SUSPECT
         if self.failed_at >= self.announced_at:
             return Health.SUSPECT
@@ -180,7 +186,9 @@
         return Renewed(row=row, now_leaving=False)
     was_leaving = row.health(announced_at) is Health.LEAVING
     row.announcement = announcement
-    row.announced_at = max(row.announced_at, announced_at)
+    if announced_at > row.announced_at:
+        row.announced_at = announced_at
+        row.stalled_s = 0.0
     row.sent_since_report = row.ended_since_report = 0
     _record_leaving(row, announcement, announced_at)
     return Renewed(
@@ -201,12 +209,18 @@
     """Removes upstreams without a recent announcement."""
     gone = []
     for identity, row in list(table.rows.items()):
-        if now - row.announced_at > GONE_AFTER_S:
+        if row.silence_s(now) > GONE_AFTER_S:
             table.remove(identity)
             gone.append(Gone(row, "no announcement"))
     return gone
 
 
+def record_stall(table: Table, stalled_s: float) -> None:
+    """Records that this entry stood still and read no announcement."""
+    for row in table.rows.values():
+        row.stalled_s += stalled_s
+
+
 def mark_leaving(
     table: Table, instances: dict[str, float], now: float
 ) -> list[Row]:
