Send loads and heartbeats mostly inside a failure domain

Cause: every entry watches every control process, and each reply, several times a second, contained the loads of all endpoints and the whole rows of those with a new heartbeat. With 191 entries, 5 processes and 83 endpoints that is, worked out from encoded messages, 1.85 KB in each of some 2,400 replies a second, most of them between failure domains, which are charged for. It grows with entries x processes x endpoints, not with what changes.

Change: an entry asks the processes of its own failure domain for loads and heartbeats with every watch, which waits 0.2 s instead of 0.4 s there, and the others every 2 s; without a near process that knows all entries it asks all. Heartbeats are sent as id, start and sequence; a row that the entry lacks is asked for. Loads summed over entries are shared by the replies of 50 ms.

--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -10,6 +10,7 @@
 import asyncio
 import contextlib
 import json
+import math
 import secrets
 from typing import Any
 
@@ -19,7 +20,9 @@
 from _arbutuswalk.control import crash_reports
 from _arbutuswalk.control import entry_reports
 from _arbutuswalk.control import member as members
+from _arbutuswalk.control import route_parts
 from _arbutuswalk.control import shared_pools
+from _arbutuswalk.control import watch_updates
 from _arbutuswalk.routing import directory as directories
 from _arbutuswalk.routing import leaving
 from _arbutuswalk.routing import stated_limits
@@ -46,15 +49,13 @@
 """Longest wait until entries know that an endpoint is leaving; the announcing
 endpoint allows one second for the response."""
 
-ROUTES_PART_BYTES = 32 * 1024
-"""Largest part of a configuration per reply: 0.05 s on a 5 Mbit/s link."""
-
 
 class Discovery:
     """Endpoints and entries known to one control process.
 
     Attributes:
         member: The member of the control group in this process.
+        domain: Failure domain of this process, empty if unknown.
         session: Random id of this process start; revisions are valid only
             within it.
         directory: Endpoints.
@@ -70,16 +71,16 @@
         crash_reports: What entries report on crashes.
         started_at: When this process started, in seconds.
         first_watch_at: When an entry first sent a watch, None before.
-        restored_entry_count: Number of entries before the last restart, 0 if
-            unknown.
+        restored_entry_count: Entries before the last restart, 0 if unknown.
         changed: Set and replaced when there is an update for entries.
         metrics: Counters of this process.
-        compressed_routes: Route configuration as entries fetch it.
-        compressed_routes_version: Version of that configuration.
+        route_parts: Route configuration as entries fetch it.
+        load_sums: Loads last summed over the entries.
     """
 
-    def __init__(self, *, member: members.Member):
+    def __init__(self, *, member: members.Member, domain: str = ""):
         self.member = member
+        self.domain = domain
         self.session = secrets.token_hex(8)
         self.directory = directories.Directory()
         self.entries: dict[tuple[str, int], entry_reports.KnownEntry] = {}
@@ -96,8 +97,8 @@
         self.restored_entry_count = 0
         self.wall: clock.Clock = member.wall
         self.metrics = metrics.Metrics()
-        self.compressed_routes_version = 0
-        self.compressed_routes = b""
+        self.route_parts = route_parts.RouteParts()
+        self.load_sums = entry_reports.LoadSums()
 
     def announce(self, endpoint: directories.Endpoint) -> bool:
         """Applies an announcement and forwards it to the other members."""
@@ -179,20 +180,23 @@
         """Replies to an entry once there is an update, or after a timeout."""
         self.metrics.count("watches")
         revision = message.version if message.session == self.session else 0
-        report = self._record_watch(message, revision)
+        report, reported_at = self._record_watch(message, revision), self.now()
+        wanted = watch_updates.wanted_by(report, revision)
         if not self._has_update(message, revision):
             changed = self.changed
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(watch_timing.MAX_WAIT_S):
+                async with asyncio.timeout(wanted.wait_s):
                     await changed.wait()
+        update = self._build_update(
+            revision,
+            has_share=report.get("has_share", False),
+            wanted=wanted,
+            reported_at=reported_at,
+        )
         return ttypes.WatchReply(
             session=self.session,
             version=self.directory.revision,
-            news=compressed_json.encode(
-                self._build_update(
-                    revision, has_share=report.get("has_share", False)
-                )
-            ),
+            news=compressed_json.encode(update),
         )
 
     def notify_watches(self) -> None:
@@ -243,8 +247,8 @@
             return False
         return self.now() - self.first_watch_at >= SETTLING_TIME_S
 
-    def loads(self) -> dict[str, tuple[int, int]]:
-        """Returns requests and unprocessed prompt tokens, by endpoint."""
+    def loads(self) -> entry_reports.Loads:
+        """Returns the loads of all reachable entries, by endpoint."""
         return entry_reports.sum_loads(self.reachable_entries().values())
 
     def wall_at_last_watch(self, entry: entry_reports.KnownEntry) -> float:
@@ -275,12 +279,10 @@
         self._sum_counters(key, report)
         if self.crash_reports.record(report, self.entries.values(), self.now()):
             self.notify_watches()
-        limits = report.get("limits", {})
-        self.record_limits(stated_limits.from_json(limits, self.now()))
-        statements = report.get("leaving", [])
-        self.record_leaving(
-            leaving.from_json(statements, self.now()), message.entry
-        )
+        now, limits = self.now(), report.get("limits", {})
+        self.record_limits(stated_limits.from_json(limits, now))
+        statements = leaving.from_json(report.get("leaving", []), now)
+        self.record_leaving(statements, message.entry)
         return report
 
     def record_leaving(
@@ -317,13 +319,7 @@
         self.quota_returned.record(
             key, report.get("returned", {}), counts_from_zero=counts_from_zero
         )
-        outcomes = {
-            (upstream, version, group, position): count
-            for upstream, version, group, *counts in report.get(
-                "rollout_outcomes", []
-            )
-            for position, count in enumerate(counts)
-        }
+        outcomes = entry_reports.outcome_counts(report)
         self.outcomes.record(key, outcomes, counts_from_zero=counts_from_zero)
 
     def _has_update(self, message: ttypes.Watch, revision: int) -> bool:
@@ -336,34 +332,41 @@
 
     def routes_part(self, message: ttypes.RoutesRequest) -> ttypes.RoutesPart:
         """Returns a part of the compressed route configuration."""
-        tables = self.member.tables
-        if self.compressed_routes_version != tables.routes_version:
-            self.compressed_routes_version = tables.routes_version
-            self.compressed_routes = compressed_json.encode(tables.routes)
-        end = message.offset + ROUTES_PART_BYTES
-        return ttypes.RoutesPart(
-            version=self.compressed_routes_version,
-            size=len(self.compressed_routes),
-            data=self.compressed_routes[message.offset : end],
+        return route_parts.part_from(
+            self.route_parts, self.member.tables, message.offset
         )
 
     def _build_update(
-        self, revision: int, *, has_share: bool
+        self,
+        revision: int,
+        *,
+        has_share: bool,
+        wanted: watch_updates.Wanted | None = None,
+        reported_at: float = math.inf,
     ) -> dict[str, Any]:
         """Returns the update for an entry.
 
         Args:
             revision: Directory revision that the entry has.
             has_share: Whether the entry has only its share of a quota.
+            wanted: What the entry asks for, None for everything.
+            reported_at: When it reported its own loads, in seconds.
         """
         tables = self.member.tables
         known = self.known_entries()
+        wanted = wanted or watch_updates.Wanted(revision)
+
+        def loads() -> entry_reports.Loads:
+            return entry_reports.shared_loads(
+                self.load_sums, reported_at, self.now(), self.loads
+            )
+
         return {
             "routes_version": tables.routes_version,
-            "endpoints": directories.updated_since(self.directory, revision),
+            **watch_updates.parts(self.directory, revision, wanted, loads),
             "members": self.member_addresses(),
+            "domain": self.domain,
             "rollouts": tables.rollouts,
-            "loads": self.loads(),
             "taken": self.quota_use.totals,
             "returned": self.quota_returned.totals,
             "pools": self._shared_pools() if has_share else {},
--- a/src/_arbutuswalk/control/process.py
+++ b/src/_arbutuswalk/control/process.py
@@ -54,7 +54,9 @@
         events.warn(events.Event.STORAGE_FAILED, errors.describe(failure))
         return EXIT_STORAGE_FAILED
     member = members.Member(durable_replica=durable_replica)
-    discovery = discoveries.Discovery(member=member)
+    discovery = discoveries.Discovery(
+        member=member, domain=values.get("domain", "")
+    )
     discovery.restored_entry_count = entry_count_cache.load(values["data"])
     restored = endpoint_cache.load(values["data"])
     for endpoint in restored:
--- /dev/null
+++ b/src/_arbutuswalk/control/route_parts.py
@@ -0,0 +1,35 @@
+"""The route configuration in parts, as entries fetch it."""
+
+from _arbutuswalk.state import tables as rows
+from _arbutuswalk.wire import compressed_json
+from _arbutuswalk.wire.gen.arbutus import ttypes
+
+PART_BYTES = 32 * 1024
+"""Largest part per reply: 0.05 s on a 5 Mbit/s link."""
+
+
+class RouteParts:
+    """The compressed route configuration, kept until there is a newer one.
+
+    Attributes:
+        version: Its version.
+        data: Its compressed bytes.
+    """
+
+    def __init__(self):
+        self.version = 0
+        self.data = b""
+
+
+def part_from(
+    parts: RouteParts, tables: rows.Tables, offset: int
+) -> ttypes.RoutesPart:
+    """Returns the part of the current configuration from ``offset`` on."""
+    if parts.version != tables.routes_version:
+        parts.version = tables.routes_version
+        parts.data = compressed_json.encode(tables.routes)
+    return ttypes.RoutesPart(
+        version=parts.version,
+        size=len(parts.data),
+        data=parts.data[offset : offset + PART_BYTES],
+    )
--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -19,6 +19,7 @@
 from _arbutuswalk.relay import quota_buckets
 from _arbutuswalk.relay import quota_reports
 from _arbutuswalk.relay import relay_state
+from _arbutuswalk.relay import status_feeds
 from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory
 from _arbutuswalk.routing import routetable
@@ -59,6 +60,7 @@
         reported_loads: Own loads last reported to it, by endpoint.
         crash_candidates: Keys that it wants to know the successes of.
         quota: Quota use that it reported.
+        status: Loads and heartbeats that it sends.
         task: Task that watches it.
     """
 
@@ -75,6 +77,7 @@
         self.permit_retry_at = now
         self.clock_offset_s: float | None = None
         self.quota = quota_reports.QuotaFeed(address=address)
+        self.status = status_feeds.StatusFeed()
         self.reported_loads: dict[str, relay_state.Load] = {}
         self.crash_candidates: frozenset[str] = frozenset()
         self.task: asyncio.Task | None = None
@@ -168,6 +171,7 @@
                 feed.connected = False
                 events.record(events.Event.CONTROL_LOST, feed.address, reason)
             feed.term = 0
+            status_feeds.reset(feed.status)
             if isinstance(reply, link.TimedOut):
                 # The connection may be dead while a new one would work.
                 feed.link.close("timed out")
@@ -198,6 +202,13 @@
         report["successes"] = crashes.successes_to_json(
             self.relay.crashes, feed.crash_candidates, self.relay.now()
         )
+        wish = status_feeds.wish_for(
+            feed.status,
+            [other.status for other in self.feeds.values()],
+            self.relay.domain,
+            self.relay.now(),
+        )
+        report |= status_feeds.to_json(feed.status, wish)
         feed.quota.reported_taken = report["taken"]
         feed.quota.reported_returned = report["returned"]
         feed.reported_loads = dict(report["loads"])
@@ -257,7 +268,11 @@
         feed.routes_version = news["routes_version"]
         self._fetch_newer_routes(feed)
         self._merge_rollouts(news["rollouts"])
-        self._update_other_loads(feed, news["loads"])
+        status_feeds.record_reply(
+            self.relay, feed.status, news, reply.version, feed.address
+        )
+        if "loads" in news:
+            self._update_other_loads(feed, news["loads"])
         endpoint_limits.merge_report(
             self.relay, news.get("limits", {}), feed.address
         )
--- /dev/null
+++ b/src/_arbutuswalk/relay/status_feeds.py
@@ -0,0 +1,140 @@
+"""Which control processes send an entry loads and heartbeats of endpoints.
+
+Designed for hundreds of entries, whose loads and heartbeats are most of what
+control sends. Those of the entry's own failure domain send them with every
+reply, which costs no bytes between failure domains; the others only every
+``FAR_INTERVAL_S``, so that heartbeats arrive also while the near ones are cut
+off from endpoints or from their peers. Without a near one all send them.
+"""
+
+from collections.abc import Iterable
+from typing import Any
+from typing import NamedTuple
+
+from _arbutuswalk.relay import leaving_endpoints
+from _arbutuswalk.relay import relay_state
+from _arbutuswalk.routing import directory
+
+FAR_INTERVAL_S = 2.0
+"""Interval of the status of a control process in another failure domain."""
+NEAR_WAIT_S = 0.2
+"""Longest wait for an update at a control process in the same failure domain:
+its loads are the ones that placement uses."""
+
+
+class StatusFeed:
+    """Loads and heartbeats that one control process sends.
+
+    Attributes:
+        domain: Failure domain of the process, empty if unknown.
+        is_ready: Whether its replies cover all running entries.
+        revision: Directory revision of its last status.
+        received_at: When its last status was received, in seconds.
+        unknown_ids: Endpoints of which it sent heartbeats only, and which this
+            entry does not have.
+    """
+
+    def __init__(self):
+        self.domain = ""
+        self.is_ready = False
+        self.revision = 0
+        self.received_at = float("-inf")
+        self.unknown_ids: set[str] = set()
+
+
+class StatusWish(NamedTuple):
+    """What an entry asks a control process for.
+
+    Attributes:
+        is_near: Whether the process is in the entry's failure domain.
+        wants_status: Whether loads and heartbeats are asked for.
+    """
+
+    is_near: bool
+    wants_status: bool
+
+
+def wish_for(
+    feed: StatusFeed, feeds: Iterable[StatusFeed], domain: str, now: float
+) -> StatusWish:
+    """Returns what to ask a control process for.
+
+    Args:
+        feed: The feed of that process.
+        feeds: The feeds of all processes.
+        domain: Failure domain of the entry.
+        now: Seconds.
+    """
+    is_near = _is_near(feed, domain)
+    has_near = any(_is_near(other, domain) for other in feeds)
+    is_due = now - feed.received_at >= FAR_INTERVAL_S
+    return StatusWish(is_near, is_near or not has_near or is_due)
+
+
+def to_json(feed: StatusFeed, wish: StatusWish) -> dict[str, Any]:
+    """Returns the part of a watch's report that asks for a status."""
+    fields: dict[str, Any] = {
+        "status_since": feed.revision if wish.wants_status else None
+    }
+    if feed.unknown_ids:
+        fields["unknown"] = sorted(feed.unknown_ids)
+    if wish.is_near:
+        fields["wait_s"] = NEAR_WAIT_S
+    return fields
+
+
+def record_reply(
+    relay: relay_state.Relay,
+    feed: StatusFeed,
+    news: dict[str, Any],
+    revision: int,
+    source: str,
+) -> None:
+    """Applies the heartbeats in a reply and records what it covers.
+
+    Args:
+        relay: State of the entry.
+        feed: The feed of the process that replied.
+        news: The reply, whose endpoints were merged before.
+        revision: Directory revision of the reply.
+        source: Link address of the process.
+    """
+    feed.domain = news.get("domain", "")
+    feed.is_ready = news["is_settled"]
+    feed.unknown_ids = {
+        endpoint_id
+        for endpoint_id, *heartbeat in news.get("heartbeats", [])
+        if not _apply_heartbeat(relay, endpoint_id, heartbeat, source)
+    }
+    if "loads" in news:
+        feed.revision = revision
+        feed.received_at = relay.now()
+
+
+def reset(feed: StatusFeed) -> None:
+    """Forgets a process that is lost or whose reply could not be applied."""
+    feed.__init__()
+
+
+def _is_near(feed: StatusFeed, domain: str) -> bool:
+    return feed.is_ready and bool(domain) and feed.domain == domain
+
+
+def _apply_heartbeat(
+    relay: relay_state.Relay, endpoint_id: str, heartbeat: list, source: str
+) -> bool:
+    """Applies the heartbeat of a known start; returns whether it is known.
+
+    A heartbeat of an older start than the known one changes nothing.
+    """
+    row = relay.directory.rows.get(endpoint_id)
+    born_ms, sequence, cold_s = heartbeat
+    if row is None or row.endpoint.born_ms < born_ms:
+        return False
+    if row.endpoint.born_ms == born_ms:
+        leaving_endpoints.merge_announcement(
+            relay,
+            directory.with_heartbeat(row.endpoint, sequence, cold_s),
+            source,
+        )
+    return True
--- a/src/_arbutuswalk/routing/directory.py
+++ b/src/_arbutuswalk/routing/directory.py
@@ -247,6 +247,18 @@
     )
 
 
+def heartbeat_of(endpoint: Endpoint) -> tuple[str, int, int, float]:
+    """Returns what an announcement says that is no relevant change."""
+    return endpoint.id, endpoint.born_ms, endpoint.sequence, endpoint.cold_s
+
+
+def with_heartbeat(
+    endpoint: Endpoint, sequence: int, cold_s: float
+) -> Endpoint:
+    """Returns a known endpoint as announced again with no relevant change."""
+    return endpoint._replace(sequence=sequence, cold_s=cold_s)
+
+
 def from_json(fields: list[Any]) -> Endpoint:
     """Returns the endpoint whose fields were decoded from a JSON list."""
     return Endpoint(*fields)
--- a/testing/test_duties.py
+++ b/testing/test_duties.py
@@ -15,6 +15,7 @@
 from _arbutuswalk.control import entry_count_cache
 from _arbutuswalk.control import process
 from _arbutuswalk.control import rollouts
+from _arbutuswalk.control import route_parts
 from _arbutuswalk.control import shared_pools
 from _arbutuswalk.control import usage_reports
 from _arbutuswalk.routing import directory
@@ -175,7 +176,7 @@
         assert compressed_json.decode(reply.news)["endpoints"]
 
     def test_a_configuration_is_announced_and_sent_in_parts(self, monkeypatch):
-        monkeypatch.setattr(discoveries, "ROUTES_PART_BYTES", 7)
+        monkeypatch.setattr(route_parts, "PART_BYTES", 7)
         components = make_components()
         tables = components.member.tables
         tables.routes_version, tables.routes = 4, {"version": 4, "routes": []}
