Check the reports of entries before they are stored

Cause: a control process stored an entry's report and only then read parts of it; the others it reads for every other entry's reply. One report with a value of a wrong type (deaths as a list) made the update of every entry fail until it expired after 60 s: one malformed message stopped a whole process's service.

Ruled out: to catch errors where reports are read (six places, and each would have to know which entry to leave out).

Change: control.report_checks checks the types of all values that control reads; a report that fails is not stored and its watch is not answered (E104).

--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -20,6 +20,7 @@
 from _arbutuswalk.control import crash_reports
 from _arbutuswalk.control import entry_reports
 from _arbutuswalk.control import member as members
+from _arbutuswalk.control import report_checks
 from _arbutuswalk.control import route_parts
 from _arbutuswalk.control import shared_pools
 from _arbutuswalk.control import watch_updates
@@ -270,9 +271,8 @@
         self, message: ttypes.Watch, revision: int
     ) -> dict[str, Any]:
         key = message.entry, message.incarnation
-        report = compressed_json.decode(message.report)
-        if self.first_watch_at is None:
-            self.first_watch_at = self.now()
+        report = report_checks.decode(message.report)
+        self.first_watch_at = self.first_watch_at or self.now()
         self.entries[key] = entry_reports.KnownEntry(
             message.incarnation, revision, report, self.now()
         )
