Keep an entry running after an unexpected error in its periodic tasks

Cause: the process of an entry ends when its maintenance or its sync with control ends, and one unexpected error ended either: a step of maintenance, or a view that cannot be read. One malformed message took the whole process down.

Ruled out: to restart the tasks from outside (maintenance would skip the same later steps each time; now each step fails alone).

After a view that could not be applied the whole view is asked for again, and the lease is not renewed until it is.

--- a/src/_arbutuswalk/entry/control_sync.py
+++ b/src/_arbutuswalk/entry/control_sync.py
@@ -4,6 +4,7 @@
 import json
 from typing import Any
 
+from _arbutuswalk.base import background
 from _arbutuswalk.base import clock
 from _arbutuswalk.base import events
 from _arbutuswalk.entry import control_client
@@ -23,12 +24,18 @@
 
 
 async def run(entry: entry_state.Entry) -> None:
-    """Keeps the entry registered and its lease renewed until cancelled."""
+    """Keeps the entry registered and its lease renewed until cancelled.
+
+    After an unexpected error, as from a reply that cannot be read, the whole
+    view is asked for again. The lease is not renewed until it is applied.
+    """
     while True:
-        if not entry.registered:
-            await _register(entry)
-        else:
-            await _sync(entry)
+        try:
+            await (_sync(entry) if entry.registered else _register(entry))
+        except Exception as error:  # noqa: BLE001
+            background.log_error("sync", error)
+            entry.view_version = 0
+            await asyncio.sleep(REGISTER_RETRY_INTERVAL_S)
         if not entry.registered:
             await asyncio.sleep(REGISTER_RETRY_INTERVAL_S)
 
--- a/src/_arbutuswalk/entry/maintenance.py
+++ b/src/_arbutuswalk/entry/maintenance.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from _arbutuswalk.base import background
 from _arbutuswalk.base import events
 from _arbutuswalk.entry import crash_quarantine
 from _arbutuswalk.entry import entry_state
@@ -16,19 +17,18 @@
 
 
 async def run(entry: entry_state.Entry) -> None:
-    """Runs all maintenance steps at each tick until cancelled."""
+    """Runs all maintenance steps at each tick until cancelled.
+
+    An error in one step is logged and ends neither the others nor the process.
+    """
     had_lease = False
     while True:
         await asyncio.sleep(TICK_INTERVAL_S)
-        _expire_upstreams(entry)
-        _cancel_unread_requests(entry)
-        _expire_answers(entry)
-        _take_over_orphaned_copies(entry)
-        request_copies.expire(entry)
-        crash_quarantine.expire_peer_suspects(entry)
-        entry.pool.close_expired()
-        for name in list(entry.queues):
-            placement.place_queued(entry, name)
+        for step in _STEPS:
+            try:
+                step(entry)
+            except Exception as error:  # noqa: BLE001
+                background.log_error(f"maintenance {step.__name__}", error)
         if had_lease and not entry.accepts_work:
             events.warn(events.Event.LEASE_LOST, entry.revision)
         had_lease = entry.accepts_work
@@ -83,3 +83,28 @@
     for request_id in request_copies.orphaned_request_ids(entry):
         request = request_copies.take_over(entry, request_id)
         request.unread_since = entry.now() + model_routes.TAKEN_OVER_GRACE_S
+
+
+def _expire_copies(entry: entry_state.Entry) -> None:
+    request_copies.expire(entry)
+
+
+def _close_expired_connections(entry: entry_state.Entry) -> None:
+    entry.pool.close_expired()
+
+
+def _place_queued(entry: entry_state.Entry) -> None:
+    for name in list(entry.queues):
+        placement.place_queued(entry, name)
+
+
+_STEPS = (
+    _expire_upstreams,
+    _cancel_unread_requests,
+    _expire_answers,
+    _take_over_orphaned_copies,
+    _expire_copies,
+    crash_quarantine.expire_peer_suspects,
+    _close_expired_connections,
+    _place_queued,
+)
