Announce the end of kept connections while an entry drains

Cause: an entry that drains kept its callers' connections, also under load, and closed them when its process ended; a request that a caller had just sent on one was cut off without an answer. The data path of the users' platform has sent Connection: close from the start of a drain on; the chat front did not.

Ruled out: a longer drain (a busy connection always has a next request).

Change: every answer that begins during a drain says that the connection closes, and the server closes it after the answer.

--- a/src/_arbutuswalk/entry/app.py
+++ b/src/_arbutuswalk/entry/app.py
@@ -39,6 +39,8 @@
     fallback_app = _make_fallback_app(entry)
 
     async def serve(scope, receive, send) -> None:
+        if entry.draining:
+            send = _closing_send(send)
         route = model_endpoints.get(scope.get("path"))
         if route is not None and scope.get("method") == "POST":
             await route(scope, receive, send)
@@ -48,6 +50,22 @@
     return serve
 
 
+def _closing_send(send):
+    """Returns a ``send`` that tells the caller that its connection closes.
+
+    Otherwise callers would send their next request on a kept connection while
+    the process ends.
+    """
+
+    async def send_closing(message) -> None:
+        if message["type"] == "http.response.start":
+            headers = [*message["headers"], (b"connection", b"close")]
+            message = {**message, "headers": headers}
+        await send(message)
+
+    return send_closing
+
+
 def _make_fallback_app(entry: entry_state.Entry) -> applications.Starlette:
     methods = ["GET", "POST", "PUT", "PATCH", "DELETE"]
     service = service_routes.ServiceRoute(entry=entry)
