Answer callers with HTTP/1.0 whole, and broken answers with a failure

Cause: the HTTP server sends an answer without a length in chunks, also to callers with HTTP/1.0, who cannot read them and take the end of the connection for the end of the answer. One that broke off halfway reached them as a complete success, status 200.

Ruled out: answers that end with the connection (a broken one looks the same unless the connection is reset, which a caller need not notice).

--- a/src/_arbutuswalk/entry/app.py
+++ b/src/_arbutuswalk/entry/app.py
@@ -18,6 +18,7 @@
 from _arbutuswalk.entry import service_routes
 from _arbutuswalk.entry import upstream_announcements
 from _arbutuswalk.state import outcomes
+from _arbutuswalk.wire import whole_answers
 
 ENTRY_LIST_TTL_S = 10
 STATUS_READ_TIMEOUT_S = 2.0
@@ -47,7 +48,7 @@
         else:
             await fallback_app(scope, receive, send)
 
-    return serve
+    return whole_answers.for_http_1_0(serve)
 
 
 def _closing_send(send):
