Count entries once for the replies of a short time

Cause: each reply to a watch counted the known and the silent entries anew from the reports of all, beside the loads, which replies share already.

Change: counts are shared like the loads, for 50 ms, and include what the entry that is answered has just reported.

--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import functools
 import json
 import math
 import secrets
@@ -76,7 +77,8 @@
         changed: Set and replaced when there is an update for entries.
         metrics: Counters of this process.
         route_parts: Route configuration as entries fetch it.
-        load_sums: Loads last summed over the entries.
+        shared_loads: Loads last summed over the entries.
+        shared_counts: Entries last counted.
     """
 
     def __init__(self, *, member: members.Member, domain: str = ""):
@@ -99,7 +101,8 @@
         self.wall: clock.Clock = member.wall
         self.metrics = metrics.Metrics()
         self.route_parts = route_parts.RouteParts()
-        self.load_sums = entry_reports.LoadSums()
+        self.shared_loads = entry_reports.SharedValue()
+        self.shared_counts = entry_reports.SharedValue()
 
     def announce(self, endpoint: directories.Endpoint) -> bool:
         """Applies an announcement and forwards it to the other members."""
@@ -162,9 +165,8 @@
 
     def ready_entries(self) -> list[dict[str, Any]]:
         """Returns the reports of ready entries, for look-ups."""
-        recent = entry_reports.newest_incarnations(
-            self.entries, self.now() - LOOKUP_SILENCE_TIMEOUT_S
-        )
+        since = self.now() - LOOKUP_SILENCE_TIMEOUT_S
+        recent = entry_reports.newest_incarnations(self.entries, since)
         return [
             entry.report
             for entry in recent.values()
@@ -208,9 +210,8 @@
     def remove_expired(self) -> None:
         """Removes endpoints and entries that have been silent for too long."""
         now = self.now()
-        for name in directories.expire(
-            self.directory, now, ENDPOINT_RETENTION_S
-        ):
+        silent = directories.expire(self.directory, now, ENDPOINT_RETENTION_S)
+        for name in silent:
             events.record(events.Event.ENDPOINT_FORGOTTEN, name)
         self.stated_limits.remove_unknown(self.directory.rows)
         directories.expire_leaving(self.directory, now)
@@ -226,13 +227,7 @@
 
         Entries that reported that they have left are excluded.
         """
-        return {
-            name
-            for name, entry in entry_reports.newest_incarnations(
-                self.entries
-            ).items()
-            if not entry.report.get("left")
-        }
+        return entry_reports.known_entries(self.entries)
 
     def recent_entry_count(self) -> int:
         """Returns the number of entries that were known in the last minute."""
@@ -281,8 +276,8 @@
             self.notify_watches()
         now, limits = self.now(), report.get("limits", {})
         self.record_limits(stated_limits.from_json(limits, now))
-        statements = leaving.from_json(report.get("leaving", []), now)
-        self.record_leaving(statements, message.entry)
+        starts = leaving.from_json(report.get("leaving", []), now)
+        self.record_leaving(starts, message.entry)
         return report
 
     def record_leaving(
@@ -352,15 +347,20 @@
             wanted: What the entry asks for, None for everything.
             reported_at: When it reported its own loads, in seconds.
         """
-        tables = self.member.tables
-        known = self.known_entries()
+        tables, now = self.member.tables, self.now()
         wanted = wanted or watch_updates.Wanted(revision)
-
-        def loads() -> entry_reports.Loads:
-            return entry_reports.shared_loads(
-                self.load_sums, reported_at, self.now(), self.loads
-            )
-
+        since = now - ENTRY_SILENCE_TIMEOUT_S
+        count = functools.partial(entry_reports.count, self.entries, since)
+        counts = entry_reports.shared(
+            self.shared_counts, reported_at, now, count
+        )
+        loads = functools.partial(
+            entry_reports.shared,
+            self.shared_loads,
+            reported_at,
+            now,
+            self.loads,
+        )
         return {
             "routes_version": tables.routes_version,
             **watch_updates.parts(self.directory, revision, wanted, loads),
@@ -372,10 +372,10 @@
             "pools": self._shared_pools() if has_share else {},
             "limits": self.stated_limits.to_json(self.now()),
             "is_settled": self.is_settled(),
-            "entries": max(1, len(known))
+            "entries": max(1, counts.known)
             if self.is_settled()
             else self.restored_entry_count,
-            "silent": len(known - self.reachable_entries().keys()),
+            "silent": counts.silent,
             "wall": self.wall(),
             "term": self._lease_term(),
             "refused": self.crash_reports.refusals.to_json(self.now()),
--- a/src/_arbutuswalk/control/entry_reports.py
+++ b/src/_arbutuswalk/control/entry_reports.py
@@ -8,21 +8,21 @@
 Loads = dict[str, tuple[int, int]]
 """Requests and unprocessed prompt tokens, by endpoint."""
 
-MAX_SUM_AGE_S = 0.05
-"""Age of sums that replies may share: an eighth of the time between reports."""
+MAX_SHARED_AGE_S = 0.05
+"""Age of what replies may share: an eighth of the time between reports."""
 
 
-class LoadSums:
-    """Loads summed over entries, which the replies of a short time share.
+class SharedValue:
+    """A value computed from all reports that the replies of a short time share.
 
     Attributes:
-        loads: The sums.
-        summed_at: When they were summed, in seconds.
+        value: The value.
+        computed_at: When it was computed, in seconds.
     """
 
     def __init__(self):
-        self.loads: Loads = {}
-        self.summed_at = float("-inf")
+        self.value: Any = None
+        self.computed_at = float("-inf")
 
 
 class KnownEntry(NamedTuple):
@@ -65,17 +65,44 @@
     return totals
 
 
-def shared_loads(
-    sums: LoadSums,
+def shared(
+    shared_value: SharedValue,
     reported_at: float,
     now: float,
-    compute_loads: Callable[[], Loads],
-) -> Loads:
-    """Returns sums that include what was reported until ``reported_at``."""
-    is_old = now - sums.summed_at > MAX_SUM_AGE_S
-    if is_old or sums.summed_at <= reported_at:
-        sums.loads, sums.summed_at = compute_loads(), now
-    return sums.loads
+    compute: Callable[[], Any],
+) -> Any:
+    """Returns a value that covers what was reported until ``reported_at``."""
+    is_old = now - shared_value.computed_at > MAX_SHARED_AGE_S
+    if is_old or shared_value.computed_at <= reported_at:
+        shared_value.value, shared_value.computed_at = compute(), now
+    return shared_value.value
+
+
+class EntryCounts(NamedTuple):
+    """Number of entries that may be serving, and of silent ones among them."""
+
+    known: int
+    silent: int
+
+
+def known_entries(
+    entries: dict[tuple[str, int], KnownEntry],
+) -> set[str]:
+    """Returns the entries that have not reported that they left."""
+    return {
+        name
+        for name, entry in newest_incarnations(entries).items()
+        if not entry.report.get("left")
+    }
+
+
+def count(
+    entries: dict[tuple[str, int], KnownEntry], since: float
+) -> EntryCounts:
+    """Returns the counts; an entry is silent without a watch ``since``."""
+    known = known_entries(entries)
+    reachable = newest_incarnations(entries, since)
+    return EntryCounts(len(known), len(known - reachable.keys()))
 
 
 def outcome_counts(report: dict[str, Any]) -> dict[tuple, int]:
--- a/testing/test_status_feeds.py
+++ b/testing/test_status_feeds.py
@@ -340,18 +340,27 @@
 
 class TestSums:
     def test_replies_of_a_short_time_share_them(self):
-        sums, computed = entry_reports.LoadSums(), []
+        shared_value, computed = entry_reports.SharedValue(), []
 
         def compute():
             computed.append({})
             return computed[-1]
 
-        entry_reports.shared_loads(sums, 0.5, 1.0, compute)
-        entry_reports.shared_loads(sums, 0.9, 1.04, compute)
+        entry_reports.shared(shared_value, 0.5, 1.0, compute)
+        entry_reports.shared(shared_value, 0.9, 1.04, compute)
         assert len(computed) == 1
-        entry_reports.shared_loads(sums, 0.9, 1.06, compute)
+        entry_reports.shared(shared_value, 0.9, 1.06, compute)
         assert len(computed) == 2
 
+    def test_a_new_entry_is_counted_at_once(self):
+        discovery = discoveries.Discovery(member=test_duties.FakeMember())
+        discovery.is_settled = lambda: True
+        for count in (1, 2, 3):
+            message = test_duties.watch(discovery, entry=f"e{count}")
+            discovery.changed.set()
+            reply = virtual.run(discovery.watch(message))
+            assert compressed_json.decode(reply.news)["entries"] == count
+
     def test_they_include_what_the_entry_just_reported(self):
         discovery = discoveries.Discovery(member=test_duties.FakeMember())
         for running in (1, 5):
