--- a/testing/test_report_checks.py
+++ b/testing/test_report_checks.py
@@ -43,7 +43,7 @@
 
 
 class TestReports:
-    @pytest.mark.parametrize("report", wrong_reports())
+    @pytest.mark.parametrize("report", list(wrong_reports()))
     def test_one_that_cannot_be_read_is_not_stored(self, report):
         discovery = discoveries.Discovery(member=test_duties.FakeMember())
         with pytest.raises(ValueError, match="wrong type"):
