Replace a lost process's status instead of resetting it in place

status_feeds.reset called the constructor of an existing object again. A new StatusFeed says the same, as for everything else that starts anew; no behaviour changes.

--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -171,7 +171,7 @@
                 feed.connected = False
                 events.record(events.Event.CONTROL_LOST, feed.address, reason)
             feed.term = 0
-            status_feeds.reset(feed.status)
+            feed.status = status_feeds.StatusFeed()
             if isinstance(reply, link.TimedOut):
                 # The connection may be dead while a new one would work.
                 feed.link.close("timed out")
--- a/src/_arbutuswalk/relay/status_feeds.py
+++ b/src/_arbutuswalk/relay/status_feeds.py
@@ -91,11 +91,6 @@
         feed.received_at = relay.now()
 
 
-def reset(feed: StatusFeed) -> None:
-    """Forgets a process that is lost or whose reply could not be applied."""
-    feed.__init__()
-
-
 def _is_near(feed: StatusFeed, domain: str) -> bool:
     return feed.is_ready and bool(domain) and feed.domain == domain
 
--- a/testing/test_status_feeds.py
+++ b/testing/test_status_feeds.py
@@ -101,7 +101,7 @@
 
     def _lose(self, feed):
         feed.connected = False
-        status_feeds.reset(feed.status)
+        feed.status = status_feeds.StatusFeed()
 
     def exchange_all(self):
         return {domain: self.exchange(domain) for domain in self.feeds}
