Check numbers and booleans of reports as settings are checked

control.report_checks had its own copies of base.settings' checks of a number and of a boolean. The number's is public now and serves both; no behaviour changes.

--- a/src/_arbutuswalk/base/settings.py
+++ b/src/_arbutuswalk/base/settings.py
@@ -50,24 +50,29 @@
     return isinstance(value, bool)
 
 
+def is_number(value: object) -> bool:
+    """Returns whether ``value`` is a number and no boolean."""
+    return isinstance(value, int | float) and not isinstance(value, bool)
+
+
 def is_positive(value: object) -> bool:
     """Returns whether ``value`` is a positive number."""
-    return _is_number(value) and value > 0
+    return is_number(value) and value > 0
 
 
 def is_non_negative_int(value: object) -> bool:
     """Returns whether ``value`` is an integer of at least zero."""
-    return _is_number(value) and isinstance(value, int) and value >= 0
+    return is_number(value) and isinstance(value, int) and value >= 0
 
 
 def is_fraction(value: object) -> bool:
     """Returns whether ``value`` is a number from 0 to 1."""
-    return _is_number(value) and 0 <= value <= 1
+    return is_number(value) and 0 <= value <= 1
 
 
 def is_non_negative(value: object) -> bool:
     """Returns whether ``value`` is a number of at least 0."""
-    return _is_number(value) and value >= 0
+    return is_number(value) and value >= 0
 
 
 def is_address(value: object) -> bool:
@@ -88,10 +93,6 @@
     return isinstance(value, list) and all(is_address(v) for v in value)
 
 
-def _is_number(value: object) -> bool:
-    return isinstance(value, int | float) and not isinstance(value, bool)
-
-
 def check(
     values: dict[str, Any], fields: Sequence[Field], *, where: str
 ) -> dict[str, Any] | BadSettings:
--- a/src/_arbutuswalk/control/report_checks.py
+++ b/src/_arbutuswalk/control/report_checks.py
@@ -7,27 +7,20 @@
 from collections.abc import Callable
 from typing import Any
 
+from _arbutuswalk.base import settings
 from _arbutuswalk.wire import compressed_json
 
 Check = Callable[[Any], bool]
 
 
-def _is_number(value: Any) -> bool:
-    return isinstance(value, int | float) and not isinstance(value, bool)
-
-
 def _is_number_or_none(value: Any) -> bool:
-    return value is None or _is_number(value)
+    return value is None or settings.is_number(value)
 
 
 def _is_text(value: Any) -> bool:
     return isinstance(value, str)
 
 
-def _is_flag(value: Any) -> bool:
-    return isinstance(value, bool)
-
-
 def _is_list_of(check: Check) -> Check:
     return lambda value: isinstance(value, list) and all(map(check, value))
 
@@ -56,37 +49,41 @@
         isinstance(value, list)
         and all(map(_is_text, value[:3]))
         and len(value) > 3
-        and all(map(_is_number, value[3:]))
+        and all(map(settings.is_number, value[3:]))
     )
 
 
-_is_row_of_numbers = _is_row(_is_number, _is_number)
+_is_row_of_numbers = _is_row(settings.is_number, settings.is_number)
 _CHECKS: dict[str, Check] = {
     "entry": _is_text,
     "address": _is_text,
     "domain": _is_text,
-    "ready": _is_flag,
-    "left": _is_flag,
-    "routes_version": _is_number,
+    "ready": settings.is_bool,
+    "left": settings.is_bool,
+    "routes_version": settings.is_number,
     "loads": _is_table_of(_is_row_of_numbers),
-    "limits": _is_table_of(_is_row(_is_number, _is_number_or_none, _is_number)),
-    "leaving": _is_list_of(_is_row(_is_text, _is_number, _is_number)),
-    "wall": _is_number,
-    "uptime_s": _is_number,
+    "limits": _is_table_of(
+        _is_row(settings.is_number, _is_number_or_none, settings.is_number)
+    ),
+    "leaving": _is_list_of(
+        _is_row(_is_text, settings.is_number, settings.is_number)
+    ),
+    "wall": settings.is_number,
+    "uptime_s": settings.is_number,
     # An entry of a former version reports lists of deaths and of refusals.
     "deaths": _is_table_of(
-        _is_any_of(_is_table_of(_is_number), _is_list_of(_is_text))
+        _is_any_of(_is_table_of(settings.is_number), _is_list_of(_is_text))
     ),
     "refused": _is_any_of(
         _is_table_of(_is_row_of_numbers), _is_list_of(_is_text)
     ),
     "successes": _is_table_of(_is_number_or_none),
-    "usage": _is_table_of(_is_table_of(_is_number)),
-    "taken": _is_table_of(_is_number),
-    "returned": _is_table_of(_is_number),
+    "usage": _is_table_of(_is_table_of(settings.is_number)),
+    "taken": _is_table_of(settings.is_number),
+    "returned": _is_table_of(settings.is_number),
     "levels": _is_list_of(_is_number_or_none),
-    "pool_age_s": _is_number,
-    "has_share": _is_flag,
+    "pool_age_s": settings.is_number,
+    "has_share": settings.is_bool,
     "rollout_outcomes": _is_list_of(_is_outcome),
     "status_since": _is_number_or_none,
     "unknown": _is_list_of(_is_text),
