--- a/review/1/case.py
+++ b/review/1/case.py
@@ -27,7 +27,7 @@
 
 async def play() -> bool:
     """Returns whether a request ran whose key no config ever held."""
-    system = rig.Rig(case=CASE)
+    system = rig.Rig(record=CASE / "record.txt")
     try:
         return await play_in(system)
     finally:
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -29,7 +29,7 @@
 
 async def play() -> bool:
     """Returns whether the acknowledged config is not in force in time."""
-    system = rig.Rig(case=CASE)
+    system = rig.Rig(record=CASE / "record.txt")
     try:
         return await play_in(system)
     finally:
--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -355,13 +355,12 @@
 
     Attributes:
         folder: Temporary folder with settings, data and logs.
-        record: Lines of ``record.txt``.
+        record_file: Where the lines of a play are written.
     """
 
     def __init__(
-        self, *, case: pathlib.Path, controls: int = 3, entries: int = 2
+        self, *, record: pathlib.Path, controls: int = 3, entries: int = 2
     ):
-        self.case = case
         self.started_at = time.time()
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         octet, self.reservation = _reserve_network()
@@ -379,7 +378,7 @@
         self.processes: dict[str, subprocess.Popen] = {}
         self.all_processes: list[subprocess.Popen] = []
         self.runners: list[Runner] = []
-        self.record_file = (case / "record.txt").open("w", encoding="utf-8")
+        self.record_file = record.open("w", encoding="utf-8")
         self.cloud: asyncio.Server | None = None
         self.cloud_calls: list[tuple[float, Head]] = []
         self.cloud_address = ""
