Carry versions of configurations that exceed 64 bits

Cause: the version travels in two Thrift i64 fields, Watch.routes_version and RoutesPart.version. Encoding a number of 2**63 or more raises OverflowError ("int too big to convert"), in the entry's watch, which ended for good, and in control's part of the configuration.

Ruled out: an invalid configuration. Every other i64 field holds a number of ours, or one that is checked (born).

Change: an optional decimal number beside both fields, set only where the i64 cannot hold the version. Other messages are the same bytes as before.

--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -30,6 +30,7 @@
 from _arbutuswalk.routing import stated_limits
 from _arbutuswalk.state import counter_sum
 from _arbutuswalk.wire import compressed_json
+from _arbutuswalk.wire import config_versions
 from _arbutuswalk.wire import watch_timing
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
@@ -321,7 +322,10 @@
         tables = self.member.tables
         if message.session != self.session:
             return True
-        if tables.routes_version > message.routes_version:
+        known_version = config_versions.decode(
+            message.routes_version, message.exact_routes_version
+        )
+        if tables.routes_version > known_version:
             return True
         return directories.has_changes_since(self.directory, revision)
 
--- a/src/_arbutuswalk/control/route_parts.py
+++ b/src/_arbutuswalk/control/route_parts.py
@@ -2,6 +2,7 @@
 
 from _arbutuswalk.state import tables as rows
 from _arbutuswalk.wire import compressed_json
+from _arbutuswalk.wire import config_versions
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
 PART_BYTES = 32 * 1024
@@ -28,8 +29,10 @@
     if parts.version != tables.routes_version:
         parts.version = tables.routes_version
         parts.data = compressed_json.encode(tables.routes)
+    version, exact_version = config_versions.encode(parts.version)
     return ttypes.RoutesPart(
-        version=parts.version,
+        version=version,
         size=len(parts.data),
         data=parts.data[offset : offset + PART_BYTES],
+        exact_version=exact_version,
     )
--- a/src/_arbutuswalk/relay/config_fetch.py
+++ b/src/_arbutuswalk/relay/config_fetch.py
@@ -15,6 +15,7 @@
 
 from _arbutuswalk.base import events
 from _arbutuswalk.wire import compressed_json
+from _arbutuswalk.wire import config_versions
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
 PART_TIMEOUT_S = 0.5
@@ -46,10 +47,12 @@
         self.version = 0
         self.data = b""
 
-    def add_part(self, part: ttypes.RoutesPart, offset: int) -> bool:
+    def add_part(
+        self, part: ttypes.RoutesPart, version: int, offset: int
+    ) -> bool:
         """Adds the part at ``offset``; returns whether all were received."""
-        if part.version != self.version:
-            self.version = part.version
+        if version != self.version:
+            self.version = version
             self.data = b""
         if offset == len(self.data):
             self.data += part.data
@@ -94,18 +97,23 @@
         part = await chosen_member.link.call(
             ttypes.RoutesRequest(offset=offset), timeout_s=PART_TIMEOUT_S
         )
-        if (
-            not isinstance(part, ttypes.RoutesPart)
-            or part.version <= version_in_use()
-        ):
+        version = _version_of(part)
+        if version is None or version <= version_in_use():
             failed_addresses.add(chosen_member.address)
             continue
-        if partial.add_part(part, offset):
+        if partial.add_part(part, version, offset):
             _apply_complete(
                 partial, chosen_member.address, apply_config, failed_addresses
             )
 
 
+def _version_of(reply: object) -> int | None:
+    """Returns the version that a part belongs to, None if there is no part."""
+    if not isinstance(reply, ttypes.RoutesPart):
+        return None
+    return config_versions.decode(reply.version, reply.exact_version)
+
+
 def _apply_complete(
     partial: PartialConfig,
     address: str,
--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -25,6 +25,7 @@
 from _arbutuswalk.routing import routetable
 from _arbutuswalk.state import routeconfig
 from _arbutuswalk.wire import compressed_json
+from _arbutuswalk.wire import config_versions
 from _arbutuswalk.wire import link
 from _arbutuswalk.wire import watch_timing
 from _arbutuswalk.wire.gen.arbutus import ttypes
@@ -212,13 +213,17 @@
         feed.quota.reported_taken = report["taken"]
         feed.quota.reported_returned = report["returned"]
         feed.reported_loads = dict(report["loads"])
+        routes_version, exact_routes_version = config_versions.encode(
+            max(feed.routes_version, self.relay.routes_version)
+        )
         return ttypes.Watch(
             entry=self.relay.name,
             incarnation=self.relay.incarnation,
             session=feed.session,
             version=feed.revision,
-            routes_version=max(feed.routes_version, self.relay.routes_version),
+            routes_version=routes_version,
             report=compressed_json.encode(report),
+            exact_routes_version=exact_routes_version,
         )
 
     def _report(self) -> dict[str, Any]:
--- a/src/_arbutuswalk/wire/arbutuswalk.thrift
+++ b/src/_arbutuswalk/wire/arbutuswalk.thrift
@@ -137,8 +137,9 @@
   2: required i64 incarnation,
   3: required string session, // start of the control process that set `version`
   4: required i64 version, // last version of its directory that was received
-  5: required i64 routes_version, // newest known version of the routes
+  5: required i64 routes_version, // newest known version of the routes, see 7
   6: required binary report, // compressed JSON
+  7: optional string exact_routes_version, // decimal, if 5 cannot hold it
 }
 
 struct WatchReply {
@@ -152,9 +153,10 @@
 }
 
 struct RoutesPart {
-  1: required i64 version, // version of the routes that the part belongs to
+  1: required i64 version, // version of the routes it belongs to, see 4
   2: required i64 size, // in bytes, of the whole compressed configuration
   3: required binary data,
+  4: optional string exact_version, // decimal, if 1 cannot hold it
 }
 
 // Asks for a permit to send one request to an endpoint that states a limit. The
--- a/src/_arbutuswalk/wire/gen/arbutus/ttypes.py
+++ b/src/_arbutuswalk/wire/gen/arbutus/ttypes.py
@@ -1807,6 +1807,7 @@
      - version
      - routes_version
      - report
+     - exact_routes_version
 
     """
 
@@ -1817,16 +1818,18 @@
         'version',
         'routes_version',
         'report',
+        'exact_routes_version',
     )
 
 
-    def __init__(self, entry=None, incarnation=None, session=None, version=None, routes_version=None, report=None,):
+    def __init__(self, entry=None, incarnation=None, session=None, version=None, routes_version=None, report=None, exact_routes_version=None,):
         self.entry = entry
         self.incarnation = incarnation
         self.session = session
         self.version = version
         self.routes_version = routes_version
         self.report = report
+        self.exact_routes_version = exact_routes_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1867,6 +1870,11 @@
                     self.report = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.exact_routes_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1901,6 +1909,10 @@
             oprot.writeFieldBegin('report', TType.STRING, 6)
             oprot.writeBinary(self.report)
             oprot.writeFieldEnd()
+        if self.exact_routes_version is not None:
+            oprot.writeFieldBegin('exact_routes_version', TType.STRING, 7)
+            oprot.writeString(self.exact_routes_version.encode('utf-8') if sys.version_info[0] == 2 else self.exact_routes_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2112,6 +2124,7 @@
      - version
      - size
      - data
+     - exact_version
 
     """
 
@@ -2119,13 +2132,15 @@
         'version',
         'size',
         'data',
+        'exact_version',
     )
 
 
-    def __init__(self, version=None, size=None, data=None,):
+    def __init__(self, version=None, size=None, data=None, exact_version=None,):
         self.version = version
         self.size = size
         self.data = data
+        self.exact_version = exact_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2151,6 +2166,11 @@
                     self.data = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.exact_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2173,6 +2193,10 @@
             oprot.writeFieldBegin('data', TType.STRING, 3)
             oprot.writeBinary(self.data)
             oprot.writeFieldEnd()
+        if self.exact_version is not None:
+            oprot.writeFieldBegin('exact_version', TType.STRING, 4)
+            oprot.writeString(self.exact_version.encode('utf-8') if sys.version_info[0] == 2 else self.exact_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3861,6 +3885,7 @@
     (4, TType.I64, 'version', None, None, ),  # 4
     (5, TType.I64, 'routes_version', None, None, ),  # 5
     (6, TType.STRING, 'report', 'BINARY', None, ),  # 6
+    (7, TType.STRING, 'exact_routes_version', 'UTF8', None, ),  # 7
 )
 all_structs.append(WatchReply)
 WatchReply.thrift_spec = (
@@ -3880,6 +3905,7 @@
     (1, TType.I64, 'version', None, None, ),  # 1
     (2, TType.I64, 'size', None, None, ),  # 2
     (3, TType.STRING, 'data', 'BINARY', None, ),  # 3
+    (4, TType.STRING, 'exact_version', 'UTF8', None, ),  # 4
 )
 all_structs.append(PermitRequest)
 PermitRequest.thrift_spec = (
--- a/testing/test_platform_processes.py
+++ b/testing/test_platform_processes.py
@@ -17,6 +17,9 @@
 
 from _arbutuswalk.base import settings
 
+CONFIG_PROPAGATION_S = 2.0
+"""Time after its acknowledgement in which a configuration is in force."""
+
 
 @pytest.fixture
 async def cluster(tmp_path):
@@ -68,6 +71,27 @@
             )
             assert (status, json.loads(data)) == (200, config)
 
+    async def test_version_above_64_bits_is_in_force_at_every_entry(
+        self, cluster
+    ):
+        """Guards against a version that is acknowledged and never in force."""
+        await cluster.start_all("/a/")
+        version = 20261204205122123456
+        for following in (version, version + 1):
+            path = f"/v{following}/"
+            config = platform_fixtures.make_config(following, "/a/", path)
+            status, _ = await cluster.call_control(
+                "POST", "/v1/Configuration.Replace", config
+            )
+            assert status == 200
+            await asyncio.sleep(CONFIG_PROPAGATION_S)
+            for ip in cluster.entry_ips:
+                assert (await cluster.send_request(ip, f"{path}x"))[0] == 200
+            status, data = await cluster.call_control(
+                "GET", "/v1/Configuration.Read"
+            )
+            assert json.loads(data) == config
+
     async def test_draining_endpoint_gets_no_requests(self, cluster):
         await cluster.start_all("/a/")
         cluster.heartbeat["state"] = "draining"
