Keep watching control after an unexpected error

Cause: the task that watches a control process guarded the reply, but not the next message. An error there ended the task for good; its feed still counted as connected, so the entry removed all endpoints after 20 s without announcements instead of keeping them as it does without control.

Ruled out: missing announcements; control kept all endpoints.

Change: the whole step is guarded. The feed counts as lost, the error is logged (E104), and the watch is tried again and asks for everything. Link.call encodes before it records a pending call.

Before: test_the_watch_goes_on_if_no_message_can_be_sent failed (the task had ended). After: passes.

--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -159,23 +159,14 @@
 
     async def _watch(self, feed: ControlFeed) -> None:
         while True:
-            reply = await feed.link.call(
-                self._make_watch_message(feed), timeout_s=watch_timing.TIMEOUT_S
-            )
-            if isinstance(reply, ttypes.WatchReply):
-                reason = self._try_apply_reply(feed, reply)
-                if not reason:
-                    continue
-            else:
-                reason = getattr(reply, "reason", "no answer")
+            failure = await self._try_watch_once(feed)
+            if not failure:
+                continue
             if feed.connected:
                 feed.connected = False
-                events.record(events.Event.CONTROL_LOST, feed.address, reason)
+                events.record(events.Event.CONTROL_LOST, feed.address, failure)
             feed.term = 0
             feed.status = status_feeds.StatusFeed()
-            if isinstance(reply, link.TimedOut):
-                # The connection may be dead while a new one would work.
-                feed.link.close("timed out")
             has_config = self.relay.route_table is not None
             await asyncio.sleep(
                 watch_timing.RETRY_INTERVAL_S
@@ -183,20 +174,27 @@
                 else STARTUP_RETRY_INTERVAL_S
             )
 
-    def _try_apply_reply(
-        self, feed: ControlFeed, reply: ttypes.WatchReply
-    ) -> str:
-        """Applies a reply; returns why it could not be applied, if so.
+    async def _try_watch_once(self, feed: ControlFeed) -> str:
+        """Sends a watch and applies its reply; returns why that failed, if so.
 
-        Everything is asked for again after a reply that was applied in part.
+        Everything is asked for again after an unexpected error: a reply may
+        have been applied in part.
         """
         try:
-            self._apply_reply(feed, reply)
+            reply = await feed.link.call(
+                self._make_watch_message(feed), timeout_s=watch_timing.TIMEOUT_S
+            )
+            if isinstance(reply, ttypes.WatchReply):
+                self._apply_reply(feed, reply)
+                return ""
         except Exception as error:  # noqa: BLE001
             background.log_error("watch", error)
             feed.session, feed.revision, feed.routes_version = "", 0, 0
-            return f"unusable reply: {error!r}"
-        return ""
+            return f"unexpected error: {error!r}"
+        if isinstance(reply, link.TimedOut):
+            # The connection may be dead while a new one would work.
+            feed.link.close("timed out")
+        return getattr(reply, "reason", "no answer")
 
     def _make_watch_message(self, feed: ControlFeed) -> ttypes.Watch:
         report = self._report()
--- a/src/_arbutuswalk/wire/link.py
+++ b/src/_arbutuswalk/wire/link.py
@@ -79,9 +79,10 @@
             return failure
         self.last_call_number += 1
         call_number = self.last_call_number
+        frame = codec.encode(call_number, message, reply=False)
         future = asyncio.get_running_loop().create_future()
         self.pending_calls[call_number] = future
-        self.writer.write(codec.encode(call_number, message, reply=False))
+        self.writer.write(frame)
         try:
             async with asyncio.timeout(timeout_s):
                 return await future
--- a/testing/test_watching.py
+++ b/testing/test_watching.py
@@ -175,7 +175,35 @@
         assert row.endpoint.state == directory.LEAVING
 
 
-class TestUnusableReply:
+class TestUnexpectedError:
+    async def test_the_watch_goes_on_if_no_message_can_be_sent(
+        self, monkeypatch, caplog
+    ):
+        """Guards against a watch that ends for good and counts as connected.
+
+        Entries removed all endpoints, as no announcement arrived any more.
+        """
+        watcher, feed = make_watcher()
+        connected = []
+
+        async def call(message, *, timeout_s):
+            connected.append(feed.connected)
+            if len(connected) == 4:
+                await asyncio.Event().wait()
+            if len(connected) == 2:
+                raise OverflowError("int too big to convert")
+            return make_reply()
+
+        monkeypatch.setattr(feed.link, "call", call)
+        monkeypatch.setattr(watch_timing, "RETRY_INTERVAL_S", 0.01)
+        task = asyncio.ensure_future(watcher._watch(feed))
+        async with asyncio.timeout(5):
+            while len(connected) < 4 and not task.done():
+                await asyncio.sleep(0.01)
+        assert connected[:4] == [False, True, False, True]
+        assert "E104" in caplog.text
+        task.cancel()
+
     async def test_the_watch_goes_on_and_asks_for_everything(
         self, monkeypatch, caplog
     ):
