Require a key as long as the configuration contains workspaces

Cause: admission asked whether any key is known, not whether keys are required.

Ruled out: entries with the older configuration; those refuse the unknown key.

Change: the configuration states requires_keys: whether the operator's input contains tenants, also an empty list. For a stored configuration without it, it follows from the list of workspaces.

--- a/src/_arbutuswalk/relay/admission.py
+++ b/src/_arbutuswalk/relay/admission.py
@@ -83,7 +83,7 @@
     if refusal is not None:
         return refusal
     workspace = None
-    if relay.route_table.workspaces_by_key and not route.anonymous:
+    if relay.route_table.config.requires_keys and not route.anonymous:
         workspace = relay.route_table.workspaces_by_key.get(incoming.key)
         if workspace is None:
             return Refusal(STATUS_UNAUTHORIZED, "unknown key")
--- a/src/_arbutuswalk/state/routeconfig.py
+++ b/src/_arbutuswalk/state/routeconfig.py
@@ -153,6 +153,8 @@
     Attributes:
         head_limits: Separate from ``limits``, so that processes of a release
             without it can read a stored configuration.
+        requires_keys: Whether requests on routes that are not anonymous need
+            the key of a workspace, also if no workspace has one.
     """
 
     version: int
@@ -161,6 +163,7 @@
     workspaces: tuple[Workspace, ...]
     limits: Limits
     head_limits: HeadLimits = HeadLimits()
+    requires_keys: bool = True
 
 
 def check(config: RouteConfig) -> list[str]:
@@ -232,6 +235,7 @@
         ),
         limits=Limits(*values["limits"]),
         head_limits=HeadLimits(*values.get("head_limits", ())),
+        requires_keys=values.get("requires_keys", bool(values["workspaces"])),
     )
 
 
--- a/testing/platform_fixtures.py
+++ b/testing/platform_fixtures.py
@@ -181,10 +181,15 @@
 
         return await process_fixtures.wait_until(attempt_call)
 
-    async def send_request(self, ip, path="/a/x"):
+    async def send_request(self, ip, path="/a/x", headers=()):
         url = f"http://{ip}:{self.callers_port}{path}"
-        headers = {**CALLER_HEADERS, "Host": HOST, "X-Attempt-Id": "attempt-1"}
-        return await self.http_request("GET", url, headers=headers)
+        all_headers = {
+            **CALLER_HEADERS,
+            "Host": HOST,
+            "X-Attempt-Id": "attempt-1",
+            **dict(headers),
+        }
+        return await self.http_request("GET", url, headers=all_headers)
 
     async def wait_for_status(self, ip, status, path="/a/x"):
         async def has_status():
--- a/testing/test_platform_front.py
+++ b/testing/test_platform_front.py
@@ -379,6 +379,24 @@
         assert sent[0]["status"] == status
 
 
+def make_incoming(**changes):
+    values = {
+        "id": "attempt-1",
+        "method": "POST",
+        "host": "h.example",
+        "path": "/a/x",
+        "target": "/a/x",
+        "key": "k",
+        "deadline_s": 3.0,
+        "headers": [],
+        "body": b"",
+        "prompt": None,
+        "last_event": "",
+        "received_at": 0.0,
+    }
+    return admission.IncomingRequest(**{**values, **changes})
+
+
 class TestAdmission:
     def test_workspace_priority_overrides_route_priority(self):
         config = relay_fixtures.make_config(priority=0)
@@ -387,6 +405,36 @@
         plain = relay_fixtures.make_relay()
         assert relay_fixtures.make_request(plain).priority == 2
 
+    @pytest.mark.parametrize("key", ["k", "unknown", ""])
+    @pytest.mark.parametrize("has_workspace", [False, True])
+    def test_no_key_is_accepted_after_the_last_was_taken_away(
+        self, key, has_workspace
+    ):
+        """Guards against a check of keys that ends with the last key.
+
+        Requests with any key and without one ran, outside all quotas.
+        """
+        config = relay_fixtures.make_config(keys=())
+        if not has_workspace:
+            config = config._replace(workspaces=())
+        relay = relay_fixtures.make_relay(config)
+        refusal = admission.admit(relay, make_incoming(key=key))
+        assert refusal.status == admission.STATUS_UNAUTHORIZED
+
+    def test_no_key_is_needed_on_an_anonymous_route_or_without_workspaces(
+        self,
+    ):
+        anonymous = relay_fixtures.make_route(anonymous=True)
+        for config in (
+            relay_fixtures.make_config(anonymous, keys=()),
+            relay_fixtures.make_config()._replace(
+                workspaces=(), requires_keys=False
+            ),
+        ):
+            relay = relay_fixtures.make_relay(config)
+            admitted = admission.admit(relay, make_incoming(key=""))
+            assert admitted.workspace is None
+
     def test_quota_cost_is_the_number_of_tokens(self):
         relay = relay_fixtures.make_relay()
         assert admission.quota_cost(relay_fixtures.make_request(relay)) == 10
--- a/testing/test_platform_messages.py
+++ b/testing/test_platform_messages.py
@@ -245,6 +245,24 @@
         if isinstance(found, routeconfig.RouteConfig):
             routeconfig.check(found)
 
+    @pytest.mark.parametrize(
+        ("tenants", "requires_keys"),
+        [
+            ({"tenants": [{"name": "w", "api_keys": ["k"]}]}, True),
+            ({"tenants": [{"name": "w", "api_keys": []}]}, True),
+            ({"tenants": []}, True),
+            ({}, False),
+        ],
+        ids=["key", "no-key", "no-tenant", "absent"],
+    )
+    def test_keys_are_required_if_tenants_are_configured(
+        self, tenants, requires_keys
+    ):
+        plain = {k: v for k, v in CONFIG.items() if k != "tenants"}
+        config = operators.decode_config(encode({**plain, **tenants}))
+        assert routeconfig.check(config) == []
+        assert config.requires_keys is requires_keys
+
     def test_truncated_configuration_is_rejected(self):
         body = encode(CONFIG)
         for size in range(0, len(body), 97):
--- a/testing/test_platform_processes.py
+++ b/testing/test_platform_processes.py
@@ -92,6 +92,25 @@
             )
             assert json.loads(data) == config
 
+    async def test_no_request_runs_after_the_last_key_was_taken_away(
+        self, cluster
+    ):
+        """Guards against a check of keys that ends with the last key."""
+        await cluster.start_all("/a/")
+        config = platform_fixtures.make_config(3, "/a/")
+        config["tenants"][0]["api_keys"] = []
+        status, _ = await cluster.call_control(
+            "POST", "/v1/Configuration.Replace", config
+        )
+        assert status == 200
+        await asyncio.sleep(CONFIG_PROPAGATION_S)
+        arrival_count = len(cluster.endpoint.request_heads)
+        for ip in cluster.entry_ips:
+            for key in ("key", "unknown", ""):
+                answer = await cluster.send_request(ip, headers={"X-Key": key})
+                assert answer[0] == 401
+        assert len(cluster.endpoint.request_heads) == arrival_count
+
     async def test_draining_endpoint_gets_no_requests(self, cluster):
         await cluster.start_all("/a/")
         cluster.heartbeat["state"] = "draining"
--- a/testing/test_routeconfig.py
+++ b/testing/test_routeconfig.py
@@ -92,6 +92,18 @@
         assert routeconfig.from_json(json.loads(text)) == config
 
 
+class TestStoredByAFormerVersion:
+    @pytest.mark.parametrize("requires_keys", [False, True])
+    def test_workspaces_show_whether_keys_are_required(self, requires_keys):
+        workspaces = [make_workspace("w")] if requires_keys else []
+        values = json.loads(
+            json.dumps(routeconfig.to_json(make_config(workspaces=workspaces)))
+        )
+        del values["requires_keys"]
+        config = routeconfig.from_json(values)
+        assert config.requires_keys is requires_keys
+
+
 class TestFind:
     @pytest.mark.parametrize(
         ("path", "name"),
