Skip a response without an id on a kept connection

What callers saw: an endpoint wrote an earlier refusal once more on a kept connection, late and without X-Attempt-Id. A request that may run once was told 503 "not run" while it ran (REFUSED), or ran at a second endpoint (TWICE).

Cause: a response without an id was accepted as the answer of whatever request the connection carries.

Ruled out, by cases that passed before: a refusal with the earlier request's id (skipped), one that arrives before the next request is sent (unread bytes close an idle connection).

Change: where the upstream echoes ids, a response without one is accepted only as the first on a connection. Otherwise it is skipped as one with another id is. A repeatable request then goes to another endpoint at once, as no other response may follow.

--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -73,6 +73,7 @@
         self.exchange = connections.Exchange(
             expected_id=self.request.id,
             has_body=self.request.method != "HEAD",
+            echoes_id=True,
             on_reply=self._record_reply,
         )
 
@@ -96,9 +97,8 @@
         self.unread_tokens = 0
 
     async def _send(self) -> results.Result:
-        non_repeatable = not self.request.route.repeatable
         connection = await self.relay.pool.acquire(
-            self.endpoint.address, non_idempotent=non_repeatable
+            self.endpoint.address, non_idempotent=not self._is_repeatable()
         )
         if isinstance(connection, pool.NotOpened):
             crash_probes.record_not_opened(
@@ -169,6 +169,8 @@
             if early_result is not None:
                 self._record_pause()
                 return early_result
+            if self._has_only_unidentified() and self._is_repeatable():
+                return self._record_lost("response without an id")
         self._record_pause()
         reply = self.exchange.reply
         if reply is None:
@@ -196,6 +198,14 @@
                 self.request.id,
             )
 
+    def _has_only_unidentified(self) -> bool:
+        """Whether a response was skipped that may have been the only one."""
+        exchange = self.exchange
+        return exchange.skipped_unidentified and exchange.reply is None
+
+    def _is_repeatable(self) -> bool:
+        return self.request.route.repeatable
+
     def _is_stream(self) -> bool:
         return self.request.route.kind == routeconfig.STREAM
 
--- a/src/_arbutuswalk/streams/connection.py
+++ b/src/_arbutuswalk/streams/connection.py
@@ -2,6 +2,8 @@
 
 Unexpected bytes and a response to another request both exclude the connection
 from reuse. A mismatched response is skipped, so that the right one may follow.
+So is one without an id on a connection that has carried another exchange, if
+the upstream echoes ids: it may be a late second response to that exchange.
 """
 
 import asyncio
@@ -42,12 +44,15 @@
 
     Attributes:
         expected_id: Id that the response must carry.
+        echoes_id: Whether the upstream is known to echo ids. Then a response
+            without one is accepted only as the first on a connection.
         has_body: Whether a response to this method has a body.
         on_body: Called with each chunk of the body directly from the parser, so
             that no task is woken per chunk; None to buffer the chunks.
         on_reply: Called with the interpretation of each response's status and
             headers, also of a response to another exchange.
         mismatched_id: Id of a received response to another exchange, or empty.
+        skipped_unidentified: Whether a response without an id was skipped.
         status: Status of the response, 0 before it is known.
         headers: Headers of the response.
         reply: Interpretation of status and headers, None before they are known.
@@ -66,14 +71,17 @@
         *,
         expected_id: str,
         has_body: bool,
+        echoes_id: bool = False,
         on_body: Callable[[bytes], None] | None = None,
         on_reply: Callable[[replies.Reply], None] = lambda reply: None,
     ):
         self.expected_id = expected_id
+        self.echoes_id = echoes_id
         self.has_body = has_body
         self.on_body = on_body
         self.on_reply = on_reply
         self.mismatched_id = ""
+        self.skipped_unidentified = False
         self.status = 0
         self.headers: replies.Headers = []
         self.reply: replies.Reply | None = None
@@ -130,6 +138,7 @@
         idle_since: When the last exchange ended.
         keep_alive_s: How long the upstream keeps an idle connection, if known.
         reusable: Whether the connection may carry another exchange.
+        requests_sent: Number of requests sent on it.
         in_body: Whether the headers of the current response are complete.
         ends_at_close: Whether the end of the connection ends the body.
         ignoring_body: Whether the current response is a mismatched one.
@@ -150,6 +159,7 @@
         self.idle_since = clock.monotonic()
         self.keep_alive_s: float | None = None
         self.reusable = True
+        self.requests_sent = 0
         self.transport: asyncio.Transport | None = None
         self.parser: httptools.HttpResponseParser | None = None
         self.headers: replies.Headers = []
@@ -179,6 +189,7 @@
     def send_request(self, data: bytes, exchange: Exchange) -> None:
         """Sends a request; its response is stored in ``exchange``."""
         self.exchange = exchange
+        self.requests_sent += 1
         self.parser = httptools.HttpResponseParser(self)
         self.limits = response_limits.ResponseLimits()
         self.transport.write(data)
@@ -253,10 +264,11 @@
             return
         reply = self.read_reply(self.status, self.headers)
         exchange.on_reply(reply)
-        self.ignoring_body = reply.answered_id not in ("", exchange.expected_id)
+        self.ignoring_body = not self._is_expected(reply)
         if self.ignoring_body:
             self.reusable = False
             exchange.mismatched_id = reply.answered_id
+            exchange.skipped_unidentified |= not reply.answered_id
             exchange.changed.set()
             return
         exchange.body_end = self._find_body_end()
@@ -317,6 +329,11 @@
         if self.transport.get_write_buffer_size():
             self.reusable = False
 
+    def _is_expected(self, reply: replies.Reply) -> bool:
+        if reply.answered_id:
+            return reply.answered_id == self.exchange.expected_id
+        return self.requests_sent == 1 or not self.exchange.echoes_id
+
     def _is_interim(self) -> bool:
         return 100 <= self.status < 200
 
