Continue a stream only with the same status and media type

What callers saw: a stream broke off, and the next endpoint answered with a success that is no event stream (204, 205, 200 with text, JSON or nothing). The stream contained the text or ended as complete after two events (ORDER, MIXED).

Cause: the entry looked at whether the status is a success, and took any body for the rest of the stream.

Change: an answer continues a stream only with the status and the media type of the one that began it; any other counts as lost. The endpoint in test_answer_ends states its media type now, so that its cases still test continuations.

--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -177,6 +177,10 @@
             return self._record_lost(self.exchange.failure)
         self._record_limit(reply.limit_per_s)
         if reply.ran and reply.is_success and self._is_stream():
+            if not self.delivery.is_continuation(
+                self.exchange.status, self.exchange.headers
+            ):
+                return self._record_lost("answer does not continue the stream")
             return await self._forward_stream(connection, deadline)
         return await self._buffer_answer(connection, reply, deadline)
 
--- a/src/_arbutuswalk/relay/delivery.py
+++ b/src/_arbutuswalk/relay/delivery.py
@@ -22,6 +22,7 @@
         sender: Callbacks that send the answer.
         caller_left: Whether the caller has closed the connection.
         headers_sent: Whether status and headers have been sent.
+        stream_head: Status and media type that have been sent, None before.
         last_event: Id of the last event sent to the caller.
         event_count: Number of events sent.
         first_event_at: When the first event was sent, in seconds.
@@ -42,6 +43,7 @@
         self.sender = sender
         self.caller_left = False
         self.headers_sent = False
+        self.stream_head: tuple[int, bytes] | None = None
         self.last_event = request.last_event
         self.event_count = 0
         self.first_event_at = 0.0
@@ -54,12 +56,21 @@
         self.caller_left = True
         self.on_caller_left()
 
+    def is_continuation(self, status: int, headers: replies.Headers) -> bool:
+        """Returns whether an answer can continue the stream that was begun.
+
+        One of another status or media type, such as an error page, cannot.
+        """
+        head = status, _media_type(headers)
+        return self.stream_head is None or self.stream_head == head
+
     async def start_stream(self, status: int, headers: replies.Headers) -> None:
         """Sends status and headers, unless an earlier attempt has."""
         self.framer = framing.Framer()
         if self.headers_sent:
             return
         self.headers_sent = True
+        self.stream_head = status, _media_type(headers)
         # Without a length the caller can tell a broken-off stream from a whole
         # one, and a resumption may complete it with another length.
         headers = [
@@ -146,3 +157,8 @@
         if body:
             await self.sender.send_body(body)
         await self.sender.end_answer()
+
+
+def _media_type(headers: replies.Headers) -> bytes:
+    content_type = replies.first_value(headers, b"content-type")
+    return content_type.partition(b";")[0].strip().lower()
--- a/testing/test_answer_ends.py
+++ b/testing/test_answer_ends.py
@@ -12,7 +12,10 @@
 
 EVENTS = [b"id: %d\ndata: %d\n\n" % (number, number) for number in range(9, 13)]
 STREAM = b"".join(EVENTS)
-HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: attempt-1\r\n"
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nX-Attempt-Id: attempt-1\r\n"
+    b"Content-Type: text/event-stream\r\n"
+)
 ROUTE = relay_fixtures.make_route(
     kind=routeconfig.STREAM, resumable=False, max_attempts=1, timeout_s=3.0
 )
