Put a first configuration with a version below 1 into use

What callers saw: a first configuration with version 0 (or a negative one) was acknowledged, could not be read back (503) and was never in force.

Cause: version 0 stood for "no configuration" in the tables, in messages, at entries and in the scaling duty: the question was whether there is a version, not whether there is a configuration.

Change: without a configuration the version is None, older than any version.

Before: test_first_version_may_be_zero (real processes) and the case "negative" of test_config_versions failed.

--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -29,6 +29,7 @@
 from _arbutuswalk.routing import leaving
 from _arbutuswalk.routing import stated_limits
 from _arbutuswalk.state import counter_sum
+from _arbutuswalk.state import routeconfig
 from _arbutuswalk.wire import compressed_json
 from _arbutuswalk.wire import config_versions
 from _arbutuswalk.wire import watch_timing
@@ -325,7 +326,7 @@
         known_version = config_versions.decode(
             message.routes_version, message.exact_routes_version
         )
-        if tables.routes_version > known_version:
+        if routeconfig.is_newer(tables.published_version, known_version):
             return True
         return directories.has_changes_since(self.directory, revision)
 
@@ -366,7 +367,7 @@
             self.loads,
         )
         return {
-            "routes_version": tables.routes_version,
+            "routes_version": tables.published_version,
             **watch_updates.parts(self.directory, revision, wanted, loads),
             "members": self.member_addresses(),
             "domain": self.domain,
--- a/src/_arbutuswalk/control/route_parts.py
+++ b/src/_arbutuswalk/control/route_parts.py
@@ -13,12 +13,12 @@
     """The compressed route configuration, kept until there is a newer one.
 
     Attributes:
-        version: Its version.
+        version: Its version, None before the first.
         data: Its compressed bytes.
     """
 
     def __init__(self):
-        self.version = 0
+        self.version: int | None = None
         self.data = b""
 
 
@@ -26,8 +26,8 @@
     parts: RouteParts, tables: rows.Tables, offset: int
 ) -> ttypes.RoutesPart:
     """Returns the part of the current configuration from ``offset`` on."""
-    if parts.version != tables.routes_version:
-        parts.version = tables.routes_version
+    if parts.version != tables.published_version:
+        parts.version = tables.published_version
         parts.data = compressed_json.encode(tables.routes)
     version, exact_version = config_versions.encode(parts.version)
     return ttypes.RoutesPart(
--- a/src/_arbutuswalk/control/scaling.py
+++ b/src/_arbutuswalk/control/scaling.py
@@ -22,7 +22,8 @@
     Attributes:
         heartbeat_s: Heartbeat interval of endpoints.
         by_upstream: Fleet by upstream name.
-        routes_version: Version of the route configuration in ``config``.
+        routes_version: Version of the route configuration in ``config``, None
+            before the first.
         reclaimed: Leaving endpoints already recorded, by id and start time.
         config: Route configuration that defines the scaling.
     """
@@ -30,7 +31,7 @@
     def __init__(self, *, heartbeat_s: float):
         self.heartbeat_s = heartbeat_s
         self.by_upstream: dict[str, scaling_policy.FleetState] = {}
-        self.routes_version = 0
+        self.routes_version: int | None = None
         self.reclaimed: set[tuple[str, int]] = set()
         self.config: routeconfig.RouteConfig | None = None
 
--- a/src/_arbutuswalk/relay/config_fetch.py
+++ b/src/_arbutuswalk/relay/config_fetch.py
@@ -14,6 +14,7 @@
 from typing import Protocol
 
 from _arbutuswalk.base import events
+from _arbutuswalk.state import routeconfig
 from _arbutuswalk.wire import compressed_json
 from _arbutuswalk.wire import config_versions
 from _arbutuswalk.wire.gen.arbutus import ttypes
@@ -31,20 +32,21 @@
         address: Link address of the member.
         link: Link to the member.
         connected: Whether the last watch succeeded.
-        routes_version: Newest configuration version announced by the member.
+        routes_version: Newest configuration version announced by the member,
+            None if it has none.
     """
 
     address: str
     link: Any
     connected: bool
-    routes_version: int
+    routes_version: int | None
 
 
 class PartialConfig:
     """Parts of one version received so far."""
 
     def __init__(self):
-        self.version = 0
+        self.version: int | None = None
         self.data = b""
 
     def add_part(
@@ -61,14 +63,14 @@
 
 async def fetch(
     members: Callable[[], Sequence[ControlMember]],
-    version_in_use: Callable[[], int],
+    version_in_use: Callable[[], int | None],
     apply_config: Callable[[Any, str], None],
 ) -> None:
     """Fetches until the newest version announced by any member is in use.
 
     Args:
         members: Returns the watched members.
-        version_in_use: Returns the version in use.
+        version_in_use: Returns the version in use, None if there is none.
         apply_config: Applies a configuration, given the address it came from.
     """
     partial = PartialConfig()
@@ -77,7 +79,8 @@
         newer_members = [
             member
             for member in members()
-            if member.connected and member.routes_version > version_in_use()
+            if member.connected
+            and routeconfig.is_newer(member.routes_version, version_in_use())
         ]
         if not newer_members:
             return
@@ -98,7 +101,7 @@
             ttypes.RoutesRequest(offset=offset), timeout_s=PART_TIMEOUT_S
         )
         version = _version_of(part)
-        if version is None or version <= version_in_use():
+        if not routeconfig.is_newer(version, version_in_use()):
             failed_addresses.add(chosen_member.address)
             continue
         if partial.add_part(part, version, offset):
@@ -124,7 +127,12 @@
     try:
         values = compressed_json.decode(data)
     except ValueError as error:
+        reason = str(error)
+    else:
+        # A member of a former version announces version 0 if it has none.
+        reason = "no configuration" if values is None else ""
+    if reason:
         failed_addresses.add(address)
-        events.record(events.Event.ROUTES_UNREADABLE, address, str(error))
+        events.record(events.Event.ROUTES_UNREADABLE, address, reason)
         return
     apply_config(values, address)
--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -54,7 +54,8 @@
         connected: Whether the last watch succeeded.
         is_settled: Whether its last answer covered all running entries; a
             process that has just started does not know them yet.
-        routes_version: Newest route configuration version it announced.
+        routes_version: Newest route configuration version it announced, None
+            if it has none.
         permit_retry_at: Time before which it is not asked for permits, as it
             did not answer.
         clock_offset_s: Its wall clock minus ours, None before it answered.
@@ -73,7 +74,7 @@
         self.last_answer_at = now
         self.connected = False
         self.is_settled = False
-        self.routes_version = 0
+        self.routes_version: int | None = None
         self.term = 0
         self.permit_retry_at = now
         self.clock_offset_s: float | None = None
@@ -177,25 +178,31 @@
     async def _try_watch_once(self, feed: ControlFeed) -> str:
         """Sends a watch and applies its reply; returns why that failed, if so.
 
-        Everything is asked for again after an unexpected error: a reply may
-        have been applied in part.
+        The task must go on after any error: nothing would start it again.
         """
         try:
             reply = await feed.link.call(
                 self._make_watch_message(feed), timeout_s=watch_timing.TIMEOUT_S
             )
-            if isinstance(reply, ttypes.WatchReply):
-                self._apply_reply(feed, reply)
-                return ""
         except Exception as error:  # noqa: BLE001
-            background.log_error("watch", error)
-            feed.session, feed.revision, feed.routes_version = "", 0, 0
-            return f"unexpected error: {error!r}"
+            return _recover(feed, "no watch sent", error)
+        if isinstance(reply, ttypes.WatchReply):
+            return self._try_apply_reply(feed, reply)
         if isinstance(reply, link.TimedOut):
             # The connection may be dead while a new one would work.
             feed.link.close("timed out")
         return getattr(reply, "reason", "no answer")
 
+    def _try_apply_reply(
+        self, feed: ControlFeed, reply: ttypes.WatchReply
+    ) -> str:
+        """Applies a reply; returns why it could not be applied, if so."""
+        try:
+            self._apply_reply(feed, reply)
+        except Exception as error:  # noqa: BLE001
+            return _recover(feed, "unusable reply", error)
+        return ""
+
     def _make_watch_message(self, feed: ControlFeed) -> ttypes.Watch:
         report = self._report()
         report["successes"] = crashes.successes_to_json(
@@ -211,8 +218,11 @@
         feed.quota.reported_taken = report["taken"]
         feed.quota.reported_returned = report["returned"]
         feed.reported_loads = dict(report["loads"])
+        known_version = self.relay.routes_version
+        if routeconfig.is_newer(feed.routes_version, known_version):
+            known_version = feed.routes_version
         routes_version, exact_routes_version = config_versions.encode(
-            max(feed.routes_version, self.relay.routes_version)
+            known_version
         )
         return ttypes.Watch(
             entry=self.relay.name,
@@ -233,7 +243,7 @@
             "domain": relay.domain,
             "ready": relay.ready,
             "left": relay.draining,
-            "routes_version": relay.routes_version,
+            "routes_version": relay.routes_version or 0,
             "loads": relay.own_loads,
             "limits": relay.stated_limits.to_json(now),
             "leaving": relay.directory.leaving_starts.to_json(now),
@@ -305,7 +315,9 @@
     def _fetch_newer_routes(self, feed: ControlFeed) -> None:
         """Starts fetching a configuration newer than the one in use."""
         is_idle = self.fetch_task is None or self.fetch_task.done()
-        if is_idle and feed.routes_version > self.relay.routes_version:
+        if is_idle and routeconfig.is_newer(
+            feed.routes_version, self.relay.routes_version
+        ):
             self.fetch_task = background.start(
                 "configuration",
                 config_fetch.fetch(
@@ -351,13 +363,23 @@
         self.relay.usage.clock_offset_s = statistics.median([0.0, *offsets])
 
 
+def _recover(feed: ControlFeed, failure: str, error: Exception) -> str:
+    """Returns why a watch failed; the next one asks for everything again.
+
+    A reply may have been applied in part.
+    """
+    background.log_error("watch", error)
+    feed.session, feed.revision, feed.routes_version = "", 0, None
+    return f"{failure}: {error!r}"
+
+
 def apply_routes(
     relay: relay_state.Relay, values: dict[str, Any], source: str
 ) -> None:
     """Puts a route configuration into use if it is newer than the current."""
     config = routeconfig.from_json(values)
     before = relay.routes_version
-    if config.version <= before:
+    if not routeconfig.is_newer(config.version, before):
         return
     quota_buckets.update(relay, config, is_first_config=not relay.route_table)
     relay.route_table = routetable.RouteTable(config=config)
--- a/src/_arbutuswalk/relay/relay_state.py
+++ b/src/_arbutuswalk/relay/relay_state.py
@@ -158,9 +158,9 @@
         self.metrics = metrics.Metrics()
 
     @property
-    def routes_version(self) -> int:
-        """Version of the route configuration in use, 0 if there is none."""
-        return self.route_table.config.version if self.route_table else 0
+    def routes_version(self) -> int | None:
+        """Version of the route configuration in use, None if there is none."""
+        return self.route_table.config.version if self.route_table else None
 
     @property
     def ready(self) -> bool:
--- a/src/_arbutuswalk/state/route_publication.py
+++ b/src/_arbutuswalk/state/route_publication.py
@@ -2,6 +2,7 @@
 
 from _arbutuswalk.state import commands
 from _arbutuswalk.state import outcomes
+from _arbutuswalk.state import routeconfig
 from _arbutuswalk.state import tables as rows
 
 
@@ -13,7 +14,7 @@
     A resend or an older version changes nothing but is accepted as well; the
     outcome contains the current version.
     """
-    if command.version > tables.routes_version:
+    if routeconfig.is_newer(command.version, tables.published_version):
         tables.routes_version = command.version
         tables.routes = command.config
         tables.routes_source = command.source
--- a/src/_arbutuswalk/state/routeconfig.py
+++ b/src/_arbutuswalk/state/routeconfig.py
@@ -166,6 +166,13 @@
     requires_keys: bool = True
 
 
+def is_newer(version: int | None, than: int | None) -> bool:
+    """Returns whether a version is newer; None stands for no configuration."""
+    if version is None:
+        return False
+    return than is None or version > than
+
+
 def check(config: RouteConfig) -> list[str]:
     """Returns all problems of ``config``; empty if it is valid."""
     problems = []
--- a/src/_arbutuswalk/state/tables.py
+++ b/src/_arbutuswalk/state/tables.py
@@ -183,8 +183,8 @@
         billed_micro: Sum of all bills in micro-units.
         intervals: Number of the last settled interval.
         highest_fence: Highest fence of any order.
-        routes_version: Version of the route configuration, 0 for none.
-        routes: Route configuration as JSON values.
+        routes_version: Version of the route configuration, 0 before the first.
+        routes: Route configuration as JSON values, None before the first.
         routes_source: The operator's original input, deflated and in base 64.
         rollouts: Rollouts by upstream name.
         usage: Settled counts by window number and workspace.
@@ -223,3 +223,8 @@
         self.expired_ms = 0
         self.changed: dict[str, int] = {}
         self.applied = 0
+
+    @property
+    def published_version(self) -> int | None:
+        """Version of the route configuration, None before the first."""
+        return self.routes_version if self.routes is not None else None
--- a/src/_arbutuswalk/wire/arbutuswalk.thrift
+++ b/src/_arbutuswalk/wire/arbutuswalk.thrift
@@ -139,7 +139,7 @@
   4: required i64 version, // last version of its directory that was received
   5: required i64 routes_version, // newest known version of the routes, see 7
   6: required binary report, // compressed JSON
-  7: optional string exact_routes_version, // decimal, if 5 cannot hold it
+  7: optional string exact_routes_version, // if 5 cannot hold it, or empty
 }
 
 struct WatchReply {
--- a/testing/platform_fixtures.py
+++ b/testing/platform_fixtures.py
@@ -237,7 +237,7 @@
         self.heartbeat_tasks.append(asyncio.ensure_future(send_heartbeats()))
         return heartbeat
 
-    async def start_all(self, *paths):
+    async def start_all(self, *paths, version=2):
         for ip in self.control_ips:
             self.start_control(ip)
         for ip in self.entry_ips:
@@ -245,7 +245,9 @@
         self.endpoint = relay_fixtures.ScriptedEndpoint(name="i-1")
         self.heartbeat = await self.start_heartbeats(self.endpoint)
         status, _ = await self.call_control(
-            "POST", "/v1/Configuration.Replace", make_config(2, *paths)
+            "POST",
+            "/v1/Configuration.Replace",
+            make_config(version, *paths),
         )
         assert status == 200
         for ip in self.entry_ips:
--- a/testing/test_config_versions.py
+++ b/testing/test_config_versions.py
@@ -18,6 +18,8 @@
 INT64_LIMIT = 2**63
 DATE_WITH_MICROSECONDS = 20261204205122123456
 VERSIONS = {
+    "negative": -5,
+    "zero": 0,
     "date": 20261204,
     "largest-int64": INT64_LIMIT - 1,
     "first-above": INT64_LIMIT,
@@ -69,11 +71,13 @@
         """Guards against versions that are acknowledged and never in force.
 
         No message could hold a version above 63 bits: the watches of the entry
-        ended, and it lost all endpoints after their retention time.
+        ended, and it lost all endpoints after their retention time. A first
+        version below 1 was taken for none.
         """
         components = test_duties.make_components()
         watcher, feed = test_watching.make_watcher()
         relay = watcher.relay
+        relay.route_table = None
         feed.link = ControlLink(components.discovery)
         feed.task = asyncio.ensure_future(watcher._watch(feed))
         try:
@@ -81,6 +85,7 @@
                 for published in (version, version + 1):
                     publish(components, published)
                     while relay.routes_version != published:
+                        assert not feed.task.done()
                         await asyncio.sleep(0.01)
             assert not feed.task.done()
         finally:
@@ -89,14 +94,15 @@
 
 class TestMessages:
     @pytest.mark.parametrize(
-        "version", [*VERSIONS.values(), 0, -1, -INT64_LIMIT - 1]
+        "version", [*VERSIONS.values(), -INT64_LIMIT - 1, None]
     )
     def test_versions_survive(self, version):
         limited, exact = config_versions.encode(version)
-        part = ttypes.RoutesPart(
-            version=limited, size=0, data=b"", exact_version=exact
+        received = over_the_wire(
+            ttypes.RoutesPart(
+                version=limited, size=0, data=b"", exact_version=exact
+            )
         )
-        received = over_the_wire(part)
         assert (
             config_versions.decode(received.version, received.exact_version)
             == version
--- a/testing/test_duties.py
+++ b/testing/test_duties.py
@@ -201,7 +201,8 @@
         If the version were announced again, each watch would end at once.
         """
         components = make_components()
-        components.member.tables.routes_version = 4
+        tables = components.member.tables
+        tables.routes_version, tables.routes = 4, {"version": 4, "routes": []}
         first = await components.discovery.watch(watch(components.discovery))
         announced = watch(components.discovery, version=first.version)
         assert components.discovery._has_update(announced, first.version)
--- a/testing/test_platform_processes.py
+++ b/testing/test_platform_processes.py
@@ -92,6 +92,15 @@
             )
             assert json.loads(data) == config
 
+    async def test_first_version_may_be_zero(self, cluster):
+        """Guards against a first version that counts as no configuration."""
+        await cluster.start_all("/a/", version=0)
+        status, data = await cluster.call_control(
+            "GET", "/v1/Configuration.Read"
+        )
+        assert status == 200
+        assert json.loads(data) == platform_fixtures.make_config(0, "/a/")
+
     async def test_no_request_runs_after_the_last_key_was_taken_away(
         self, cluster
     ):
