Refuse numbers of operators that cannot be computed with

What callers saw: a configuration with a time of 400 digits, or a rollout with an infinite duration, got 500, which operators send again for ever. Other such numbers were accepted and end later calculations with an error.

Ruled out: a limit of 64 bits; larger numbers were and are accepted, only versions travel in 64-bit fields.

Change: numbers beyond 1e100 and those that are none are refused with 400 and the name of the field; versions are exempt.

--- a/testing/test_platform_messages.py
+++ b/testing/test_platform_messages.py
@@ -97,6 +97,40 @@
 )
 
 
+UNUSABLE_NUMBERS = (10**400, -(10**400), math.nan, 1e300)
+"""Floating-point numbers, or products of them, cannot hold these."""
+NUMBERS = [
+    ("routes", "timeout_ms"),
+    ("routes", "target_latency_ms"),
+    ("routes", "priority"),
+    ("routes", "max_attempts"),
+    ("routes", "gap_target_ms"),
+    ("services", "connection_limit"),
+    ("services", "inference_engine", "slots"),
+    ("services", "inference_engine", "kv_cache_capacity"),
+    ("services", "scaling", "minimum"),
+    ("services", "scaling", "maximum"),
+    ("services", "scaling", "boot_time_s"),
+    ("services", "scaling", "spot_price"),
+    ("tenants", "priority"),
+    ("tenants", "uncached_tokens"),
+    ("tenants", "rate_per_s"),
+    ("tenants", "burst_size"),
+]
+
+
+def with_number(path, value):
+    """Returns the configuration with another number in one field."""
+    table, *inner, name = path
+    changed = json.loads(json.dumps(CONFIG))
+    fields = changed[table][0]
+    for key in inner:
+        fields = fields[key]
+    assert name in fields
+    fields[name] = value
+    return changed
+
+
 def encode(message):
     return json.dumps(message).encode()
 
@@ -263,6 +297,24 @@
         assert routeconfig.check(config) == []
         assert config.requires_keys is requires_keys
 
+    @pytest.mark.parametrize("value", UNUSABLE_NUMBERS, ids=str)
+    @pytest.mark.parametrize("path", NUMBERS, ids=".".join)
+    def test_a_number_that_cannot_be_computed_with_is_refused(
+        self, path, value
+    ):
+        """Guards against a status of 500, and errors once it is in force."""
+        decoded = operators.decode_config(encode(with_number(path, value)))
+        assert isinstance(decoded, str)
+        assert decoded.startswith(f"{path[-1]}: not ")
+
+    @pytest.mark.parametrize(
+        "value", [10**20, 2**64], ids=["20-digits", "2**64"]
+    )
+    @pytest.mark.parametrize("path", NUMBERS, ids=".".join)
+    def test_a_number_above_64_bits_is_accepted(self, path, value):
+        config = operators.decode_config(encode(with_number(path, value)))
+        assert routeconfig.check(config) == []
+
     def test_truncated_configuration_is_rejected(self):
         body = encode(CONFIG)
         for size in range(0, len(body), 97):
@@ -276,6 +328,14 @@
             "s", "v2", 12000
         )
 
+    @pytest.mark.parametrize(
+        "value", [*UNUSABLE_NUMBERS, math.inf, -math.inf], ids=str
+    )
+    def test_an_unusable_duration_is_refused(self, value):
+        body = {"service": "s", "target": "v2", "duration_s": value}
+        decoded = operators.decode_rollout(encode(body))
+        assert decoded == "duration_s: not between ±1e+100"
+
     @hypothesis.given(
         name=strategies.sampled_from(["service", "target", "duration_s"]),
         value=ODD,
