Convert numbers in headers and events without errors

What callers saw: a deadline of 400 digits, a token count or prompt part of over 4,300 digits ended the request with an error of the entry; an event id of over 4,300 digits or with a superscript broke a stream off.

Cause: isdigit followed by int, which refuses more digits than that and other characters; dividing a number of over 308 digits raises an error as well.

Ruled out, tried as well: endpoints' limits, pauses and keep-alive times.

Event ids are compared as digits.

--- a/src/_arbutuswalk/relay/sse.py
+++ b/src/_arbutuswalk/relay/sse.py
@@ -27,6 +27,16 @@
 
 def is_newer(event_id: str, last_id: str) -> bool:
     """Returns whether an event follows the last one sent to the caller."""
-    if not (event_id.isdigit() and last_id.isdigit()):
+    if not (_is_number(event_id) and _is_number(last_id)):
         return True
-    return int(event_id) > int(last_id)
+    return _order(event_id) > _order(last_id)
+
+
+def _is_number(event_id: str) -> bool:
+    return event_id.isascii() and event_id.isdigit()
+
+
+def _order(number: str) -> tuple[int, str]:
+    """Returns what orders numbers of any size, which ``int`` may refuse."""
+    significant = number.lstrip("0")
+    return len(significant), significant
--- a/src/_arbutuswalk/streams/attempts.py
+++ b/src/_arbutuswalk/streams/attempts.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from _arbutuswalk.base import clock
+from _arbutuswalk.base import digits
 from _arbutuswalk.streams import connection as connections
 from _arbutuswalk.streams import framing
 from _arbutuswalk.streams import pool
@@ -284,10 +285,10 @@
 ) -> Result:
     """Returns the result with the number of tokens cached by the upstream."""
     name = CACHED_HEADER.lower().encode()
-    text = replies.first_value(exchange.headers, name)
-    if not hasattr(result, "cached_tokens") or not text.isdigit():
+    cached_tokens = digits.parse(replies.first_value(exchange.headers, name))
+    if not hasattr(result, "cached_tokens") or cached_tokens is None:
         return result
-    return dataclasses.replace(result, cached_tokens=int(text))
+    return dataclasses.replace(result, cached_tokens=cached_tokens)
 
 
 def _encode_request(order: Order) -> bytes:
--- a/src/_arbutuswalk/streams/framing.py
+++ b/src/_arbutuswalk/streams/framing.py
@@ -2,6 +2,8 @@
 
 import json
 
+from _arbutuswalk.base import digits
+
 SEPARATOR = b"\n\n"
 DONE_EVENT = b"data: [DONE]"
 ERROR_PREFIX = b'data: {"error"'
@@ -45,10 +47,11 @@
 
 def parse_event_id(text: str) -> tuple[str, int] | None:
     """Returns the request id and event number of a ``Last-Event-ID``."""
-    request_id, _, event_number = text.rpartition(":")
-    if not request_id or not event_number.isdigit():
+    request_id, _, number_text = text.rpartition(":")
+    event_number = digits.parse(number_text)
+    if not request_id or event_number is None:
         return None
-    return request_id, int(event_number)
+    return request_id, event_number
 
 
 def event_text(event: bytes) -> str:
