Refuse a request that exceeds the quota of a window by itself

What callers saw: a request was admitted by a full bucket whatever number of tokens its header states. It broke the quota by itself (QUOTA), and its workspace was refused until the bucket had recovered, 300,000 years for 10**15 tokens.

Cause: large requests take their whole cost from a bucket that is half full; nothing asked whether the quota of a window can hold it.

Change: such a request is refused with 429 and takes nothing.

--- a/src/_arbutuswalk/limits/quota_levels.py
+++ b/src/_arbutuswalk/limits/quota_levels.py
@@ -45,6 +45,16 @@
     )
 
 
+def window_limit(
+    rate: float, burst: float, quota_tolerance: QuotaTolerance
+) -> float:
+    """Returns the tokens that may be used in one window at most."""
+    allowance = rate * quota_tolerance.window_s + burst
+    return (
+        allowance * (1 + quota_tolerance.overshoot) + quota_tolerance.tolerance
+    )
+
+
 def required_level(
     cost: float, burst: float, *, late: bool, usable_fraction: float = 1.0
 ) -> float:
--- a/src/_arbutuswalk/relay/admission.py
+++ b/src/_arbutuswalk/relay/admission.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from _arbutuswalk.limits import quota_levels
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.routing import crashes
@@ -160,6 +161,15 @@
     now = relay.now()
     bucket = relay.quota_buckets[workspace.name]
     cost = quota_cost(request)
+    labels = f'workspace="{workspace.name}"'
+    if workspace.by_tokens and cost > quota_levels.window_limit(
+        workspace.rate_per_s, workspace.burst, relay.options.quota
+    ):
+        relay.metrics.count("quota_refused", labels, cost)
+        return Refusal(
+            STATUS_TOO_MANY_REQUESTS,
+            f"{cost} tokens exceed the quota of workspace {workspace.name}",
+        )
     wait_s = bucket.take(
         cost,
         now,
@@ -168,7 +178,6 @@
         late=relay.lateness.is_late(request, now),
         share_draw=relay.rng.random(),
     )
-    labels = f'workspace="{workspace.name}"'
     if not wait_s:
         relay.metrics.count("quota_taken", labels, cost)
         return None
--- a/testing/test_platform_front.py
+++ b/testing/test_platform_front.py
@@ -19,6 +19,7 @@
 from _arbutuswalk.base import events
 from _arbutuswalk.base import structured_log
 from _arbutuswalk.relay import admission
+from _arbutuswalk.relay import request as requests
 from _arbutuswalk.state import routeconfig
 
 VALID_REQUEST = (
@@ -435,6 +436,29 @@
             admitted = admission.admit(relay, make_incoming(key=""))
             assert admitted.workspace is None
 
+    @pytest.mark.parametrize(
+        ("tokens", "is_admitted"),
+        [(989, True), (991, False), (10**15, False)],
+    )
+    def test_a_request_above_the_quota_of_a_window_is_refused(
+        self, tokens, is_admitted
+    ):
+        """Guards against QUOTA, and a workspace that is refused for ages.
+
+        One request was admitted whatever its size, and took its tokens.
+        """
+        config = relay_fixtures.make_config(rate_per_s=100.0, burst=100.0)
+        relay = relay_fixtures.make_relay(config)
+        level = relay.quota_buckets["w"].level
+        prompt = requests.Prompt("m", tokens, 0, ())
+        incoming = make_incoming(key="key", prompt=prompt)
+        admitted = admission.admit(relay, incoming)
+        if is_admitted:
+            assert isinstance(admitted, requests.Request)
+        else:
+            assert admitted.status == admission.STATUS_TOO_MANY_REQUESTS
+            assert relay.quota_buckets["w"].level == level
+
     def test_quota_cost_is_the_number_of_tokens(self):
         relay = relay_fixtures.make_relay()
         assert admission.quota_cost(relay_fixtures.make_request(relay)) == 10
