--- a/src/_arbutuswalk/base/settings.py
+++ b/src/_arbutuswalk/base/settings.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 EXIT_BAD_SETTINGS = 2
+MAX_PORT_DIGITS = 5
 
 REQUIRED = object()
 """Default of a field that has no default value."""
@@ -77,15 +78,15 @@
 
 def is_address(value: object) -> bool:
     """Returns whether ``value`` is an IPv4 address and port, ``IP:port``."""
-    if not isinstance(value, str):
+    if not isinstance(value, str) or not value.isascii():
         return False
     host, _, port = value.rpartition(":")
     octets = host.split(".")
-    if len(octets) != 4 or not all(o.isdigit() for o in octets):
+    if len(octets) != 4 or not all(map(str.isdigit, (*octets, port))):
         return False
-    if any(int(octet) > 255 for octet in octets):
+    if any(len(number) > MAX_PORT_DIGITS for number in (*octets, port)):
         return False
-    return port.isdigit() and 0 < int(port) < 65536
+    return all(int(octet) < 256 for octet in octets) and 0 < int(port) < 65536
 
 
 def is_address_list(value: object) -> bool:
--- a/testing/test_platform_messages.py
+++ b/testing/test_platform_messages.py
@@ -181,6 +181,31 @@
         announcements.decode_heartbeat("i-1", body)
         announcements.decode_deregistration(body)
 
+    @pytest.mark.parametrize(
+        "address",
+        [
+            "10.128.0.9:0",
+            "10.128.0.9:65536",
+            "10.128.0.9:" + "9" * 240,
+            "10.128.0.9:²",
+            "10.128.0.²:80",
+            "10.128.0.256:80",
+            "10.128.0:80",
+            "runner.example:80",
+            "::1:80",
+            "10.128.0.9:",
+        ],
+    )
+    def test_an_address_that_cannot_be_connected_to_is_refused(self, address):
+        """Guards against an endpoint that ends every request sent to it.
+
+        Opening a connection raised errors that no attempt expects.
+        """
+        found = announcements.decode_heartbeat(
+            "i-1", encode({**BEAT, "address": address})
+        )
+        assert found == "address: not IP:port"
+
     def test_deep_nesting_is_rejected(self):
         body = b"[" * 100_000
         assert isinstance(announcements.decode_heartbeat("i", body), str)
