Leave an empty text out of the keys

What callers saw: with an empty text among a workspace's keys, requests without a key ran for that workspace.

Cause: such a request is looked up under the empty text.

Change: the table of keys leaves it out.

Before: test_an_empty_key_is_none failed. After: passes.

--- a/src/_arbutuswalk/routing/routetable.py
+++ b/src/_arbutuswalk/routing/routetable.py
@@ -24,6 +24,7 @@
             key: workspace
             for workspace in config.workspaces
             for key in workspace.keys
+            if key  # an empty key is that of a request without one
         }
         self.connection_limits = {
             upstream.name: upstream.connection_limit
--- a/testing/test_platform_front.py
+++ b/testing/test_platform_front.py
@@ -422,6 +422,15 @@
         refusal = admission.admit(relay, make_incoming(key=key))
         assert refusal.status == admission.STATUS_UNAUTHORIZED
 
+    def test_an_empty_key_is_none(self):
+        """Guards against callers without a key who get a workspace."""
+        config = relay_fixtures.make_config(keys=("", "key"))
+        relay = relay_fixtures.make_relay(config)
+        refusal = admission.admit(relay, make_incoming(key=""))
+        assert refusal.status == admission.STATUS_UNAUTHORIZED
+        admitted = admission.admit(relay, make_incoming(key="key"))
+        assert admitted.workspace.name == "w"
+
     def test_no_key_is_needed_on_an_anonymous_route_or_without_workspaces(
         self,
     ):
