--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -29,9 +29,7 @@
 from _arbutuswalk.routing import leaving
 from _arbutuswalk.routing import stated_limits
 from _arbutuswalk.state import counter_sum
-from _arbutuswalk.state import routeconfig
 from _arbutuswalk.wire import compressed_json
-from _arbutuswalk.wire import config_versions
 from _arbutuswalk.wire import watch_timing
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
@@ -323,10 +321,7 @@
         tables = self.member.tables
         if message.session != self.session:
             return True
-        known_version = config_versions.decode(
-            message.routes_version, message.exact_routes_version
-        )
-        if routeconfig.is_newer(tables.published_version, known_version):
+        if route_parts.has_newer(tables, message):
             return True
         return directories.has_changes_since(self.directory, revision)
 
--- a/src/_arbutuswalk/control/route_parts.py
+++ b/src/_arbutuswalk/control/route_parts.py
@@ -1,5 +1,6 @@
 """The route configuration in parts, as entries fetch it."""
 
+from _arbutuswalk.state import routeconfig
 from _arbutuswalk.state import tables as rows
 from _arbutuswalk.wire import compressed_json
 from _arbutuswalk.wire import config_versions
@@ -22,6 +23,14 @@
         self.data = b""
 
 
+def has_newer(tables: rows.Tables, message: ttypes.Watch) -> bool:
+    """Returns whether there is a newer configuration than an entry knows of."""
+    known_version = config_versions.decode(
+        message.routes_version, message.exact_routes_version
+    )
+    return routeconfig.is_newer(tables.published_version, known_version)
+
+
 def part_from(
     parts: RouteParts, tables: rows.Tables, offset: int
 ) -> ttypes.RoutesPart:
--- a/src/_arbutuswalk/relay/admission.py
+++ b/src/_arbutuswalk/relay/admission.py
@@ -162,13 +162,15 @@
     bucket = relay.quota_buckets[workspace.name]
     cost = quota_cost(request)
     labels = f'workspace="{workspace.name}"'
-    if workspace.by_tokens and cost > quota_levels.window_limit(
+    limit = quota_levels.window_limit(
         workspace.rate_per_s, workspace.burst, relay.options.quota
-    ):
+    )
+    if workspace.by_tokens and cost > limit:
         relay.metrics.count("quota_refused", labels, cost)
         return Refusal(
             STATUS_TOO_MANY_REQUESTS,
-            f"{cost} tokens exceed the quota of workspace {workspace.name}",
+            f"{cost} tokens exceed what the quota of workspace"
+            f" {workspace.name} permits in a window, {limit:.0f}",
         )
     wait_s = bucket.take(
         cost,
--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -218,11 +218,8 @@
         feed.quota.reported_taken = report["taken"]
         feed.quota.reported_returned = report["returned"]
         feed.reported_loads = dict(report["loads"])
-        known_version = self.relay.routes_version
-        if routeconfig.is_newer(feed.routes_version, known_version):
-            known_version = feed.routes_version
         routes_version, exact_routes_version = config_versions.encode(
-            known_version
+            routeconfig.newer_of(feed.routes_version, self.relay.routes_version)
         )
         return ttypes.Watch(
             entry=self.relay.name,
--- a/src/_arbutuswalk/state/routeconfig.py
+++ b/src/_arbutuswalk/state/routeconfig.py
@@ -173,6 +173,11 @@
     return than is None or version > than
 
 
+def newer_of(first: int | None, second: int | None) -> int | None:
+    """Returns the newer of two versions."""
+    return first if is_newer(first, second) else second
+
+
 def check(config: RouteConfig) -> list[str]:
     """Returns all problems of ``config``; empty if it is valid."""
     problems = []
