Use only event streams as streams in the chat front

What callers saw, in a test: an endpoint of the chat front answered 200 with a text instead of an event stream. The text was split at blank lines and sent to the caller as events, also in the middle of a stream that another endpoint had begun.

Cause: any body of a 200 was split into events.

Change: an answer that states another media type than text/event-stream is not used. The function that reads media types moves to streams.replies, which both data paths use.

Ruled out: the end of such an answer as the end of the stream; that needs the end marker.

--- a/src/_arbutuswalk/relay/delivery.py
+++ b/src/_arbutuswalk/relay/delivery.py
@@ -61,7 +61,7 @@
 
         One of another status or media type, such as an error page, cannot.
         """
-        head = status, _media_type(headers)
+        head = status, replies.media_type(headers)
         return self.stream_head is None or self.stream_head == head
 
     async def start_stream(self, status: int, headers: replies.Headers) -> None:
@@ -70,7 +70,7 @@
         if self.headers_sent:
             return
         self.headers_sent = True
-        self.stream_head = status, _media_type(headers)
+        self.stream_head = status, replies.media_type(headers)
         # Without a length the caller can tell a broken-off stream from a whole
         # one, and a resumption may complete it with another length.
         headers = [
@@ -157,8 +157,3 @@
         if body:
             await self.sender.send_body(body)
         await self.sender.end_answer()
-
-
-def _media_type(headers: replies.Headers) -> bytes:
-    content_type = replies.first_value(headers, b"content-type")
-    return content_type.partition(b";")[0].strip().lower()
--- a/src/_arbutuswalk/streams/attempts.py
+++ b/src/_arbutuswalk/streams/attempts.py
@@ -13,6 +13,7 @@
 from _arbutuswalk.streams import pool
 from _arbutuswalk.streams import replies
 
+EVENT_STREAM = b"text/event-stream"
 STATUS_OK = 200
 REQUEST_HEADER = "X-Request-Id"
 ATTEMPT_HEADER = "X-Attempt-Id"
@@ -156,6 +157,11 @@
             return
         if self.result is not None or is_mismatched(self.exchange, self.echo):
             return
+        media_type = replies.media_type(self.exchange.headers)
+        if media_type not in (EVENT_STREAM, b""):
+            reason = f"answer is {media_type.decode('latin-1')}, no stream"
+            self._set_result(Broke(reason=reason))
+            return
         events = self.framer.feed(data)
         if len(self.framer.rest) > framing.MAX_EVENT_BYTES:
             self._set_result(Broke(reason="event too large"))
--- a/src/_arbutuswalk/streams/replies.py
+++ b/src/_arbutuswalk/streams/replies.py
@@ -57,3 +57,9 @@
         if header_name == name
         for item in value.split(b",")
     ]
+
+
+def media_type(headers: Headers) -> bytes:
+    """Returns the media type in lower case, empty if none is stated."""
+    content_type = first_value(headers, b"content-type")
+    return content_type.partition(b";")[0].strip().lower()
--- a/testing/test_attempts.py
+++ b/testing/test_attempts.py
@@ -109,6 +109,32 @@
         assert b"data: [DONE]" not in events
         assert all(b"error" not in event for event in events)
 
+    @pytest.mark.parametrize(
+        "media_type", [b"text/plain", b"application/json", b"text/html"]
+    )
+    async def test_an_answer_that_is_no_event_stream_is_not_used(
+        self, media_type
+    ):
+        """Guards against the text of an error inside a caller's stream."""
+        head = HEAD + b"Content-Type: %b\r\n" % media_type
+        body = b"upstream failure: no such session\n\n"
+        result, events = await run(
+            [head + b"Content-Length: %d\r\n\r\n" % len(body), body]
+        )
+        assert isinstance(result, attempts.Broke)
+        assert events == []
+
+    @pytest.mark.parametrize(
+        "media_type",
+        [b"text/event-stream", b"Text/Event-Stream; charset=utf-8"],
+    )
+    async def test_an_event_stream_is_used(self, media_type):
+        head = CHUNKED.replace(
+            b"X-Cached", b"Content-Type: %b\r\nX-Cached" % media_type
+        )
+        result, _ = await run([head, chunk(EVENT), chunk(DONE_EVENT)])
+        assert isinstance(result, attempts.Completed)
+
     async def test_silence_before_the_first_byte(self):
         result, _ = await run([], keep_open=True)
         assert isinstance(result, attempts.Silent)
