Continue a stream of any media type with an event stream

Ruled out: load. The cases fail alone as well; their endpoint states no type.

Change: an event stream with the same status continues a stream of any type.

After: all of test_endless, test_failed_resumptions (80 cases, 2 of them new) and test_answer_ends pass.

--- a/src/_arbutuswalk/relay/delivery.py
+++ b/src/_arbutuswalk/relay/delivery.py
@@ -59,10 +59,15 @@
     def is_continuation(self, status: int, headers: replies.Headers) -> bool:
         """Returns whether an answer can continue the stream that was begun.
 
-        One of another status or media type, such as an error page, cannot.
+        One of another status or media type, such as an error page, cannot. An
+        event stream also continues one that stated another media type or none.
         """
-        head = status, replies.media_type(headers)
-        return self.stream_head is None or self.stream_head == head
+        if self.stream_head is None:
+            return True
+        first_status, first_media_type = self.stream_head
+        media_types = first_media_type, replies.EVENT_STREAM
+        is_known_type = replies.media_type(headers) in media_types
+        return status == first_status and is_known_type
 
     async def start_stream(self, status: int, headers: replies.Headers) -> None:
         """Sends status and headers, unless an earlier attempt has."""
--- a/src/_arbutuswalk/streams/attempts.py
+++ b/src/_arbutuswalk/streams/attempts.py
@@ -13,7 +13,6 @@
 from _arbutuswalk.streams import pool
 from _arbutuswalk.streams import replies
 
-EVENT_STREAM = b"text/event-stream"
 STATUS_OK = 200
 REQUEST_HEADER = "X-Request-Id"
 ATTEMPT_HEADER = "X-Attempt-Id"
@@ -158,7 +157,7 @@
         if self.result is not None or is_mismatched(self.exchange, self.echo):
             return
         media_type = replies.media_type(self.exchange.headers)
-        if media_type not in (EVENT_STREAM, b""):
+        if media_type not in (replies.EVENT_STREAM, b""):
             reason = f"answer is {media_type.decode('latin-1')}, no stream"
             self._set_result(Broke(reason=reason))
             return
--- a/src/_arbutuswalk/streams/replies.py
+++ b/src/_arbutuswalk/streams/replies.py
@@ -2,6 +2,9 @@
 
 from typing import NamedTuple
 
+EVENT_STREAM = b"text/event-stream"
+"""Media type of event streams."""
+
 Headers = list[tuple[bytes, bytes]]
 """Header names and values in order; names in lower case."""
 
--- a/testing/test_failed_resumptions.py
+++ b/testing/test_failed_resumptions.py
@@ -81,6 +81,27 @@
 }
 
 
+class TestNextEndpointContinues:
+    @pytest.mark.parametrize(
+        "first_type",
+        [b"", b"Content-Type: Text/Event-Stream; charset=utf-8\r\n"],
+        ids=["none", "with a parameter"],
+    )
+    async def test_an_event_stream_continues_one_of_any_type(self, first_type):
+        first = (
+            b"HTTP/1.1 200 OK\r\nX-Attempt-Id: attempt-1\r\n%b"
+            b"Content-Length: 999\r\n\r\nid: 1\ndata: 1\n\n" % first_type
+        )
+        received, heads = await test_answer_ends.play(
+            ROUTE,
+            relay_fixtures.send_bytes(first, close=True),
+            relay_fixtures.send_stream((2, "2")),
+        )
+        assert (received.status, received.body) == (200, FIRST_EVENTS)
+        assert received.complete
+        assert len(heads) == 2
+
+
 class TestNextEndpointFails:
     @pytest.mark.parametrize("broken", list(BREAKS.values()), ids=BREAKS)
     @pytest.mark.parametrize("failure", list(FAILURES.values()), ids=FAILURES)
