--- /dev/null
+++ b/testing/test_silent_endpoints.py
@@ -0,0 +1,132 @@
+"""Sound endpoints that fall silent in the middle of a request and go on."""
+
+import asyncio
+import socket
+
+import pytest
+import relay_fixtures
+import test_relay
+
+from _arbutuswalk.state import routeconfig
+
+SILENCE_S = 1.8
+"""Longer than the time-outs for silence, shorter than callers' patience."""
+RESUMABLE = relay_fixtures.make_route(
+    kind=routeconfig.STREAM, resumable=True, max_attempts=2, timeout_s=6.0
+)
+ONCE = relay_fixtures.make_route(
+    kind=routeconfig.ONCE, max_attempts=1, timeout_s=8.0
+)
+SEGMENT_BYTES = 1448
+"""Segment size of an Ethernet link; that of loopback is larger."""
+RECEIVE_BUFFER_BYTES = 16 * 1024
+LARGE_BODY_BYTES = 8 * 1024 * 1024
+
+
+def fall_silent(*events, before=1):
+    """Returns a step that sends events with a silence after the first ones."""
+
+    async def step(head, writer):
+        first, rest = events[:before], events[before:]
+        await relay_fixtures.send_stream(*first, end=False)(head, writer)
+        await asyncio.sleep(SILENCE_S)
+        for number, text in rest:
+            data = f"id: {number}\ndata: {text}\n\n".encode()
+            writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+    return step
+
+
+def make_relay(route, **options):
+    return relay_fixtures.make_relay(
+        relay_fixtures.make_config(route), **options
+    )
+
+
+class TestStreams:
+    @pytest.mark.parametrize(
+        ("route", "others", "options"),
+        [
+            (RESUMABLE._replace(max_attempts=1), ["ready"], {}),
+            (RESUMABLE, ["ready"], {"retry_ratio": 0.0, "retry_extra": 0.0}),
+            (RESUMABLE, [], {}),
+            (RESUMABLE, ["leaving"], {}),
+        ],
+        ids=["attempts", "retry budget", "no other", "other leaving"],
+    )
+    async def test_silence_does_not_end_a_stream_that_cannot_be_resumed(
+        self, route, others, options
+    ):
+        relay = make_relay(route, **options)
+        silent = relay_fixtures.ScriptedEndpoint(
+            fall_silent((1, "a"), (2, "b")), name="e1"
+        )
+        await silent.start(relay)
+        for state in others:
+            other = relay_fixtures.ScriptedEndpoint(name="e2", state=state)
+            await other.start(relay)
+            # The least loaded endpoint is chosen.
+            relay.add_load("e2", 1, 0)
+        caller = await test_relay.relay_to(relay)
+        assert caller.data.endswith(b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+        assert caller.complete
+
+    async def test_silence_does_not_end_a_stream_on_its_last_attempt(self):
+        relay = make_relay(RESUMABLE)
+        endpoints = [
+            relay_fixtures.ScriptedEndpoint(name=name) for name in ("e1", "e2")
+        ]
+        steps = [
+            relay_fixtures.send_stream((1, "a"), end=False, close=True),
+            fall_silent((2, "b"), (3, "c")),
+        ]
+        endpoints[0].steps = endpoints[1].steps = steps
+        caller = await test_relay.relay_to(relay, *endpoints)
+        assert caller.data.endswith(b"id: 2\ndata: b\n\nid: 3\ndata: c\n\n")
+        assert caller.complete
+
+
+class LateReader:
+    """An endpoint that begins to read a request after a silence."""
+
+    async def start(self, relay):
+        listener = socket.socket()
+        listener.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES
+        )
+        listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        listener.bind(("127.0.0.1", 0))
+        self.endpoint = relay_fixtures.ScriptedEndpoint()
+        await self.endpoint.start(relay)
+        self.endpoint.server.close()
+        address = "127.0.0.1:%d" % listener.getsockname()[1]
+        row = relay.directory.rows["e1"]
+        relay.directory.rows["e1"] = row._replace(
+            endpoint=row.endpoint._replace(address=address)
+        )
+        self.server = await asyncio.start_server(
+            self.serve, sock=listener, limit=2 * LARGE_BODY_BYTES
+        )
+        return self
+
+    async def serve(self, reader, writer):
+        writer.transport.pause_reading()
+        await asyncio.sleep(2 * SILENCE_S)
+        writer.transport.resume_reading()
+        await self.endpoint.serve(reader, writer)
+
+    def stop(self):
+        self.server.close()
+
+
+class TestRequests:
+    async def test_an_endpoint_may_read_a_request_late(self):
+        relay = make_relay(ONCE)
+        caller = await test_relay.relay_to(
+            relay, LateReader(), body=b"x" * LARGE_BODY_BYTES
+        )
+        assert (caller.status, caller.data) == (200, b"ok")
--- /dev/null
+++ b/testing/test_slow_callers.py
@@ -0,0 +1,79 @@
+"""Callers that acknowledge an answer but read it late or slowly."""
+
+import asyncio
+import socket
+
+import relay_fixtures
+import test_platform_front
+
+from _arbutuswalk.state import routeconfig
+
+BUSY_S = 2.5
+"""Longer than the time after which a dead peer is given up."""
+SEGMENT_BYTES = 1448
+"""Segment size of an Ethernet link; that of loopback is larger."""
+RECEIVE_BUFFER_BYTES = 16 * 1024
+READ_BYTES = 4096
+ANSWER = b"x" * 1_000_000
+EVENT = b"data: " + b"x" * 200 + b"\n\n"
+EVENT_COUNT = 3000
+ROUTE = relay_fixtures.make_route(
+    kind=routeconfig.ONCE, max_attempts=1, timeout_s=12.0
+)
+STREAM_ROUTE = ROUTE._replace(kind=routeconfig.STREAM)
+REQUEST = test_platform_front.VALID_REQUEST.replace(b": 1000", b": 12000")
+
+
+async def connect_busy_caller(running_entry):
+    """Returns a connection on which nothing is read ahead."""
+    sock = socket.socket()
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    sock.setblocking(False)
+    address = ("127.0.0.1", running_entry.port)
+    await asyncio.get_running_loop().sock_connect(sock, address)
+    return await asyncio.open_connection(sock=sock, limit=READ_BYTES)
+
+
+async def read_late(route, step, busy_s):
+    """Returns the bytes that a caller receives until its connection ends."""
+    config = relay_fixtures.make_config(route)
+    async with test_platform_front.RunningEntry(config, [step]) as entry:
+        reader, writer = await connect_busy_caller(entry)
+        writer.write(
+            REQUEST.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+        )
+        await asyncio.sleep(busy_s)
+        received = b""
+        async with asyncio.timeout(8):
+            while data := await reader.read(READ_BYTES):
+                received += data
+        writer.close()
+    return received
+
+
+class TestAnswers:
+    async def test_an_answer_that_is_read_late_is_not_reset(self):
+        received = await read_late(
+            ROUTE, relay_fixtures.send_answer(ANSWER), BUSY_S
+        )
+        assert received.endswith(b"\r\n\r\n" + ANSWER)
+
+
+class TestStreams:
+    async def test_the_rest_of_a_stream_that_is_read_late_is_delivered(self):
+        async def stream(head, writer):
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nX-Attempt-Id: attempt-1\r\n"
+                b"Content-Type: text/event-stream\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n"
+            )
+            for _ in range(EVENT_COUNT):
+                writer.write(b"%x\r\n%b\r\n" % (len(EVENT), EVENT))
+                await writer.drain()
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+
+        received = await read_late(STREAM_ROUTE, stream, 1.0)
+        assert received.endswith(b"0\r\n\r\n")
+        assert received.count(EVENT) == EVENT_COUNT
