--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -178,6 +178,10 @@
         688,
         "message of a library logger=%s level=%s message=%s error=%s",
     )
+    CALLER_TIMED_OUT = (
+        684,
+        "caller connection timed out caller=%s busy=%s unsent_bytes=%s",
+    )
     HEAD_REFUSED = (683, "request head refused caller=%s status=%s reason=%s")
 
     @property
--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from _arbutuswalk.base import clock
 from _arbutuswalk.relay import answer_buffers
 from _arbutuswalk.relay import attempt_results
 from _arbutuswalk.relay import attempt_timing
@@ -350,9 +351,15 @@
         if not await self.exchange.wait_for_change(wait_until - now):
             if wait_until < deadline:
                 return self._record_lost("stream stalled")
-            return results.TimedOut(reason="no time left")
+            return results.TimedOut(reason=self._explain_timeout())
         return results.CallerLeft() if self.delivery.caller_left else None
 
+    def _explain_timeout(self) -> str:
+        if self.exchange.ended:
+            return "no time left to send the rest of the answer"
+        silent_s = clock.monotonic() - self.exchange.last_received_at
+        return f"no time left, nothing received for {silent_s:.1f} s"
+
     def _record_lost(self, reason: str) -> results.Lost:
         crashes.record_lost_connection(
             self.relay.crashes,
--- a/testing/test_silent_endpoints.py
+++ b/testing/test_silent_endpoints.py
@@ -103,7 +103,7 @@
         self.endpoint = relay_fixtures.ScriptedEndpoint()
         await self.endpoint.start(relay)
         self.endpoint.server.close()
-        address = "127.0.0.1:%d" % listener.getsockname()[1]
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
         row = relay.directory.rows["e1"]
         relay.directory.rows["e1"] = row._replace(
             endpoint=row.endpoint._replace(address=address)
