Let a change between two waits for an answer end the second wait

Cause: Exchange.wait_for_change cleared its event before it waited. What arrived while the entry waited for the caller, such as the end of the answer, was forgotten, and nothing else was to come.

Ruled out: the flow control of the connection to the endpoint. The whole answer had been received and the connection released its reader.

Now a wait consumes the change that ended it.

--- a/src/_arbutuswalk/streams/connection.py
+++ b/src/_arbutuswalk/streams/connection.py
@@ -63,7 +63,7 @@
         failure: Why the response ended early, empty if it has not.
         closed_by_peer: Whether the end of the connection ended the response.
         last_received_at: When data was last received.
-        changed: Set when any of these has changed.
+        changed: Set when any of these has changed since the last wait for it.
     """
 
     def __init__(
@@ -100,13 +100,17 @@
         return self.complete or bool(self.failure)
 
     async def wait_for_change(self, timeout_s: float) -> bool:
-        """Waits for the next change; returns false on a timeout."""
-        self.changed.clear()
+        """Waits for a change since the last call; returns false on a timeout.
+
+        A change between two calls ends the second one at once: the caller may
+        not have seen it.
+        """
         try:
             async with asyncio.timeout(max(0.0, timeout_s)):
                 await self.changed.wait()
         except TimeoutError:
             return False
+        self.changed.clear()
         return True
 
     def fail(self, reason: str) -> None:
--- a/testing/test_slow_callers.py
+++ b/testing/test_slow_callers.py
@@ -7,6 +7,7 @@
 import test_platform_front
 
 from _arbutuswalk.state import routeconfig
+from _arbutuswalk.streams import connection as connections
 
 BUSY_S = 2.5
 """Longer than the time after which a dead peer is given up."""
@@ -60,6 +61,25 @@
         assert received.endswith(b"\r\n\r\n" + ANSWER)
 
 
+class TestWaits:
+    def make_exchange(self):
+        return connections.Exchange(expected_id="1", has_body=True)
+
+    async def test_a_change_that_precedes_the_wait_ends_it(self):
+        exchange = self.make_exchange()
+        exchange.changed.set()
+        assert await exchange.wait_for_change(1.0)
+        exchange.take_body()
+        exchange.fail("lost while the body was being sent")
+        assert await exchange.wait_for_change(0.05)
+
+    async def test_a_change_ends_one_wait_only(self):
+        exchange = self.make_exchange()
+        exchange.changed.set()
+        assert await exchange.wait_for_change(1.0)
+        assert not await exchange.wait_for_change(0.05)
+
+
 class TestStreams:
     async def test_the_rest_of_a_stream_that_is_read_late_is_delivered(self):
         async def stream(head, writer):
