Leave a stalled stream's endpoint only if another one may be tried

Cause: the entry gave the endpoint up first and asked afterwards whether another attempt was possible. Where none was, it had ended an answer that was sound.

Now the stalled attempt takes the next one's retry from the budget before it ends, and goes on waiting if none may follow: no attempts or time left, no sound endpoint that may be sent to now, budget used up. The time-out grows from 1.0 to 1.5 s, as a sound endpoint may be silent for a second or so and callers abandon a stream after two seconds at the earliest.

--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -1,6 +1,7 @@
 """Sends a request to one endpoint and processes the answer."""
 
 import asyncio
+from collections.abc import Callable
 
 from _arbutuswalk.base import clock
 from _arbutuswalk.relay import answer_buffers
@@ -31,9 +32,12 @@
 REJECTION_BODY_WAIT_S = 0.1
 """Time for which the body of an answer is awaited whose head states that the
 request was not run. It is read only to keep the connection usable."""
-STALL_TIMEOUT_S = 1.0
+STALL_TIMEOUT_S = 1.5
 """Time without a complete event after which a stream is resumed at another
-endpoint: half of the shortest time after which callers abandon a stream."""
+endpoint, if that is possible. A sound endpoint may be silent for a second or
+so; callers abandon a stream after two seconds at the earliest."""
+STALL_CHECK_INTERVAL_S = 0.25
+"""Time after which it is checked again whether that is possible."""
 LOWEST_PRIORITY = 9
 
 
@@ -48,7 +52,10 @@
         exchange: HTTP exchange on the connection.
         started_at: When the attempt started, in seconds.
         unread_tokens: Prompt tokens that the endpoint has not read yet.
+        reserve_retry: Returns whether another attempt may follow this one, and
+            takes it from the retry budget.
         last_event_at: When events of a stream were last sent, in seconds.
+        leave_at: When a stalled stream may be resumed elsewhere, in seconds.
         timing: Its latencies.
     """
 
@@ -58,6 +65,7 @@
         relay: relay_state.Relay,
         caller_delivery: delivery.Delivery,
         chosen: placement.Placement,
+        reserve_retry: Callable[[], bool],
     ):
         self.relay = relay
         self.delivery = caller_delivery
@@ -65,7 +73,9 @@
         self.endpoint = chosen.endpoint
         self.unread_tokens = chosen.uncached_tokens
         self.started_at = relay.now()
+        self.reserve_retry = reserve_retry
         self.last_event_at = 0.0
+        self.leave_at = 0.0
         self.timing = attempt_timing.AttemptTiming(
             relay=relay,
             request=self.request,
@@ -345,12 +355,16 @@
         wait_until = deadline
         may_resume = detect_stall and self.request.route.resumable
         if may_resume:
-            wait_until = min(wait_until, self.last_event_at + STALL_TIMEOUT_S)
+            leave_at = max(self.last_event_at + STALL_TIMEOUT_S, self.leave_at)
+            wait_until = min(wait_until, leave_at)
         if self.delivery.caller_left:
             return results.CallerLeft()
         if not await self.exchange.wait_for_change(wait_until - now):
-            if wait_until < deadline:
+            if wait_until < deadline and self.reserve_retry():
                 return self._record_lost("stream stalled")
+            if wait_until < deadline:
+                self.leave_at = self.relay.now() + STALL_CHECK_INTERVAL_S
+                return None
             return results.TimedOut(reason=self._explain_timeout())
         return results.CallerLeft() if self.delivery.caller_left else None
 
--- a/src/_arbutuswalk/relay/placement.py
+++ b/src/_arbutuswalk/relay/placement.py
@@ -44,6 +44,39 @@
     ``max_pause_wait_s``. ``within_connection_limits`` leaves out those that
     accept no other connection.
     """
+    candidates = _find_candidates(
+        relay, request, tried, max_permit_wait_s, max_pause_wait_s
+    )
+    now = relay.now()
+    chosen = _choose(relay, request, candidates, now)
+    if (
+        chosen is None
+        or not within_connection_limits
+        or connection_limits.has_own_connection(relay, chosen.endpoint)
+    ):
+        return chosen
+    return _choose(relay, request, _with_connection(relay, candidates), now)
+
+
+def has_sound_endpoint(
+    relay: relay_state.Relay, request: requests.Request, tried: set[str]
+) -> bool:
+    """Returns whether a request may be sent to another sound endpoint now."""
+    candidates = _find_candidates(relay, request, tried, 0.0, 0.0)
+    return any(
+        not candidate.doubtful
+        for candidate in _with_connection(relay, candidates)
+    )
+
+
+def _find_candidates(
+    relay: relay_state.Relay,
+    request: requests.Request,
+    tried: set[str],
+    max_permit_wait_s: float,
+    max_pause_wait_s: float,
+) -> list[selection.Candidate]:
+    """Returns the endpoints that may be sent a request after these waits."""
     now = relay.now()
     rows = _ready_rows(relay, request, tried)
     if relay.stated_limits.statements:
@@ -64,17 +97,7 @@
     outliers = relay.outlier_detector.outliers(
         [row.endpoint.id for row in eligible], now
     )
-    candidates = [
-        _make_candidate(relay, row, now, outliers) for row in eligible
-    ]
-    chosen = _choose(relay, request, candidates, now)
-    if (
-        chosen is None
-        or not within_connection_limits
-        or connection_limits.has_own_connection(relay, chosen.endpoint)
-    ):
-        return chosen
-    return _choose(relay, request, _with_connection(relay, candidates), now)
+    return [_make_candidate(relay, row, now, outliers) for row in eligible]
 
 
 def _choose(
--- a/src/_arbutuswalk/relay/relaying.py
+++ b/src/_arbutuswalk/relay/relaying.py
@@ -55,6 +55,13 @@
     last_answer: results.Answered | None = None
     result: results.Result = results.NotSent(reason="no endpoint is ready")
     endpoint_id = ""
+    retry_reserved = False
+
+    def reserve_retry() -> bool:
+        nonlocal retry_reserved
+        retry_reserved = _may_leave_endpoint(relay, request, tally, tried)
+        return retry_reserved
+
     while True:
         chosen = await permitted_placement.find(relay, request, tried)
         if isinstance(chosen, results.NotSent) and not tried:
@@ -74,9 +81,11 @@
                     retry_after_s=refusals.RETENTION_S,
                 )
             break
-        ended_by = _why_no_attempt(relay, request, tally)
-        if ended_by is not None:
-            break
+        if not retry_reserved:
+            ended_by = _why_no_attempt(relay, request, tally)
+            if ended_by is not None:
+                break
+        retry_reserved = False
         endpoint_id = chosen.endpoint.id
         tried.add(endpoint_id)
         if caller_delivery.headers_sent:
@@ -87,7 +96,10 @@
                 caller_delivery.last_event,
             )
         attempt = attempts.Attempt(
-            relay=relay, caller_delivery=caller_delivery, chosen=chosen
+            relay=relay,
+            caller_delivery=caller_delivery,
+            chosen=chosen,
+            reserve_retry=reserve_retry,
         )
         result = await attempt.run()
         tally = results.tally_result(tally, result)
@@ -104,6 +116,27 @@
     await _send_final_answer(relay, caller_delivery, outcome)
 
 
+def _may_leave_endpoint(
+    relay: relay_state.Relay,
+    request: requests.Request,
+    tally: results.Tally,
+    tried: set[str],
+) -> bool:
+    """Returns whether another attempt may follow one that is under way.
+
+    If it may, its retry has been taken from the budget.
+    """
+    lost = results.Lost(reason="silent")
+    tally = results.tally_result(tally, lost)
+    left_s = request.deadline - relay.now()
+    return (
+        results.why_no_retry(lost, request.route, tally, left_s) is None
+        and placement.has_sound_endpoint(relay, request, tried)
+        and not admission.find_refused_key(relay, request)
+        and _why_no_attempt(relay, request, tally) is None
+    )
+
+
 async def _find_after_startup(
     relay: relay_state.Relay,
     request: requests.Request,
