Do not let the kernel give up endpoints that are silent for 1.5 s

Cause: TCP_USER_TIMEOUT was 1.5 s on all connections. It counts unacknowledged data, a closed window and, if set, also unanswered keep-alive probes. On links between our own processes that is what is wanted; an upstream's silence tells nothing about the request that it runs.

Connections to upstreams no longer set it: the deadline bounds each exchange, and five unanswered keep-alive probes end an idle one. What the time-out did for requests that may be repeated is decided by relay.silence: after 1 s without any data of the endpoint a connection is opened to see whether it responds; if it does not, the endpoint is a suspect, and after 1.5 s the request goes to another endpoint if one may be tried. One that responds but is slow is not left.

Also here: a stream whose endpoint sends bytes without a whole event may be resumed at an endpoint that failed recently.

--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -17,6 +17,7 @@
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import results
+from _arbutuswalk.relay import silence
 from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory
 from _arbutuswalk.routing import stated_limits
@@ -32,12 +33,6 @@
 REJECTION_BODY_WAIT_S = 0.1
 """Time for which the body of an answer is awaited whose head states that the
 request was not run. It is read only to keep the connection usable."""
-STALL_TIMEOUT_S = 1.5
-"""Time without a complete event after which a stream is resumed at another
-endpoint, if that is possible. A sound endpoint may be silent for a second or
-so; callers abandon a stream after two seconds at the earliest."""
-STALL_CHECK_INTERVAL_S = 0.25
-"""Time after which it is checked again whether that is possible."""
 LOWEST_PRIORITY = 9
 
 
@@ -52,10 +47,7 @@
         exchange: HTTP exchange on the connection.
         started_at: When the attempt started, in seconds.
         unread_tokens: Prompt tokens that the endpoint has not read yet.
-        reserve_retry: Returns whether another attempt may follow this one, and
-            takes it from the retry budget.
-        last_event_at: When events of a stream were last sent, in seconds.
-        leave_at: When a stalled stream may be resumed elsewhere, in seconds.
+        silence: Decides when a silent endpoint is left.
         timing: Its latencies.
     """
 
@@ -65,7 +57,7 @@
         relay: relay_state.Relay,
         caller_delivery: delivery.Delivery,
         chosen: placement.Placement,
-        reserve_retry: Callable[[], bool],
+        reserve_retry: Callable[[bool], bool],
     ):
         self.relay = relay
         self.delivery = caller_delivery
@@ -73,9 +65,12 @@
         self.endpoint = chosen.endpoint
         self.unread_tokens = chosen.uncached_tokens
         self.started_at = relay.now()
-        self.reserve_retry = reserve_retry
-        self.last_event_at = 0.0
-        self.leave_at = 0.0
+        self.silence = silence.SilenceWatch(
+            relay=relay,
+            request=self.request,
+            endpoint=self.endpoint,
+            reserve_retry=reserve_retry,
+        )
         self.timing = attempt_timing.AttemptTiming(
             relay=relay,
             request=self.request,
@@ -142,6 +137,7 @@
         self.delivery.on_caller_left = self.exchange.changed.set
         endpoint_limits.record_sent(self.relay, self.endpoint)
         connection.send_request(data, self.exchange)
+        self.silence.restart()
         self.timing.start()
         result = await self._receive_answer(connection)
         self._release_connection(connection, result)
@@ -152,6 +148,7 @@
         return directory.is_leaving(self.relay.directory, start)
 
     def _record_reply(self, reply: replies.Reply) -> None:
+        self.silence.record_received()
         leaving_endpoints.record_reply(
             self.relay, self.endpoint, reply, self.request.id
         )
@@ -269,6 +266,8 @@
         """
         while True:
             data = self.exchange.take_body()
+            if data:
+                self.silence.record_received()
             body.add(data)
             failure = self.relay.answer_buffers.add(self.exchange, len(data))
             if failure:
@@ -292,22 +291,21 @@
             data = self.exchange.take_body()
             connection.resume_reading()
             if data:
+                self.silence.record_received()
                 if has_data:
                     self.timing.record_further_data(len(data))
                 else:
                     self.timing.record_first_data()
                     self._record_prompt_read()
                     self._count_usage(self.relay.now())
-                    self.last_event_at = self.relay.now()
+                    self.silence.record_sent_events()
                 has_data = True
                 early_result = await self._send_events(data, deadline)
                 if early_result is not None:
                     return early_result
             if self.exchange.ended and not self.exchange.chunks:
                 break
-            early_result = await self._wait_for_progress(
-                deadline, detect_stall=has_data
-            )
+            early_result = await self._wait_for_progress(deadline)
             if early_result is not None:
                 return early_result
         failure = attempt_results.explain_broken_off(
@@ -332,7 +330,7 @@
         try:
             async with asyncio.timeout(max(0.0, deadline - self.relay.now())):
                 if await self.delivery.send_events(data):
-                    self.last_event_at = self.relay.now()
+                    self.silence.record_sent_events()
                 if self.delivery.has_large_event:
                     if self.request.route.resumable:
                         return self._record_lost(
@@ -344,29 +342,22 @@
         return None
 
     async def _wait_for_progress(
-        self, deadline: float, *, detect_stall: bool = False
+        self, deadline: float
     ) -> results.Result | None:
         """Waits for progress of the exchange.
 
         Returns:
             The result if the attempt is over, None if it goes on.
         """
-        now = self.relay.now()
-        wait_until = deadline
-        may_resume = detect_stall and self.request.route.resumable
-        if may_resume:
-            leave_at = max(self.last_event_at + STALL_TIMEOUT_S, self.leave_at)
-            wait_until = min(wait_until, leave_at)
         if self.delivery.caller_left:
             return results.CallerLeft()
-        if not await self.exchange.wait_for_change(wait_until - now):
-            if wait_until < deadline and self.reserve_retry():
-                return self._record_lost("stream stalled")
-            if wait_until < deadline:
-                self.leave_at = self.relay.now() + STALL_CHECK_INTERVAL_S
-                return None
+        wait_until = min(deadline, self.silence.next_check_at)
+        if await self.exchange.wait_for_change(wait_until - self.relay.now()):
+            return results.CallerLeft() if self.delivery.caller_left else None
+        if wait_until == deadline:
             return results.TimedOut(reason=self._explain_timeout())
-        return results.CallerLeft() if self.delivery.caller_left else None
+        reason = self.silence.check()
+        return self._record_lost(reason) if reason else None
 
     def _explain_timeout(self) -> str:
         if self.exchange.ended:
--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -123,6 +123,7 @@
                 feed.task.cancel()
                 _run_in_background(feed.link.stop())
         self._expire_endpoints(now)
+        self.relay.remove_unknown_endpoints()
         endpoint_limits.remove_unknown(self.relay)
         leaving_endpoints.expire(self.relay)
         self.relay.refusals.expire(now)
--- a/src/_arbutuswalk/relay/crash_probes.py
+++ b/src/_arbutuswalk/relay/crash_probes.py
@@ -9,6 +9,7 @@
 from _arbutuswalk.base import background
 from _arbutuswalk.base import events
 from _arbutuswalk.relay import connection_limits
+from _arbutuswalk.relay import placement
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory
@@ -28,6 +29,36 @@
     background.start("probe", _probe(relay, endpoint))
 
 
+def start_silent(
+    relay: relay_state.Relay, endpoint: directory.Endpoint
+) -> None:
+    """Opens a connection to a silent endpoint, unless that is under way.
+
+    An endpoint that does not accept one becomes a suspect.
+    """
+    endpoint_start = directory.start_of(endpoint)
+    if endpoint_start in relay.probed_starts:
+        return
+    relay.probed_starts.add(endpoint_start)
+    background.start("probe", _probe_silent(relay, endpoint))
+
+
+async def _probe_silent(
+    relay: relay_state.Relay, endpoint: directory.Endpoint
+) -> None:
+    try:
+        connection = await relay.pool.open(endpoint.address)
+        if isinstance(connection, pool.NotOpened):
+            record_not_opened(relay, endpoint, connection)
+            placement.mark_suspect(relay, endpoint.id, connection.reason)
+            relay.pool.close_idle(endpoint.address)
+        else:
+            relay.heard_at[endpoint.id] = relay.now()
+            connection_limits.release(relay, endpoint, connection)
+    finally:
+        relay.probed_starts.discard(directory.start_of(endpoint))
+
+
 async def _probe(
     relay: relay_state.Relay, endpoint: directory.Endpoint
 ) -> None:
--- a/src/_arbutuswalk/relay/placement.py
+++ b/src/_arbutuswalk/relay/placement.py
@@ -58,13 +58,17 @@
     return _choose(relay, request, _with_connection(relay, candidates), now)
 
 
-def has_sound_endpoint(
-    relay: relay_state.Relay, request: requests.Request, tried: set[str]
+def has_endpoint(
+    relay: relay_state.Relay,
+    request: requests.Request,
+    tried: set[str],
+    *,
+    needs_sound: bool,
 ) -> bool:
-    """Returns whether a request may be sent to another sound endpoint now."""
+    """Returns whether a request may be sent to another endpoint now."""
     candidates = _find_candidates(relay, request, tried, 0.0, 0.0)
     return any(
-        not candidate.doubtful
+        not (candidate.doubtful and needs_sound)
         for candidate in _with_connection(relay, candidates)
     )
 
--- a/src/_arbutuswalk/relay/relay_state.py
+++ b/src/_arbutuswalk/relay/relay_state.py
@@ -94,6 +94,7 @@
         refusals: What is refused as it crashes endpoints.
         lateness: Longest deadlines of the callers of each route.
         recent_parts: Endpoints that recently received shared prompt parts.
+        heard_at: When an endpoint last sent something, by id.
         suspect_until: Time until which an endpoint is used last, by id.
         retry_windows: Retry window by upstream.
         quota_buckets: Quota bucket by workspace.
@@ -144,6 +145,7 @@
         self.outlier_detector = outliers.OutlierDetector()
         self.probed_starts: set[leaving.Start] = set()
         self.refusals = refusals.Refusals()
+        self.heard_at: dict[str, float] = {}
         self.suspect_until: dict[str, float] = {}
         self.retry_windows: dict[str, retries.RetryWindow] = {}
         self.quota_buckets: dict[str, quota.Bucket] = {}
@@ -176,6 +178,12 @@
         if load.running or load.waiting_tokens:
             self.own_loads[endpoint] = load
 
+    def remove_unknown_endpoints(self) -> None:
+        """Forgets when endpoints that are not in the directory failed."""
+        for times in (self.heard_at, self.suspect_until):
+            for endpoint_id in times.keys() - self.directory.rows.keys():
+                del times[endpoint_id]
+
     def notify_waiters(self) -> None:
         """Wakes all tasks that wait for an update from control."""
         former_event, self.control_updated = (
--- a/src/_arbutuswalk/relay/relaying.py
+++ b/src/_arbutuswalk/relay/relaying.py
@@ -57,9 +57,11 @@
     endpoint_id = ""
     retry_reserved = False
 
-    def reserve_retry() -> bool:
+    def reserve_retry(needs_sound: bool) -> bool:
         nonlocal retry_reserved
-        retry_reserved = _may_leave_endpoint(relay, request, tally, tried)
+        retry_reserved = placement.has_endpoint(
+            relay, request, tried, needs_sound=needs_sound
+        ) and _may_leave_endpoint(relay, request, tally)
         return retry_reserved
 
     while True:
@@ -120,7 +122,6 @@
     relay: relay_state.Relay,
     request: requests.Request,
     tally: results.Tally,
-    tried: set[str],
 ) -> bool:
     """Returns whether another attempt may follow one that is under way.
 
@@ -131,7 +132,6 @@
     left_s = request.deadline - relay.now()
     return (
         results.why_no_retry(lost, request.route, tally, left_s) is None
-        and placement.has_sound_endpoint(relay, request, tried)
         and not admission.find_refused_key(relay, request)
         and _why_no_attempt(relay, request, tally) is None
     )
--- a/src/_arbutuswalk/streams/connection.py
+++ b/src/_arbutuswalk/streams/connection.py
@@ -178,7 +178,7 @@
         self.transport = transport
         sock = transport.get_extra_info("socket")
         if sock is not None:
-            sockets.set_options(sock)
+            sockets.set_options(sock, sockets.UPSTREAM)
 
     def has_unread_data(self) -> bool:
         """Whether data or the end of the connection waits to be read.
--- a/src/_arbutuswalk/wire/link.py
+++ b/src/_arbutuswalk/wire/link.py
@@ -120,7 +120,9 @@
                     reader, writer = await asyncio.open_connection(
                         host, int(port)
                     )
-                sockets.set_options(writer.get_extra_info("socket"))
+                sockets.set_options(
+                    writer.get_extra_info("socket"), sockets.LINK
+                )
             except (TimeoutError, OSError, ValueError) as error:
                 # The connection may be lost before its socket options are set,
                 # and an address given by another process may be invalid.
@@ -241,7 +243,7 @@
     ) -> None:
         self.writers.add(writer)
         try:
-            sockets.set_options(writer.get_extra_info("socket"))
+            sockets.set_options(writer.get_extra_info("socket"), sockets.LINK)
             while True:
                 decoded = await read_frame(reader)
                 if decoded is None:
--- a/testing/test_silent_endpoints.py
+++ b/testing/test_silent_endpoints.py
@@ -130,3 +130,45 @@
             relay, LateReader(), body=b"x" * LARGE_BODY_BYTES
         )
         assert (caller.status, caller.data) == (200, b"ok")
+
+    async def test_a_call_that_may_not_be_repeated_waits(self):
+        relay = make_relay(ONCE)
+        silent = relay_fixtures.ScriptedEndpoint(late_answer, name="e1")
+        other = relay_fixtures.ScriptedEndpoint(name="e2")
+        await other.start(relay)
+        relay.add_load("e2", 1, 0)
+        caller = await test_relay.relay_to(relay, silent)
+        assert caller.status == 200
+        assert not other.request_heads
+
+    async def test_an_unreachable_endpoint_is_left_if_another_may_answer(self):
+        relay = make_relay(RESUMABLE._replace(kind=routeconfig.IDEMPOTENT))
+        silent = relay_fixtures.ScriptedEndpoint(
+            relay_fixtures.stay_silent(), name="e1"
+        )
+        other = relay_fixtures.ScriptedEndpoint(name="e2")
+        await silent.start(relay)
+        await other.start(relay)
+        relay.add_load("e2", 1, 0)
+        answer = asyncio.ensure_future(test_relay.relay_to(relay))
+        while not silent.request_heads:
+            await asyncio.sleep(0.01)
+        silent.stop()  # accepts no more connections, and keeps this one
+        caller = await asyncio.wait_for(answer, 2 * SILENCE_S)
+        assert caller.status == 200
+        assert len(other.request_heads) == 1
+
+    async def test_a_slow_endpoint_that_responds_is_not_left(self):
+        relay = make_relay(RESUMABLE._replace(kind=routeconfig.IDEMPOTENT))
+        slow = relay_fixtures.ScriptedEndpoint(late_answer, name="e1")
+        other = relay_fixtures.ScriptedEndpoint(name="e2")
+        await other.start(relay)
+        relay.add_load("e2", 1, 0)
+        caller = await test_relay.relay_to(relay, slow)
+        assert caller.status == 200
+        assert not other.request_heads
+
+
+async def late_answer(head, writer):
+    await asyncio.sleep(SILENCE_S)
+    await relay_fixtures.send_answer()(head, writer)
--- a/testing/test_wire.py
+++ b/testing/test_wire.py
@@ -137,7 +137,7 @@
     ):
         """Unhandled, the error ended a watch permanently (soak, seed 1036)."""
 
-        def fail(_):
+        def fail(*_):
             raise OSError(9, "Bad file descriptor")
 
         monkeypatch.setattr(link.sockets, "set_options", fail)
--- a/testing/watch_network.py
+++ b/testing/watch_network.py
@@ -76,7 +76,7 @@
         self.next_lost = ""
         self.discovery = None
         self.watchers = []
-        monkeypatch.setattr(sockets, "set_options", lambda _: None)
+        monkeypatch.setattr(sockets, "set_options", lambda *_: None)
         monkeypatch.setattr(
             link.asyncio, "open_connection", self._open_connection
         )
