--- a/testing/test_slow_callers.py
+++ b/testing/test_slow_callers.py
@@ -97,3 +97,42 @@
         received = await read_late(STREAM_ROUTE, stream, 1.0)
         assert received.endswith(b"0\r\n\r\n")
         assert received.count(EVENT) == EVENT_COUNT
+
+
+class TestDeadCallers:
+    async def test_the_kernel_gives_up_a_caller_that_never_responds(self):
+        async with test_platform_front.RunningEntry() as entry:
+            _, writer = await entry.connect()
+            async with asyncio.timeout(2):
+                while not entry.listener.server_state.connections:
+                    await asyncio.sleep(0.01)
+            (connection,) = entry.listener.server_state.connections
+            sock = connection.transport.get_extra_info("socket")
+            writer.close()
+            assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+            timeout_ms = sock.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+            )
+            assert 15_000 <= timeout_ms <= 60_000
+
+    async def test_one_that_never_reads_is_closed_at_the_timeout(self):
+        """Its answer must not stay in memory for as long as it responds."""
+        route = STREAM_ROUTE._replace(timeout_s=1.5)
+        config = relay_fixtures.make_config(route)
+
+        async def stream(head, writer):
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nX-Attempt-Id: attempt-1\r\n"
+                b"Content-Type: text/event-stream\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n"
+            )
+            while True:
+                writer.write(b"%x\r\n%b\r\n" % (len(EVENT), EVENT))
+                await writer.drain()
+
+        async with test_platform_front.RunningEntry(config, [stream]) as entry:
+            _, writer = await connect_busy_caller(entry)
+            writer.write(REQUEST)
+            async with asyncio.timeout(10):
+                await entry.endpoint.connection_lost.wait()
+            writer.close()
