Leave a silent endpoint only for one that was heard since

After 1 s of silence a connection is opened to another endpoint unless one was heard; the stream leaves only for one that was. An attempt that was not sent keeps its place in the budget for the next one: the budget counts arrivals. The attempts of a request and their retries are one type now, relay.retry_reservation.

--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -1,7 +1,6 @@
 """Sends a request to one endpoint and processes the answer."""
 
 import asyncio
-from collections.abc import Callable
 
 from _arbutuswalk.base import clock
 from _arbutuswalk.relay import answer_buffers
@@ -17,6 +16,7 @@
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import results
+from _arbutuswalk.relay import retry_reservation
 from _arbutuswalk.relay import silence
 from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory
@@ -57,7 +57,7 @@
         relay: relay_state.Relay,
         caller_delivery: delivery.Delivery,
         chosen: placement.Placement,
-        reserve_retry: Callable[[bool], bool],
+        retry: retry_reservation.RetryReservation,
     ):
         self.relay = relay
         self.delivery = caller_delivery
@@ -69,7 +69,7 @@
             relay=relay,
             request=self.request,
             endpoint=self.endpoint,
-            reserve_retry=reserve_retry,
+            retry=retry,
         )
         self.timing = attempt_timing.AttemptTiming(
             relay=relay,
@@ -137,7 +137,7 @@
         self.delivery.on_caller_left = self.exchange.changed.set
         endpoint_limits.record_sent(self.relay, self.endpoint)
         connection.send_request(data, self.exchange)
-        self.silence.restart()
+        self.silence.record_sent()
         self.timing.start()
         result = await self._receive_answer(connection)
         self._release_connection(connection, result)
--- a/src/_arbutuswalk/relay/placement.py
+++ b/src/_arbutuswalk/relay/placement.py
@@ -58,19 +58,27 @@
     return _choose(relay, request, _with_connection(relay, candidates), now)
 
 
-def has_endpoint(
+def usable_endpoints(
     relay: relay_state.Relay,
     request: requests.Request,
     tried: set[str],
     *,
     needs_sound: bool,
-) -> bool:
-    """Returns whether a request may be sent to another endpoint now."""
+) -> list[str]:
+    """Returns the endpoints that a request may be sent to now.
+
+    Args:
+        relay: State of the entry.
+        request: The request.
+        tried: Endpoints to leave out.
+        needs_sound: Whether to leave out those that failed recently.
+    """
     candidates = _find_candidates(relay, request, tried, 0.0, 0.0)
-    return any(
-        not (candidate.doubtful and needs_sound)
+    return [
+        candidate.id
         for candidate in _with_connection(relay, candidates)
-    )
+        if not (candidate.doubtful and needs_sound)
+    ]
 
 
 def _find_candidates(
--- a/src/_arbutuswalk/relay/relaying.py
+++ b/src/_arbutuswalk/relay/relaying.py
@@ -14,6 +14,7 @@
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import results
+from _arbutuswalk.relay import retry_reservation
 from _arbutuswalk.routing import refusals
 from _arbutuswalk.streams import replies
 
@@ -50,46 +51,36 @@
 ) -> None:
     """Sends a request to endpoints until it is answered or has failed."""
     relay.retry_window(request.upstream).record_request(relay.now())
-    tally = results.Tally()
-    tried: set[str] = set()
+    retry = retry_reservation.RetryReservation(relay=relay, request=request)
     last_answer: results.Answered | None = None
     result: results.Result = results.NotSent(reason="no endpoint is ready")
     endpoint_id = ""
-    retry_reserved = False
-
-    def reserve_retry(needs_sound: bool) -> bool:
-        nonlocal retry_reserved
-        retry_reserved = placement.has_endpoint(
-            relay, request, tried, needs_sound=needs_sound
-        ) and _may_leave_endpoint(relay, request, tally)
-        return retry_reserved
-
     while True:
-        chosen = await permitted_placement.find(relay, request, tried)
-        if isinstance(chosen, results.NotSent) and not tried:
+        chosen = await permitted_placement.find(relay, request, retry.tried)
+        if isinstance(chosen, results.NotSent) and not retry.tried:
             chosen = await _find_after_startup(relay, request, chosen)
         if isinstance(chosen, results.NotSent):
-            ended_by = _explain_no_endpoint(relay, request, tried, chosen)
-            has_run = tally.runs or isinstance(result, results.Answered)
-            if not tried or (not has_run and chosen.retry_after_s is not None):
+            ended_by = _explain_no_endpoint(relay, request, retry.tried, chosen)
+            has_run = retry.tally.runs or isinstance(result, results.Answered)
+            if not retry.tried or (
+                not has_run and chosen.retry_after_s is not None
+            ):
                 result = chosen
             break
         refused_key = admission.find_refused_key(relay, request)
         if refused_key:
             ended_by = results.NoRetry(decision="refused", inputs=refused_key)
-            if not tally.runs:
+            if not retry.tally.runs:
                 result = results.NotSent(
                     reason=f"{refused_key} crashes endpoints",
                     retry_after_s=refusals.RETENTION_S,
                 )
             break
-        if not retry_reserved:
-            ended_by = _why_no_attempt(relay, request, tally)
-            if ended_by is not None:
-                break
-        retry_reserved = False
+        ended_by = retry.acquire()
+        if ended_by is not None:
+            break
         endpoint_id = chosen.endpoint.id
-        tried.add(endpoint_id)
+        retry.tried.add(endpoint_id)
         if caller_delivery.headers_sent:
             events.record(
                 events.Event.RESUMED,
@@ -101,42 +92,25 @@
             relay=relay,
             caller_delivery=caller_delivery,
             chosen=chosen,
-            reserve_retry=reserve_retry,
+            retry=retry,
         )
         result = await attempt.run()
-        tally = results.tally_result(tally, result)
+        retry.record_result(result)
         if isinstance(result, results.Answered):
             last_answer = result
         left_s = request.deadline - relay.now()
-        ended_by = results.why_no_retry(result, request.route, tally, left_s)
+        ended_by = results.why_no_retry(
+            result, request.route, retry.tally, left_s
+        )
         if ended_by is not None:
             break
     if isinstance(result, results.CallerLeft):
         _record_caller_left(relay, request, endpoint_id)
         return
-    outcome = Outcome(result, last_answer, tally, endpoint_id, ended_by)
+    outcome = Outcome(result, last_answer, retry.tally, endpoint_id, ended_by)
     await _send_final_answer(relay, caller_delivery, outcome)
 
 
-def _may_leave_endpoint(
-    relay: relay_state.Relay,
-    request: requests.Request,
-    tally: results.Tally,
-) -> bool:
-    """Returns whether another attempt may follow one that is under way.
-
-    If it may, its retry has been taken from the budget.
-    """
-    lost = results.Lost(reason="silent")
-    tally = results.tally_result(tally, lost)
-    left_s = request.deadline - relay.now()
-    return (
-        results.why_no_retry(lost, request.route, tally, left_s) is None
-        and not admission.find_refused_key(relay, request)
-        and _why_no_attempt(relay, request, tally) is None
-    )
-
-
 async def _find_after_startup(
     relay: relay_state.Relay,
     request: requests.Request,
@@ -175,26 +149,6 @@
     )
 
 
-def _why_no_attempt(
-    relay: relay_state.Relay, request: requests.Request, tally: results.Tally
-) -> results.NoRetry | None:
-    """Returns why the retry budget permits no attempt, None if it does.
-
-    Attempts that did not reach an endpoint take nothing from the budget.
-    """
-    if not tally.arrivals:
-        return None
-    window = relay.retry_window(request.upstream)
-    now = relay.now()
-    if window.try_acquire(now, relay.entry_count):
-        return None
-    use = window.use(now, relay.entry_count)
-    return results.NoRetry(
-        decision="retry budget",
-        inputs=f"{use.retries} of {use.limit:.1f} in {window.window_s:g} s",
-    )
-
-
 async def _send_final_answer(
     relay: relay_state.Relay,
     caller_delivery: delivery.Delivery,
--- a/src/_arbutuswalk/relay/silence.py
+++ b/src/_arbutuswalk/relay/silence.py
@@ -6,16 +6,16 @@
 """
 
 import math
-from collections.abc import Callable
 
 from _arbutuswalk.relay import crash_probes
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
+from _arbutuswalk.relay import retry_reservation
 from _arbutuswalk.routing import directory
 
 PROBE_AFTER_S = 1.0
-"""Time without any data of an endpoint after which a connection to it is opened
-to see whether it responds."""
+"""Silence after which connections are opened, to see whether the endpoint
+responds and which other one does."""
 LEAVE_AFTER_S = 1.5
 """Silence after which an attempt may leave its endpoint. Callers abandon a
 stream after two seconds at the earliest."""
@@ -29,13 +29,11 @@
         relay: State of the entry.
         request: The request.
         endpoint: Endpoint that it was sent to.
-        reserve_retry: Returns whether another attempt may follow, and takes it
-            from the retry budget. Its argument tells whether only an endpoint
-            counts that has not failed recently.
+        retry: Whether another attempt may follow.
         has_begun: Whether events were sent to the caller.
         received_at: When anything was last received, in seconds.
-        silent_since: When the request was sent, or events were last sent to
-            the caller, in seconds.
+        progress_at: When the request was sent, or events were last sent to the
+            caller, in seconds.
         next_check_at: When the silence is examined next, in seconds.
     """
 
@@ -45,25 +43,21 @@
         relay: relay_state.Relay,
         request: requests.Request,
         endpoint: directory.Endpoint,
-        reserve_retry: Callable[[bool], bool],
+        retry: retry_reservation.RetryReservation,
     ):
         self.relay = relay
         self.request = request
         self.endpoint = endpoint
-        self.reserve_retry = reserve_retry
+        self.retry = retry
         self.has_begun = False
-        self.received_at = self.silent_since = relay.now()
+        self.received_at = self.progress_at = relay.now()
         self.next_check_at = math.inf
-        self.restart()
 
-    def restart(self) -> None:
-        """Starts the silence anew when the request has been sent."""
-        self.silent_since = self.relay.now()
-        self.next_check_at = (
-            self.silent_since + PROBE_AFTER_S
-            if self.request.route.repeatable
-            else math.inf
-        )
+    def record_sent(self) -> None:
+        """Records that the request was sent."""
+        self.retry.reserved = False
+        self.received_at = self.relay.now()
+        self._record_progress(may_leave=self.request.route.repeatable)
 
     def record_received(self) -> None:
         """Records that the endpoint has sent something."""
@@ -73,31 +67,35 @@
     def record_sent_events(self) -> None:
         """Records that events of a stream were sent to the caller."""
         self.has_begun = True
-        self.silent_since = self.relay.now()
+        self._record_progress(may_leave=self.request.route.resumable)
+
+    def _record_progress(self, *, may_leave: bool) -> None:
+        self.progress_at = self.relay.now()
         self.next_check_at = (
-            self.silent_since + LEAVE_AFTER_S
-            if self.request.route.resumable
-            else math.inf
+            self.progress_at + PROBE_AFTER_S if may_leave else math.inf
         )
 
     def check(self) -> str:
         """Returns why the attempt leaves the endpoint, empty if it does not."""
         now = self.relay.now()
         self.next_check_at = now + CHECK_INTERVAL_S
-        if now - self.silent_since < LEAVE_AFTER_S:
+        silent_since = max(self.received_at, self.progress_at)
+        is_silent = now - silent_since >= PROBE_AFTER_S
+        if is_silent:
             self._probe(now)
+            self.retry.prepare(silent_since)
+        if now - self.progress_at < LEAVE_AFTER_S:
             return ""
         if self.has_begun:
             # One that sends bytes but no whole event does not recover.
-            is_silent = now - self.received_at >= LEAVE_AFTER_S
-            return "stream stalled" if self.reserve_retry(is_silent) else ""
+            may_leave = self.retry.reserve(silent_since if is_silent else None)
+            return "stream stalled" if may_leave else ""
         # A sound endpoint may take longer than this to begin its answer.
-        if self.relay.suspect_until.get(self.endpoint.id, 0.0) <= now:
-            self._probe(now)
-            return ""
-        return "endpoint silent" if self.reserve_retry(True) else ""
+        is_suspect = self.relay.suspect_until.get(self.endpoint.id, 0.0) > now
+        may_leave = is_suspect and self.retry.reserve(silent_since)
+        return "endpoint silent" if may_leave else ""
 
     def _probe(self, now: float) -> None:
         heard_at = self.relay.heard_at.get(self.endpoint.id, -math.inf)
-        if now - max(heard_at, self.silent_since) >= PROBE_AFTER_S:
+        if now - max(heard_at, self.progress_at) >= PROBE_AFTER_S:
             crash_probes.start_silent(self.relay, self.endpoint)
--- a/testing/test_silent_endpoints.py
+++ b/testing/test_silent_endpoints.py
@@ -115,9 +115,12 @@
 
     async def serve(self, reader, writer):
         writer.transport.pause_reading()
-        await asyncio.sleep(2 * SILENCE_S)
-        writer.transport.resume_reading()
-        await self.endpoint.serve(reader, writer)
+        try:
+            await asyncio.sleep(2 * SILENCE_S)
+            writer.transport.resume_reading()
+            await self.endpoint.serve(reader, writer)
+        finally:
+            writer.close()
 
     def stop(self):
         self.server.close()
@@ -172,3 +175,57 @@
 async def late_answer(head, writer):
     await asyncio.sleep(SILENCE_S)
     await relay_fixtures.send_answer()(head, writer)
+
+
+class TestOtherEndpoints:
+    """A stream leaves a silent endpoint for one that was heard since."""
+
+    async def stall(self, *others, **options):
+        relay = make_relay(RESUMABLE, **options)
+        silent = relay_fixtures.ScriptedEndpoint(
+            fall_silent((1, "a"), (2, "b")), name="e1"
+        )
+        await silent.start(relay)
+        for other in others:
+            await other.start(relay)
+            relay.add_load(other.name, 1, 0)
+        return await test_relay.relay_to(relay)
+
+    def make_unreachable(self, name):
+        """Returns an endpoint whose address refuses connections."""
+        unreachable = relay_fixtures.ScriptedEndpoint(name=name)
+        start = unreachable.start
+
+        async def start_and_stop(relay):
+            await start(relay)
+            unreachable.stop()
+
+        unreachable.start = start_and_stop
+        return unreachable
+
+    async def test_one_that_cannot_be_reached_is_not_chosen(self):
+        caller = await self.stall(self.make_unreachable("e2"))
+        assert caller.data.endswith(b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+        assert caller.complete
+
+    async def test_an_attempt_that_was_not_sent_takes_one_retry_only(self):
+        """The budget permits one retry; e2 ends before it can be used."""
+        relay = make_relay(RESUMABLE, retry_ratio=0.0, retry_extra=2.6)
+        relay.started_at -= 60
+        broken = relay_fixtures.ScriptedEndpoint(
+            relay_fixtures.send_stream((1, "a"), end=False, close=True),
+            name="e1",
+        )
+        unreachable = self.make_unreachable("e2")
+        last = relay_fixtures.ScriptedEndpoint(
+            relay_fixtures.send_stream((2, "b")), name="e3"
+        )
+        for load, each in enumerate((broken, unreachable, last)):
+            await each.start(relay)
+            relay.add_load(each.name, load, 0)
+        window = relay.retry_window("ops")
+        limit = window.use(relay.now(), relay.entry_count).limit
+        assert 1 <= limit < 2
+        caller = await test_relay.relay_to(relay)
+        assert caller.complete
+        assert len(last.request_heads) == 1
