--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from _arbutuswalk.base import clock
 from _arbutuswalk.relay import answer_buffers
 from _arbutuswalk.relay import attempt_results
 from _arbutuswalk.relay import attempt_timing
@@ -15,6 +16,8 @@
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import results
+from _arbutuswalk.relay import retry_reservation
+from _arbutuswalk.relay import silence
 from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory
 from _arbutuswalk.routing import stated_limits
@@ -30,9 +33,6 @@
 REJECTION_BODY_WAIT_S = 0.1
 """Time for which the body of an answer is awaited whose head states that the
 request was not run. It is read only to keep the connection usable."""
-STALL_TIMEOUT_S = 1.0
-"""Time without a complete event after which a stream is resumed at another
-endpoint: half of the shortest time after which callers abandon a stream."""
 LOWEST_PRIORITY = 9
 
 
@@ -47,7 +47,7 @@
         exchange: HTTP exchange on the connection.
         started_at: When the attempt started, in seconds.
         unread_tokens: Prompt tokens that the endpoint has not read yet.
-        last_event_at: When events of a stream were last sent, in seconds.
+        silence: Decides when a silent endpoint is left.
         timing: Its latencies.
     """
 
@@ -57,6 +57,7 @@
         relay: relay_state.Relay,
         caller_delivery: delivery.Delivery,
         chosen: placement.Placement,
+        retry: retry_reservation.RetryReservation,
     ):
         self.relay = relay
         self.delivery = caller_delivery
@@ -64,7 +65,12 @@
         self.endpoint = chosen.endpoint
         self.unread_tokens = chosen.uncached_tokens
         self.started_at = relay.now()
-        self.last_event_at = 0.0
+        self.silence = silence.SilenceWatch(
+            relay=relay,
+            request=self.request,
+            endpoint=self.endpoint,
+            retry=retry,
+        )
         self.timing = attempt_timing.AttemptTiming(
             relay=relay,
             request=self.request,
@@ -131,6 +137,7 @@
         self.delivery.on_caller_left = self.exchange.changed.set
         endpoint_limits.record_sent(self.relay, self.endpoint)
         connection.send_request(data, self.exchange)
+        self.silence.record_sent()
         self.timing.start()
         result = await self._receive_answer(connection)
         self._release_connection(connection, result)
@@ -141,6 +148,7 @@
         return directory.is_leaving(self.relay.directory, start)
 
     def _record_reply(self, reply: replies.Reply) -> None:
+        self.silence.record_received()
         leaving_endpoints.record_reply(
             self.relay, self.endpoint, reply, self.request.id
         )
@@ -258,6 +266,8 @@
         """
         while True:
             data = self.exchange.take_body()
+            if data:
+                self.silence.record_received()
             body.add(data)
             failure = self.relay.answer_buffers.add(self.exchange, len(data))
             if failure:
@@ -281,22 +291,21 @@
             data = self.exchange.take_body()
             connection.resume_reading()
             if data:
+                self.silence.record_received()
                 if has_data:
                     self.timing.record_further_data(len(data))
                 else:
                     self.timing.record_first_data()
                     self._record_prompt_read()
                     self._count_usage(self.relay.now())
-                    self.last_event_at = self.relay.now()
+                    self.silence.record_sent_events()
                 has_data = True
                 early_result = await self._send_events(data, deadline)
                 if early_result is not None:
                     return early_result
             if self.exchange.ended and not self.exchange.chunks:
                 break
-            early_result = await self._wait_for_progress(
-                deadline, detect_stall=has_data
-            )
+            early_result = await self._wait_for_progress(deadline)
             if early_result is not None:
                 return early_result
         failure = attempt_results.explain_broken_off(
@@ -321,7 +330,7 @@
         try:
             async with asyncio.timeout(max(0.0, deadline - self.relay.now())):
                 if await self.delivery.send_events(data):
-                    self.last_event_at = self.relay.now()
+                    self.silence.record_sent_events()
                 if self.delivery.has_large_event:
                     if self.request.route.resumable:
                         return self._record_lost(
@@ -333,25 +342,28 @@
         return None
 
     async def _wait_for_progress(
-        self, deadline: float, *, detect_stall: bool = False
+        self, deadline: float
     ) -> results.Result | None:
         """Waits for progress of the exchange.
 
         Returns:
             The result if the attempt is over, None if it goes on.
         """
-        now = self.relay.now()
-        wait_until = deadline
-        may_resume = detect_stall and self.request.route.resumable
-        if may_resume:
-            wait_until = min(wait_until, self.last_event_at + STALL_TIMEOUT_S)
         if self.delivery.caller_left:
             return results.CallerLeft()
-        if not await self.exchange.wait_for_change(wait_until - now):
-            if wait_until < deadline:
-                return self._record_lost("stream stalled")
-            return results.TimedOut(reason="no time left")
-        return results.CallerLeft() if self.delivery.caller_left else None
+        wait_until = min(deadline, self.silence.next_check_at)
+        if await self.exchange.wait_for_change(wait_until - self.relay.now()):
+            return results.CallerLeft() if self.delivery.caller_left else None
+        if wait_until == deadline:
+            return results.TimedOut(reason=self._explain_timeout())
+        reason = self.silence.check()
+        return self._record_lost(reason) if reason else None
+
+    def _explain_timeout(self) -> str:
+        if self.exchange.ended:
+            return "no time left to send the rest of the answer"
+        silent_s = clock.monotonic() - self.exchange.last_received_at
+        return f"no time left, nothing received for {silent_s:.1f} s"
 
     def _record_lost(self, reason: str) -> results.Lost:
         crashes.record_lost_connection(
