Serve callers of an entry that is cut off through other entries

Cause: an entry was the only way for its callers' requests, and did not know that it was cut off. It tried up to four endpoints and gave up.

Ruled out: the endpoints (the other entries use the same ones at the same time), and quotas, whose 429 are a few at all entries.

An entry whose connections to three endpoints fail with no success between them opens its connections through peers, which control names to it. The peer passes bytes on and decides nothing. Without a peer a request is refused at once and look-ups leave the entry out.

--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -182,6 +182,12 @@
         684,
         "caller connection timed out caller=%s busy=%s unsent_bytes=%s",
     )
+    PATH_LOST = (
+        690,
+        "path to endpoints lost reason=%s endpoints=%s peers=%s",
+    )
+    PATH_RESTORED = (691, "path to endpoints restored after_s=%s")
+    TUNNEL_FAILED = (692, "tunnel failed peer=%s endpoint=%s reason=%s")
     HEAD_REFUSED = (683, "request head refused caller=%s status=%s reason=%s")
 
     @property
--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -19,6 +19,7 @@
 from _arbutuswalk.base import events
 from _arbutuswalk.base import metrics
 from _arbutuswalk.control import crash_reports
+from _arbutuswalk.control import entry_paths
 from _arbutuswalk.control import entry_reports
 from _arbutuswalk.control import member as members
 from _arbutuswalk.control import report_checks
@@ -167,11 +168,7 @@
         """Returns the reports of ready entries, for look-ups."""
         since = self.now() - LOOKUP_SILENCE_TIMEOUT_S
         recent = entry_reports.newest_incarnations(self.entries, since)
-        return [
-            entry.report
-            for entry in recent.values()
-            if entry.report.get("ready")
-        ]
+        return entry_paths.reports_for_lookups(recent.values())
 
     def reachable_entries(self) -> dict[str, entry_reports.KnownEntry]:
         """Returns the newest incarnation of each reachable entry, by id."""
@@ -366,6 +363,9 @@
             **watch_updates.parts(self.directory, revision, wanted, loads),
             "members": self.member_addresses(),
             "domain": self.domain,
+            "peers": entry_paths.peers_of(
+                wanted.peers_of, self.reachable_entries
+            ),
             "rollouts": tables.rollouts,
             "taken": self.quota_use.totals,
             "returned": self.quota_returned.totals,
--- a/src/_arbutuswalk/control/report_checks.py
+++ b/src/_arbutuswalk/control/report_checks.py
@@ -87,6 +87,10 @@
     "rollout_outcomes": _is_list_of(_is_outcome),
     "status_since": _is_number_or_none,
     "unknown": _is_list_of(_is_text),
+    "tunnel_address": _is_text,
+    "cut_off": settings.is_bool,
+    "serves": settings.is_bool,
+    "wants_peers": settings.is_bool,
 }
 
 
--- a/src/_arbutuswalk/control/watch_updates.py
+++ b/src/_arbutuswalk/control/watch_updates.py
@@ -21,11 +21,13 @@
             if it wants neither.
         compact: Whether it understands heartbeats without the whole endpoint.
         unknown_ids: Endpoints that it does not have.
+        peers_of: Its id if it asks for entries that open tunnels, or empty.
     """
 
     status_since: int | None
     compact: bool = False
     unknown_ids: frozenset[str] = frozenset()
+    peers_of: str = ""
 
 
 def wanted_by(report: dict[str, Any], revision: int) -> Wanted:
@@ -44,6 +46,7 @@
         status_since=None if since is None else min(since, revision),
         compact=True,
         unknown_ids=frozenset(report.get("unknown", ())),
+        peers_of=report.get("entry", "") if report.get("wants_peers") else "",
     )
 
 
--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -107,6 +107,8 @@
             self.endpoint.address, non_idempotent=not self._is_repeatable()
         )
         if isinstance(connection, pool.NotOpened):
+            if connection.is_path_failure:
+                return results.NotSent(reason=connection.reason)
             crash_probes.record_not_opened(
                 self.relay, self.endpoint, connection
             )
@@ -137,6 +139,7 @@
         self.delivery.on_caller_left = self.exchange.changed.set
         endpoint_limits.record_sent(self.relay, self.endpoint)
         connection.send_request(data, self.exchange)
+        self.silence.is_direct = not connection.peer
         self.silence.record_sent()
         self.timing.start()
         result = await self._receive_answer(connection)
--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -15,10 +15,12 @@
 from _arbutuswalk.relay import crash_probes
 from _arbutuswalk.relay import endpoint_limits
 from _arbutuswalk.relay import leaving_endpoints
+from _arbutuswalk.relay import path_opener
 from _arbutuswalk.relay import permit_requests
 from _arbutuswalk.relay import quota_buckets
 from _arbutuswalk.relay import quota_reports
 from _arbutuswalk.relay import relay_state
+from _arbutuswalk.relay import rollout_outcomes
 from _arbutuswalk.relay import status_feeds
 from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory
@@ -92,6 +94,7 @@
         relay: State of the entry, which the replies update.
         seeds: Link addresses from the settings.
         listen_address: Address that accepts callers' requests.
+        tunnel_address: Address that accepts requests for tunnels, or empty.
         feeds: Watched control process by link address.
         connected_since: Since when at least one control process has been
             answering without interruption, None while none does.
@@ -99,11 +102,17 @@
     """
 
     def __init__(
-        self, *, relay: relay_state.Relay, seeds: list[str], listen_address: str
+        self,
+        *,
+        relay: relay_state.Relay,
+        seeds: list[str],
+        listen_address: str,
+        tunnel_address: str = "",
     ):
         self.relay = relay
         self.seeds = seeds
         self.listen_address = listen_address
+        self.tunnel_address = tunnel_address
         self.feeds: dict[str, ControlFeed] = {}
         self.connected_since: float | None = None
         self.fetch_task: asyncio.Task | None = None
@@ -252,6 +261,8 @@
             "usage": relay.usage.counts,
             **quota_reports.to_json(relay.quota_buckets, now),
             "rollout_outcomes": relay.rollout_outcomes.to_json(),
+            "tunnel_address": self.tunnel_address,
+            **path_opener.to_json(relay),
         }
 
     def _apply_reply(self, feed: ControlFeed, reply: ttypes.WatchReply) -> None:
@@ -278,7 +289,8 @@
             self._watch_address(address)
         feed.routes_version = news["routes_version"]
         self._fetch_newer_routes(feed)
-        self._merge_rollouts(news["rollouts"])
+        rollout_outcomes.merge_steps(self.relay.rollouts, news["rollouts"])
+        path_opener.merge_peers(self.relay, news.get("peers", []))
         status_feeds.record_reply(
             self.relay, feed.status, news, reply.version, feed.address
         )
@@ -331,13 +343,6 @@
         apply_routes(self.relay, values, source)
         self.relay.notify_waiters()
 
-    def _merge_rollouts(self, rollouts: dict[str, list]) -> None:
-        """Keeps the newest step of each rollout, from any control process."""
-        for upstream, row in rollouts.items():
-            known = self.relay.rollouts.get(upstream)
-            if known is None or _rollout_order(row) > _rollout_order(known):
-                self.relay.rollouts[upstream] = row
-
     def _update_other_loads(
         self, feed: ControlFeed, loads: dict[str, list[int]]
     ) -> None:
@@ -384,11 +389,6 @@
     events.record(events.Event.ROUTES_IN_FORCE, config.version, before, source)
 
 
-def _rollout_order(row: list) -> tuple[int, int]:
-    started_ms, step = row[4], row[3]
-    return started_ms, step
-
-
 _background_tasks: set[asyncio.Task] = set()
 
 
--- a/src/_arbutuswalk/relay/crash_probes.py
+++ b/src/_arbutuswalk/relay/crash_probes.py
@@ -49,6 +49,8 @@
     try:
         connection = await relay.pool.open(endpoint.address)
         if isinstance(connection, pool.NotOpened):
+            if connection.is_path_failure:
+                return
             record_not_opened(relay, endpoint, connection)
             placement.mark_suspect(relay, endpoint.id, connection.reason)
             relay.pool.close_idle(endpoint.address)
--- /dev/null
+++ b/src/_arbutuswalk/relay/path_opener.py
@@ -0,0 +1,163 @@
+"""Opens connections to endpoints, through other entries if necessary."""
+
+import asyncio
+from typing import Any
+
+from _arbutuswalk.base import background
+from _arbutuswalk.base import events
+from _arbutuswalk.relay import relay_state
+from _arbutuswalk.routing import crashes
+from _arbutuswalk.routing import directory
+from _arbutuswalk.streams import connection as connections
+from _arbutuswalk.streams import pool
+from _arbutuswalk.streams import tunnels
+
+TUNNEL_TIMEOUT_S = 0.6
+PEERS_TRIED = 2
+"""Peers that are asked for one connection."""
+PEERS_WAIT_S = 0.5
+"""Time for which a connection waits for control to name peers: a little longer
+than a watch takes."""
+PROBE_INTERVAL_S = 0.5
+"""Time between connections that show whether the path is restored."""
+EVIDENCE_S = 1.0
+"""Time before the path was found lost in which failures of endpoints are taken
+for its loss."""
+
+
+def install(relay: relay_state.Relay) -> None:
+    """Makes an entry use its peers while it reaches no endpoint itself."""
+
+    async def open_on_any_path(
+        address: str,
+    ) -> connections.Connection | pool.NotOpened:
+        return await _open(relay, address)
+
+    def handle_loss() -> None:
+        _handle_loss(relay)
+
+    def handle_restoration(cut_off_s: float) -> None:
+        events.record(events.Event.PATH_RESTORED, round(cut_off_s, 2))
+        relay.pool.close_idle_through(peers=True)
+
+    relay.pool.opener = open_on_any_path
+    relay.paths.on_lost = handle_loss
+    relay.paths.on_restored = handle_restoration
+
+
+def to_json(relay: relay_state.Relay) -> dict[str, Any]:
+    """Returns what the entry reports on its path to the endpoints."""
+    paths = relay.paths
+    return {
+        "cut_off": paths.is_cut_off,
+        "serves": not paths.is_cut_off or bool(paths.usable_peers()),
+        "wants_peers": paths.wants_peers,
+    }
+
+
+def merge_peers(relay: relay_state.Relay, peers: list[str]) -> None:
+    """Takes the peers from a reply of control, which may name none."""
+    if peers:
+        relay.paths.peers = tuple(peers)
+
+
+async def _open(
+    relay: relay_state.Relay, address: str
+) -> connections.Connection | pool.NotOpened:
+    if not relay.paths.is_cut_off:
+        opened = await relay.pool.open_directly(address)
+        if not isinstance(opened, pool.NotOpened):
+            relay.paths.record_success()
+            return opened
+        relay.paths.record_failure(address, refused=opened.refused)
+        if relay.paths.is_doubtful:
+            background.start("path", _try_another_endpoint(relay))
+        if not relay.paths.is_cut_off:
+            return opened
+    return await _open_through_peer(relay, address)
+
+
+async def _open_through_peer(
+    relay: relay_state.Relay, address: str
+) -> connections.Connection | pool.NotOpened:
+    paths = relay.paths
+    if not paths.peers and paths.is_cut_off:
+        left_s = paths.cut_off_since + PEERS_WAIT_S - relay.now()
+        await _wait_for_peers(relay, left_s)
+    peers = paths.usable_peers()
+    for peer in relay.rng.sample(peers, min(PEERS_TRIED, len(peers))):
+        connection = relay.pool.make_connection(address, peer)
+        failure = await tunnels.open_tunnel(
+            connection, name=relay.name, timeout_s=TUNNEL_TIMEOUT_S
+        )
+        relay.metrics.count("tunnels", f'opened="{failure is None}"')
+        if failure is None:
+            return connection
+        if isinstance(failure, pool.NotOpened):
+            return failure
+        paths.record_peer_failure(peer)
+        events.record(events.Event.TUNNEL_FAILED, peer, address, failure.reason)
+    return pool.NotOpened(
+        reason="no path to endpoints", refused=False, is_path_failure=True
+    )
+
+
+async def _wait_for_peers(relay: relay_state.Relay, left_s: float) -> None:
+    """Waits until control has named peers, or the time is over."""
+    try:
+        async with asyncio.timeout(max(0.0, left_s)):
+            while not relay.paths.peers and relay.paths.is_cut_off:
+                await relay.control_updated.wait()
+    except TimeoutError:
+        return
+
+
+def _handle_loss(relay: relay_state.Relay) -> None:
+    """Takes back what failures of the path were taken for."""
+    paths = relay.paths
+    events.record(
+        events.Event.PATH_LOST,
+        "silent" if paths.is_silent else "refused",
+        len(paths.failures),
+        len(paths.peers),
+    )
+    relay.metrics.count("path_lost")
+    relay.suspect_until.clear()
+    crashes.withdraw_deaths(relay.crashes, relay.now() - EVIDENCE_S)
+    if paths.is_silent:
+        relay.pool.close_idle_through(peers=False)
+    background.start("path", _probe_until_restored(relay))
+
+
+async def _probe_until_restored(relay: relay_state.Relay) -> None:
+    while relay.paths.is_cut_off:
+        await asyncio.sleep(PROBE_INTERVAL_S)
+        await _probe(relay, _ready_addresses(relay))
+
+
+async def _try_another_endpoint(relay: relay_state.Relay) -> None:
+    """Finds out whether the path is lost, or only endpoints have failed."""
+    failures = relay.paths.failures
+    addresses = [a for a in _ready_addresses(relay) if a not in failures]
+    await _probe(relay, addresses)
+
+
+async def _probe(relay: relay_state.Relay, addresses: list[str]) -> None:
+    """Opens a connection to one of these addresses on the entry's own path."""
+    if not addresses:
+        return
+    address = relay.rng.choice(addresses)
+    opened = await relay.pool.open_directly(address)
+    if isinstance(opened, pool.NotOpened):
+        relay.paths.record_failure(address, refused=opened.refused)
+    else:
+        opened.abort()
+        relay.paths.record_success()
+
+
+def _ready_addresses(relay: relay_state.Relay) -> list[str]:
+    return [
+        row.endpoint.address
+        for row in relay.directory.rows.values()
+        if row.endpoint.state == directory.READY
+    ]
--- a/src/_arbutuswalk/relay/relay_state.py
+++ b/src/_arbutuswalk/relay/relay_state.py
@@ -1,6 +1,7 @@
 """State of an entry that relays requests unmodified."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 from typing import NamedTuple
@@ -13,6 +14,7 @@
 from _arbutuswalk.limits import retries
 from _arbutuswalk.relay import answer_buffers
 from _arbutuswalk.relay import lateness
+from _arbutuswalk.relay import paths
 from _arbutuswalk.relay import permit_client
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import rollout_outcomes
@@ -77,6 +79,7 @@
         wall: Wall clock.
         rng: Source of random numbers.
         pool: Connections to endpoints.
+        paths: Whether it reaches endpoints itself.
         answer_buffers: Sizes of the answers that are being buffered.
         route_table: Route configuration, None before the first.
         directory: Known endpoints.
@@ -132,6 +135,13 @@
         self.answer_buffers = answer_buffers.AnswerBuffers()
         self.route_table: routetable.RouteTable | None = None
         self.directory = directory.Directory()
+        self.paths = paths.Paths(
+            now=now,
+            count_endpoints=lambda: len(self.directory.rows),
+            last_heard_at=lambda: max(
+                self.heard_at.values(), default=-math.inf
+            ),
+        )
         self.own_loads: dict[str, Load] = {}
         self.other_loads: dict[str, Load] = {}
         self.stated_limits = stated_limits.StatedLimits()
--- a/src/_arbutuswalk/relay/rollout_outcomes.py
+++ b/src/_arbutuswalk/relay/rollout_outcomes.py
@@ -183,3 +183,16 @@
     doubled = DOUBLED_FACTOR * median
     slow = SLOW_FACTOR * high
     return Bounds(min(slow, doubled) if measure == PACE else slow, doubled)
+
+
+def merge_steps(rollouts: dict[str, list], received: dict[str, list]) -> None:
+    """Keeps the newest step of each rollout, from any control process."""
+    for upstream, row in received.items():
+        known = rollouts.get(upstream)
+        if known is None or _step_order(row) > _step_order(known):
+            rollouts[upstream] = row
+
+
+def _step_order(row: list) -> tuple[int, int]:
+    started_ms, step = row[4], row[3]
+    return started_ms, step
--- a/src/_arbutuswalk/relay/silence.py
+++ b/src/_arbutuswalk/relay/silence.py
@@ -30,6 +30,7 @@
         request: The request.
         endpoint: Endpoint that it was sent to.
         retry: Whether another attempt may follow.
+        is_direct: Whether it was sent on the entry's own path.
         has_begun: Whether events were sent to the caller.
         received_at: When anything was last received, in seconds.
         progress_at: When the request was sent, or events were last sent to the
@@ -49,6 +50,7 @@
         self.request = request
         self.endpoint = endpoint
         self.retry = retry
+        self.is_direct = True
         self.has_begun = False
         self.received_at = self.progress_at = relay.now()
         self.next_check_at = math.inf
@@ -92,9 +94,14 @@
             return "stream stalled" if may_leave else ""
         # A sound endpoint may take longer than this to begin its answer.
         is_suspect = self.relay.suspect_until.get(self.endpoint.id, 0.0) > now
+        is_suspect |= self.is_direct and self._has_lost_path()
         may_leave = is_suspect and self.retry.reserve(silent_since)
         return "endpoint silent" if may_leave else ""
 
+    def _has_lost_path(self) -> bool:
+        paths = self.relay.paths
+        return paths.is_cut_off and paths.is_silent
+
     def _probe(self, now: float) -> None:
         heard_at = self.relay.heard_at.get(self.endpoint.id, -math.inf)
         if now - max(heard_at, self.progress_at) >= PROBE_AFTER_S:
--- a/src/_arbutuswalk/routing/crashes.py
+++ b/src/_arbutuswalk/routing/crashes.py
@@ -99,6 +99,18 @@
     crashes.refused_at[start] = now
 
 
+def withdraw_deaths(crashes: CrashTracker, since: float) -> None:
+    """Withdraws deaths that have turned out to be failures of the network."""
+    crashes.suspects = [s for s in crashes.suspects if s.lost_at < since]
+    crashes.refused_at.clear()
+    for key, death_times in list(crashes.deaths.items()):
+        for endpoint_start, lost_at in list(death_times.items()):
+            if lost_at >= since:
+                del death_times[endpoint_start]
+        if not death_times:
+            del crashes.deaths[key]
+
+
 def record_success(
     crashes: CrashTracker, keys: tuple[str, ...], now: float
 ) -> None:
--- a/src/_arbutuswalk/streams/connection.py
+++ b/src/_arbutuswalk/streams/connection.py
@@ -138,6 +138,8 @@
         address: ``IP:port`` of the upstream.
         read_reply: Interprets the status and headers of a response.
         on_close: Called once the connection has closed.
+        peer: Address of the process that passes its bytes on, empty if it is
+            the upstream's own.
         exchange: Current exchange, None while idle.
         idle_since: When the last exchange ended.
         keep_alive_s: How long the upstream keeps an idle connection, if known.
@@ -155,10 +157,12 @@
         address: str,
         read_reply: Callable[[int, replies.Headers], replies.Reply],
         on_close: Callable[["Connection"], None],
+        peer: str = "",
     ):
         self.address = address
         self.read_reply = read_reply
         self.on_close = on_close
+        self.peer = peer
         self.exchange: Exchange | None = None
         self.idle_since = clock.monotonic()
         self.keep_alive_s: float | None = None
@@ -233,7 +237,9 @@
     def eof_received(self) -> None:
         """Completes a response whose body ends with the connection."""
         self._record_closed_by_peer()
-        if self.exchange is not None and self.ends_at_close:
+        # The end of a connection through a peer may be that of the peer.
+        is_upstreams_end = self.ends_at_close and not self.peer
+        if self.exchange is not None and is_upstreams_end:
             self._complete()
 
     def connection_lost(self, error: Exception | None) -> None:
--- a/src/_arbutuswalk/streams/pool.py
+++ b/src/_arbutuswalk/streams/pool.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Awaitable
 from collections.abc import Callable
 
 from _arbutuswalk.base import clock
@@ -32,10 +33,13 @@
     Attributes:
         reason: Why not.
         refused: Whether the upstream's instance refused the connection.
+        is_path_failure: Whether this process has no path to any upstream, so
+            that the failure tells nothing about this one.
     """
 
     reason: str
     refused: bool
+    is_path_failure: bool = False
 
 
 class Pool:
@@ -45,6 +49,7 @@
         read_reply: Interprets the status and headers of a response.
         connect_s: Connect timeout.
         idle: Idle connections by address, the most recently used last.
+        opener: Opens a new connection to an address.
     """
 
     def __init__(
@@ -58,6 +63,9 @@
         self.connect_s = connect_s
         self.now = now
         self.idle: dict[str, list[connections.Connection]] = {}
+        self.opener: Callable[
+            [str], Awaitable[connections.Connection | NotOpened]
+        ] = self.open_directly
 
     async def acquire(
         self, address: str, *, non_idempotent: bool
@@ -116,6 +124,30 @@
 
     async def open(self, address: str) -> connections.Connection | NotOpened:
         """Opens a new connection."""
+        return await self.opener(address)
+
+    def close_idle_through(self, *, peers: bool) -> None:
+        """Closes the idle connections through peers, or all others."""
+        for idle in list(self.idle.values()):
+            for connection in list(idle):
+                if bool(connection.peer) == peers:
+                    connection.abort()
+
+    def make_connection(
+        self, address: str, peer: str = ""
+    ) -> connections.Connection:
+        """Returns a connection of this pool that has no transport yet."""
+        return connections.Connection(
+            address=address,
+            read_reply=self.read_reply,
+            on_close=self._remove_closed,
+            peer=peer,
+        )
+
+    async def open_directly(
+        self, address: str
+    ) -> connections.Connection | NotOpened:
+        """Opens a new connection on this process's own path."""
         return await connect(
             address,
             read_reply=self.read_reply,
@@ -155,14 +187,19 @@
                 host,
                 int(port),
             )
-    except TimeoutError:
-        return NotOpened(reason="connect timed out", refused=False)
     except OSError as error:
-        refused = isinstance(error, ConnectionRefusedError)
-        return NotOpened(reason=str(error), refused=refused)
+        return not_opened(error)
     return connection
 
 
+def not_opened(error: OSError) -> NotOpened:
+    """Returns the result of a failed attempt to connect, or of a time-out."""
+    if isinstance(error, TimeoutError) and not error.errno:
+        return NotOpened(reason="connect timed out", refused=False)
+    refused = isinstance(error, ConnectionRefusedError)
+    return NotOpened(reason=str(error), refused=refused)
+
+
 def _max_idle_s(
     connection: connections.Connection, non_idempotent: bool
 ) -> float:
--- /dev/null
+++ b/src/_arbutuswalk/streams/tunnels.py
@@ -0,0 +1,111 @@
+"""Connections to upstreams that another process opens and passes on.
+
+The peer is asked in one message; after its reply the connection carries the
+upstream's bytes.
+"""
+
+import asyncio
+import dataclasses
+
+from _arbutuswalk.streams import connection as connections
+from _arbutuswalk.streams import pool
+from _arbutuswalk.wire import codec
+from _arbutuswalk.wire import sockets
+from _arbutuswalk.wire.gen.arbutus import ttypes
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PeerFailed:
+    """The peer could not be asked, or cannot open connections itself."""
+
+    reason: str
+
+
+class Handshake(asyncio.Protocol):
+    """Receives a peer's reply to a request for a tunnel.
+
+    Attributes:
+        received: Bytes of the reply so far.
+        reply: The reply; None if the connection ended before or is no tunnel.
+    """
+
+    def __init__(self):
+        self.received = b""
+        self.reply = asyncio.get_running_loop().create_future()
+
+    def data_received(self, data: bytes) -> None:
+        """Decodes the reply once it is complete."""
+        self.received += data
+        prefix = codec.LENGTH_PREFIX
+        if len(self.received) < prefix.size or self.reply.done():
+            return
+        (length,) = prefix.unpack_from(self.received)
+        payload = self.received[prefix.size :]
+        # An upstream sends nothing before a request.
+        if length > codec.MAX_FRAME_BYTES or len(payload) > length:
+            self._set_reply(None)
+        elif len(payload) == length:
+            decoded = codec.decode(payload)
+            is_frame = not isinstance(decoded, codec.BadFrame)
+            message = decoded[2] if is_frame else None
+            is_reply = isinstance(message, ttypes.TunnelReply)
+            self._set_reply(message if is_reply else None)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Ends the wait for the reply."""
+        self._set_reply(None)
+
+    def _set_reply(self, reply: ttypes.TunnelReply | None) -> None:
+        if not self.reply.done():
+            self.reply.set_result(reply)
+
+
+async def open_tunnel(
+    connection: connections.Connection, *, name: str, timeout_s: float
+) -> pool.NotOpened | PeerFailed | None:
+    """Opens a connection through its peer; returns why that failed, if so.
+
+    Args:
+        connection: Connection without a transport, which names the peer.
+        name: Id of this process.
+        timeout_s: Time-out of all of it.
+    """
+    loop = asyncio.get_running_loop()
+    host, _, port = connection.peer.rpartition(":")
+    transport = None
+    try:
+        async with asyncio.timeout(timeout_s):
+            transport, handshake = await loop.create_connection(
+                Handshake, host, int(port)
+            )
+            sockets.set_options(
+                transport.get_extra_info("socket"), sockets.UPSTREAM
+            )
+            request = ttypes.TunnelRequest(
+                entry=name, address=connection.address
+            )
+            transport.write(codec.encode(1, request, reply=False))
+            reply = await handshake.reply
+    except (TimeoutError, OSError, ValueError, OverflowError) as error:
+        if transport is not None:
+            transport.abort()
+        return PeerFailed(reason=str(error) or "timed out")
+    failure = _find_failure(reply, transport)
+    if failure is not None:
+        transport.abort()
+        return failure
+    transport.set_protocol(connection)
+    connection.connection_made(transport)
+    return None
+
+
+def _find_failure(
+    reply: ttypes.TunnelReply | None, transport: asyncio.Transport
+) -> pool.NotOpened | PeerFailed | None:
+    if reply is None or (reply.opened and transport.is_closing()):
+        return PeerFailed(reason="connection closed")
+    if reply.opened:
+        return None
+    if reply.ask_another:
+        return PeerFailed(reason=reply.reason)
+    return pool.NotOpened(reason=reply.reason, refused=reply.refused)
--- a/src/_arbutuswalk/wire/arbutuswalk.thrift
+++ b/src/_arbutuswalk/wire/arbutuswalk.thrift
@@ -184,6 +184,21 @@
   1: required list<binary> announcements, // JSON
 }
 
+// Asks an entry to connect to an endpoint on behalf of one that cannot. After a
+// reply that says so, the connection carries the endpoint's bytes.
+
+struct TunnelRequest {
+  1: required string entry,
+  2: required string address, // IP:port of the endpoint
+}
+
+struct TunnelReply {
+  1: required bool opened,
+  2: required string reason, // empty if opened
+  3: required bool refused, // the endpoint's instance refused the connection
+  4: required bool ask_another, // the failure is this entry's
+}
+
 struct CopyRequest {
   1: required string request_id,
   2: required string owner,
@@ -254,6 +269,8 @@
   27: RoutesPart routes_part,
   28: PermitRequest permit_request,
   29: PermitReply permit_reply,
+  30: TunnelRequest tunnel_request,
+  31: TunnelReply tunnel_reply,
 }
 
 struct Frame {
--- a/src/_arbutuswalk/wire/gen/arbutus/ttypes.py
+++ b/src/_arbutuswalk/wire/gen/arbutus/ttypes.py
@@ -2558,6 +2558,202 @@
         return not (self == other)
 
 
+class TunnelRequest(object):
+    """
+    Attributes:
+     - entry
+     - address
+
+    """
+
+    __slots__ = (
+        'entry',
+        'address',
+    )
+
+
+    def __init__(self, entry=None, address=None,):
+        self.entry = entry
+        self.address = address
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.entry = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TunnelRequest')
+        if self.entry is not None:
+            oprot.writeFieldBegin('entry', TType.STRING, 1)
+            oprot.writeString(self.entry.encode('utf-8') if sys.version_info[0] == 2 else self.entry)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 2)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.entry is None:
+            raise TProtocolException(message='Required field entry is unset!')
+        if self.address is None:
+            raise TProtocolException(message='Required field address is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TunnelReply(object):
+    """
+    Attributes:
+     - opened
+     - reason
+     - refused
+     - ask_another
+
+    """
+
+    __slots__ = (
+        'opened',
+        'reason',
+        'refused',
+        'ask_another',
+    )
+
+
+    def __init__(self, opened=None, reason=None, refused=None, ask_another=None,):
+        self.opened = opened
+        self.reason = reason
+        self.refused = refused
+        self.ask_another = ask_another
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.opened = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.refused = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.ask_another = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TunnelReply')
+        if self.opened is not None:
+            oprot.writeFieldBegin('opened', TType.BOOL, 1)
+            oprot.writeBool(self.opened)
+            oprot.writeFieldEnd()
+        if self.reason is not None:
+            oprot.writeFieldBegin('reason', TType.STRING, 2)
+            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
+            oprot.writeFieldEnd()
+        if self.refused is not None:
+            oprot.writeFieldBegin('refused', TType.BOOL, 3)
+            oprot.writeBool(self.refused)
+            oprot.writeFieldEnd()
+        if self.ask_another is not None:
+            oprot.writeFieldBegin('ask_another', TType.BOOL, 4)
+            oprot.writeBool(self.ask_another)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.opened is None:
+            raise TProtocolException(message='Required field opened is unset!')
+        if self.reason is None:
+            raise TProtocolException(message='Required field reason is unset!')
+        if self.refused is None:
+            raise TProtocolException(message='Required field refused is unset!')
+        if self.ask_another is None:
+            raise TProtocolException(message='Required field ask_another is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class CopyRequest(object):
     """
     Attributes:
@@ -3252,6 +3448,8 @@
      - routes_part
      - permit_request
      - permit_reply
+     - tunnel_request
+     - tunnel_reply
 
     """
 
@@ -3285,10 +3483,12 @@
         'routes_part',
         'permit_request',
         'permit_reply',
+        'tunnel_request',
+        'tunnel_reply',
     )
 
 
-    def __init__(self, vote_request=None, vote_reply=None, append_request=None, append_reply=None, snapshot_offer=None, piece_request=None, piece=None, hello=None, submit=None, submit_reply=None, sync=None, sync_reply=None, read_request=None, read_reply=None, upstream_news=None, copy_request=None, copy_progress=None, done=None, dump=None, dump_reply=None, ping=None, take_request=None, take_reply=None, watch=None, watch_reply=None, routes_request=None, routes_part=None, permit_request=None, permit_reply=None,):
+    def __init__(self, vote_request=None, vote_reply=None, append_request=None, append_reply=None, snapshot_offer=None, piece_request=None, piece=None, hello=None, submit=None, submit_reply=None, sync=None, sync_reply=None, read_request=None, read_reply=None, upstream_news=None, copy_request=None, copy_progress=None, done=None, dump=None, dump_reply=None, ping=None, take_request=None, take_reply=None, watch=None, watch_reply=None, routes_request=None, routes_part=None, permit_request=None, permit_reply=None, tunnel_request=None, tunnel_reply=None,):
         self.vote_request = vote_request
         self.vote_reply = vote_reply
         self.append_request = append_request
@@ -3318,6 +3518,8 @@
         self.routes_part = routes_part
         self.permit_request = permit_request
         self.permit_reply = permit_reply
+        self.tunnel_request = tunnel_request
+        self.tunnel_reply = tunnel_reply
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3502,6 +3704,18 @@
                     self.permit_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 30:
+                if ftype == TType.STRUCT:
+                    self.tunnel_request = TunnelRequest()
+                    self.tunnel_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 31:
+                if ftype == TType.STRUCT:
+                    self.tunnel_reply = TunnelReply()
+                    self.tunnel_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3628,6 +3842,14 @@
             oprot.writeFieldBegin('permit_reply', TType.STRUCT, 29)
             self.permit_reply.write(oprot)
             oprot.writeFieldEnd()
+        if self.tunnel_request is not None:
+            oprot.writeFieldBegin('tunnel_request', TType.STRUCT, 30)
+            self.tunnel_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.tunnel_reply is not None:
+            oprot.writeFieldBegin('tunnel_reply', TType.STRUCT, 31)
+            self.tunnel_reply.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3930,6 +4152,20 @@
     None,  # 0
     (1, TType.LIST, 'announcements', (TType.STRING, 'BINARY', False), None, ),  # 1
 )
+all_structs.append(TunnelRequest)
+TunnelRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'entry', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
+)
+all_structs.append(TunnelReply)
+TunnelReply.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'opened', None, None, ),  # 1
+    (2, TType.STRING, 'reason', 'UTF8', None, ),  # 2
+    (3, TType.BOOL, 'refused', None, None, ),  # 3
+    (4, TType.BOOL, 'ask_another', None, None, ),  # 4
+)
 all_structs.append(CopyRequest)
 CopyRequest.thrift_spec = (
     None,  # 0
@@ -4007,6 +4243,8 @@
     (27, TType.STRUCT, 'routes_part', [RoutesPart, None], None, ),  # 27
     (28, TType.STRUCT, 'permit_request', [PermitRequest, None], None, ),  # 28
     (29, TType.STRUCT, 'permit_reply', [PermitReply, None], None, ),  # 29
+    (30, TType.STRUCT, 'tunnel_request', [TunnelRequest, None], None, ),  # 30
+    (31, TType.STRUCT, 'tunnel_reply', [TunnelReply, None], None, ),  # 31
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
