--- a/src/_arbutuswalk/base/settings.py
+++ b/src/_arbutuswalk/base/settings.py
@@ -86,6 +86,9 @@
         return False
     if any(len(number) > MAX_PORT_DIGITS for number in (*octets, port)):
         return False
+    # Resolvers read octets with leading zeros as octal numbers or as names.
+    if any(str(int(number)) != number for number in (*octets, port)):
+        return False
     return all(int(octet) < 256 for octet in octets) and 0 < int(port) < 65536
 
 
