Refuse deregistrations that cannot be read

What callers saw, in a test: a deregistration of another writer that could not be read, nested 100,000 deep, cut off or with a start of another type, counted as one without a start. It ended the sound endpoint of that id, for good in this start, and its later heartbeats brought it back only after 20 s of silence.

Cause: the decoder returned the same for an absent start as for an invalid one.

Ruled out: refusing those without a start. A body without "born", or none, still ends the start that is known.

--- a/testing/test_odd_entries.py
+++ b/testing/test_odd_entries.py
@@ -176,6 +176,29 @@
         (row,) = components.discovery.directory.rows.values()
         assert row.endpoint == sound
 
+    @pytest.mark.parametrize(
+        "body",
+        [body for body in UNREADABLE.values() if body]
+        + [json.dumps({"born": value}).encode() for value in NO_NUMBERS],
+        ids=name_case,
+    )
+    async def test_an_odd_deregistration_ends_no_endpoint(self, body):
+        """Guards against an unreadable body that counts as an absent start."""
+        components = test_duties.make_components()
+        sound = await self.announce_sound(components)
+        path = "/v1/Instances.Deregister/i-1"
+        assert await self.post(components, path, body) == 400
+        assert components.discovery.directory.rows["i-1"].endpoint == sound
+
+    @pytest.mark.parametrize("body", [b"", b"{}", b'{"born":1769526078061}'])
+    async def test_a_sound_deregistration_ends_the_endpoint(self, body):
+        components = test_duties.make_components()
+        await self.announce_sound(components)
+        path = "/v1/Instances.Deregister/i-1"
+        assert await self.post(components, path, body) == 200
+        row = components.discovery.directory.rows["i-1"]
+        assert row.endpoint.state == directory.GONE
+
 
 class TestAnswers:
     VALUES = (
