Leave out single endpoints that cannot be used

What callers saw, in tests:

- A control process whose endpoints.json was nested 100,000 deep, or whose entry-count.json was 1e400, ended at each of its starts (real processes).
- One odd row in endpoints.json cost all restored endpoints, or ended the start.
- An odd endpoint that a member forwarded, or in a reply to an entry, was stored.
The next announcement for that id or address then raised an error in every reply, so that the entry followed no update any more.
One that could not be stored cost the rest of its message or reply.

Cause: directory.from_json took any list as an endpoint, and the caches did not expect RecursionError and OverflowError.

Change: from_json checks each field. One with an unusable value is left out with an event (693), and the others hold. A value of another shape still makes a reply unusable, as a process of another version may have encoded all of them so (test_report_checks is unchanged). Files that cannot be read are ignored.

--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -127,6 +127,7 @@
         "routes could not be decoded address=%s reason=%s",
     )
     ENDPOINTS_UNREADABLE = (672, "endpoint cache could not be read reason=%s")
+    ENDPOINT_INVALID = (693, "endpoint invalid source=%s reason=%s")
     ENTRY_COUNT_UNREADABLE = (
         675,
         "entry count could not be read reason=%s",
--- a/src/_arbutuswalk/control/endpoint_cache.py
+++ b/src/_arbutuswalk/control/endpoint_cache.py
@@ -55,16 +55,34 @@
 
 
 def load(folder: str) -> list[directory.Endpoint]:
-    """Returns the saved endpoints; none if the file is missing or damaged."""
+    """Returns the saved endpoints that can be read.
+
+    There are none if the file is missing or damaged.
+    """
     path = pathlib.Path(folder) / FILE_NAME
     try:
         rows = json.loads(path.read_text(encoding="utf-8"))
-        return [directory.from_json(fields) for fields in rows]
     except FileNotFoundError:
         return []  # the first start
-    except (OSError, ValueError, TypeError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         events.record(events.Event.ENDPOINTS_UNREADABLE, str(error))
         return []
+    if not isinstance(rows, list):
+        events.record(events.Event.ENDPOINTS_UNREADABLE, "not a list")
+        return []
+    endpoints = map(_read_row, rows)
+    return [endpoint for endpoint in endpoints if endpoint is not None]
+
+
+def _read_row(fields: Any) -> directory.Endpoint | None:
+    try:
+        endpoint = directory.from_json(fields)
+    except ValueError as error:
+        endpoint = str(error)
+    if isinstance(endpoint, str):
+        events.record(events.Event.ENDPOINT_INVALID, FILE_NAME, endpoint)
+        return None
+    return endpoint
 
 
 def unconfirmed(
--- a/src/_arbutuswalk/control/entry_count_cache.py
+++ b/src/_arbutuswalk/control/entry_count_cache.py
@@ -9,9 +9,12 @@
 import pathlib
 
 from _arbutuswalk.base import events
+from _arbutuswalk.base import settings
 from _arbutuswalk.control import endpoint_cache
 
 FILE_NAME = "entry-count.json"
+MAX_ENTRIES = 1_000_000
+"""Larger numbers are taken for damage: each entry would get no share."""
 
 
 def save(folder: str, entry_count: int) -> OSError | None:
@@ -23,9 +26,14 @@
     """Returns the saved number; 0 if the file is missing or damaged."""
     path = pathlib.Path(folder) / FILE_NAME
     try:
-        return max(0, int(json.loads(path.read_text(encoding="utf-8"))))
+        entry_count = json.loads(path.read_text(encoding="utf-8"))
     except FileNotFoundError:
         return 0  # the first start
-    except (OSError, ValueError, TypeError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         events.record(events.Event.ENTRY_COUNT_UNREADABLE, str(error))
         return 0
+    is_count = settings.is_non_negative_int(entry_count)
+    if not is_count or entry_count > MAX_ENTRIES:
+        events.record(events.Event.ENTRY_COUNT_UNREADABLE, "not a count")
+        return 0
+    return entry_count
--- a/src/_arbutuswalk/control/service.py
+++ b/src/_arbutuswalk/control/service.py
@@ -78,16 +78,21 @@
         if isinstance(message, ttypes.RoutesRequest):
             return self.discovery.routes_part(message)
         if isinstance(message, ttypes.UpstreamNews):
-            for announcement in message.announcements:
-                self.discovery.apply_announcement(
-                    directory.from_json(json.loads(announcement))
-                )
+            self._apply_announcements(message)
             return None
         if isinstance(message, ttypes.Dump):
             return ttypes.DumpReply(state=json.dumps(self.dump()).encode())
         self.member.receive(message)
         return None
 
+    def _apply_announcements(self, message: ttypes.UpstreamNews) -> None:
+        for data in message.announcements:
+            endpoint = directory.decode(data)
+            if isinstance(endpoint, str):
+                events.record(events.Event.ENDPOINT_INVALID, "member", endpoint)
+            else:
+                self.discovery.apply_announcement(endpoint)
+
     async def _submit(self, message: ttypes.Submit) -> ttypes.SubmitReply:
         command = commands.decode(message.command)
         reason = _rejection_reason(command)
--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -269,9 +269,8 @@
         feed.term = news["term"]
         feed.clock_offset_s = news["wall"] - self.relay.wall()
         for fields in news["endpoints"]:
-            announcement = directory.from_json(fields)
             leaving_endpoints.merge_announcement(
-                self.relay, announcement, feed.address
+                self.relay, directory.from_json(fields), feed.address
             )
         for address in news["members"]:
             self._watch_address(address)
--- a/src/_arbutuswalk/relay/leaving_endpoints.py
+++ b/src/_arbutuswalk/relay/leaving_endpoints.py
@@ -39,9 +39,20 @@
 
 
 def merge_announcement(
-    relay: relay_state.Relay, announcement: directory.Endpoint, source: str
+    relay: relay_state.Relay,
+    announcement: directory.Endpoint | str,
+    source: str,
 ) -> None:
-    """Merges an announcement that a control process sent."""
+    """Merges an announcement that a control process sent.
+
+    Args:
+        relay: State of the entry.
+        announcement: The endpoint, or why it cannot be used.
+        source: Link address of the process.
+    """
+    if isinstance(announcement, str):
+        events.record(events.Event.ENDPOINT_INVALID, source, announcement)
+        return
     before = relay.directory.rows.get(announcement.id)
     is_change = directory.announce(relay.directory, announcement, relay.now())
     if before is None or not is_change:
--- a/src/_arbutuswalk/relay/status_feeds.py
+++ b/src/_arbutuswalk/relay/status_feeds.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 from typing import Any
 
+from _arbutuswalk.base import events
 from _arbutuswalk.relay import leaving_endpoints
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.routing import directory
@@ -81,11 +82,13 @@
     """
     feed.domain = news.get("domain", "")
     feed.is_ready = news["is_settled"]
-    feed.unknown_ids = {
-        endpoint_id
-        for endpoint_id, *heartbeat in news.get("heartbeats", [])
-        if not _apply_heartbeat(relay, endpoint_id, heartbeat, source)
-    }
+    feed.unknown_ids = set()
+    for fields in news.get("heartbeats", []):
+        heartbeat = directory.heartbeat_from_json(fields)
+        if isinstance(heartbeat, str):
+            events.record(events.Event.ENDPOINT_INVALID, source, heartbeat)
+        elif not _apply_heartbeat(relay, heartbeat, source):
+            feed.unknown_ids.add(heartbeat.id)
     if "loads" in news:
         feed.revision = revision
         feed.received_at = relay.now()
@@ -96,20 +99,17 @@
 
 
 def _apply_heartbeat(
-    relay: relay_state.Relay, endpoint_id: str, heartbeat: list, source: str
+    relay: relay_state.Relay, heartbeat: directory.Heartbeat, source: str
 ) -> bool:
     """Applies the heartbeat of a known start; returns whether it is known.
 
     A heartbeat of an older start than the known one changes nothing.
     """
-    row = relay.directory.rows.get(endpoint_id)
-    born_ms, sequence, cold_s = heartbeat
-    if row is None or row.endpoint.born_ms < born_ms:
+    row = relay.directory.rows.get(heartbeat.id)
+    if row is None or row.endpoint.born_ms < heartbeat.born_ms:
         return False
-    if row.endpoint.born_ms == born_ms:
+    if row.endpoint.born_ms == heartbeat.born_ms:
         leaving_endpoints.merge_announcement(
-            relay,
-            directory.with_heartbeat(row.endpoint, sequence, cold_s),
-            source,
+            relay, directory.with_heartbeat(row.endpoint, heartbeat), source
         )
     return True
--- a/src/_arbutuswalk/routing/directory.py
+++ b/src/_arbutuswalk/routing/directory.py
@@ -6,9 +6,12 @@
 within a start, so that a late announcement cannot make an endpoint ready again.
 """
 
+import json
 from typing import Any
 from typing import NamedTuple
 
+from _arbutuswalk.base import settings
+from _arbutuswalk.routing import endpoint_fields
 from _arbutuswalk.routing import leaving
 
 READY = "ready"
@@ -46,6 +49,15 @@
     cold_s: float = 0.0
 
 
+class Heartbeat(NamedTuple):
+    """What an announcement says that is no relevant change."""
+
+    id: str
+    born_ms: int
+    sequence: int
+    cold_s: float
+
+
 class Row(NamedTuple):
     """An endpoint and when it last announced itself.
 
@@ -247,21 +259,88 @@
     )
 
 
-def heartbeat_of(endpoint: Endpoint) -> tuple[str, int, int, float]:
+def heartbeat_of(endpoint: Endpoint) -> Heartbeat:
     """Returns what an announcement says that is no relevant change."""
-    return endpoint.id, endpoint.born_ms, endpoint.sequence, endpoint.cold_s
+    return Heartbeat(
+        endpoint.id, endpoint.born_ms, endpoint.sequence, endpoint.cold_s
+    )
 
 
-def with_heartbeat(
-    endpoint: Endpoint, sequence: int, cold_s: float
-) -> Endpoint:
+def with_heartbeat(endpoint: Endpoint, heartbeat: Heartbeat) -> Endpoint:
     """Returns a known endpoint as announced again with no relevant change."""
-    return endpoint._replace(sequence=sequence, cold_s=cold_s)
+    return endpoint._replace(
+        sequence=heartbeat.sequence, cold_s=heartbeat.cold_s
+    )
+
+
+def decode(data: bytes) -> Endpoint | str:
+    """Returns the endpoint in a message, or why there is none."""
+    try:
+        return from_json(json.loads(data))
+    except (ValueError, RecursionError) as error:
+        return str(error)
+
+
+def from_json(values: Any) -> Endpoint | str:
+    """Returns the endpoint in a decoded JSON value, or why it is unusable.
+
+    Raises:
+        ValueError: The value is no list of the fields of an endpoint. A process
+            of another version may have encoded it.
+    """
+    if not isinstance(values, list) or not (
+        _MIN_ENDPOINT_FIELDS <= len(values) <= len(Endpoint._fields)
+    ):
+        raise ValueError("not the fields of an endpoint")
+    endpoint = Endpoint(*values)
+    wrong = _find_wrong(endpoint)
+    if not wrong and endpoint.state != GONE:
+        # Of an endpoint that is gone, only its end may be known.
+        names = ("upstream", "domain", "version", "address")
+        wrong = [name for name in names if not getattr(endpoint, name)]
+    return f"odd fields: {', '.join(wrong)}" if wrong else endpoint
+
+
+def heartbeat_from_json(values: Any) -> Heartbeat | str:
+    """Returns the heartbeat in a decoded JSON value, or why it is unusable.
+
+    Raises:
+        ValueError: The value is no list of the fields of a heartbeat.
+    """
+    if not isinstance(values, list) or len(values) != len(Heartbeat._fields):
+        raise ValueError("not the fields of a heartbeat")
+    heartbeat = Heartbeat(*values)
+    wrong = _find_wrong(heartbeat)
+    return f"odd fields: {', '.join(wrong)}" if wrong else heartbeat
+
+
+def _find_wrong(values: Endpoint | Heartbeat) -> list[str]:
+    """Returns the fields whose values cannot be used."""
+    return [
+        name
+        for name, value in values._asdict().items()
+        if not _FIELD_CHECKS[name](value)
+    ]
 
 
-def from_json(fields: list[Any]) -> Endpoint:
-    """Returns the endpoint whose fields were decoded from a JSON list."""
-    return Endpoint(*fields)
+def _is_state(value: Any) -> bool:
+    return isinstance(value, str) and value in (READY, LEAVING, GONE)
+
+
+_MIN_ENDPOINT_FIELDS = len(Endpoint._fields) - len(Endpoint._field_defaults)
+_FIELD_CHECKS = {
+    "id": endpoint_fields.is_name,
+    "born_ms": endpoint_fields.is_born,
+    "sequence": endpoint_fields.is_sequence,
+    "upstream": endpoint_fields.is_text,
+    "address": lambda value: value == "" or endpoint_fields.is_address(value),
+    "domain": endpoint_fields.is_text,
+    "version": endpoint_fields.is_text,
+    "slots": endpoint_fields.is_slots,
+    "state": _is_state,
+    "reclaimable": settings.is_bool,
+    "cold_s": endpoint_fields.is_duration,
+}
 
 
 def _as_leaving(endpoint: Endpoint) -> Endpoint:
--- a/src/_arbutuswalk/wire/compressed_json.py
+++ b/src/_arbutuswalk/wire/compressed_json.py
@@ -33,4 +33,7 @@
         raise ValueError(str(error)) from error
     if not decompressor.eof:
         raise ValueError(f"incomplete, or over {MAX_DECOMPRESSED_BYTES} bytes")
-    return json.loads(text)
+    try:
+        return json.loads(text)
+    except RecursionError as error:
+        raise ValueError(str(error)) from error
