Open no connection to what is no address

What callers saw, in a test: opening a connection to a port out of range raised OverflowError, and to one of other characters ValueError, which no attempt expects; a host name would have been looked up in a thread. The connections between processes had the same gap for OverflowError.

Cause: the pool relied on the checks of announcements alone.

Change: the pool opens connections to IP:port only, any other address is one that could not be opened. A link whose address has a port out of range is down.

--- a/src/_arbutuswalk/streams/pool.py
+++ b/src/_arbutuswalk/streams/pool.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from _arbutuswalk.base import clock
+from _arbutuswalk.base import settings
 from _arbutuswalk.streams import connection as connections
 from _arbutuswalk.streams import replies
 
@@ -144,6 +145,8 @@
         timeout_s: Connect timeout.
         on_close: Called once the connection has closed.
     """
+    if not settings.is_address(address):
+        return NotOpened(reason="not IP:port", refused=False)
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     try:
--- a/src/_arbutuswalk/wire/link.py
+++ b/src/_arbutuswalk/wire/link.py
@@ -121,7 +121,7 @@
                         host, int(port)
                     )
                 sockets.set_options(writer.get_extra_info("socket"))
-            except (TimeoutError, OSError, ValueError) as error:
+            except (TimeoutError, OSError, ValueError, OverflowError) as error:
                 # The connection may be lost before its socket options are set,
                 # and an address given by another process may be invalid.
                 self.failed_attempts += 1
