Refuse announcements whose values no choice can use

What callers of the chat front saw, in a test: one announcement with 400 digits of slots raised OverflowError, and one whose id is a lone surrogate raised UnicodeEncodeError, in every choice between it and the sound upstreams of its name, so that each such request ended with an error.

Cause: whole numbers and names were accepted at any size, and names with any characters.

Ruled out, refused before as well: other types, deep nesting, thousands of digits, NaN, addresses that cannot be connected to.

Change: the fields have the checks of heartbeats. Incarnations, sequences and fences may have 63 bits, as they may be times in nanoseconds.

Before: 61 of 234 cases failed. After: none; test_routing, test_entry, test_crash_quarantine and test_smoke pass unchanged.

--- a/src/_arbutuswalk/routing/announcements.py
+++ b/src/_arbutuswalk/routing/announcements.py
@@ -5,6 +5,10 @@
 from typing import TypedDict
 
 from _arbutuswalk.base import settings
+from _arbutuswalk.routing import endpoint_fields
+
+MAX_COUNTER = 2**63 - 1
+"""Largest count: incarnations may be times in nanoseconds."""
 
 
 class Announcement(TypedDict):
@@ -59,41 +63,39 @@
 
 
 def _is_text_list(value: object) -> bool:
-    return isinstance(value, list) and all(
-        settings.is_non_empty_string(v) for v in value
-    )
+    return isinstance(value, list) and all(map(endpoint_fields.is_name, value))
+
+
+def _is_counter(value: object) -> bool:
+    return settings.is_non_negative_int(value) and value <= MAX_COUNTER
 
 
-_EXPECTED_NAME = "a name"
-_EXPECTED_NATURAL = "a whole number of at least 0"
+_EXPECTED_NAME = (
+    f"a name of at most {endpoint_fields.MAX_TEXT_CHARS} characters"
+)
+_EXPECTED_COUNTER = f"a whole number from 0 to {MAX_COUNTER}"
+_EXPECTED_SLOTS = f"a whole number from 0 to {endpoint_fields.MAX_SLOTS}"
+_EXPECTED_TOKENS = f"a whole number from 0 to {endpoint_fields.MAX_INTEGER}"
 _FIELDS = (
-    settings.Field("id", _EXPECTED_NAME, settings.is_non_empty_string),
-    settings.Field(
-        "incarnation", _EXPECTED_NATURAL, settings.is_non_negative_int
-    ),
-    settings.Field("sequence", _EXPECTED_NATURAL, settings.is_non_negative_int),
+    settings.Field("id", _EXPECTED_NAME, endpoint_fields.is_name),
+    settings.Field("incarnation", _EXPECTED_COUNTER, _is_counter),
+    settings.Field("sequence", _EXPECTED_COUNTER, _is_counter),
     settings.Field("address", "IP:port", settings.is_address),
-    settings.Field("upstream", _EXPECTED_NAME, settings.is_non_empty_string),
-    settings.Field("version", _EXPECTED_NAME, settings.is_non_empty_string),
-    settings.Field("instance", _EXPECTED_NAME, settings.is_non_empty_string),
-    settings.Field("domain", _EXPECTED_NAME, settings.is_non_empty_string),
-    settings.Field(
-        "instance_class", _EXPECTED_NAME, settings.is_non_empty_string
-    ),
-    settings.Field(
-        "role", _EXPECTED_NAME, settings.is_non_empty_string, "mixed"
-    ),
+    settings.Field("upstream", _EXPECTED_NAME, endpoint_fields.is_name),
+    settings.Field("version", _EXPECTED_NAME, endpoint_fields.is_name),
+    settings.Field("instance", _EXPECTED_NAME, endpoint_fields.is_name),
+    settings.Field("domain", _EXPECTED_NAME, endpoint_fields.is_name),
+    settings.Field("instance_class", _EXPECTED_NAME, endpoint_fields.is_name),
+    settings.Field("role", _EXPECTED_NAME, endpoint_fields.is_name, "mixed"),
     settings.Field("adapters", "a list of names", _is_text_list, []),
-    settings.Field("slots", _EXPECTED_NATURAL, settings.is_non_negative_int),
-    settings.Field(
-        "running", _EXPECTED_NATURAL, settings.is_non_negative_int, 0
-    ),
+    settings.Field("slots", _EXPECTED_SLOTS, endpoint_fields.is_slots),
+    settings.Field("running", _EXPECTED_SLOTS, endpoint_fields.is_slots, 0),
     settings.Field(
-        "cache_tokens", _EXPECTED_NATURAL, settings.is_non_negative_int, 0
+        "cache_tokens", _EXPECTED_TOKENS, endpoint_fields.is_token_count, 0
     ),
-    settings.Field("fence", _EXPECTED_NATURAL, settings.is_non_negative_int, 0),
+    settings.Field("fence", _EXPECTED_COUNTER, _is_counter, 0),
     settings.Field("leaving", "true or false", settings.is_bool, False),
-    settings.Field("leave_in_s", "seconds", settings.is_non_negative, 0.0),
+    settings.Field("leave_in_s", "seconds", endpoint_fields.is_duration, 0.0),
     settings.Field("echo", "true or false", settings.is_bool, True),
 )
 
