--- a/testing/test_odd_entries.py
+++ b/testing/test_odd_entries.py
@@ -190,6 +190,15 @@
         assert await self.post(components, path, body) == 400
         assert components.discovery.directory.rows["i-1"].endpoint == sound
 
+    @pytest.mark.parametrize("call", ["Heartbeat", "Deregister"])
+    async def test_one_of_megabytes_is_refused(self, call):
+        components = test_duties.make_components()
+        sound = await self.announce_sound(components)
+        odd = {**BEAT, "sequence": 5, "phase": "x" * 2_000_000}
+        path, body = f"/v1/Instances.{call}/i-1", json.dumps(odd).encode()
+        assert await self.post(components, path, body) == 413
+        assert components.discovery.directory.rows["i-1"].endpoint == sound
+
     @pytest.mark.parametrize("body", [b"", b"{}", b'{"born":1769526078061}'])
     async def test_a_sound_deregistration_ends_the_endpoint(self, body):
         components = test_duties.make_components()
--- a/testing/test_odd_entry_processes.py
+++ b/testing/test_odd_entry_processes.py
@@ -122,6 +122,13 @@
                 "POST", yarl_url(url), data=body
             )
             assert status == 400, (path, body[:200])
+        large = json.dumps({**cluster.heartbeat, "phase": "x" * 30_000_000})
+        for ip in cluster.control_ips:
+            url = f"http://{ip}:{cluster.operators_port}{HEARTBEAT_PATH}odd"
+            status, _ = await cluster.http_request(
+                "POST", url, data=large.encode()
+            )
+            assert status == 413
         assert b" 400 " in await send_bytes_of_no_text(cluster)
         second = relay_fixtures.ScriptedEndpoint(name="i-2")
         await cluster.start_heartbeats(second, born=2)
