--- a/testing/test_odd_entries.py
+++ b/testing/test_odd_entries.py
@@ -11,6 +11,7 @@
 from arbutuswalk_platform import control_api
 from arbutuswalk_platform import headers
 
+from _arbutuswalk.control import discovery
 from _arbutuswalk.control import scaling
 from _arbutuswalk.routing import directory
 from _arbutuswalk.state import routeconfig
@@ -209,6 +210,28 @@
         assert row.endpoint.state == directory.GONE
 
 
+class TestRestarts:
+    """Usable values that name a sound endpoint's id or address."""
+
+    INTERVAL_S = 1.2
+
+    @pytest.mark.parametrize("odd_id", ["a", "odd"])
+    def test_the_sound_endpoint_is_back_when_the_odd_one_expires(self, odd_id):
+        sound = test_crashes.make_endpoint("a")
+        odd = sound._replace(id=odd_id, born_ms=sound.born_ms + 1)
+        known = directory.Directory()
+        directory.announce(known, sound, 0.0)
+        directory.announce(known, odd, 0.1)
+        now, sequence = 0.1, 1
+        while now <= discovery.ENDPOINT_RETENTION_S + 2 * self.INTERVAL_S:
+            now, sequence = now + self.INTERVAL_S, sequence + 1
+            heartbeat = sound._replace(sequence=sequence)
+            directory.announce(known, heartbeat, now)
+            directory.expire(known, now, discovery.ENDPOINT_RETENTION_S)
+        (row,) = known.rows.values()
+        assert row.endpoint == heartbeat
+
+
 class TestAnswers:
     VALUES = (
         b"",
