--- a/src/_arbutuswalk/streams/pool.py
+++ b/src/_arbutuswalk/streams/pool.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 from _arbutuswalk.base import clock
+from _arbutuswalk.base import settings
 from _arbutuswalk.streams import connection as connections
 from _arbutuswalk.streams import replies
 
@@ -176,6 +177,8 @@
         timeout_s: Connect timeout.
         on_close: Called once the connection has closed.
     """
+    if not settings.is_address(address):
+        return NotOpened(reason="not IP:port", refused=False)
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     try:
--- a/src/_arbutuswalk/wire/link.py
+++ b/src/_arbutuswalk/wire/link.py
@@ -123,7 +123,7 @@
                 sockets.set_options(
                     writer.get_extra_info("socket"), sockets.LINK
                 )
-            except (TimeoutError, OSError, ValueError) as error:
+            except (TimeoutError, OSError, ValueError, OverflowError) as error:
                 # The connection may be lost before its socket options are set,
                 # and an address given by another process may be invalid.
                 self.failed_attempts += 1
