Ask for the right to a duty's call when its connection is open

Suspected cause: the right was checked before aiohttp was imported and the connection was opened. test_duty_calls shows both windows, 2 of 2 cases failed before. Now the call asks when its connection is open.

--- a/src/_arbutuswalk/control/duties.py
+++ b/src/_arbutuswalk/control/duties.py
@@ -22,6 +22,8 @@
 """Added to the platform's lease, for the predecessor's calls in flight."""
 ACCEPTED = "done"
 """Outcome of a call that the platform accepted."""
+NOT_PERMITTED = "not sent, the right to it is lost"
+"""Outcome of a call that may not be made any more."""
 NO_CAPACITY = "none left"
 """Outcome of an order for which the platform has no capacity at present."""
 
@@ -45,10 +47,15 @@
 
 
 class PlatformCalls(NamedTuple):
-    """Functions that call the platform; each returns its outcome as text."""
+    """Functions that call the platform; each returns its outcome as text.
 
-    report_usage: Callable[[UsageReport], Awaitable[str]]
-    order_endpoints: Callable[[Order], Awaitable[str]]
+    Their second argument returns whether the call may be made. They ask it when
+    the connection is open: opening it may take long, and the process may have
+    stood still meanwhile.
+    """
+
+    report_usage: Callable[[UsageReport, Callable[[], bool]], Awaitable[str]]
+    order_endpoints: Callable[[Order, Callable[[], bool]], Awaitable[str]]
 
 
 class Options(NamedTuple):
@@ -142,7 +149,7 @@
         if not holder.may_act():
             return
         report = UsageReport(window, counts, holder.term)
-        outcome = await platform_calls.report_usage(report)
+        outcome = await platform_calls.report_usage(report, holder.may_act)
         _record_call(holder, "usage", window, counts, outcome)
         if outcome == ACCEPTED:
             sent_reports.accepted_windows.add(window)
@@ -156,7 +163,7 @@
         if not holder.may_act():
             return
         order = Order(upstream, *planned, holder.term)
-        outcome = await platform_calls.order_endpoints(order)
+        outcome = await platform_calls.order_endpoints(order, holder.may_act)
         kind = "reclaimable" if planned.reclaimable else "on-demand"
         subject = f"{upstream}/{planned.domain}/{kind}"
         _record_call(holder, "scaling", subject, planned.count, outcome)
--- /dev/null
+++ b/testing/test_duty_calls.py
@@ -0,0 +1,97 @@
+"""Calls to the platform whose sender loses its right to make them."""
+
+import asyncio
+
+import aiohttp
+import pytest
+import test_duties
+from arbutuswalk_platform import platform_client
+
+from _arbutuswalk.control import duties
+from _arbutuswalk.control import usage_reports
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+
+class Platform:
+    """Counts the calls that arrive."""
+
+    def __init__(self):
+        self.calls = 0
+
+    async def serve(self, reader, writer):
+        if await reader.read(65536):
+            self.calls += 1
+            writer.write(ANSWER)
+        writer.close()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        return f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+
+
+def lose_during_import(monkeypatch, lose):
+    async def import_slowly():
+        lose()
+        return aiohttp
+
+    monkeypatch.setattr(platform_client, "_import_aiohttp", import_slowly)
+
+
+def lose_during_connect(monkeypatch, lose):
+    create_connection = aiohttp.TCPConnector._create_connection
+
+    async def connect_slowly(self, *arguments, **options):
+        opened = await create_connection(self, *arguments, **options)
+        lose()
+        return opened
+
+    monkeypatch.setattr(
+        aiohttp.TCPConnector, "_create_connection", connect_slowly
+    )
+
+
+def lose_nothing(monkeypatch, lose):
+    pass
+
+
+class TestLostLeases:
+    async def report(self, monkeypatch, lose_when):
+        """Returns the calls that arrive for one report, and its outcome."""
+        platform = Platform()
+        client = platform_client.PlatformClient(
+            address=await platform.start(), owner="c"
+        )
+        components = test_duties.make_components()
+        components.member.tables.usage = {"7": {"a": 1}}
+
+        async def settle_nothing(*_):
+            pass
+
+        monkeypatch.setattr(usage_reports, "settle_due_windows", settle_nothing)
+
+        def lose():
+            components.member.is_current = False
+
+        lose_when(monkeypatch, lose)
+        holder = duties.DutyHolder(
+            components=components, options=test_duties.OPTIONS
+        )
+        holder.update_term()
+        components.member.time += 10
+        reports = usage_reports.SentReports(window_s=5.0)
+        await duties._report_usage(holder, client.platform_calls(), reports)
+        await client.close()
+        platform.server.close()
+        return platform.calls, reports.accepted_windows
+
+    @pytest.mark.parametrize(
+        "lose_when", [lose_during_import, lose_during_connect]
+    )
+    async def test_a_call_is_not_sent_once_the_right_to_it_is_lost(
+        self, monkeypatch, lose_when
+    ):
+        assert await self.report(monkeypatch, lose_when) == (0, set())
+
+    async def test_a_call_of_the_holder_is_sent(self, monkeypatch):
+        assert await self.report(monkeypatch, lose_nothing) == (1, {7})
--- a/testing/test_endless_calls.py
+++ b/testing/test_endless_calls.py
@@ -82,7 +82,7 @@
         )
         report = duties.UsageReport(window=1, counts={"w": 1}, fence=1)
         outcome = await observe_call(
-            client, lambda: client.report_usage(report)
+            client, lambda: client.report_usage(report, lambda: True)
         )
         assert outcome not in (duties.ACCEPTED, duties.NO_CAPACITY)
         assert 0 < len(outcome) < test_endless.MAX_REASON_CHARACTERS
@@ -100,7 +100,7 @@
         )
         for _ in range(2):
             order = duties.UsageReport(window=1, counts={"w": 1}, fence=1)
-            assert await client.report_usage(order) == duties.ACCEPTED
+            assert await client.report_usage(order, lambda: True) == duties.ACCEPTED
             await test_endless.wait_until_closed(endpoint)
         await client.close()
         assert endpoint.connection_count == 2
