Leave a silent endpoint before its answer only if it cannot be reached

Repeatable requests were aborted while their answers arrived, or while a slow endpoint worked, and were sent elsewhere 1.5 s after they had been sent: any lost request at an endpoint makes it a suspect, and every attempt there that was older than 1.5 s left at its next check. Each of them made it a suspect again and took a retry.

An attempt now leaves before its answer has begun only if nothing was received for 1 s and the last sign of the endpoint since then is a failed connection.

--- a/src/_arbutuswalk/relay/crash_probes.py
+++ b/src/_arbutuswalk/relay/crash_probes.py
@@ -83,6 +83,7 @@
     failure: pool.NotOpened,
 ) -> None:
     """Records a failed connection, which may show that the endpoint crashed."""
+    relay.unreachable_at[endpoint.id] = relay.now()
     if failure.refused:
         crashes.record_refused_connection(
             relay.crashes, directory.start_of(endpoint), relay.now()
--- a/src/_arbutuswalk/relay/relay_state.py
+++ b/src/_arbutuswalk/relay/relay_state.py
@@ -95,6 +95,7 @@
         lateness: Longest deadlines of the callers of each route.
         recent_parts: Endpoints that recently received shared prompt parts.
         heard_at: When an endpoint last sent something, by id.
+        unreachable_at: When a connection to an endpoint last failed, by id.
         suspect_until: Time until which an endpoint is used last, by id.
         retry_windows: Retry window by upstream.
         quota_buckets: Quota bucket by workspace.
@@ -146,6 +147,7 @@
         self.probed_starts: set[leaving.Start] = set()
         self.refusals = refusals.Refusals()
         self.heard_at: dict[str, float] = {}
+        self.unreachable_at: dict[str, float] = {}
         self.suspect_until: dict[str, float] = {}
         self.retry_windows: dict[str, retries.RetryWindow] = {}
         self.quota_buckets: dict[str, quota.Bucket] = {}
@@ -180,7 +182,11 @@
 
     def remove_unknown_endpoints(self) -> None:
         """Forgets when endpoints that are not in the directory failed."""
-        for times in (self.heard_at, self.suspect_until):
+        for times in (
+            self.heard_at,
+            self.unreachable_at,
+            self.suspect_until,
+        ):
             for endpoint_id in times.keys() - self.directory.rows.keys():
                 del times[endpoint_id]
 
--- a/src/_arbutuswalk/relay/silence.py
+++ b/src/_arbutuswalk/relay/silence.py
@@ -91,10 +91,21 @@
             may_leave = self.retry.reserve(silent_since if is_silent else None)
             return "stream stalled" if may_leave else ""
         # A sound endpoint may take longer than this to begin its answer.
-        is_suspect = self.relay.suspect_until.get(self.endpoint.id, 0.0) > now
-        may_leave = is_suspect and self.retry.reserve(silent_since)
+        may_leave = (
+            is_silent
+            and self._is_unreachable(silent_since)
+            and self.retry.reserve(silent_since)
+        )
         return "endpoint silent" if may_leave else ""
 
+    def _is_unreachable(self, silent_since: float) -> bool:
+        """Returns whether the last sign since then is a failed connection."""
+        heard_at = self.relay.heard_at.get(self.endpoint.id, -math.inf)
+        unreachable_at = self.relay.unreachable_at.get(
+            self.endpoint.id, -math.inf
+        )
+        return unreachable_at > max(heard_at, silent_since)
+
     def _probe(self, now: float) -> None:
         heard_at = self.relay.heard_at.get(self.endpoint.id, -math.inf)
         if now - max(heard_at, self.progress_at) >= PROBE_AFTER_S:
