Leave a slow event only for an endpoint that was heard

A stream whose event arrived slowly (bytes, but no whole event for 1.5 s) left for any other endpoint, also one that refuses connections, and broke off. The rule for silence, that the next endpoint was heard since, holds for it as well. test_slow_event_does_not_leave_for_one_that_is_unreachable failed before.

--- a/src/_arbutuswalk/relay/retry_reservation.py
+++ b/src/_arbutuswalk/relay/retry_reservation.py
@@ -49,27 +49,25 @@
         """Counts an attempt that has ended."""
         self.tally = results.tally_result(self.tally, result)
 
-    def prepare(self, silent_since: float) -> None:
+    def prepare(self, since: float, *, needs_sound: bool) -> None:
         """Examines an endpoint that may be tried next, unless one was heard."""
-        others = self._others(silent_since)
-        if others and not self._heard(others, silent_since):
+        others = self._others(needs_sound=needs_sound)
+        if others and not self._heard(others, since):
             endpoint = self.relay.directory.rows[others[0]].endpoint
             crash_probes.start_silent(self.relay, endpoint)
 
-    def reserve(self, silent_since: float | None) -> bool:
+    def reserve(self, since: float, *, needs_sound: bool) -> bool:
         """Takes the attempt that is to follow the current one.
 
         Args:
-            silent_since: Since when the current endpoint has sent nothing; then
-                the next one must have been heard later. None if it responds.
+            since: Since when the current endpoint has sent nothing, or no whole
+                event. The next one must have been heard later.
+            needs_sound: Whether to leave out endpoints that failed recently.
 
         Returns:
             Whether an attempt may follow.
         """
-        others = self._others(silent_since)
-        if silent_since is not None:
-            others = self._heard(others, silent_since)
-        if not others:
+        if not self._heard(self._others(needs_sound=needs_sound), since):
             return False
         lost = results.Lost(reason="silent")
         tally = results.tally_result(self.tally, lost)
@@ -85,12 +83,16 @@
         finally:
             self.tally = former_tally
 
-    def _others(self, silent_since: float | None) -> list[str]:
+    def _others(self, *, needs_sound: bool) -> list[str]:
+        """Returns the endpoints that may be tried next, sound ones if any."""
+        sound = self._usable(needs_sound=True)
+        return (
+            sound if sound or needs_sound else self._usable(needs_sound=False)
+        )
+
+    def _usable(self, *, needs_sound: bool) -> list[str]:
         return placement.usable_endpoints(
-            self.relay,
-            self.request,
-            self.tried,
-            needs_sound=silent_since is not None,
+            self.relay, self.request, self.tried, needs_sound=needs_sound
         )
 
     def _heard(self, endpoints: list[str], since: float) -> list[str]:
--- a/src/_arbutuswalk/relay/silence.py
+++ b/src/_arbutuswalk/relay/silence.py
@@ -83,18 +83,23 @@
         is_silent = now - silent_since >= PROBE_AFTER_S
         if is_silent:
             self._probe(now)
-            self.retry.prepare(silent_since)
-        if now - self.progress_at < LEAVE_AFTER_S:
-            return ""
+        may_leave = now - self.progress_at >= LEAVE_AFTER_S
         if self.has_begun:
             # One that sends bytes but no whole event does not recover.
-            may_leave = self.retry.reserve(silent_since if is_silent else None)
+            since = silent_since if is_silent else self.progress_at
+            self.retry.prepare(since, needs_sound=is_silent)
+            may_leave = may_leave and self.retry.reserve(
+                since, needs_sound=is_silent
+            )
             return "stream stalled" if may_leave else ""
+        if is_silent:
+            self.retry.prepare(silent_since, needs_sound=True)
         # A sound endpoint may take longer than this to begin its answer.
         may_leave = (
-            is_silent
+            may_leave
+            and is_silent
             and self._is_unreachable(silent_since)
-            and self.retry.reserve(silent_since)
+            and self.retry.reserve(silent_since, needs_sound=True)
         )
         return "endpoint silent" if may_leave else ""
 
