Do not take a delay of the entry itself for an endpoint's silence

An entry that stood still for 1.8 s left the endpoints of its streams at its first check, although their events had arrived or were about to; one whose next endpoint did not continue it broke off. The time by which a check is late no longer counts.

--- a/src/_arbutuswalk/relay/silence.py
+++ b/src/_arbutuswalk/relay/silence.py
@@ -78,6 +78,7 @@
     def check(self) -> str:
         """Returns why the attempt leaves the endpoint, empty if it does not."""
         now = self.relay.now()
+        self._skip_own_delay(now - self.next_check_at)
         self.next_check_at = now + CHECK_INTERVAL_S
         silent_since = max(self.received_at, self.progress_at)
         is_silent = now - silent_since >= PROBE_AFTER_S
@@ -103,6 +104,12 @@
         )
         return "endpoint silent" if may_leave else ""
 
+    def _skip_own_delay(self, late_s: float) -> None:
+        """Leaves out time in which the entry itself did not run."""
+        if late_s > CHECK_INTERVAL_S:
+            self.received_at += late_s
+            self.progress_at += late_s
+
     def _is_unreachable(self, silent_since: float) -> bool:
         """Returns whether the last sign since then is a failed connection."""
         heard_at = self.relay.heard_at.get(self.endpoint.id, -math.inf)
