Keep the probes of silent endpoints within the connection limit

An endpoint resets connections beyond its limit, so that the probe of one entry cost the request of another. The probe after a lost connection asked already whether another connection may be used. test_a_probe_keeps_to_the_connection_limit failed before, with 3 connections where 1 was left.

--- a/src/_arbutuswalk/relay/crash_probes.py
+++ b/src/_arbutuswalk/relay/crash_probes.py
@@ -47,6 +47,8 @@
     relay: relay_state.Relay, endpoint: directory.Endpoint
 ) -> None:
     try:
+        if not connection_limits.may_use_another(relay, endpoint):
+            return
         connection = await relay.pool.open(endpoint.address)
         if isinstance(connection, pool.NotOpened):
             record_not_opened(relay, endpoint, connection)
