Search for another endpoint only if the present one does not respond

Now it does so only while its endpoint has not been heard since, or could not be reached. test_an_endpoint_that_was_heard_costs_no_search_for_others failed before; test_an_endpoint_that_stops_accepting_them_later_is_left guards the rest.

--- a/src/_arbutuswalk/relay/silence.py
+++ b/src/_arbutuswalk/relay/silence.py
@@ -93,17 +93,23 @@
                 since, needs_sound=is_silent
             )
             return "stream stalled" if may_leave else ""
-        if is_silent:
+        if not is_silent:
+            return ""
+        is_unreachable = self._is_unreachable(silent_since)
+        if is_unreachable or self._heard_at <= silent_since:
             self.retry.prepare(silent_since, needs_sound=True)
         # A sound endpoint may take longer than this to begin its answer.
         may_leave = (
             may_leave
-            and is_silent
-            and self._is_unreachable(silent_since)
+            and is_unreachable
             and self.retry.reserve(silent_since, needs_sound=True)
         )
         return "endpoint silent" if may_leave else ""
 
+    @property
+    def _heard_at(self) -> float:
+        return self.relay.heard_at.get(self.endpoint.id, -math.inf)
+
     def _skip_own_delay(self, late_s: float) -> None:
         """Leaves out time in which the entry itself did not run."""
         if late_s > CHECK_INTERVAL_S:
@@ -112,13 +118,11 @@
 
     def _is_unreachable(self, silent_since: float) -> bool:
         """Returns whether the last sign since then is a failed connection."""
-        heard_at = self.relay.heard_at.get(self.endpoint.id, -math.inf)
         unreachable_at = self.relay.unreachable_at.get(
             self.endpoint.id, -math.inf
         )
-        return unreachable_at > max(heard_at, silent_since)
+        return unreachable_at > max(self._heard_at, silent_since)
 
     def _probe(self, now: float) -> None:
-        heard_at = self.relay.heard_at.get(self.endpoint.id, -math.inf)
-        if now - max(heard_at, self.progress_at) >= PROBE_AFTER_S:
+        if now - max(self._heard_at, self.progress_at) >= PROBE_AFTER_S:
             crash_probes.start_silent(self.relay, self.endpoint)
--- a/testing/test_silence_review.py
+++ b/testing/test_silence_review.py
@@ -158,6 +158,24 @@
         assert caller.status == 200
         assert not other.request_heads
 
+    async def test_an_endpoint_that_stops_accepting_them_later_is_left(self):
+        relay = make_relay(IDEMPOTENT)
+        first = relay_fixtures.ScriptedEndpoint(
+            relay_fixtures.stay_silent(), name="e1"
+        )
+        other = relay_fixtures.ScriptedEndpoint(name="e2")
+        await first.start(relay)
+        await other.start(relay)
+        relay.add_load("e2", 1, 0)
+        answer = asyncio.ensure_future(test_relay.relay_to(relay))
+        await asyncio.sleep(1.3)
+        assert relay.heard_at["e1"]
+        first.stop()  # keeps the connection that it has accepted
+        caller = await asyncio.wait_for(answer, 4)
+        other.stop()
+        assert caller.status == 200
+        assert other.request_heads
+
 
 class TestOtherEndpoints:
     async def play(self, step, *others, heard=()):
