End a stream at its deadline if its caller does not read the end

Once the whole stream was received, its end was sent without a time limit. As the kernel gives up callers only after 30 s now, a caller that does not read held its place at the endpoint, which was free, for that time after the deadline. test_the_end_of_a_stream_frees_the_endpoint_at_the_deadline failed before.

--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -314,7 +314,11 @@
         if failure:
             return self._record_lost(failure)
         rest_bytes = len(self.delivery.framer.rest)
-        await self.delivery.finish_stream()
+        try:
+            async with asyncio.timeout(max(0.0, deadline - self.relay.now())):
+                await self.delivery.finish_stream()
+        except TimeoutError:
+            return results.TimedOut(reason="caller reads too slowly")
         return results.Delivered(
             body_end=self.exchange.body_end, rest_bytes=rest_bytes
         )
