State in event 684 whether the caller's connection was waited for

A transport has dropped its buffer when it reports a lost connection, so that unsent_bytes was 0 always. Whether writing was paused tells a caller that did not read from one that was idle. The test failed before; it asked for unsent bytes over 0 then, which cannot be known, and asks for the pause now.

--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -180,7 +180,7 @@
     )
     CALLER_TIMED_OUT = (
         684,
-        "caller connection timed out caller=%s busy=%s unsent_bytes=%s",
+        "caller connection timed out caller=%s busy=%s write_paused=%s",
     )
     HEAD_REFUSED = (683, "request head refused caller=%s status=%s reason=%s")
 
