--- a/testing/test_silence_review.py
+++ b/testing/test_silence_review.py
@@ -14,12 +14,16 @@
 import test_slow_callers
 
 from _arbutuswalk.base import events
+from _arbutuswalk.limits import permits
 from _arbutuswalk.relay import control_watch
+from _arbutuswalk.relay import permit_client
 from _arbutuswalk.relay import placement
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import silence
 from _arbutuswalk.routing import crashes
+from _arbutuswalk.routing import stated_limits
 from _arbutuswalk.state import routeconfig
+from _arbutuswalk.streams import attempts
 
 STREAM = relay_fixtures.make_route(
     kind=routeconfig.STREAM, resumable=True, max_attempts=2, timeout_s=8.0
@@ -220,6 +224,28 @@
         assert caller.data.endswith(b"id: 2\ndata: b\n\n")
         assert caller.complete
 
+    async def test_a_denied_permit_does_not_end_the_stream(self):
+        """The next endpoint states a limit that is used up."""
+        limited = relay_fixtures.ScriptedEndpoint(name="e2")
+        start = limited.start
+
+        async def start_limited(relay):
+            await start(relay)
+            statement = stated_limits.Statement(1, 0.2, relay.now())
+            relay.stated_limits.record("e2", statement)
+
+            async def deny(*_):
+                return permit_client.LeaderDecision(
+                    "leader", permits.Denied(wait_s=5.0), 1
+                )
+
+            relay.permits.ask_leader = deny
+
+        limited.start = start_limited
+        caller = await self.play(fall_silent, limited, heard=["e2"])
+        assert caller.data.endswith(b"id: 2\ndata: b\n\n")
+        assert caller.complete
+
 
 class TestStalledEntry:
     """An endpoint in a thread of its own goes on while the entry stands."""
@@ -285,6 +311,56 @@
         assert caller.complete
         assert not other_heads
 
+    async def test_a_stall_is_no_connect_timeout(self):
+        once = IDEMPOTENT._replace(kind=routeconfig.ONCE, max_attempts=1)
+        relay = make_relay(once)
+        endpoint = relay_fixtures.ScriptedEndpoint(name="e1")
+        await endpoint.start(relay)
+        answer = asyncio.ensure_future(test_relay.relay_to(relay))
+        await asyncio.sleep(0)  # the connection is being opened
+        await asyncio.sleep(0)
+        time.sleep(self.STALL_S)  # noqa: ASYNC251
+        caller = await answer
+        endpoint.stop()
+        assert caller.status == 200
+
+    async def test_a_stall_is_no_silence_of_a_model(self):
+        """The endpoint of the chat front goes on after the entry does."""
+        released = asyncio.Event()
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\n"
+                b"Content-Type: text/event-stream\r\n\r\ndata: 1\n\n"
+            )
+            await released.wait()
+            writer.write(b"data: [DONE]\n\n")
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        order = attempts.Order(
+            address=f"127.0.0.1:{port}",
+            path="/",
+            request_id="r",
+            attempt_id="a",
+            body={},
+            priority=0,
+            echo=True,
+        )
+        received = []
+        run = asyncio.ensure_future(
+            attempts.run(order, attempts.Deadlines(gap_s=1.0), received.extend)
+        )
+        while not received:
+            await asyncio.sleep(0.01)
+        time.sleep(self.STALL_S)  # noqa: ASYNC251
+        asyncio.get_running_loop().call_later(0.3, released.set)
+        result = await run
+        server.close()
+        assert isinstance(result, attempts.Completed)
+
 
 class TestProbes:
     async def test_a_probe_keeps_to_the_connection_limit(self):
