Do not take a stall of the chat front for an upstream's silence

After a stall of over the gap time-out, an upstream was given up unless its next data was already there. The silence now begins anew. test_a_stall_is_no_silence_of_a_model failed before.

--- a/src/_arbutuswalk/streams/attempts.py
+++ b/src/_arbutuswalk/streams/attempts.py
@@ -8,6 +8,7 @@
 
 from _arbutuswalk.base import clock
 from _arbutuswalk.base import digits
+from _arbutuswalk.base import stalls
 from _arbutuswalk.streams import connection as connections
 from _arbutuswalk.streams import framing
 from _arbutuswalk.streams import pool
@@ -248,7 +249,8 @@
             return _with_cached_tokens(
                 exchange, Silent(after_s=deadlines.gap_s)
             )
-        await exchange.wait_for_change(remaining_s)
+        if not await exchange.wait_for_change(remaining_s):
+            _skip_own_delay(exchange, deadlines.gap_s)
     if state.result is not None:
         return _with_cached_tokens(exchange, state.result)
     if exchange.status and exchange.status != STATUS_OK:
@@ -257,6 +259,13 @@
     return _with_cached_tokens(exchange, Broke(reason=reason))
 
 
+def _skip_own_delay(exchange: connections.Exchange, gap_s: float) -> None:
+    """Begins the silence anew if the process itself stood still."""
+    now = clock.monotonic()
+    if now - exchange.last_received_at - gap_s > stalls.MIN_STALL_S:
+        exchange.last_received_at = now
+
+
 def _make_declined(status: int, body: bytes) -> Declined:
     detail = body[:MAX_ERROR_DETAIL_BYTES].decode(errors="replace")
     return Declined(status=status, detail=detail)
