--- a/testing/test_silence_review.py
+++ b/testing/test_silence_review.py
@@ -224,6 +224,24 @@
         assert caller.data.endswith(b"id: 2\ndata: b\n\n")
         assert caller.complete
 
+    async def test_a_stream_that_moves_takes_one_retry(self):
+        """Also if the first one that is tried cannot be reached any more."""
+        relay = make_relay(STREAM)
+        first = relay_fixtures.ScriptedEndpoint(fall_silent, name="e1")
+        last = relay_fixtures.ScriptedEndpoint(
+            relay_fixtures.send_stream((2, "b")), name="e3"
+        )
+        for load, each in enumerate((first, make_unreachable("e2"), last)):
+            await each.start(relay)
+            relay.add_load(each.name, load, 0)
+        async with hearing(relay, "e2", "e3"):
+            caller = await test_relay.relay_to(relay)
+        first.stop()
+        last.stop()
+        assert caller.complete
+        assert last.request_heads
+        assert len(relay.retry_window("ops").retries) == 1
+
     async def test_a_denied_permit_does_not_end_the_stream(self):
         """The next endpoint states a limit that is used up."""
         limited = relay_fixtures.ScriptedEndpoint(name="e2")
