Return a stream to the endpoint that it left if no other one takes it

A stream left an endpoint that was silent for 1.8 s for one that had been heard, but refused the request (503, not run) or whose limit was used up, and broke off, although the first one had gone on.

--- a/src/_arbutuswalk/relay/retry_reservation.py
+++ b/src/_arbutuswalk/relay/retry_reservation.py
@@ -19,6 +19,8 @@
         request: The request.
         tally: Counts of the attempts so far.
         tried: Endpoints that were tried.
+        left: Those of them that were left as they were silent. They are tried
+            again if no other one takes the request.
         reserved: Whether the budget has permitted an attempt that has not
             reached an endpoint yet.
         heard_since: Since when the next endpoint must have been heard, if there
@@ -30,6 +32,7 @@
         self.request = request
         self.tally = results.Tally()
         self.tried: set[str] = set()
+        self.left: set[str] = set()
         self.reserved = False
         self.heard_since: float | None = None
 
@@ -44,6 +47,13 @@
             )
             if not isinstance(found, results.NotSent):
                 return found
+        found = await permitted_placement.find(
+            self.relay, self.request, self.tried
+        )
+        if not isinstance(found, results.NotSent) or not self.left:
+            return found
+        self.tried -= self.left
+        self.left.clear()
         return await permitted_placement.find(
             self.relay, self.request, self.tried
         )
--- a/src/_arbutuswalk/relay/silence.py
+++ b/src/_arbutuswalk/relay/silence.py
@@ -94,7 +94,7 @@
             # One that sends bytes but no whole event does not recover.
             since = silent_since if is_silent else self.progress_at
             self.retry.prepare(since, needs_sound=is_silent)
-            may_leave = may_leave and self.retry.reserve(
+            may_leave = may_leave and self._reserve(
                 since, needs_sound=is_silent
             )
             return "stream stalled" if may_leave else ""
@@ -107,10 +107,16 @@
         may_leave = (
             may_leave
             and is_unreachable
-            and self.retry.reserve(silent_since, needs_sound=True)
+            and self._reserve(silent_since, needs_sound=True)
         )
         return "endpoint silent" if may_leave else ""
 
+    def _reserve(self, since: float, *, needs_sound: bool) -> bool:
+        if not self.retry.reserve(since, needs_sound=needs_sound):
+            return False
+        self.retry.left.add(self.endpoint.id)
+        return True
+
     @property
     def _heard_at(self) -> float:
         return self.relay.heard_at.get(self.endpoint.id, -math.inf)
