--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -181,7 +181,7 @@
     )
     CALLER_TIMED_OUT = (
         684,
-        "caller connection timed out caller=%s busy=%s unsent_bytes=%s",
+        "caller connection timed out caller=%s busy=%s write_paused=%s",
     )
     PATH_LOST = (
         690,
--- a/src/_arbutuswalk/relay/crash_probes.py
+++ b/src/_arbutuswalk/relay/crash_probes.py
@@ -47,6 +47,8 @@
     relay: relay_state.Relay, endpoint: directory.Endpoint
 ) -> None:
     try:
+        if not connection_limits.may_use_another(relay, endpoint):
+            return
         connection = await relay.pool.open(endpoint.address)
         if isinstance(connection, pool.NotOpened):
             if connection.is_path_failure:
@@ -85,6 +87,9 @@
     failure: pool.NotOpened,
 ) -> None:
     """Records a failed connection, which may show that the endpoint crashed."""
+    if failure.is_path_failure:
+        return
+    relay.unreachable_at[endpoint.id] = relay.now()
     if failure.refused:
         crashes.record_refused_connection(
             relay.crashes, directory.start_of(endpoint), relay.now()
--- a/src/_arbutuswalk/relay/silence.py
+++ b/src/_arbutuswalk/relay/silence.py
@@ -7,6 +7,7 @@
 
 import math
 
+from _arbutuswalk.base import stalls
 from _arbutuswalk.relay import crash_probes
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
@@ -57,7 +58,7 @@
 
     def record_sent(self) -> None:
         """Records that the request was sent."""
-        self.retry.reserved = False
+        self.retry.record_sent()
         self.received_at = self.relay.now()
         self._record_progress(may_leave=self.request.route.repeatable)
 
@@ -80,29 +81,61 @@
     def check(self) -> str:
         """Returns why the attempt leaves the endpoint, empty if it does not."""
         now = self.relay.now()
+        late_s = now - self.next_check_at
         self.next_check_at = now + CHECK_INTERVAL_S
+        if late_s > stalls.MIN_STALL_S:
+            # The entry stood still: what was sent meanwhile is unread.
+            self.received_at = self.progress_at = now
+            return ""
         silent_since = max(self.received_at, self.progress_at)
         is_silent = now - silent_since >= PROBE_AFTER_S
         if is_silent:
             self._probe(now)
-            self.retry.prepare(silent_since)
-        if now - self.progress_at < LEAVE_AFTER_S:
-            return ""
+        may_leave = now - self.progress_at >= LEAVE_AFTER_S
         if self.has_begun:
             # One that sends bytes but no whole event does not recover.
-            may_leave = self.retry.reserve(silent_since if is_silent else None)
+            since = silent_since if is_silent else self.progress_at
+            self.retry.prepare(since, needs_sound=is_silent)
+            may_leave = may_leave and self._reserve(
+                since, needs_sound=is_silent
+            )
             return "stream stalled" if may_leave else ""
+        if not is_silent:
+            return ""
+        is_unreachable = self._is_unreachable(silent_since)
+        if is_unreachable or self._heard_at <= silent_since:
+            self.retry.prepare(silent_since, needs_sound=True)
         # A sound endpoint may take longer than this to begin its answer.
-        is_suspect = self.relay.suspect_until.get(self.endpoint.id, 0.0) > now
-        is_suspect |= self.is_direct and self._has_lost_path()
-        may_leave = is_suspect and self.retry.reserve(silent_since)
+        may_leave = (
+            may_leave
+            and is_unreachable
+            and self._reserve(silent_since, needs_sound=True)
+        )
         return "endpoint silent" if may_leave else ""
 
+    def _reserve(self, since: float, *, needs_sound: bool) -> bool:
+        if not self.retry.reserve(since, needs_sound=needs_sound):
+            return False
+        self.retry.left.add(self.endpoint.id)
+        return True
+
+    @property
+    def _heard_at(self) -> float:
+        return self.relay.heard_at.get(self.endpoint.id, -math.inf)
+
+    def _is_unreachable(self, silent_since: float) -> bool:
+        """Returns whether the last sign since then is a failed connection."""
+        unreachable_at = self.relay.unreachable_at.get(
+            self.endpoint.id, -math.inf
+        )
+        if self.is_direct and self._has_lost_path():
+            return True
+        return unreachable_at > max(self._heard_at, silent_since)
+
     def _has_lost_path(self) -> bool:
         paths = self.relay.paths
         return paths.is_cut_off and paths.is_silent
 
     def _probe(self, now: float) -> None:
-        heard_at = self.relay.heard_at.get(self.endpoint.id, -math.inf)
-        if now - max(heard_at, self.progress_at) >= PROBE_AFTER_S:
+        if now - max(self._heard_at, self.progress_at) >= PROBE_AFTER_S:
             crash_probes.start_silent(self.relay, self.endpoint)
--- a/src/_arbutuswalk/streams/pool.py
+++ b/src/_arbutuswalk/streams/pool.py
@@ -11,6 +11,7 @@
 
 from _arbutuswalk.base import clock
 from _arbutuswalk.base import settings
+from _arbutuswalk.base import stalls
 from _arbutuswalk.streams import connection as connections
 from _arbutuswalk.streams import replies
 
@@ -179,6 +180,21 @@
     """
     if not settings.is_address(address):
         return NotOpened(reason="not IP:port", refused=False)
+    started_at = clock.monotonic()
+    opened = await _connect_once(address, read_reply, timeout_s, on_close)
+    late_s = clock.monotonic() - started_at - timeout_s
+    if isinstance(opened, NotOpened) and late_s > stalls.MIN_STALL_S:
+        # The process stood still; the upstream may have accepted in time.
+        return await _connect_once(address, read_reply, timeout_s, on_close)
+    return opened
+
+
+async def _connect_once(
+    address: str,
+    read_reply: Callable[[int, replies.Headers], replies.Reply],
+    timeout_s: float,
+    on_close: Callable[[connections.Connection], None],
+) -> connections.Connection | NotOpened:
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     try:
