--- a/testing/test_endless_calls.py
+++ b/testing/test_endless_calls.py
@@ -100,7 +100,10 @@
         )
         for _ in range(2):
             order = duties.UsageReport(window=1, counts={"w": 1}, fence=1)
-            assert await client.report_usage(order, lambda: True) == duties.ACCEPTED
+            assert (
+                await client.report_usage(order, lambda: True)
+                == duties.ACCEPTED
+            )
             await test_endless.wait_until_closed(endpoint)
         await client.close()
         assert endpoint.connection_count == 2
