--- a/src/_arbutuswalk/relay/retry_reservation.py
+++ b/src/_arbutuswalk/relay/retry_reservation.py
@@ -9,6 +9,7 @@
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import results
+from _arbutuswalk.relay import stopping
 
 
 class RetryReservation:
@@ -112,6 +113,8 @@
             return False
         if admission.find_refused_key(self.relay, self.request):
             return False
+        if stopping.find_refusal(self.relay, self.request) is not None:
+            return False
         self.heard_since = since
         former_tally, self.tally = self.tally, tally
         try:
