Refuse requests that may outlast the grace of an entry that stops

Callers of an entry that was stopped, in calm, got no answer to requests that were read late in its grace (LOST): in the test with processes 10 of 720 were cut while the endpoint ran them, some of which may run once.

The entry decided after SIGTERM which connections to accept, but not which requests to pass on. A request whose body came late, that had waited for a connection, a permit, a pause or the configuration, that was sent once more, or that was read while the process ended was passed on up to the last moment and cut at the end. Those that waited to the end, and pipelined ones behind an answer with Connection: close, were closed without an answer.

Now relay.stopping decides before each send: one that may run once needs the time to its deadline, one that may be repeated its usual time. Otherwise it is refused at once with 503, Retry-After and Connection: close. When answers are due, requests without one get 503, or 504 if an endpoint may have run them. An endpoint is not left for silence if no other attempt can follow inside the grace.

Ruled out: requests that cross the close of an idle connection are not read (no case among the 540 calls on kept and new connections and with late heads).

--- a/src/_arbutuswalk/relay/admission.py
+++ b/src/_arbutuswalk/relay/admission.py
@@ -5,6 +5,7 @@
 from _arbutuswalk.limits import quota_levels
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
+from _arbutuswalk.relay import stopping
 from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import refusals
 from _arbutuswalk.routing import routetable
@@ -96,6 +97,10 @@
             f"{refused_key} crashes endpoints",
             refusals.RETENTION_S,
         )
+    if not stopping.has_time(relay, request, relay.now()):
+        return Refusal(
+            STATUS_UNAVAILABLE, stopping.REASON, stopping.RETRY_AFTER_S
+        )
     relay.lateness.record(route.name, incoming.deadline_s)
     refusal = _take_quota(relay, request)
     return refusal or request
--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -18,6 +18,7 @@
 from _arbutuswalk.relay import results
 from _arbutuswalk.relay import retry_reservation
 from _arbutuswalk.relay import silence
+from _arbutuswalk.relay import stopping
 from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory
 from _arbutuswalk.routing import stated_limits
@@ -27,9 +28,6 @@
 from _arbutuswalk.streams import pool
 from _arbutuswalk.streams import replies
 
-TIMEOUT_ANSWER_GRACE_S = 0.1
-"""Time after the deadline for which an endpoint's own time-out answer is
-awaited: less than the quarter of a second by which an answer may be late."""
 REJECTION_BODY_WAIT_S = 0.1
 """Time for which the body of an answer is awaited whose head states that the
 request was not run. It is read only to keep the connection usable."""
@@ -129,6 +127,10 @@
         if endpoint_pauses.is_paused(self.relay, self.endpoint):
             connection_limits.release(self.relay, self.endpoint, connection)
             return results.NotSent(reason="the endpoint is paused")
+        refusal = stopping.find_refusal(self.relay, self.request)
+        if refusal is not None:
+            connection_limits.release(self.relay, self.endpoint, connection)
+            return refusal
         options = requests.AttemptOptions(
             endpoint=self.endpoint.id,
             left_s=left_s,
@@ -137,12 +139,17 @@
         )
         data = self.relay.dialect.encode(self.request, options)
         self.delivery.on_caller_left = self.exchange.changed.set
+        self.delivery.may_have_run = True
         endpoint_limits.record_sent(self.relay, self.endpoint)
         connection.send_request(data, self.exchange)
         self.silence.is_direct = not connection.peer
         self.silence.record_sent()
         self.timing.start()
-        result = await self._receive_answer(connection)
+        try:
+            result = await self._receive_answer(connection)
+        except asyncio.CancelledError:
+            connection.abort()
+            raise
         self._release_connection(connection, result)
         return result
 
@@ -174,7 +181,7 @@
         self, connection: connections.Connection
     ) -> results.Result:
         """Waits for the status and headers, then reads the answer's body."""
-        deadline = self.request.deadline + TIMEOUT_ANSWER_GRACE_S
+        deadline = self.request.deadline + results.TIMEOUT_ANSWER_GRACE_S
         while self.exchange.reply is None and not self.exchange.ended:
             early_result = await self._wait_for_progress(deadline)
             if early_result is not None:
--- a/src/_arbutuswalk/relay/delivery.py
+++ b/src/_arbutuswalk/relay/delivery.py
@@ -28,6 +28,7 @@
         first_event_at: When the first event was sent, in seconds.
         framer: Splits the current attempt's data into events.
         inside_event: Whether a part of the current event has been sent.
+        may_have_run: Whether an endpoint may have run the request.
         on_caller_left: Called when the caller closes the connection.
     """
 
@@ -49,6 +50,7 @@
         self.first_event_at = 0.0
         self.framer = framing.Framer()
         self.inside_event = False
+        self.may_have_run = False
         self.on_caller_left = lambda: None
 
     def mark_caller_left(self) -> None:
--- a/src/_arbutuswalk/relay/relay_state.py
+++ b/src/_arbutuswalk/relay/relay_state.py
@@ -1,6 +1,7 @@
 """State of an entry that relays requests unmodified."""
 
 import asyncio
+import dataclasses
 import math
 import random
 from collections.abc import Callable
@@ -66,6 +67,21 @@
     waiting_tokens: int = 0
 
 
+@dataclasses.dataclass(kw_only=True)
+class Stop:
+    """An entry's orderly stop.
+
+    Attributes:
+        accepts_until: When it stops to accept connections, in seconds.
+        answers_due_at: When all answers are to have been received, in seconds.
+        usual_s: Usual time of the answers of each route, in seconds.
+    """
+
+    accepts_until: float
+    answers_due_at: float
+    usual_s: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
 class Relay:
     """State of one entry, shared by the functions of the data path.
 
@@ -107,6 +123,8 @@
         entry_count: Entries that share limits, including unreachable ones.
         unreachable_entries: Those of them that control cannot reach.
         draining: Whether the process is shutting down.
+        stop: Times of the shutdown, None before it.
+        open_requests: Callers' requests that have no complete answer.
         control_updated: Set and replaced at each update from control.
         started_at: When the process started, in seconds.
         metrics: Metrics of the entry.
@@ -165,6 +183,8 @@
         self.entry_count = DEFAULT_ENTRY_COUNT
         self.unreachable_entries = 0
         self.draining = False
+        self.stop: Stop | None = None
+        self.open_requests: set = set()
         self.control_updated = asyncio.Event()
         self.started_at = now()
         self.metrics = metrics.Metrics()
--- a/src/_arbutuswalk/relay/relaying.py
+++ b/src/_arbutuswalk/relay/relaying.py
@@ -7,6 +7,7 @@
 from _arbutuswalk.base import events
 from _arbutuswalk.relay import admission
 from _arbutuswalk.relay import attempts
+from _arbutuswalk.relay import connection_limits
 from _arbutuswalk.relay import delivery
 from _arbutuswalk.relay import leaving_endpoints
 from _arbutuswalk.relay import permitted_placement
@@ -15,6 +16,7 @@
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import results
 from _arbutuswalk.relay import retry_reservation
+from _arbutuswalk.relay import stopping
 from _arbutuswalk.routing import refusals
 from _arbutuswalk.streams import replies
 
@@ -67,14 +69,12 @@
             ):
                 result = chosen
             break
-        refused_key = admission.find_refused_key(relay, request)
-        if refused_key:
-            ended_by = results.NoRetry(decision="refused", inputs=refused_key)
+        refusal = _find_refusal(relay, request)
+        if refusal is not None:
+            connection_limits.wake_next(relay, request.upstream)
+            not_sent, ended_by = refusal
             if not retry.tally.runs:
-                result = results.NotSent(
-                    reason=f"{refused_key} crashes endpoints",
-                    retry_after_s=refusals.RETENTION_S,
-                )
+                result = not_sent
             break
         ended_by = retry.acquire()
         if ended_by is not None:
@@ -96,6 +96,7 @@
         )
         result = await attempt.run()
         retry.record_result(result)
+        caller_delivery.may_have_run = retry.tally.runs > 0
         if isinstance(result, results.Answered):
             last_answer = result
         left_s = request.deadline - relay.now()
@@ -149,6 +150,23 @@
     )
 
 
+def _find_refusal(
+    relay: relay_state.Relay, request: requests.Request
+) -> tuple[results.NotSent, results.NoRetry] | None:
+    """Returns why a request is sent to no endpoint, None if it may be."""
+    refused_key = admission.find_refused_key(relay, request)
+    if refused_key:
+        not_sent = results.NotSent(
+            reason=f"{refused_key} crashes endpoints",
+            retry_after_s=refusals.RETENTION_S,
+        )
+        return not_sent, results.NoRetry(decision="refused", inputs=refused_key)
+    not_sent = stopping.find_refusal(relay, request)
+    if not_sent is not None:
+        return not_sent, results.NoRetry(decision="stopping")
+    return None
+
+
 async def _send_final_answer(
     relay: relay_state.Relay,
     caller_delivery: delivery.Delivery,
--- a/src/_arbutuswalk/relay/results.py
+++ b/src/_arbutuswalk/relay/results.py
@@ -17,6 +17,9 @@
 
 MAX_SENDS = 4
 """Maximum attempts per request, including those that did not run it."""
+TIMEOUT_ANSWER_GRACE_S = 0.1
+"""Time after the deadline for which an endpoint's own time-out answer is
+awaited: less than the quarter of a second by which an answer may be late."""
 MIN_TIME_LEFT_S = 0.03
 """Remaining time below which no endpoint can answer: a round trip between
 failure domains and the shortest processing time."""
--- a/src/_arbutuswalk/relay/retry_reservation.py
+++ b/src/_arbutuswalk/relay/retry_reservation.py
@@ -6,6 +6,7 @@
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import results
+from _arbutuswalk.relay import stopping
 
 
 class RetryReservation:
@@ -78,6 +79,8 @@
             return False
         if admission.find_refused_key(self.relay, self.request):
             return False
+        if stopping.find_refusal(self.relay, self.request) is not None:
+            return False
         former_tally, self.tally = self.tally, tally
         try:
             self.reserved = False
