--- a/testing/test_late_in_grace.py
+++ b/testing/test_late_in_grace.py
@@ -290,6 +290,40 @@
         assert stopping.has_time(relay, request, read_at) is has_time
 
 
+class TestAcceptedLast:
+    @pytest.mark.parametrize("ticks", range(4))
+    @pytest.mark.parametrize("connections", [1, 20])
+    async def test_one_is_answered_or_unread(
+        self, monkeypatch, ticks, connections
+    ):
+        monkeypatch.setattr(entry, "DRAIN_ACCEPT_S", 0.0)
+        config = make_config(ONCE._replace(timeout_s=0.5))
+        steps = [work(0.05)] * connections
+        async with StoppingEntry(config, steps) as stopping_entry:
+            address = "127.0.0.1", stopping_entry.port
+            socks = [
+                socket.create_connection(address) for _ in range(connections)
+            ]
+            for sock in socks:
+                sock.sendall(encode_request())
+            for _ in range(ticks):
+                await asyncio.sleep(0)
+            stopping_entry.start_to_stop()
+            answers = []
+            for sock in socks:
+                reader, writer = await asyncio.open_connection(sock=sock)
+                stopping_entry.writers.append(writer)
+                answers.append(await stopping_entry.read_answer(reader))
+            await stopping_entry.stopped
+            served = [answer for answer in answers if answer.status == 200]
+            unserved = [answer for answer in answers if answer.status != 200]
+            assert all(
+                answer.status == 0 or answer.is_true_refusal
+                for answer in unserved
+            )
+            assert len(stopping_entry.endpoint.request_heads) == len(served)
+
+
 class RecordingTransport(asyncio.Transport):
     """Records what is written."""
 
