Bound the size of the requests that bring members up to date

Cause: the leader put up to 512 entries into one AppendRequest, whatever their size. The receiver refuses frames of more than 16 MB and closes the link, and the leader sent the same again. Requests now hold at most 1 MB of commands, or one larger command.

Found by control members on virtual time whose disks refuse operations one after the other (testing/disk_cluster.py), here with configurations of 400 KB.

--- a/src/_arbutuswalk/agreement/replication.py
+++ b/src/_arbutuswalk/agreement/replication.py
@@ -7,6 +7,9 @@
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
 MAX_ENTRIES_PER_REQUEST = 512
+MAX_REQUEST_BYTES = 1024 * 1024
+"""Size of the commands in one request, well below that of a frame; a larger
+command is sent alone."""
 RESEND_AFTER_HEARTBEATS = 4
 
 
@@ -172,7 +175,9 @@
         if progress.next_index <= log.snapshot_index:
             transfer.send_offer(replica, member)
             return
-    entries = log.slice(progress.next_index, MAX_ENTRIES_PER_REQUEST)
+    entries = _limit_bytes(
+        log.slice(progress.next_index, MAX_ENTRIES_PER_REQUEST)
+    )
     prev_index = progress.next_index - 1
     _send_append_request(replica, member, prev_index, entries, now)
     if entries:
@@ -181,6 +186,16 @@
         progress.next_index += len(entries)
 
 
+def _limit_bytes(entries: list[ttypes.Entry]) -> list[ttypes.Entry]:
+    """Returns the first entries that one request may carry, at least one."""
+    request_bytes = 0
+    for count, entry in enumerate(entries):
+        request_bytes += len(entry.command)
+        if count and request_bytes > MAX_REQUEST_BYTES:
+            return entries[:count]
+    return entries
+
+
 def _send_append_request(
     replica: replicas.Replica,
     member: str,
--- a/src/_arbutuswalk/agreement/transfer.py
+++ b/src/_arbutuswalk/agreement/transfer.py
@@ -21,7 +21,7 @@
 PIECE_TIMEOUT_HEARTBEATS = 5
 MAX_KEPT_BYTES = 8 * 1024 * 1024
 """Size of the entries that a leader keeps for other members though a snapshot
-covers them; half a frame, as one request may carry them all."""
+covers them."""
 
 
 def send_offer(replica: replicas.Replica, member: str) -> None:
