Drop messages at a control member while its disk is full

A member whose disk is full keeps running and writes again every 0.25 s, but queued all that other members sent meanwhile, and the leader sends again every 0.4 s what is not acknowledged. Now it drops them at each new attempt, and tells callers that it does not lead.

--- a/src/_arbutuswalk/control/member.py
+++ b/src/_arbutuswalk/control/member.py
@@ -232,11 +232,23 @@
         """
         events.record(events.Event.DISK_REFUSED, errors.describe(self.failure))
         await asyncio.sleep(DISK_FULL_RETRY_INTERVAL_S)
+        self._discard_input()
         loop = asyncio.get_running_loop()
         return await loop.run_in_executor(
             None, self.durable_replica.persist, ready
         )
 
+    def _discard_input(self) -> None:
+        """Drops messages and refuses proposals, so that they do not pile up.
+
+        Other members send again what still matters.
+        """
+        self.inbox.clear()
+        proposals, self.proposals = self.proposals, []
+        for _, future in proposals:
+            if not future.done():
+                future.set_result(NotLeader(leader=""))
+
     async def _apply_committed(self) -> None:
         before = self.durable_replica.applied
         while self.failure is None:
--- a/testing/test_disks_in_turn.py
+++ b/testing/test_disks_in_turn.py
@@ -6,6 +6,8 @@
 import pytest
 import virtual
 
+from _arbutuswalk.wire import codec
+
 SETTLE_S = 2.0
 AFTER_S = 6.0
 CATCH_UP_S = 4.0
@@ -199,3 +201,15 @@
     async def followers(self, cluster):
         leader = cluster.leader()
         return [node for node in cluster.nodes.values() if node is not leader]
+
+
+@pytest.mark.parametrize("seed", range(4), ids="seed{}".format)
+class TestMemoryOfAMember:
+    def test_messages_do_not_pile_up_while_its_disk_is_full(self, play, seed):
+        async def scenario(cluster):
+            faults = fill_in_turn(cluster, rounds=1, full_s=8)
+            ended_at = await storm_while(cluster, faults, 0.2)
+            check_recovered(cluster, ended_at)
+            assert cluster.most_queued_bytes < codec.MAX_FRAME_BYTES
+
+        play(scenario, seed, config_bytes=LARGE_CONFIG_BYTES)
