Keep a member running whose disk refuses to truncate a file

A disk that refuses every write may have stored a part of one, and may refuse to cut that part off again. The error of the truncation then ended the member's loop and the process (E104, exit code 1), and each new process found the torn tail, could not cut it either and ended with exit code 3, until there was room.

The log now notes a failed write and cuts its tail before anything follows: the next write, or the first record of a new segment, which must not follow a torn one. A write whose sync failed is cut and written again as a whole too; it was appended a second time before.

--- a/src/_arbutuswalk/storage/folder.py
+++ b/src/_arbutuswalk/storage/folder.py
@@ -3,6 +3,7 @@
 The log and its snapshots access files only through this module.
 """
 
+import contextlib
 import errno
 import fcntl
 import os
@@ -65,7 +66,11 @@
         return (self.path / name).read_bytes()
 
     def append(self, name: str, data: bytes) -> errors.StorageError | None:
-        """Appends to a file; a failure leaves the file unchanged."""
+        """Appends to a file.
+
+        A failure leaves the file unchanged, or longer by a part of ``data`` if
+        the disk also refuses to truncate it.
+        """
         try:
             fd = self._open_file(name)
             size = os.fstat(fd).st_size
@@ -76,7 +81,8 @@
             while remaining:
                 remaining = remaining[os.write(fd, remaining) :]
         except OSError as error:
-            os.ftruncate(fd, size)
+            with contextlib.suppress(OSError):
+                os.ftruncate(fd, size)
             return self._to_storage_error(error, name)
         return None
 
--- a/src/_arbutuswalk/storage/wal.py
+++ b/src/_arbutuswalk/storage/wal.py
@@ -81,6 +81,8 @@
         last_index_by_segment: Highest entry index in each segment, which
             decides when the segment can be removed.
         snapshot_index: Index of the snapshot that recovery started from, or 0.
+        has_failed_tail: Whether a failed write may have left bytes after
+            ``segment_size``.
     """
 
     def __init__(self, *, folder: folder.Folder, segment_bytes=SEGMENT_BYTES):
@@ -93,6 +95,7 @@
         self.last_index = 0
         self.last_index_by_segment: dict[str, int] = {}
         self.snapshot_index = 0
+        self.has_failed_tail = False
 
     def recover(self) -> Recovered | errors.StorageError:
         """Reads the whole log; truncates a torn tail, fails on corruption."""
@@ -150,10 +153,14 @@
             self.commit = commit
             packed_records.append(records.pack(_pack_commit(commit)))
         data = b"".join(packed_records)
+        failure = self._discard_failed_tail()
+        if failure is not None:
+            return failure
         failure = self.folder.append(
             self.segment_name, data
         ) or self.folder.sync(self.segment_name)
         if failure is not None:
+            self.has_failed_tail = True
             return failure
         self.segment_size += len(data)
         if entries:
@@ -286,7 +293,18 @@
             return None
         return failure
 
+    def _discard_failed_tail(self) -> errors.StorageError | None:
+        """Truncates what a failed write left, before anything follows it."""
+        if not self.has_failed_tail:
+            return None
+        failure = self.folder.truncate(self.segment_name, self.segment_size)
+        self.has_failed_tail = failure is not None
+        return failure
+
     def _start_new_segment(self) -> errors.StorageError | None:
+        failure = self._discard_failed_tail()
+        if failure is not None:
+            return failure
         number = int(self.segment_name[8:-4]) + 1 if self.segment_name else 1
         name = f"segment-{number:012d}.log"
         data = records.pack(_pack_vote(self.vote))
--- a/testing/test_disks_in_turn.py
+++ b/testing/test_disks_in_turn.py
@@ -213,3 +213,14 @@
             assert cluster.most_queued_bytes < codec.MAX_FRAME_BYTES
 
         play(scenario, seed, config_bytes=LARGE_CONFIG_BYTES)
+
+
+@SEEDS
+class TestProcessesOnAFullDisk:
+    def test_none_ends_by_itself(self, play, seed):
+        async def scenario(cluster):
+            faults = fill_in_turn(cluster, rounds=2, full_s=3)
+            await storm_while(cluster, faults, 0.2)
+            assert [node.exits for node in cluster.nodes.values()] == [[]] * 3
+
+        play(scenario, seed)
--- a/testing/test_full_disk.py
+++ b/testing/test_full_disk.py
@@ -1,8 +1,9 @@
-"""A disk that is full while a snapshot or a new segment is due."""
+"""A disk that is full during a write, a snapshot or the start of a segment."""
 
 import asyncio
 import random
 
+import disk_cluster
 import fakes
 import pytest
 
@@ -10,6 +11,7 @@
 from _arbutuswalk.control import member as members
 from _arbutuswalk.state import commands
 from _arbutuswalk.storage import errors
+from _arbutuswalk.storage import folder as folders
 from _arbutuswalk.storage import wal
 
 SEGMENT_BYTES = 200
@@ -97,6 +99,47 @@
         assert recovered.vote == VOTE
 
 
+@SEEDS
+class TestRefusedTruncation:
+    """A write stored a part of its bytes, and the disk refuses to cut them."""
+
+    @pytest.fixture
+    def disk(self, tmp_path, monkeypatch, seed):
+        disk = disk_cluster.Disk(random.Random(seed))
+        disk_os = disk_cluster.DiskOs()
+        disk_os.disks["data"] = disk
+        monkeypatch.setattr(folders, "os", disk_os)
+        return disk
+
+    @pytest.fixture
+    def real_folder(self, tmp_path, disk):
+        folder = folders.Folder(path=str(tmp_path / "data"))
+        assert folder.open() is None
+        yield folder
+        folder.close()
+
+    @pytest.fixture
+    def log(self, real_folder, disk):
+        log, _ = open_log(real_folder)
+        assert log.write(VOTE, entries(1, 4)) is None
+        disk.fill(disk_cluster.OPERATIONS, partial=True, after=0)
+        for _ in range(6):
+            assert isinstance(log.write(None, entries(5, 6)), errors.DiskFull)
+        disk.make_room()
+        return log
+
+    def test_next_write_replaces_the_part(self, log, real_folder):
+        assert log.write(None, entries(5, 6)) is None
+        _, recovered = open_log(real_folder)
+        assert recovered.entries == entries(1, 6)
+
+    def test_next_segment_does_not_follow_the_part(self, log, real_folder):
+        assert log.save_snapshot(SNAPSHOT) is None
+        assert log.write(None, entries(5, 6)) is None
+        _, recovered = open_log(real_folder)
+        assert recovered.entries == entries(5, 6)
+
+
 class TestSnapshotOfAMember:
     async def test_member_goes_on_and_saves_a_later_one(self, folder):
         replica = durable_replica.DurableReplica(
