Wait for room when a control process starts on a full disk

A control process that started while its disk was full ended with exit code 3 if it had to write: with an empty folder, or to cut the torn tail of a write that was refused before it was restarted. It ended at each new start until there was room.

The set-up of TestMemberLoopThatFails moved to a function that both use; its checks are as they were. The simulated processes of test_disks_in_turn.py wait in the same way.

--- a/src/_arbutuswalk/control/process.py
+++ b/src/_arbutuswalk/control/process.py
@@ -49,7 +49,7 @@
     start_interface: InterfaceStarter | None = None,
 ) -> int:
     """Runs the process until drained; returns its exit code."""
-    failure = durable_replica.recover(clock.monotonic())
+    failure = await _recover(durable_replica)
     if failure is not None:
         events.warn(events.Event.STORAGE_FAILED, errors.describe(failure))
         return EXIT_STORAGE_FAILED
@@ -111,6 +111,19 @@
     return exit_code
 
 
+async def _recover(
+    durable_replica: durable_replicas.DurableReplica,
+) -> errors.StorageError | None:
+    """Rebuilds the state from the data folder; waits while the disk is full."""
+    while True:
+        failure = durable_replica.recover(clock.monotonic())
+        if not isinstance(failure, errors.DiskFull):
+            return failure
+        events.record(events.Event.DISK_REFUSED, errors.describe(failure))
+        durable_replica.data.close()
+        await asyncio.sleep(members.DISK_FULL_RETRY_INTERVAL_S)
+
+
 def _exit_code(member: members.Member, member_task: asyncio.Task) -> int:
     if member.failure:
         return EXIT_STORAGE_FAILED
--- a/src/_arbutuswalk/storage/errors.py
+++ b/src/_arbutuswalk/storage/errors.py
@@ -44,7 +44,7 @@
 def describe(error: StorageError) -> str:
     """Returns one line with the file, the problem and any remedy."""
     if isinstance(error, DiskFull):
-        return f"{error.path}: disk full; free space and start again"
+        return f"{error.path}: disk full; free space"
     if isinstance(error, Corrupt):
         return (
             f"{error.path}: corrupt at byte {error.offset}: {error.reason};"
--- a/testing/disk_cluster.py
+++ b/testing/disk_cluster.py
@@ -15,6 +15,7 @@
 from _arbutuswalk.control import durable_replica
 from _arbutuswalk.control import member as members
 from _arbutuswalk.state import commands
+from _arbutuswalk.storage import errors
 from _arbutuswalk.storage import folder
 from _arbutuswalk.storage import wal
 from _arbutuswalk.wire import codec
@@ -184,7 +185,10 @@
         failure = replica.recover(self.cluster.loop.time())
         if failure is not None:
             replica.data.close()
-            self.ended(failure)
+            if isinstance(failure, errors.DiskFull):
+                self.start_later(members.DISK_FULL_RETRY_INTERVAL_S)
+            else:
+                self.ended(failure)
             return
         self.member = members.Member(
             durable_replica=replica,
@@ -207,7 +211,10 @@
     def ended(self, reason):
         """The process ended by itself; it is started again soon."""
         self.exits.append(reason)
-        self.cluster.loop.call_later(RESTART_S, self.start_again)
+        self.start_later(RESTART_S)
+
+    def start_later(self, delay_s):
+        self.cluster.loop.call_later(delay_s, self.start_again)
 
     def start_again(self):
         if self.member is None:
--- a/testing/test_control_process.py
+++ b/testing/test_control_process.py
@@ -1,10 +1,14 @@
-"""The end of a control process."""
+"""The start and the end of a control process."""
 
 import asyncio
+import os
 import random
+import signal
 import time
 
+import disk_cluster
 import process_fixtures
+import pytest
 
 from _arbutuswalk.agreement import membership
 from _arbutuswalk.agreement import types
@@ -15,6 +19,27 @@
 from _arbutuswalk.storage import folder
 
 LEAVE_S = 4.0
+START_TIMEOUT_S = 10.0
+
+
+def make_process(path):
+    """Returns the settings and the replica of a group of one."""
+    address = f"127.0.0.1:{process_fixtures.free_ports(1)[0]}"
+    values = {
+        "id": "c1",
+        "address": address,
+        "data": str(path),
+        "leave_s": LEAVE_S,
+        "platform": "",
+        "interval_s": 10.0,
+    }
+    replica = durable_replica.DurableReplica(
+        data=folder.Folder(path=str(path)),
+        identity=durable_replica.Identity(address, (address,), 1),
+        timing=types.Timing(),
+        rng=random.Random(1),
+    )
+    return values, replica
 
 
 class TestMemberLoopThatFails:
@@ -25,22 +50,7 @@
 
         monkeypatch.setattr(members.Member, "run", fail)
         monkeypatch.setattr(membership, "may_leave", lambda *_: False)
-        address = f"127.0.0.1:{process_fixtures.free_ports(1)[0]}"
-        values = {
-            "id": "c1",
-            "address": address,
-            "data": str(tmp_path),
-            "leave_s": LEAVE_S,
-            "platform": "",
-            "interval_s": 10.0,
-        }
-        replica = durable_replica.DurableReplica(
-            data=folder.Folder(path=str(tmp_path)),
-            identity=durable_replica.Identity(address, (address,), 1),
-            timing=types.Timing(),
-            rng=random.Random(1),
-        )
-        return await process.run(values, replica)
+        return await process.run(*make_process(tmp_path))
 
     async def test_process_does_not_wait_for_its_replacement(
         self, tmp_path, monkeypatch
@@ -57,3 +67,41 @@
         (line,) = [line for line in caplog.messages if "E104" in line]
         assert "member" in line
         assert "unexpected" in line
+
+
+class TestStartOnAFullDisk:
+    @pytest.fixture
+    def disk(self, tmp_path, monkeypatch):
+        disk = disk_cluster.Disk(random.Random(1))
+        disk_os = disk_cluster.DiskOs()
+        disk_os.disks[tmp_path.name] = disk
+        monkeypatch.setattr(folder, "os", disk_os)
+        return disk
+
+    async def run_until_it_leads(self, path, disk):
+        values, replica = make_process(path)
+        task = asyncio.ensure_future(process.run(values, replica))
+        await asyncio.sleep(1.5 * members.DISK_FULL_RETRY_INTERVAL_S)
+        assert not task.done()
+        disk.make_room()
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while replica.replica is None or not replica.is_leader:
+                await asyncio.sleep(0.02)
+            os.kill(os.getpid(), signal.SIGTERM)
+            assert await task == base_process.EXIT_OK
+        return replica
+
+    @pytest.mark.parametrize("after", range(4))
+    async def test_new_process_waits_for_room(self, tmp_path, disk, after):
+        operations = disk_cluster.OPERATIONS
+        disk.fill(operations, partial=True, after=after)
+        await self.run_until_it_leads(tmp_path, disk)
+
+    async def test_process_with_a_torn_log_waits_for_room(self, tmp_path, disk):
+        first = await self.run_until_it_leads(tmp_path, disk)
+        with (tmp_path / first.wal.segment_name).open("ab") as segment:
+            segment.write(b"torn")
+        disk.fill(disk_cluster.OPERATIONS, partial=False, after=0)
+        second = await self.run_until_it_leads(tmp_path, disk)
+        assert second.replica.member == first.replica.member
+        assert second.replica.term > first.replica.term
--- a/testing/test_disks_in_turn.py
+++ b/testing/test_disks_in_turn.py
@@ -224,3 +224,19 @@
             assert [node.exits for node in cluster.nodes.values()] == [[]] * 3
 
         play(scenario, seed)
+
+    def test_one_that_is_restarted_waits_for_room(self, play, seed):
+        async def scenario(cluster):
+            node = cluster.rng.choice([*cluster.nodes.values()])
+            node.disk.fill(EVERY_OPERATION, partial=True, after=0)
+            calls = await cluster.publish_for(1, 0.2)
+            await node.restart()
+            calls += await cluster.publish_for(3, 0.2)
+            node.disk.make_room()
+            ended_at = cluster.loop.time()
+            calls += await cluster.publish_for(3, 0.2)
+            await asyncio.gather(*calls)
+            await asyncio.sleep(SETTLE_S)
+            check_recovered(cluster, ended_at)
+
+        play(scenario, seed)
