Keep the newest vote if a removed segment of the log returns

If a full disk refuses the sync of the folder when a segment is started, the segment is removed and the log goes on in the one before. The removal is not durable: after a loss of power the segment may be back, and its older vote was taken for the newest, so that the member could vote twice in a term. Recovery now keeps the newest vote of all records.

Found by reading, not seen in a run of members. TestSegmentThatReturns failed before and passes now; test_wal.py and test_full_disk.py pass.

--- a/src/_arbutuswalk/storage/wal.py
+++ b/src/_arbutuswalk/storage/wal.py
@@ -258,7 +258,8 @@
         self, name: str, payload: bytes, entries: list[LogEntry]
     ) -> errors.StorageError | None:
         if payload[:1] == VOTE_KIND:
-            self.vote = _unpack_vote(payload)
+            # A segment whose removal was not durable may state an older vote.
+            self.vote = max(self.vote, _unpack_vote(payload), key=_vote_order)
             return None
         if payload[:1] == COMMIT_KIND:
             (self.commit,) = _COMMIT_INDEX.unpack_from(payload, 1)
@@ -355,6 +356,10 @@
     return VOTE_KIND + _VOTE_TERM.pack(vote.term) + vote.voted_for.encode()
 
 
+def _vote_order(vote: Vote) -> tuple[int, bool]:
+    return vote.term, bool(vote.voted_for)
+
+
 def _pack_commit(commit: int) -> bytes:
     return COMMIT_KIND + _COMMIT_INDEX.pack(commit)
 
--- a/testing/test_full_disk.py
+++ b/testing/test_full_disk.py
@@ -44,6 +44,30 @@
         return super().replace(name, data)
 
 
+class ReturningFolder(FillingFolder):
+    """A folder whose removed files are back after a loss of power."""
+
+    def __init__(self):
+        super().__init__()
+        self.refuses_folder_syncs = False
+        self.removed = {}
+
+    def sync_folder(self):
+        if self.refuses_folder_syncs:
+            return errors.DiskFull(path="")
+        return super().sync_folder()
+
+    def remove(self, name):
+        if name in self.durable:
+            self.removed[name] = self.durable[name]
+        super().remove(name)
+
+    def crash(self, rng):
+        super().crash(rng)
+        self.files |= self.removed
+        self.durable |= self.removed
+
+
 def entries(first, last):
     return [wal.LogEntry(i, 1, b"command") for i in range(first, last + 1)]
 
@@ -99,6 +123,21 @@
         assert recovered.vote == VOTE
 
 
+class TestSegmentThatReturns:
+    def test_its_older_vote_does_not_replace_the_newest(self):
+        folder = ReturningFolder()
+        log, _ = open_log(folder)
+        folder.refuses_folder_syncs = True
+        assert log.write(VOTE, entries(1, 20)) is None
+        folder.refuses_new_files = True
+        assert log.write(wal.Vote(4, ""), []) is None
+        assert log.write(wal.Vote(4, "z"), entries(21, 22)) is None
+        folder.crash(random.Random(1))
+        _, recovered = open_log(folder)
+        assert recovered.vote == wal.Vote(4, "z")
+        assert recovered.entries == entries(1, 22)
+
+
 @SEEDS
 class TestRefusedTruncation:
     """A write stored a part of its bytes, and the disk refuses to cut them."""
