Wait for a durable term in the test of a start on a full disk

The test read the term as soon as the member led, before it was durable, and stopped the process in that moment: test_process_with_a_torn_log_waits_for_room failed in 1 of 4 runs.

--- a/testing/test_control_process.py
+++ b/testing/test_control_process.py
@@ -42,6 +42,12 @@
     return values, replica
 
 
+def has_committed(replica):
+    """Returns whether a member leads and its term is durable."""
+    state = replica.replica
+    return replica.is_leader and state.commit >= state.term_start_index
+
+
 class TestMemberLoopThatFails:
     async def run_process(self, tmp_path, monkeypatch):
         async def fail(_):
@@ -85,7 +91,7 @@
         assert not task.done()
         disk.make_room()
         async with asyncio.timeout(START_TIMEOUT_S):
-            while replica.replica is None or not replica.is_leader:
+            while replica.replica is None or not has_committed(replica):
                 await asyncio.sleep(0.02)
             os.kill(os.getpid(), signal.SIGTERM)
             assert await task == base_process.EXIT_OK
