Save the endpoint cache again after a write that the disk refused

The cache of endpoints counted as saved although its write was refused, until the next change of an endpoint. A control process that restarted meanwhile started from the older cache.

Found by reading.

--- a/src/_arbutuswalk/control/process.py
+++ b/src/_arbutuswalk/control/process.py
@@ -184,7 +184,8 @@
             )
             if failure is not None:
                 events.record(events.Event.DISK_REFUSED, failure)
-            saved_revision = latest_revision
+            else:
+                saved_revision = latest_revision
         await asyncio.sleep(SAVE_INTERVAL_S)
 
 
--- a/testing/test_control_process.py
+++ b/testing/test_control_process.py
@@ -1,6 +1,7 @@
 """The start and the end of a control process."""
 
 import asyncio
+import errno
 import os
 import random
 import signal
@@ -14,6 +15,7 @@
 from _arbutuswalk.agreement import types
 from _arbutuswalk.base import process as base_process
 from _arbutuswalk.control import durable_replica
+from _arbutuswalk.control import endpoint_cache
 from _arbutuswalk.control import member as members
 from _arbutuswalk.control import process
 from _arbutuswalk.storage import folder
@@ -111,3 +113,28 @@
         second = await self.run_until_it_leads(tmp_path, disk)
         assert second.replica.member == first.replica.member
         assert second.replica.term > first.replica.term
+
+
+class TestEndpointCache:
+    async def test_it_is_saved_again_after_a_refused_write(
+        self, tmp_path, monkeypatch
+    ):
+        saved = asyncio.Event()
+        failures = [OSError(errno.ENOSPC, "full")]
+
+        def save(*_):
+            if failures:
+                return failures.pop()
+            loop.call_soon_threadsafe(saved.set)
+            return None
+
+        loop = asyncio.get_running_loop()
+        monkeypatch.setattr(endpoint_cache, "save", save)
+        monkeypatch.setattr(process, "SAVE_INTERVAL_S", 0.01)
+        values, replica = make_process(tmp_path)
+        values["endpoint_heartbeat_s"] = 0.01
+        task = asyncio.ensure_future(process.run(values, replica))
+        async with asyncio.timeout(START_TIMEOUT_S):
+            await saved.wait()
+            os.kill(os.getpid(), signal.SIGTERM)
+            await task
