Refuse a change that does not fit a frame between control members

One configuration whose command exceeds 16 MB was appended by the leader, and no other member could receive it. The other members still answered the heartbeats after it, so the leader stayed and every later change was left unanswered, while all processes ran.

Such a command is now refused as invalid before it is proposed, by whichever member gets it.

--- a/src/_arbutuswalk/control/member.py
+++ b/src/_arbutuswalk/control/member.py
@@ -21,12 +21,15 @@
 from _arbutuswalk.state import outcomes
 from _arbutuswalk.state import tables as rows
 from _arbutuswalk.storage import errors
+from _arbutuswalk.wire import codec
 from _arbutuswalk.wire import link
 
 TICK_INTERVAL_S = 0.02
 HELLO_INTERVAL_S = 0.3
 DISK_FULL_RETRY_INTERVAL_S = 0.25
 """Interval between attempts to write to a full disk."""
+MAX_COMMAND_BYTES = codec.MAX_FRAME_BYTES - 64 * 1024
+"""Size of a command that fits one frame with the other fields of a request."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -47,6 +50,13 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TooLarge:
+    """The command does not fit a frame, so no other member could get it."""
+
+    command_bytes: int
+
+
 class PendingCommand(NamedTuple):
     """A proposed command and the future that receives its outcome."""
 
@@ -131,8 +141,10 @@
 
     async def submit(
         self, command: bytes, *, timeout_s: float
-    ) -> outcomes.Outcome | NotLeader | Undecided:
+    ) -> outcomes.Outcome | NotLeader | Undecided | TooLarge:
         """Commits an encoded command and returns its outcome."""
+        if len(command) > MAX_COMMAND_BYTES:
+            return TooLarge(command_bytes=len(command))
         if not self.is_leader:
             return NotLeader(leader=self.leader_address())
         future = asyncio.get_running_loop().create_future()
--- a/src/_arbutuswalk/control/service.py
+++ b/src/_arbutuswalk/control/service.py
@@ -98,6 +98,11 @@
         outcome = await self.member.submit(
             message.command, timeout_s=SUBMIT_TIMEOUT_S
         )
+        if isinstance(outcome, members.TooLarge):
+            return ttypes.SubmitReply(
+                status=ttypes.Status.INVALID,
+                reason=f"command of {outcome.command_bytes} bytes",
+            )
         if isinstance(outcome, members.NotLeader):
             return ttypes.SubmitReply(
                 status=ttypes.Status.NOT_LEADER, leader=outcome.leader
--- a/testing/disk_cluster.py
+++ b/testing/disk_cluster.py
@@ -310,10 +310,7 @@
         """Sends a change until it is acknowledged or the deadline passes."""
         self.version += 1
         version = self.version
-        text = f"{version:08d}" * (self.config_bytes // 8)
-        command = commands.encode(
-            commands.PublishRoutes(version, {"routes": []}, text)
-        )
+        command = self.make_command(version)
         sent_at = self.loop.time()
         deadline = sent_at + ACK_DEADLINE_S
         nodes = list(self.nodes.values())
@@ -328,12 +325,20 @@
             await asyncio.sleep(0.05)
         self.waits.append((sent_at, None))
 
+    def make_command(self, version):
+        text = f"{version:08d}" * (self.config_bytes // 8)
+        return commands.encode(
+            commands.PublishRoutes(version, {"routes": []}, text)
+        )
+
     async def attempt(self, node, command):
         member = node.member
         if member is None or not member.is_leader:
             return False
         outcome = await member.submit(command, timeout_s=ATTEMPT_TIMEOUT_S)
-        return not isinstance(outcome, members.NotLeader | members.Undecided)
+        return not isinstance(
+            outcome, members.NotLeader | members.Undecided | members.TooLarge
+        )
 
     async def publish_for(self, seconds, gap_s):
         """Sends changes at an interval; returns the tasks still waiting."""
