--- a/testing/limit_cluster.py
+++ b/testing/limit_cluster.py
@@ -336,7 +336,7 @@
             for endpoint in self.endpoints:
                 announcement = endpoint.announcement()
                 for service in self.controls:
-                    if service is not None:
+                    if service is not None and announcement is not None:
                         service.discovery.apply_announcement(announcement)
             for watcher in self.entries:
                 if watcher is not None:
