Send brittle endpoints no more than they have slots

Callers saw: endpoints that state Server-Brittle fell over again and again, and a quarter or less of the requests was served.

Cause: nothing read the statement, and entries choose endpoints on their own.

Ruled out: dividing the slots by reported loads, which are older than a short request takes; equal shares alone, which leave 72 entries mostly without a slot.

The leader gives out the slots of brittle endpoints for all entries, counts what was sent without one, lets entries wait, and lowers its bound after a rejection. Without a leader for 1 s entries use their shares. The statement reaches all entries as limits do.

--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -178,6 +178,19 @@
         688,
         "message of a library logger=%s level=%s message=%s error=%s",
     )
+    ENDPOINT_BRITTLE_CHANGED = (
+        699,
+        "endpoint brittle changed endpoint=%s rejections_per_s=%s before=%s"
+        " source=%s",
+    )
+    ENDPOINT_BRITTLE_INVALID = (
+        700,
+        "endpoint brittle invalid endpoint=%s value=%s",
+    )
+    SLOT_SOURCE_CHANGED = (
+        701,
+        "slots of brittle endpoints source=%s entries=%s reason=%s",
+    )
     HEAD_REFUSED = (683, "request head refused caller=%s status=%s reason=%s")
 
     @property
--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -22,6 +22,7 @@
 from _arbutuswalk.control import entry_reports
 from _arbutuswalk.control import member as members
 from _arbutuswalk.control import report_checks
+from _arbutuswalk.control import report_counters
 from _arbutuswalk.control import route_parts
 from _arbutuswalk.control import shared_pools
 from _arbutuswalk.control import watch_updates
@@ -70,6 +71,7 @@
         outcomes: Request outcomes since then, by upstream, version, group and
             position in ``rollout_evidence.Counts``.
         stated_limits: Limits that endpoints state, as entries report them.
+        stated_brittle: Rejections that brittle endpoints state, likewise.
         crash_reports: What entries report on crashes.
         started_at: When this process started, in seconds.
         first_watch_at: When an entry first sent a watch, None before.
@@ -92,6 +94,7 @@
         self.shared_pools = shared_pools.SharedPools()
         self.outcomes = counter_sum.CounterSum()
         self.stated_limits = stated_limits.StatedLimits()
+        self.stated_brittle = stated_limits.StatedLimits()
         self.crash_reports = crash_reports.CrashReports()
         self.changed = asyncio.Event()
         self.now: clock.Clock = member.now
@@ -214,6 +217,7 @@
         for name in silent:
             events.record(events.Event.ENDPOINT_FORGOTTEN, name)
         self.stated_limits.remove_unknown(self.directory.rows)
+        self.stated_brittle.remove_unknown(self.directory.rows)
         directories.expire_leaving(self.directory, now)
         for key, entry in list(self.entries.items()):
             if now - entry.last_watch_at > ENTRY_RETENTION_S:
@@ -271,11 +275,15 @@
         self.entries[key] = entry_reports.KnownEntry(
             message.incarnation, revision, report, self.now()
         )
-        self._sum_counters(key, report)
+        max_uptime_s = min(self.now() - self.started_at, ENTRY_RETENTION_S)
+        sums = self.quota_use, self.quota_returned, self.outcomes
+        report_counters.record(key, report, sums, max_uptime_s=max_uptime_s)
         if self.crash_reports.record(report, self.entries.values(), self.now()):
             self.notify_watches()
-        now, limits = self.now(), report.get("limits", {})
-        self.record_limits(stated_limits.from_json(limits, now))
+        now = self.now()
+        for name, table in self._stated_tables().items():
+            statements = stated_limits.from_json(report.get(name, {}), now)
+            self.record_limits(statements, table)
         starts = leaving.from_json(report.get("leaving", []), now)
         self.record_leaving(starts, message.entry)
         return report
@@ -292,30 +300,21 @@
                 self.notify_watches()
 
     def record_limits(
-        self, statements: dict[str, stated_limits.Statement]
+        self,
+        statements: dict[str, stated_limits.Statement],
+        table: stated_limits.StatedLimits | None = None,
     ) -> None:
-        """Records the limits of endpoints and sends changes to the entries."""
+        """Records what endpoints state and sends changes to the entries."""
+        table = table or self.stated_limits
         changes = [
-            self.stated_limits.record(endpoint_id, statement)
+            table.record(endpoint_id, statement)
             for endpoint_id, statement in statements.items()
         ]
         if any(changes):
             self.notify_watches()
 
-    def _sum_counters(
-        self, key: tuple[str, int], report: dict[str, Any]
-    ) -> None:
-        # An older entry may have been counted before its report expired.
-        max_uptime_s = min(self.now() - self.started_at, ENTRY_RETENTION_S)
-        counts_from_zero = report.get("uptime_s", max_uptime_s) < max_uptime_s
-        self.quota_use.record(
-            key, report.get("taken", {}), counts_from_zero=counts_from_zero
-        )
-        self.quota_returned.record(
-            key, report.get("returned", {}), counts_from_zero=counts_from_zero
-        )
-        outcomes = entry_reports.outcome_counts(report)
-        self.outcomes.record(key, outcomes, counts_from_zero=counts_from_zero)
+    def _stated_tables(self) -> dict[str, stated_limits.StatedLimits]:
+        return {"limits": self.stated_limits, "brittle": self.stated_brittle}
 
     def _has_update(self, message: ttypes.Watch, revision: int) -> bool:
         tables = self.member.tables
@@ -370,7 +369,7 @@
             "taken": self.quota_use.totals,
             "returned": self.quota_returned.totals,
             "pools": self._shared_pools() if has_share else {},
-            "limits": self.stated_limits.to_json(self.now()),
+            **{k: t.to_json(now) for k, t in self._stated_tables().items()},
             "is_settled": self.is_settled(),
             "entries": max(1, counts.known)
             if self.is_settled()
--- a/src/_arbutuswalk/control/process.py
+++ b/src/_arbutuswalk/control/process.py
@@ -142,6 +142,7 @@
     async def remove() -> None:
         request_service.discovery.remove_expired()
         request_service.permit_issuer.remove_unknown()
+        request_service.slot_issuer.remove_unused()
 
     await background.repeat("expiry", EXPIRE_INTERVAL_S, remove)
 
--- a/src/_arbutuswalk/control/report_checks.py
+++ b/src/_arbutuswalk/control/report_checks.py
@@ -65,6 +65,9 @@
     "limits": _is_table_of(
         _is_row(settings.is_number, _is_number_or_none, settings.is_number)
     ),
+    "brittle": _is_table_of(
+        _is_row(settings.is_number, _is_number_or_none, settings.is_number)
+    ),
     "leaving": _is_list_of(
         _is_row(_is_text, settings.is_number, settings.is_number)
     ),
--- a/src/_arbutuswalk/control/service.py
+++ b/src/_arbutuswalk/control/service.py
@@ -12,6 +12,7 @@
 from _arbutuswalk.control import member as members
 from _arbutuswalk.control import permit_issuer
 from _arbutuswalk.control import queries
+from _arbutuswalk.control import slot_issuer
 from _arbutuswalk.routing import directory
 from _arbutuswalk.state import commands
 from _arbutuswalk.state import entries
@@ -36,6 +37,7 @@
         name: Process id for the dump.
         discovery: Directory of endpoints and entries.
         permit_issuer: Issues permits for endpoints that state a limit.
+        slot_issuer: Gives out the slots of brittle endpoints.
         term: Term that the leases belong to.
         extra_dump: Returns further values for the dump.
     """
@@ -50,6 +52,7 @@
         self.member = member
         self.name = name
         self.discovery = discovery or discoveries.Discovery(member=member)
+        self.slot_issuer = slot_issuer.SlotIssuer(discovery=self.discovery)
         self.permit_issuer = permit_issuer.PermitIssuer(
             discovery=self.discovery
         )
@@ -75,6 +78,8 @@
             return await self.discovery.watch(message)
         if isinstance(message, ttypes.PermitRequest):
             return self.permit_issuer.issue(message)
+        if isinstance(message, ttypes.SlotRequest):
+            return await self.slot_issuer.handle(message)
         if isinstance(message, ttypes.RoutesRequest):
             return self.discovery.routes_part(message)
         if isinstance(message, ttypes.UpstreamNews):
--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -5,6 +5,7 @@
 from _arbutuswalk.relay import answer_buffers
 from _arbutuswalk.relay import attempt_results
 from _arbutuswalk.relay import attempt_timing
+from _arbutuswalk.relay import brittle_endpoints
 from _arbutuswalk.relay import connection_limits
 from _arbutuswalk.relay import crash_probes
 from _arbutuswalk.relay import delivery
@@ -44,6 +45,7 @@
         delivery: Answer to the caller, shared by all attempts of a request.
         request: The request.
         endpoint: Endpoint that the request is sent to.
+        lease_id: Lease of its slot if it is brittle, empty without one.
         exchange: HTTP exchange on the connection.
         started_at: When the attempt started, in seconds.
         unread_tokens: Prompt tokens that the endpoint has not read yet.
@@ -62,6 +64,7 @@
         self.delivery = caller_delivery
         self.request = caller_delivery.request
         self.endpoint = chosen.endpoint
+        self.lease_id = chosen.lease_id
         self.unread_tokens = chosen.uncached_tokens
         self.started_at = relay.now()
         self.last_event_at = 0.0
@@ -82,12 +85,21 @@
         relay, endpoint_id = self.relay, self.endpoint.id
         relay.add_load(endpoint_id, 1, self.unread_tokens)
         placement.record_sent(relay, self.request, endpoint_id)
+        result = None
         try:
             result = await self._send()
         finally:
             self.timing.stop()
             relay.add_load(endpoint_id, -1, -self.unread_tokens)
             connection_limits.wake_next(relay, self.request.upstream)
+            reply = self.exchange.reply
+            brittle_endpoints.release(
+                relay,
+                self.endpoint,
+                self.lease_id,
+                result,
+                has_no_room=reply is not None and reply.has_no_room,
+            )
         attempt_results.record(self, result)
         return result
 
@@ -144,6 +156,9 @@
         leaving_endpoints.record_reply(
             self.relay, self.endpoint, reply, self.request.id
         )
+        brittle_endpoints.record_reply(
+            self.relay, self.endpoint, reply, self.request.id
+        )
 
     def _release_connection(
         self, connection: connections.Connection, result: results.Result
--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -13,12 +13,13 @@
 from _arbutuswalk.base import events
 from _arbutuswalk.relay import config_fetch
 from _arbutuswalk.relay import crash_probes
-from _arbutuswalk.relay import endpoint_limits
 from _arbutuswalk.relay import leaving_endpoints
 from _arbutuswalk.relay import permit_requests
 from _arbutuswalk.relay import quota_buckets
 from _arbutuswalk.relay import quota_reports
 from _arbutuswalk.relay import relay_state
+from _arbutuswalk.relay import slot_requests
+from _arbutuswalk.relay import stated_reports
 from _arbutuswalk.relay import status_feeds
 from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory
@@ -110,6 +111,9 @@
         relay.permits.ask_leader = permit_requests.make_asker(
             relay, lambda: list(self.feeds.values())
         )
+        relay.slots.call_leader = slot_requests.make_caller(
+            relay, lambda: list(self.feeds.values())
+        )
 
     def tick(self) -> None:
         """Updates the set of watched processes and expires old state."""
@@ -123,7 +127,7 @@
                 feed.task.cancel()
                 _run_in_background(feed.link.stop())
         self._expire_endpoints(now)
-        endpoint_limits.remove_unknown(self.relay)
+        stated_reports.remove_unknown(self.relay)
         leaving_endpoints.expire(self.relay)
         self.relay.refusals.expire(now)
         self.relay.pauses.remove_unused(self.relay.directory.rows, now)
@@ -242,8 +246,7 @@
             "left": relay.draining,
             "routes_version": relay.routes_version or 0,
             "loads": relay.own_loads,
-            "limits": relay.stated_limits.to_json(now),
-            "leaving": relay.directory.leaving_starts.to_json(now),
+            **stated_reports.to_json(relay),
             "wall": relay.wall(),
             "uptime_s": now - relay.started_at,
             "deaths": crashes.deaths_to_json(relay.crashes, now),
@@ -283,9 +286,7 @@
         )
         if "loads" in news:
             self._update_other_loads(feed, news["loads"])
-        endpoint_limits.merge_report(
-            self.relay, news.get("limits", {}), feed.address
-        )
+        stated_reports.merge(self.relay, news, feed.address)
         feed.is_settled = news["is_settled"]
         self.relay.entry_count = news["entries"] or self.relay.entry_count
         if feed.is_settled:
--- a/src/_arbutuswalk/relay/permitted_placement.py
+++ b/src/_arbutuswalk/relay/permitted_placement.py
@@ -2,6 +2,7 @@
 
 import math
 
+from _arbutuswalk.relay import brittle_endpoints
 from _arbutuswalk.relay import connection_limits
 from _arbutuswalk.relay import endpoint_limits
 from _arbutuswalk.relay import endpoint_pauses
@@ -10,6 +11,7 @@
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import results
+from _arbutuswalk.relay import slotted_placement
 from _arbutuswalk.routing import directory
 
 MAX_PERMIT_REQUESTS = 3
@@ -87,13 +89,26 @@
                 max_permit_wait_s=max_wait_s,
                 max_pause_wait_s=max_pause_wait_s,
             )
+        if chosen is not None:
+            slot_wait_s = min(
+                _max_wait(request), _objective_left(relay, request)
+            )
+            chosen = await slotted_placement.find(
+                relay, request, tried, chosen, slot_wait_s
+            )
         if chosen is None:
             break
-        if not await endpoint_pauses.acquire(
-            relay, chosen.endpoint, max_pause_wait_s
-        ):
-            continue
-        if await endpoint_limits.acquire(relay, chosen.endpoint, max_wait_s):
+        is_permitted = False
+        try:
+            is_permitted = await endpoint_pauses.acquire(
+                relay, chosen.endpoint, max_pause_wait_s
+            ) and await endpoint_limits.acquire(
+                relay, chosen.endpoint, max_wait_s
+            )
+        finally:
+            if not is_permitted:
+                slotted_placement.drop(relay, chosen)
+        if is_permitted:
             return chosen
     return _no_endpoint(relay, request, tried)
 
@@ -146,6 +161,7 @@
         endpoint_pauses.expected_wait(relay, endpoint),
         endpoint_limits.expected_wait(relay, endpoint),
         connection_limits.expected_wait(relay, endpoint),
+        brittle_endpoints.expected_wait(relay, endpoint),
     )
 
 
--- a/src/_arbutuswalk/relay/placement.py
+++ b/src/_arbutuswalk/relay/placement.py
@@ -1,6 +1,7 @@
 """Selects an endpoint for a request from the directory."""
 
 import zlib
+from collections.abc import Callable
 from typing import NamedTuple
 
 from _arbutuswalk.base import events
@@ -22,10 +23,21 @@
 
 
 class Placement(NamedTuple):
-    """The endpoint for a request, and the prompt tokens to be read there."""
+    """The endpoint for a request.
+
+    Attributes:
+        endpoint: The endpoint.
+        uncached_tokens: Prompt tokens to be read there.
+        lease_id: Lease of its slot if it is brittle, empty without one.
+    """
 
     endpoint: directory.Endpoint
     uncached_tokens: int
+    lease_id: str = ""
+
+
+def _accept_all(_: directory.Endpoint) -> bool:
+    return True
 
 
 def find_placement(
@@ -36,14 +48,50 @@
     max_permit_wait_s: float = 0.0,
     max_pause_wait_s: float = 0.0,
     within_connection_limits: bool = True,
+    accepts: Callable[[directory.Endpoint], bool] = _accept_all,
 ) -> Placement | None:
     """Returns an endpoint that was not tried yet, None if there is none.
 
     Endpoints with a limit are left out if no permit is expected within
     ``max_permit_wait_s``, paused ones if no request may be sent within
     ``max_pause_wait_s``. ``within_connection_limits`` leaves out those that
-    accept no other connection.
+    accept no other connection, ``accepts`` any others.
     """
+    now = relay.now()
+    candidates = [
+        candidate
+        for candidate in _list_candidates(
+            relay, request, tried, max_permit_wait_s, max_pause_wait_s
+        )
+        if accepts(relay.directory.rows[candidate.id].endpoint)
+    ]
+    chosen = _choose(relay, request, candidates, now)
+    if (
+        chosen is None
+        or not within_connection_limits
+        or connection_limits.has_own_connection(relay, chosen.endpoint)
+    ):
+        return chosen
+    return _choose(relay, request, _with_connection(relay, candidates), now)
+
+
+def usable_endpoints(
+    relay: relay_state.Relay, request: requests.Request, tried: set[str]
+) -> list[directory.Endpoint]:
+    """Returns the endpoints that need no wait, without doubtful ones if any."""
+    candidates = _list_candidates(relay, request, tried, 0.0, 0.0)
+    sound = [candidate for candidate in candidates if not candidate.doubtful]
+    rows = relay.directory.rows
+    return [rows[candidate.id].endpoint for candidate in sound or candidates]
+
+
+def _list_candidates(
+    relay: relay_state.Relay,
+    request: requests.Request,
+    tried: set[str],
+    max_permit_wait_s: float,
+    max_pause_wait_s: float,
+) -> list[selection.Candidate]:
     now = relay.now()
     rows = _ready_rows(relay, request, tried)
     if relay.stated_limits.statements:
@@ -64,17 +112,7 @@
     outliers = relay.outlier_detector.outliers(
         [row.endpoint.id for row in eligible], now
     )
-    candidates = [
-        _make_candidate(relay, row, now, outliers) for row in eligible
-    ]
-    chosen = _choose(relay, request, candidates, now)
-    if (
-        chosen is None
-        or not within_connection_limits
-        or connection_limits.has_own_connection(relay, chosen.endpoint)
-    ):
-        return chosen
-    return _choose(relay, request, _with_connection(relay, candidates), now)
+    return [_make_candidate(relay, row, now, outliers) for row in eligible]
 
 
 def _choose(
--- a/src/_arbutuswalk/relay/relay_state.py
+++ b/src/_arbutuswalk/relay/relay_state.py
@@ -16,6 +16,7 @@
 from _arbutuswalk.relay import permit_client
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import rollout_outcomes
+from _arbutuswalk.relay import slot_client
 from _arbutuswalk.relay import usage
 from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory
@@ -85,6 +86,8 @@
         stated_limits: Limits that endpoints state.
         invalid_leaving: Starts whose invalid statement was logged.
         permits: Permits for endpoints that state a limit.
+        stated_brittle: Rejections per second that brittle endpoints survive.
+        slots: Slots of brittle endpoints.
         pauses: Pauses that endpoints asked this entry for.
         connection_waiters: Requests that wait for a connection, by upstream.
         outlier_detector: Failure rates of endpoints that report good health.
@@ -136,6 +139,8 @@
         self.stated_limits = stated_limits.StatedLimits()
         self.invalid_leaving = leaving.LeavingStarts()
         self.permits = permit_client.PermitClient()
+        self.stated_brittle = stated_limits.StatedLimits()
+        self.slots = slot_client.SlotClient(now=now())
         self.pauses = pauses.Pauses()
         self.connection_waiters: dict[str, list] = {}
         self.recent_parts = recent_parts.RecentParts()
--- a/src/_arbutuswalk/relay/relaying.py
+++ b/src/_arbutuswalk/relay/relaying.py
@@ -14,6 +14,7 @@
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import results
+from _arbutuswalk.relay import slotted_placement
 from _arbutuswalk.routing import refusals
 from _arbutuswalk.streams import replies
 
@@ -67,6 +68,7 @@
             break
         refused_key = admission.find_refused_key(relay, request)
         if refused_key:
+            slotted_placement.drop(relay, chosen)
             ended_by = results.NoRetry(decision="refused", inputs=refused_key)
             if not tally.runs:
                 result = results.NotSent(
@@ -76,6 +78,7 @@
             break
         ended_by = _why_no_attempt(relay, request, tally)
         if ended_by is not None:
+            slotted_placement.drop(relay, chosen)
             break
         endpoint_id = chosen.endpoint.id
         tried.add(endpoint_id)
--- a/src/_arbutuswalk/routing/stated_limits.py
+++ b/src/_arbutuswalk/routing/stated_limits.py
@@ -42,14 +42,26 @@
             return None
         return statement.rate_per_s
 
-    def record(self, endpoint_id: str, statement: Statement) -> bool:
+    def record(
+        self,
+        endpoint_id: str,
+        statement: Statement,
+        *,
+        keeps_none: bool = False,
+    ) -> bool:
         """Records a statement unless a newer one is known.
 
+        Args:
+            endpoint_id: Id of the endpoint.
+            statement: The statement.
+            keeps_none: Whether to record that an endpoint which never stated a
+                limit has none.
+
         Returns:
             Whether it changed the limit of the endpoint.
         """
         known = self.statements.get(endpoint_id)
-        if known is None and statement.rate_per_s is None:
+        if known is None and statement.rate_per_s is None and not keeps_none:
             return False
         if known is not None and _order(known) >= _order(statement):
             return False
--- a/src/_arbutuswalk/streams/replies.py
+++ b/src/_arbutuswalk/streams/replies.py
@@ -29,6 +29,13 @@
             wants no request from this entry; None if it states none.
         invalid_pause: Start of what it states instead of a valid pause, None
             if it states none or a valid one.
+        rejections_per_s: How many requests per second the upstream, which is
+            brittle, may turn away without falling over; None if it does not
+            state that it is brittle.
+        invalid_brittle: Start of an invalid such statement, None if there is
+            none.
+        has_no_room: Whether the upstream turned the request away for want of
+            room.
     """
 
     ran: bool
@@ -42,6 +49,9 @@
     invalid_leaving: str | None = None
     pause_s: float | None = None
     invalid_pause: str | None = None
+    rejections_per_s: float | None = None
+    invalid_brittle: str | None = None
+    has_no_room: bool = False
 
 
 def first_value(headers: Headers, name: bytes) -> bytes:
--- a/src/_arbutuswalk/wire/arbutuswalk.thrift
+++ b/src/_arbutuswalk/wire/arbutuswalk.thrift
@@ -178,6 +178,20 @@
   4: required i64 asking_entries, // entries that asked within the last seconds
 }
 
+// Asks for a slot of a brittle endpoint, and reports the ends of slots. The
+// leader gives out the slots of all entries.
+
+struct SlotRequest {
+  1: required string entry,
+  2: required i64 incarnation,
+  3: required binary content, // JSON
+}
+
+struct SlotReply {
+  1: required Status status,
+  2: required string endpoint, // empty if no slot is free
+}
+
 // Between entries.
 
 struct UpstreamNews {
@@ -254,6 +268,8 @@
   27: RoutesPart routes_part,
   28: PermitRequest permit_request,
   29: PermitReply permit_reply,
+  30: SlotRequest slot_request,
+  31: SlotReply slot_reply,
 }
 
 struct Frame {
--- a/src/_arbutuswalk/wire/gen/arbutus/ttypes.py
+++ b/src/_arbutuswalk/wire/gen/arbutus/ttypes.py
@@ -2480,6 +2480,188 @@
         return not (self == other)
 
 
+class SlotRequest(object):
+    """
+    Attributes:
+     - entry
+     - incarnation
+     - content
+
+    """
+
+    __slots__ = (
+        'entry',
+        'incarnation',
+        'content',
+    )
+
+
+    def __init__(self, entry=None, incarnation=None, content=None,):
+        self.entry = entry
+        self.incarnation = incarnation
+        self.content = content
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.entry = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.content = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SlotRequest')
+        if self.entry is not None:
+            oprot.writeFieldBegin('entry', TType.STRING, 1)
+            oprot.writeString(self.entry.encode('utf-8') if sys.version_info[0] == 2 else self.entry)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.content is not None:
+            oprot.writeFieldBegin('content', TType.STRING, 3)
+            oprot.writeBinary(self.content)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.entry is None:
+            raise TProtocolException(message='Required field entry is unset!')
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        if self.content is None:
+            raise TProtocolException(message='Required field content is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SlotReply(object):
+    """
+    Attributes:
+     - status
+     - endpoint
+
+    """
+
+    __slots__ = (
+        'status',
+        'endpoint',
+    )
+
+
+    def __init__(self, status=None, endpoint=None,):
+        self.status = status
+        self.endpoint = endpoint
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.status = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SlotReply')
+        if self.status is not None:
+            oprot.writeFieldBegin('status', TType.I32, 1)
+            oprot.writeI32(self.status)
+            oprot.writeFieldEnd()
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 2)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.status is None:
+            raise TProtocolException(message='Required field status is unset!')
+        if self.endpoint is None:
+            raise TProtocolException(message='Required field endpoint is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class UpstreamNews(object):
     """
     Attributes:
@@ -3252,6 +3434,8 @@
      - routes_part
      - permit_request
      - permit_reply
+     - slot_request
+     - slot_reply
 
     """
 
@@ -3285,10 +3469,12 @@
         'routes_part',
         'permit_request',
         'permit_reply',
+        'slot_request',
+        'slot_reply',
     )
 
 
-    def __init__(self, vote_request=None, vote_reply=None, append_request=None, append_reply=None, snapshot_offer=None, piece_request=None, piece=None, hello=None, submit=None, submit_reply=None, sync=None, sync_reply=None, read_request=None, read_reply=None, upstream_news=None, copy_request=None, copy_progress=None, done=None, dump=None, dump_reply=None, ping=None, take_request=None, take_reply=None, watch=None, watch_reply=None, routes_request=None, routes_part=None, permit_request=None, permit_reply=None,):
+    def __init__(self, vote_request=None, vote_reply=None, append_request=None, append_reply=None, snapshot_offer=None, piece_request=None, piece=None, hello=None, submit=None, submit_reply=None, sync=None, sync_reply=None, read_request=None, read_reply=None, upstream_news=None, copy_request=None, copy_progress=None, done=None, dump=None, dump_reply=None, ping=None, take_request=None, take_reply=None, watch=None, watch_reply=None, routes_request=None, routes_part=None, permit_request=None, permit_reply=None, slot_request=None, slot_reply=None,):
         self.vote_request = vote_request
         self.vote_reply = vote_reply
         self.append_request = append_request
@@ -3318,6 +3504,8 @@
         self.routes_part = routes_part
         self.permit_request = permit_request
         self.permit_reply = permit_reply
+        self.slot_request = slot_request
+        self.slot_reply = slot_reply
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3502,6 +3690,18 @@
                     self.permit_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 30:
+                if ftype == TType.STRUCT:
+                    self.slot_request = SlotRequest()
+                    self.slot_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 31:
+                if ftype == TType.STRUCT:
+                    self.slot_reply = SlotReply()
+                    self.slot_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3628,6 +3828,14 @@
             oprot.writeFieldBegin('permit_reply', TType.STRUCT, 29)
             self.permit_reply.write(oprot)
             oprot.writeFieldEnd()
+        if self.slot_request is not None:
+            oprot.writeFieldBegin('slot_request', TType.STRUCT, 30)
+            self.slot_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.slot_reply is not None:
+            oprot.writeFieldBegin('slot_reply', TType.STRUCT, 31)
+            self.slot_reply.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3925,6 +4133,19 @@
     (3, TType.DOUBLE, 'wait_s', None, None, ),  # 3
     (4, TType.I64, 'asking_entries', None, None, ),  # 4
 )
+all_structs.append(SlotRequest)
+SlotRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'entry', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.STRING, 'content', 'BINARY', None, ),  # 3
+)
+all_structs.append(SlotReply)
+SlotReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'status', None, None, ),  # 1
+    (2, TType.STRING, 'endpoint', 'UTF8', None, ),  # 2
+)
 all_structs.append(UpstreamNews)
 UpstreamNews.thrift_spec = (
     None,  # 0
@@ -4007,6 +4228,8 @@
     (27, TType.STRUCT, 'routes_part', [RoutesPart, None], None, ),  # 27
     (28, TType.STRUCT, 'permit_request', [PermitRequest, None], None, ),  # 28
     (29, TType.STRUCT, 'permit_reply', [PermitReply, None], None, ),  # 29
+    (30, TType.STRUCT, 'slot_request', [SlotRequest, None], None, ),  # 30
+    (31, TType.STRUCT, 'slot_reply', [SlotReply, None], None, ),  # 31
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
--- a/testing/brittle_cluster.py
+++ b/testing/brittle_cluster.py
@@ -111,10 +111,10 @@
         if not connection.is_meant:
             self._later(connection, 421)
             return
-        if len(self.running) < self.slots:
+        cluster = self.cluster
+        if len(self.running) < self.slots - cluster.hidden_slots:
             self._begin(connection)
             return
-        cluster = self.cluster
         room = cluster.short_queue if self.is_strict() else cluster.long_queue
         self.queue = collections.deque(c for c in self.queue if c.is_open)
         if len(self.queue) < room:
@@ -134,7 +134,8 @@
         del self.running[connection]
         self.served += connection.is_open
         self._later(connection, 200)
-        while self.queue and len(self.running) < self.slots:
+        usable = self.slots - self.cluster.hidden_slots
+        while self.queue and len(self.running) < usable:
             following = self.queue.popleft()
             if following.is_open:
                 self._begin(following)
@@ -205,6 +206,7 @@
     """Entries in front of endpoints that are brittle from the start on.
 
     Attributes:
+        hidden_slots: Slots of each endpoint that others use.
         short_queue: Requests that wait while endpoints are strict.
         long_queue: Requests that wait otherwise.
         disturbed: When each entry was last disturbed, and control as -1.
@@ -219,8 +221,10 @@
         slots=6,
         endpoints=3,
         short_queue=0,
+        hidden_slots=0,
     ):
         self.slots = slots
+        self.hidden_slots = hidden_slots
         self.short_queue, self.long_queue = short_queue, 4 * slots
         self.disturbed = {}
         super().__init__(seed=seed, entries=entries, endpoints=endpoints)
