--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -189,6 +189,19 @@
     )
     PATH_RESTORED = (691, "path to endpoints restored after_s=%s")
     TUNNEL_FAILED = (692, "tunnel failed peer=%s endpoint=%s reason=%s")
+    ENDPOINT_BRITTLE_CHANGED = (
+        699,
+        "endpoint brittle changed endpoint=%s rejections_per_s=%s before=%s"
+        " source=%s",
+    )
+    ENDPOINT_BRITTLE_INVALID = (
+        700,
+        "endpoint brittle invalid endpoint=%s value=%s",
+    )
+    SLOT_SOURCE_CHANGED = (
+        701,
+        "slots of brittle endpoints source=%s entries=%s reason=%s",
+    )
     HEAD_REFUSED = (683, "request head refused caller=%s status=%s reason=%s")
 
     @property
--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -4,14 +4,15 @@
 
 from _arbutuswalk.base import clock
 from _arbutuswalk.relay import answer_buffers
+from _arbutuswalk.relay import answer_statements
 from _arbutuswalk.relay import attempt_results
 from _arbutuswalk.relay import attempt_timing
+from _arbutuswalk.relay import brittle_endpoints
 from _arbutuswalk.relay import connection_limits
 from _arbutuswalk.relay import crash_probes
 from _arbutuswalk.relay import delivery
 from _arbutuswalk.relay import endpoint_limits
 from _arbutuswalk.relay import endpoint_pauses
-from _arbutuswalk.relay import leaving_endpoints
 from _arbutuswalk.relay import placement
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
@@ -21,7 +22,6 @@
 from _arbutuswalk.relay import stopping
 from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory
-from _arbutuswalk.routing import stated_limits
 from _arbutuswalk.state import routeconfig
 from _arbutuswalk.streams import connection as connections
 from _arbutuswalk.streams import framing
@@ -42,6 +42,7 @@
         delivery: Answer to the caller, shared by all attempts of a request.
         request: The request.
         endpoint: Endpoint that the request is sent to.
+        lease_id: Lease of its slot if it is brittle, empty without one.
         exchange: HTTP exchange on the connection.
         started_at: When the attempt started, in seconds.
         unread_tokens: Prompt tokens that the endpoint has not read yet.
@@ -61,6 +62,7 @@
         self.delivery = caller_delivery
         self.request = caller_delivery.request
         self.endpoint = chosen.endpoint
+        self.lease_id = chosen.lease_id
         self.unread_tokens = chosen.uncached_tokens
         self.started_at = relay.now()
         self.silence = silence.SilenceWatch(
@@ -86,12 +88,21 @@
         relay, endpoint_id = self.relay, self.endpoint.id
         relay.add_load(endpoint_id, 1, self.unread_tokens)
         placement.record_sent(relay, self.request, endpoint_id)
+        result = None
         try:
             result = await self._send()
         finally:
             self.timing.stop()
             relay.add_load(endpoint_id, -1, -self.unread_tokens)
             connection_limits.wake_next(relay, self.request.upstream)
+            reply = self.exchange.reply
+            brittle_endpoints.release(
+                relay,
+                self.endpoint,
+                self.lease_id,
+                result,
+                has_no_room=reply is not None and reply.has_no_room,
+            )
         attempt_results.record(self, result)
         return result
 
@@ -102,7 +113,8 @@
 
     async def _send(self) -> results.Result:
         connection = await self.relay.pool.acquire(
-            self.endpoint.address, non_idempotent=not self._is_repeatable()
+            self.endpoint.address,
+            non_idempotent=not self.request.route.repeatable,
         )
         if isinstance(connection, pool.NotOpened):
             if connection.is_path_failure:
@@ -159,7 +171,7 @@
 
     def _record_reply(self, reply: replies.Reply) -> None:
         self.silence.record_received()
-        leaving_endpoints.record_reply(
+        answer_statements.record_any(
             self.relay, self.endpoint, reply, self.request.id
         )
 
@@ -187,13 +199,15 @@
             if early_result is not None:
                 self._record_pause()
                 return early_result
-            if self._has_only_unidentified() and self._is_repeatable():
+            if self._has_only_unidentified() and self.request.route.repeatable:
                 return self._record_lost("response without an id")
         self._record_pause()
         reply = self.exchange.reply
         if reply is None:
             return self._record_lost(self.exchange.failure)
-        self._record_limit(reply.limit_per_s)
+        answer_statements.record_limit(
+            self.relay, self.endpoint, reply, self.request.id
+        )
         if reply.ran and reply.is_success and self._is_stream():
             if not self.delivery.is_continuation(
                 self.exchange.status, self.exchange.headers
@@ -202,32 +216,16 @@
             return await self._forward_stream(connection, deadline)
         return await self._buffer_answer(connection, reply, deadline)
 
-    def _record_limit(self, rate_per_s: float | None) -> None:
-        statement = stated_limits.Statement(
-            self.endpoint.born_ms, rate_per_s, self.relay.now()
-        )
-        endpoint_limits.record_statement(
-            self.relay, self.endpoint.id, statement, self.request.id
-        )
-
     def _record_pause(self) -> None:
-        """Records a pause, also in an answer to a caller that has left."""
-        if self.exchange.reply is not None:
-            endpoint_pauses.record_reply(
-                self.relay,
-                self.endpoint,
-                self.exchange.reply,
-                self.request.id,
-            )
+        answer_statements.record_pause(
+            self.relay, self.endpoint, self.exchange.reply, self.request.id
+        )
 
     def _has_only_unidentified(self) -> bool:
         """Whether a response was skipped that may have been the only one."""
         exchange = self.exchange
         return exchange.skipped_unidentified and exchange.reply is None
 
-    def _is_repeatable(self) -> bool:
-        return self.request.route.repeatable
-
     def _is_stream(self) -> bool:
         return self.request.route.kind == routeconfig.STREAM
 
--- a/src/_arbutuswalk/relay/relaying.py
+++ b/src/_arbutuswalk/relay/relaying.py
@@ -16,6 +16,7 @@
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import results
 from _arbutuswalk.relay import retry_reservation
+from _arbutuswalk.relay import slotted_placement
 from _arbutuswalk.relay import stopping
 from _arbutuswalk.routing import refusals
 from _arbutuswalk.streams import replies
@@ -71,6 +72,7 @@
             break
         refusal = _find_refusal(relay, request)
         if refusal is not None:
+            slotted_placement.drop(relay, chosen)
             connection_limits.wake_next(relay, request.upstream)
             not_sent, ended_by = refusal
             if not retry.tally.runs:
@@ -78,6 +80,7 @@
             break
         ended_by = retry.acquire()
         if ended_by is not None:
+            slotted_placement.drop(relay, chosen)
             break
         endpoint_id = chosen.endpoint.id
         retry.tried.add(endpoint_id)
--- a/src/_arbutuswalk/wire/arbutuswalk.thrift
+++ b/src/_arbutuswalk/wire/arbutuswalk.thrift
@@ -178,6 +178,20 @@
   4: required i64 asking_entries, // entries that asked within the last seconds
 }
 
+// Asks for a slot of a brittle endpoint, and reports the ends of slots. The
+// leader gives out the slots of all entries.
+
+struct SlotRequest {
+  1: required string entry,
+  2: required i64 incarnation,
+  3: required binary content, // JSON
+}
+
+struct SlotReply {
+  1: required Status status,
+  2: required string endpoint, // empty if no slot is free
+}
+
 // Between entries.
 
 struct UpstreamNews {
@@ -271,6 +285,8 @@
   29: PermitReply permit_reply,
   30: TunnelRequest tunnel_request,
   31: TunnelReply tunnel_reply,
+  32: SlotRequest slot_request,
+  33: SlotReply slot_reply,
 }
 
 struct Frame {
--- a/testing/connection_cluster.py
+++ b/testing/connection_cluster.py
@@ -27,6 +27,8 @@
 class Connection:
     """A connection to a ``CountingEndpoint``."""
 
+    peer = ""
+
     def __init__(self, endpoint, loop):
         self.address = endpoint.address
         self.endpoint = endpoint
--- a/testing/crash_parts_cluster.py
+++ b/testing/crash_parts_cluster.py
@@ -62,6 +62,8 @@
 class Connection:
     """A connection to one start of an endpoint."""
 
+    peer = ""
+
     def __init__(self, cluster, endpoint):
         self.cluster = cluster
         self.endpoint = endpoint
--- a/testing/leaving_cluster.py
+++ b/testing/leaving_cluster.py
@@ -43,6 +43,8 @@
 class Connection:
     """A connection to the start that runs at an address."""
 
+    peer = ""
+
     def __init__(self, cluster, entry, start):
         self.cluster = cluster
         self.entry = entry
--- a/testing/limit_cluster.py
+++ b/testing/limit_cluster.py
@@ -87,6 +87,8 @@
 class FakeConnection:
     """A connection whose requests an ``Endpoint`` answers on virtual time."""
 
+    peer = ""
+
     def __init__(self, cluster, entry, endpoint):
         self.cluster = cluster
         self.entry = entry
@@ -336,7 +338,7 @@
             for endpoint in self.endpoints:
                 announcement = endpoint.announcement()
                 for service in self.controls:
-                    if service is not None:
+                    if service is not None and announcement is not None:
                         service.discovery.apply_announcement(announcement)
             for watcher in self.entries:
                 if watcher is not None:
--- a/testing/pause_cluster.py
+++ b/testing/pause_cluster.py
@@ -258,6 +258,8 @@
 class Connection:
     """A connection to the address of an endpoint."""
 
+    peer = ""
+
     def __init__(self, cluster, entry, address):
         self.cluster = cluster
         self.entry = entry
