Let a peer that stops finish its tunnels, which keep none that is idle

A stopping entry ended its drain with its last caller and cut the requests of entries that reached endpoints through it. Tunnels to a peer that control does not name any more are not kept, and the drain waits for those in use. 3 cases of test_tunnels.TestStops.

--- a/src/_arbutuswalk/relay/connection_limits.py
+++ b/src/_arbutuswalk/relay/connection_limits.py
@@ -72,8 +72,12 @@
     endpoint: directory.Endpoint,
     connection: streams_connection.Connection,
 ) -> None:
-    """Returns a connection to the pool, or closes it if it is one too many."""
-    if not may_keep_idle(relay, endpoint):
+    """Returns a connection to the pool, or closes it if it may not be kept.
+
+    It may be one too many, or go through a peer that is about to stop.
+    """
+    is_wanted = relay.paths.may_reuse(connection.peer)
+    if not is_wanted or not may_keep_idle(relay, endpoint):
         connection.reusable = False
     relay.pool.release(connection)
 
--- a/src/_arbutuswalk/relay/path_opener.py
+++ b/src/_arbutuswalk/relay/path_opener.py
@@ -38,7 +38,7 @@
 
     def handle_restoration(cut_off_s: float) -> None:
         events.record(events.Event.PATH_RESTORED, round(cut_off_s, 2))
-        relay.pool.close_idle_through(peers=True)
+        relay.pool.close_idle_if(lambda connection: bool(connection.peer))
 
     relay.pool.opener = open_on_any_path
     relay.paths.on_lost = handle_loss
@@ -56,9 +56,16 @@
 
 
 def merge_peers(relay: relay_state.Relay, peers: list[str]) -> None:
-    """Takes the peers from a reply of control, which may name none."""
-    if peers:
-        relay.paths.peers = tuple(peers)
+    """Takes the peers from a reply of control, which may name none.
+
+    Idle tunnels through others are closed: such a peer may be about to stop.
+    """
+    if not peers:
+        return
+    relay.paths.peers = tuple(peers)
+    relay.pool.close_idle_if(
+        lambda connection: not relay.paths.may_reuse(connection.peer)
+    )
 
 
 async def _open(
@@ -125,7 +132,7 @@
     relay.suspect_until.clear()
     crashes.withdraw_deaths(relay.crashes, relay.now() - EVIDENCE_S)
     if paths.is_silent:
-        relay.pool.close_idle_through(peers=False)
+        relay.pool.close_idle_if(lambda connection: not connection.peer)
     background.start("path", _probe_until_restored(relay))
 
 
--- a/src/_arbutuswalk/relay/paths.py
+++ b/src/_arbutuswalk/relay/paths.py
@@ -128,6 +128,13 @@
             if self.failed_peers.get(peer, now) <= now
         ]
 
+    def may_reuse(self, peer: str) -> bool:
+        """Returns whether a connection through ``peer`` may be kept.
+
+        One on the entry's own path, without a peer, may be.
+        """
+        return not peer or peer in self.peers
+
     def record_peer_failure(self, peer: str) -> None:
         """Records that a peer opened no tunnel, and asks the next one first."""
         self.failed_peers = {
--- a/src/_arbutuswalk/streams/pool.py
+++ b/src/_arbutuswalk/streams/pool.py
@@ -128,11 +128,13 @@
         """Opens a new connection."""
         return await self.opener(address)
 
-    def close_idle_through(self, *, peers: bool) -> None:
-        """Closes the idle connections through peers, or all others."""
+    def close_idle_if(
+        self, is_unwanted: Callable[[connections.Connection], bool]
+    ) -> None:
+        """Closes the idle connections for which ``is_unwanted`` is true."""
         for idle in list(self.idle.values()):
             for connection in list(idle):
-                if bool(connection.peer) == peers:
+                if is_unwanted(connection):
                     connection.abort()
 
     def make_connection(
--- a/testing/test_tunnels.py
+++ b/testing/test_tunnels.py
@@ -6,6 +6,8 @@
 import pytest
 import relay_fixtures
 import test_relay
+from arbutuswalk_platform import entry
+from arbutuswalk_platform import server
 
 from _arbutuswalk.control import entry_paths
 from _arbutuswalk.control import entry_reports
@@ -85,6 +87,16 @@
         return await self.ask(codec.encode(1, request, reply=False))
 
 
+async def send(relay):
+    """Relays a request; keeps the relay's connections."""
+    request = relay_fixtures.make_request(relay)
+    caller = relay_fixtures.RecordingCaller()
+    await test_relay.relaying.relay_request(
+        relay, request, caller.make_delivery(relay, request)
+    )
+    return caller
+
+
 def frame_in_chunks(body):
     return (
         HEAD
@@ -118,14 +130,7 @@
     async def test_a_connection_is_used_again(self):
         async with Pair() as pair:
             for _ in range(3):
-                request = relay_fixtures.make_request(pair.entry)
-                caller = relay_fixtures.RecordingCaller()
-                await test_relay.relaying.relay_request(
-                    pair.entry,
-                    request,
-                    caller.make_delivery(pair.entry, request),
-                )
-                assert caller.status == 200
+                assert (await send(pair.entry)).status == 200
             assert pair.endpoint.connection_count == 1
 
     @pytest.mark.parametrize("body", [b"", b"o", b"ok"])
@@ -326,3 +331,51 @@
     def test_all_are_returned_if_none_has_a_path(self):
         entries = [make_entry(name, serves=False) for name in "ab"]
         assert self.addresses(*entries) == ["a", "b"]
+
+
+class TestStops:
+    async def test_idle_tunnels_of_a_peer_that_is_named_no_more_are_closed(
+        self,
+    ):
+        async with Pair() as pair:
+            await send(pair.entry)
+            assert pair.entry.pool.idle
+            path_opener.merge_peers(pair.entry, ["127.0.0.1:2"])
+            await asyncio.sleep(0.05)
+            assert not any(pair.entry.pool.idle.values())
+            assert not pair.server.tasks
+
+    async def test_a_tunnel_in_use_is_not_kept_after_its_request(self):
+        step = relay_fixtures.send_answer()
+
+        async def answer_late(head, writer):
+            path_opener.merge_peers(pair.entry, ["127.0.0.1:2"])
+            await step(head, writer)
+
+        async with Pair(answer_late) as pair:
+            caller = await send(pair.entry)
+            assert caller.status == 200
+            await asyncio.sleep(0.05)
+            assert not any(pair.entry.pool.idle.values())
+
+    async def test_a_peer_that_stops_waits_for_its_tunnels(self):
+        ended = []
+
+        async def answer_late(head, writer):
+            await asyncio.sleep(0.5)
+            ended.append("answer")
+            await relay_fixtures.send_answer()(head, writer)
+
+        async with Pair(answer_late) as pair:
+            listener = server.Listener(address="127.0.0.1:0", app=None)
+            await listener.start()
+            answer = asyncio.ensure_future(send(pair.entry))
+            while not pair.endpoint.request_heads:
+                await asyncio.sleep(0.01)
+            path_opener.merge_peers(pair.entry, ["127.0.0.1:2"])
+            await entry._drain(
+                pair.peer, listener, 4.0, lambda: len(pair.server.tasks)
+            )
+            ended.append("drain")
+            assert (await answer).status == 200
+            assert ended == ["answer", "drain"]
