Do not keep a tunnel that was in use as the path was restored

A request on a tunnel that ended after its entry's own path was restored left the tunnel in the pool, so requests went on through the peer.

test_a_tunnel_in_use_is_not_kept_once_the_path_is_restored failed before.

--- a/src/_arbutuswalk/relay/paths.py
+++ b/src/_arbutuswalk/relay/paths.py
@@ -133,7 +133,7 @@
 
         One on the entry's own path, without a peer, may be.
         """
-        return not peer or peer in self.peers
+        return not peer or (self.is_cut_off and peer in self.peers)
 
     def record_peer_failure(self, peer: str) -> None:
         """Records that a peer opened no tunnel, and asks the next one first."""
--- a/testing/test_tunnels.py
+++ b/testing/test_tunnels.py
@@ -358,6 +358,18 @@
             await asyncio.sleep(0.05)
             assert not any(pair.entry.pool.idle.values())
 
+    async def test_a_tunnel_in_use_is_not_kept_once_the_path_is_restored(self):
+        step = relay_fixtures.send_answer()
+
+        async def answer_late(head, writer):
+            pair.entry.paths.record_success()
+            await step(head, writer)
+
+        async with Pair(answer_late) as pair:
+            assert (await send(pair.entry)).status == 200
+            await asyncio.sleep(0.05)
+            assert not any(pair.entry.pool.idle.values())
+
     async def test_a_peer_that_stops_waits_for_its_tunnels(self):
         ended = []
 
