--- a/testing/test_tunnels.py
+++ b/testing/test_tunnels.py
@@ -1,6 +1,7 @@
 """Connections to endpoints that another entry opens."""
 
 import asyncio
+import contextlib
 import struct
 
 import pytest
@@ -97,6 +98,25 @@
     return caller
 
 
+@contextlib.asynccontextmanager
+async def begun_stream():
+    """Relays a stream that has no end and waits for its first event."""
+    route = relay_fixtures.make_route(
+        kind=routeconfig.STREAM, max_attempts=1, timeout_s=5.0
+    )
+    step = relay_fixtures.send_stream((1, "a"), end=False)
+    async with Pair(step, route=route) as pair:
+        request = relay_fixtures.make_request(pair.entry)
+        caller = relay_fixtures.RecordingCaller()
+        delivery = caller.make_delivery(pair.entry, request)
+        answer = asyncio.ensure_future(
+            test_relay.relaying.relay_request(pair.entry, request, delivery)
+        )
+        while not caller.data:
+            await asyncio.sleep(0.01)
+        yield pair, caller, delivery, answer
+
+
 def frame_in_chunks(body):
     return (
         HEAD
@@ -143,37 +163,13 @@
             assert caller.status == 502
 
     async def test_a_peer_that_ends_breaks_a_stream_off(self):
-        route = relay_fixtures.make_route(
-            kind=routeconfig.STREAM, max_attempts=1, timeout_s=5.0
-        )
-        step = relay_fixtures.send_stream((1, "a"), end=False)
-        async with Pair(step, route=route) as pair:
-            request = relay_fixtures.make_request(pair.entry)
-            caller = relay_fixtures.RecordingCaller()
-            delivery = caller.make_delivery(pair.entry, request)
-            answer = asyncio.ensure_future(
-                test_relay.relaying.relay_request(pair.entry, request, delivery)
-            )
-            while not caller.data:
-                await asyncio.sleep(0.01)
+        async with begun_stream() as (pair, caller, _, answer):
             await pair.server.stop()
             await asyncio.wait_for(answer, 2)
             assert not caller.complete
 
     async def test_an_endpoint_hears_that_a_caller_has_left(self):
-        route = relay_fixtures.make_route(
-            kind=routeconfig.STREAM, max_attempts=1, timeout_s=5.0
-        )
-        step = relay_fixtures.send_stream((1, "a"), end=False)
-        async with Pair(step, route=route) as pair:
-            request = relay_fixtures.make_request(pair.entry)
-            caller = relay_fixtures.RecordingCaller()
-            delivery = caller.make_delivery(pair.entry, request)
-            answer = asyncio.ensure_future(
-                test_relay.relaying.relay_request(pair.entry, request, delivery)
-            )
-            while not caller.data:
-                await asyncio.sleep(0.01)
+        async with begun_stream() as (pair, _, delivery, answer):
             delivery.mark_caller_left()
             await asyncio.wait_for(answer, 2)
             await asyncio.wait_for(pair.endpoint.connection_lost.wait(), 0.5)
