--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -61,6 +61,9 @@
             if it has none.
         permit_retry_at: Time before which it is not asked for permits, as it
             did not answer.
+        gives_permits: Whether it issues permits. A process of a former version
+            closes the link when it gets a message that it does not know.
+        gives_slots: Whether it gives out slots of brittle endpoints.
         clock_offset_s: Its wall clock minus ours, None before it answered.
         reported_loads: Own loads last reported to it, by endpoint.
         crash_candidates: Keys that it wants to know the successes of.
@@ -80,6 +83,8 @@
         self.routes_version: int | None = None
         self.term = 0
         self.permit_retry_at = now
+        self.gives_permits = False
+        self.gives_slots = False
         self.clock_offset_s: float | None = None
         self.quota = quota_reports.QuotaFeed(address=address)
         self.status = status_feeds.StatusFeed()
@@ -282,6 +287,8 @@
         feed.last_answer_at = now
         feed.session, feed.revision = reply.session, reply.version
         feed.term = news["term"]
+        feed.gives_permits = "limits" in news
+        feed.gives_slots = "brittle" in news
         feed.clock_offset_s = news["wall"] - self.relay.wall()
         for fields in news["endpoints"]:
             leaving_endpoints.merge_announcement(
--- a/src/_arbutuswalk/relay/permit_requests.py
+++ b/src/_arbutuswalk/relay/permit_requests.py
@@ -25,6 +25,8 @@
     link: link.Link
     term: int
     permit_retry_at: float
+    gives_permits: bool
+    gives_slots: bool
 
 
 def make_asker(
@@ -40,6 +42,8 @@
         leader = max(list_feeds(), key=lambda feed: feed.term, default=None)
         if leader is None or not leader.term:
             return "no leader is known"
+        if not leader.gives_permits:
+            return f"{leader.address} gives no permits"
         if relay.now() < leader.permit_retry_at:
             return f"{leader.address} did not answer recently"
         message = ttypes.PermitRequest(
--- a/src/_arbutuswalk/relay/slot_requests.py
+++ b/src/_arbutuswalk/relay/slot_requests.py
@@ -22,6 +22,8 @@
         leader = max(list_feeds(), key=lambda feed: feed.term, default=None)
         if leader is None or not leader.term:
             return "no leader is known"
+        if not leader.gives_slots:
+            return f"{leader.address} gives out no slots"
         if relay.now() < leader.permit_retry_at:
             return f"{leader.address} did not answer recently"
         name = f"{leader.address} in term {leader.term}"
--- a/testing/platform_fixtures.py
+++ b/testing/platform_fixtures.py
@@ -83,7 +83,12 @@
 
 
 class PlatformCluster:
-    """Three control processes, two entries and endpoints with heartbeats."""
+    """Three control processes, two entries and endpoints with heartbeats.
+
+    Attributes:
+        roots: Root folder of the build of each process that does not run this
+            one, by IP address.
+    """
 
     def __init__(self, folder):
         self.folder = folder
@@ -100,6 +105,7 @@
         self.session = None
         self.heartbeat_tasks = []
         self.bounds = BOUND_SETTINGS
+        self.roots = {}
 
     def common_settings(self, ip):
         return {
@@ -134,10 +140,11 @@
     def launch_program(self, ip, script, settings):
         path = self.folder / f"{ip}.toml"
         path.write_text(to_toml(settings))
+        root = self.roots.get(ip, ROOT)
         self.process_group.launch(
             ip,
-            [sys.executable, str(ROOT / "platform" / script)],
-            cwd=ROOT,
+            [sys.executable, str(root / "platform" / script)],
+            cwd=root,
             env={**os.environ, "ARBUTUSWALK_CONFIG": str(path)},
         )
 
--- a/testing/soak/endpoints.py
+++ b/testing/soak/endpoints.py
@@ -62,6 +62,8 @@
         state: State in its heartbeats.
         drain_acked_at: When control acknowledged its drain, or None.
         limit_per_s: Limit that its responses state, None for no limit.
+        rejections_per_s: Rejections that it survives, as its responses state
+            if it is brittle, else None.
         states_leaving: Whether its responses state that it leaves.
         pausing: Whether it turns all requests away and asks for pauses.
         turned_away: Requests that endpoints turned away, shared.
@@ -78,6 +80,7 @@
         self.state = "ready"
         self.drain_acked_at = None
         self.limit_per_s = None
+        self.rejections_per_s = None
         self.states_leaving = False
         self.proxy = None
         self.app_runner = None
@@ -156,6 +159,8 @@
         }
         if self.limit_per_s is not None:
             response_headers["Server-Limit"] = str(self.limit_per_s)
+        if self.rejections_per_s is not None:
+            response_headers["Server-Brittle"] = str(self.rejections_per_s)
         if self.states_leaving:
             response_headers["Server-Leaving"] = "1"
         if request.headers.get("X-Expected-Instance") != self.name:
