--- a/src/_arbutuswalk/wire/codec.py
+++ b/src/_arbutuswalk/wire/codec.py
@@ -25,6 +25,11 @@
 }
 
 
+@dataclasses.dataclass(frozen=True)
+class UnknownMessage:
+    """A valid frame holds a message that only a later build knows."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class BadFrame:
     """The received bytes are not a valid frame."""
@@ -52,7 +57,8 @@
     """Parses one frame, given without its length prefix.
 
     Returns:
-        Call number, whether it is a reply, and the message in it.
+        Call number, whether it is a reply, and the message in it, which is an
+        ``UnknownMessage`` if a later build has sent it.
     """
     frame = ttypes.Frame()
     try:
@@ -83,6 +89,8 @@
         for name in ttypes.Body.__slots__
         if (value := getattr(frame.body, name)) is not None
     ]
+    if not messages:
+        return frame.call, bool(frame.reply), UnknownMessage()
     if len(messages) != 1:
         return BadFrame(reason=f"{len(messages)} messages in one frame")
     try:
--- a/src/_arbutuswalk/wire/link.py
+++ b/src/_arbutuswalk/wire/link.py
@@ -169,8 +169,11 @@
             self.last_received_at = self.now()
             call_number, _, message = decoded
             future = self.pending_calls.pop(call_number, None)
-            if future is not None and not future.done():
-                future.set_result(message)
+            if future is None or future.done():
+                continue
+            if isinstance(message, codec.UnknownMessage):
+                message = LinkDown(reason="unknown reply", possibly_sent=True)
+            future.set_result(message)
         if self.writer is writer:
             self.close(reason)
 
@@ -271,6 +274,13 @@
             pong = codec.encode(0, ttypes.Ping(), reply=True)
             writer.write(pong)
             return
+        if isinstance(message, codec.UnknownMessage):
+            peer = writer.get_extra_info("peername")
+            events.record(events.Event.MESSAGE_UNKNOWN, peer)
+            if call_number:
+                reply = ttypes.Done(ok=False)
+                writer.write(codec.encode(call_number, reply, reply=True))
+            return
         task = background.start(
             "link handler", self._handle(call_number, message, writer)
         )
--- a/testing/test_wire.py
+++ b/testing/test_wire.py
@@ -7,11 +7,16 @@
 import hypothesis.strategies as st
 import pytest
 import virtual
+from thrift.protocol import TBinaryProtocol
+from thrift.Thrift import TType
+from thrift.transport import TTransport
 
 from _arbutuswalk.wire import codec
 from _arbutuswalk.wire import link
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
+LATER_FIELD = 30_000
+
 
 def free_address():
     with socket.socket() as probe:
@@ -56,6 +61,30 @@
         decoded = codec.decode(codec.encode_struct(frame))
         assert isinstance(decoded, codec.BadFrame)
 
+    def test_message_of_a_later_build_is_recognized(self):
+        assert codec.decode(later_frame(7)[4:]) == (
+            7,
+            False,
+            codec.UnknownMessage(),
+        )
+
+
+def later_frame(call_number, *, reply=False):
+    """Returns a frame whose message has a field number that no build uses."""
+    transport = TTransport.TMemoryBuffer()
+    protocol = TBinaryProtocol.TBinaryProtocol(transport)
+    protocol.writeStructBegin("Frame")
+    protocol.writeFieldBegin("call", TType.I64, 1)
+    protocol.writeI64(call_number)
+    protocol.writeFieldBegin("reply", TType.BOOL, 2)
+    protocol.writeBool(reply)
+    protocol.writeFieldBegin("body", TType.STRUCT, 3)
+    protocol.writeFieldBegin("later", TType.STRUCT, LATER_FIELD)
+    for _ in ("later", "body", "frame"):
+        protocol.writeFieldStop()
+    payload = transport.getvalue()
+    return codec.LENGTH_PREFIX.pack(len(payload)) + payload
+
 
 async def echo(message):
     if message.command == b"slow":
@@ -78,6 +107,14 @@
     await new_client.stop()
 
 
+async def read_call_number(reader):
+    """Reads frames up to one that is no heartbeat; returns its number."""
+    while True:
+        call_number, _, _ = await link.read_frame(reader)
+        if call_number:
+            return call_number
+
+
 def submit(command):
     return ttypes.Submit(command=command)
 
@@ -165,6 +202,48 @@
         reply = await client.call(submit(b"still here"), timeout_s=5)
         assert reply.result == b"still here"
 
+    async def test_link_outlives_a_message_of_a_later_build(self, server):
+        """Its other calls were lost with it."""
+        host, _, port = server.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(codec.encode(6, submit(b"known"), reply=False))
+        writer.write(later_frame(7) + later_frame(0))
+        writer.write(codec.encode(8, submit(b"also"), reply=False))
+        frames = [await link.read_frame(reader) for _ in range(3)]
+        replies = {call_number: reply for call_number, _, reply in frames}
+        assert replies[6].result == b"known"
+        assert replies[7] == ttypes.Done(ok=False)
+        assert replies[8].result == b"also"
+        writer.close()
+
+    async def test_unknown_reply_fails_its_call_only(self):
+        """The connection was closed, with the calls that it carried."""
+        address = free_address()
+        host, _, port = address.rpartition(":")
+
+        async def reply_in_turn(reader, writer):
+            unknown = await read_call_number(reader)
+            known = await read_call_number(reader)
+            writer.write(later_frame(unknown, reply=True))
+            done = ttypes.Done(ok=True)
+            writer.write(codec.encode(known, done, reply=True))
+            await reader.read()
+            writer.close()
+
+        later_server = await asyncio.start_server(
+            reply_in_turn, host, int(port)
+        )
+        client = link.Link(address=address)
+        first = client.call(submit(b"1"), timeout_s=5)
+        second = client.call(submit(b"2"), timeout_s=5)
+        failed, answered = await asyncio.gather(first, second)
+        assert failed == link.LinkDown(
+            reason="unknown reply", possibly_sent=True
+        )
+        assert answered == ttypes.Done(ok=True)
+        await client.stop()
+        later_server.close()
+
     async def test_oversized_frame_is_refused(self, server):
         host, _, port = server.address.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
