--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -296,7 +296,8 @@
             )
         for address in news["members"]:
             self._watch_address(address)
-        feed.routes_version = news["routes_version"]
+        has_routes = news.get("has_routes", True)
+        feed.routes_version = news["routes_version"] if has_routes else None
         self._fetch_newer_routes(feed)
         rollout_outcomes.merge_steps(self.relay.rollouts, news["rollouts"])
         path_opener.merge_peers(self.relay, news.get("peers", []))
--- a/testing/test_replaced_builds.py
+++ b/testing/test_replaced_builds.py
@@ -7,7 +7,9 @@
 import pytest
 import replacement_cluster
 
+TASK_FAILED = 104
 FRAME_REFUSED = 202
+CONTROL_LOST = 661
 BRITTLE_S = 3.0
 STATUS_OK = 200
 
@@ -37,3 +39,18 @@
         ] == [[], [], []]
         served = [a for a in cluster.attempts if a.status == STATUS_OK]
         assert len(served) > len(cluster.attempts) / 2
+
+
+class TestControlWithoutConfiguration:
+    async def test_former_entries_can_read_its_replies(self, cluster, tmp_path):
+        former = former_builds.extract("a91c7ed", tmp_path)
+        await cluster.start(control_root=former, entry_root=former)
+        for ip in cluster.control_ips[1:]:
+            await cluster.replace(ip, platform_fixtures.ROOT, empty_disk=True)
+        assert await cluster.finish() == []
+        for ip in cluster.entry_ips:
+            assert cluster.events(ip, TASK_FAILED) == []
+            reasons = [
+                event["reason"] for event in cluster.events(ip, CONTROL_LOST)
+            ]
+            assert not [r for r in reasons if "unusable" in r], reasons
