--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -358,7 +358,6 @@
             self.loads,
         )
         return {
-            # Entries of a former build can read a number only.
             "routes_version": tables.routes_version,
             "has_routes": tables.routes is not None,
             **watch_updates.parts(self.directory, revision, wanted, loads),
--- /dev/null
+++ b/src/_arbutuswalk/relay/control_features.py
@@ -0,0 +1,33 @@
+"""What a control process of another build can do, as its replies show.
+
+A process of a former build closes the link when it gets a message that it does
+not know, and its replies lack later fields.
+"""
+
+from typing import Any
+from typing import NamedTuple
+
+
+class Features(NamedTuple):
+    """What a control process can do.
+
+    Attributes:
+        permits: Whether it issues permits for endpoints that state a limit.
+        slots: Whether it gives out slots of brittle endpoints.
+    """
+
+    permits: bool = False
+    slots: bool = False
+
+
+def from_json(news: dict[str, Any]) -> Features:
+    """Returns what the sender of a reply can do."""
+    return Features(permits="limits" in news, slots="brittle" in news)
+
+
+def routes_version(news: dict[str, Any]) -> int | None:
+    """Returns the version in a reply, None if its sender has none.
+
+    Former builds cannot read None, so the number is 0 then.
+    """
+    return news["routes_version"] if news.get("has_routes", True) else None
--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -12,6 +12,7 @@
 from _arbutuswalk.base import background
 from _arbutuswalk.base import events
 from _arbutuswalk.relay import config_fetch
+from _arbutuswalk.relay import control_features
 from _arbutuswalk.relay import crash_probes
 from _arbutuswalk.relay import leaving_endpoints
 from _arbutuswalk.relay import path_opener
@@ -61,9 +62,7 @@
             if it has none.
         permit_retry_at: Time before which it is not asked for permits, as it
             did not answer.
-        gives_permits: Whether it issues permits. A process of a former version
-            closes the link when it gets a message that it does not know.
-        gives_slots: Whether it gives out slots of brittle endpoints.
+        features: What it can do.
         clock_offset_s: Its wall clock minus ours, None before it answered.
         reported_loads: Own loads last reported to it, by endpoint.
         crash_candidates: Keys that it wants to know the successes of.
@@ -83,8 +82,7 @@
         self.routes_version: int | None = None
         self.term = 0
         self.permit_retry_at = now
-        self.gives_permits = False
-        self.gives_slots = False
+        self.features = control_features.Features()
         self.clock_offset_s: float | None = None
         self.quota = quota_reports.QuotaFeed(address=address)
         self.status = status_feeds.StatusFeed()
@@ -287,8 +285,7 @@
         feed.last_answer_at = now
         feed.session, feed.revision = reply.session, reply.version
         feed.term = news["term"]
-        feed.gives_permits = "limits" in news
-        feed.gives_slots = "brittle" in news
+        feed.features = control_features.from_json(news)
         feed.clock_offset_s = news["wall"] - self.relay.wall()
         for fields in news["endpoints"]:
             leaving_endpoints.merge_announcement(
@@ -296,8 +293,7 @@
             )
         for address in news["members"]:
             self._watch_address(address)
-        has_routes = news.get("has_routes", True)
-        feed.routes_version = news["routes_version"] if has_routes else None
+        feed.routes_version = control_features.routes_version(news)
         self._fetch_newer_routes(feed)
         rollout_outcomes.merge_steps(self.relay.rollouts, news["rollouts"])
         path_opener.merge_peers(self.relay, news.get("peers", []))
@@ -305,7 +301,9 @@
             self.relay, feed.status, news, reply.version, feed.address
         )
         if "loads" in news:
-            self._update_other_loads(feed, news["loads"])
+            status_feeds.record_loads(
+                self.relay, news["loads"], feed.reported_loads
+            )
         stated_reports.merge(self.relay, news, feed.address)
         feed.is_settled = news["is_settled"]
         self.relay.entry_count = news["entries"] or self.relay.entry_count
@@ -351,19 +349,6 @@
         apply_routes(self.relay, values, source)
         self.relay.notify_waiters()
 
-    def _update_other_loads(
-        self, feed: ControlFeed, loads: dict[str, list[int]]
-    ) -> None:
-        """Sets other entries' loads: the totals minus our own share."""
-        self.relay.other_loads = {
-            name: relay_state.Load(
-                max(0, running - own_share.running),
-                max(0, tokens - own_share.waiting_tokens),
-            )
-            for name, (running, tokens) in loads.items()
-            for own_share in [feed.reported_loads.get(name, relay_state.Load())]
-        }
-
     def _correct_clock(self) -> None:
         """Corrects a clock step by the median offset of all clocks."""
         offsets = [
--- a/src/_arbutuswalk/relay/permit_requests.py
+++ b/src/_arbutuswalk/relay/permit_requests.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from _arbutuswalk.limits import permits
+from _arbutuswalk.relay import control_features
 from _arbutuswalk.relay import permit_client
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.routing import directory
@@ -25,8 +26,7 @@
     link: link.Link
     term: int
     permit_retry_at: float
-    gives_permits: bool
-    gives_slots: bool
+    features: control_features.Features
 
 
 def make_asker(
@@ -42,7 +42,7 @@
         leader = max(list_feeds(), key=lambda feed: feed.term, default=None)
         if leader is None or not leader.term:
             return "no leader is known"
-        if not leader.gives_permits:
+        if not leader.features.permits:
             return f"{leader.address} gives no permits"
         if relay.now() < leader.permit_retry_at:
             return f"{leader.address} did not answer recently"
--- a/src/_arbutuswalk/relay/slot_requests.py
+++ b/src/_arbutuswalk/relay/slot_requests.py
@@ -22,7 +22,7 @@
         leader = max(list_feeds(), key=lambda feed: feed.term, default=None)
         if leader is None or not leader.term:
             return "no leader is known"
-        if not leader.gives_slots:
+        if not leader.features.slots:
             return f"{leader.address} gives out no slots"
         if relay.now() < leader.permit_retry_at:
             return f"{leader.address} did not answer recently"
--- a/src/_arbutuswalk/relay/status_feeds.py
+++ b/src/_arbutuswalk/relay/status_feeds.py
@@ -113,3 +113,19 @@
             relay, directory.with_heartbeat(row.endpoint, heartbeat), source
         )
     return True
+
+
+def record_loads(
+    relay: relay_state.Relay,
+    loads: dict[str, list[int]],
+    reported: dict[str, relay_state.Load],
+) -> None:
+    """Sets other entries' loads: the totals minus what this one reported."""
+    relay.other_loads = {
+        name: relay_state.Load(
+            max(0, running - own_share.running),
+            max(0, tokens - own_share.waiting_tokens),
+        )
+        for name, (running, tokens) in loads.items()
+        for own_share in [reported.get(name, relay_state.Load())]
+    }
