--- a/src/_arbutuswalk/storage/folder.py
+++ b/src/_arbutuswalk/storage/folder.py
@@ -94,6 +94,25 @@
             return self._to_storage_error(error, name)
         return None
 
+    def sync_all(self) -> errors.StorageError | None:
+        """Makes all that a process reads in the folder durable.
+
+        A process that was killed leaves its writes, creations and renames in
+        the folder though it had not synced them yet.
+        """
+        for name in self.file_names():
+            try:
+                fd = os.open(self.path / name, os.O_RDWR)
+            except OSError as error:
+                return self._to_storage_error(error, name)
+            try:
+                os.fsync(fd)
+            except OSError as error:
+                return self._to_storage_error(error, name)
+            finally:
+                os.close(fd)
+        return self.sync_folder()
+
     def truncate(self, name: str, size: int) -> errors.StorageError | None:
         """Truncates a file and makes its new size durable."""
         try:
--- a/src/_arbutuswalk/storage/wal.py
+++ b/src/_arbutuswalk/storage/wal.py
@@ -98,7 +98,13 @@
         self.has_failed_tail = False
 
     def recover(self) -> Recovered | errors.StorageError:
-        """Reads the whole log; truncates a torn tail, fails on corruption."""
+        """Reads the whole log; truncates a torn tail, fails on corruption.
+
+        All that it returns is durable, so that the member may acknowledge it.
+        """
+        failure = self.folder.sync_all()
+        if failure is not None:
+            return failure
         snapshot = self._newest_readable_snapshot()
         if isinstance(snapshot, errors.StorageError):
             return snapshot
--- a/testing/fakes.py
+++ b/testing/fakes.py
@@ -15,6 +15,10 @@
 )
 
 
+class KilledError(Exception):
+    """The process was killed in the middle of its disk operations."""
+
+
 class FakeFolder:
     """A data folder in memory.
 
@@ -24,6 +28,7 @@
         durable_names: Names of the files that exist after a crash.
         full: Whether writes fail because the disk is full.
         skip_sync: Whether syncs report success without storing anything.
+        killed_in: Disk operations until the process is killed, None for never.
     """
 
     def __init__(self):
@@ -32,6 +37,16 @@
         self.durable_names = set()
         self.full = False
         self.skip_sync = False
+        self.killed_in = None
+
+    def count_operation(self):
+        """Kills the process before the operation whose turn it is."""
+        if self.killed_in is None:
+            return
+        if self.killed_in == 0:
+            self.killed_in = None
+            raise KilledError
+        self.killed_in -= 1
 
     def open(self):
         return None
@@ -48,13 +63,20 @@
     def append(self, name, data):
         if self.full:
             return errors.DiskFull(path=name)
+        self.count_operation()
         self.files[name] = self.files.get(name, b"") + data
         return None
 
     def sync(self, name):
+        self.count_operation()
         if not self.skip_sync:
             self.durable[name] = self.files[name]
 
+    def sync_all(self):
+        for name in self.files:
+            self.sync(name)
+        return self.sync_folder()
+
     def truncate(self, name, size):
         self.files[name] = self.files[name][:size]
         return self.sync(name)
@@ -62,6 +84,7 @@
     def replace(self, name, data):
         if self.full:
             return errors.DiskFull(path=name)
+        self.count_operation()
         self.files[name] = data
         self.sync(name)
         return self.sync_folder()
@@ -70,9 +93,17 @@
         self.files.pop(name, None)
 
     def sync_folder(self):
+        self.count_operation()
         if not self.skip_sync:
             self.durable_names = set(self.files)
 
+    def lose_unsynced(self):
+        """Drops all unsynced data."""
+        self.files = {
+            name: self.durable.get(name, b"") for name in self.durable_names
+        }
+        self.durable = dict(self.files)
+
     def crash(self, rng):
         """Drops unsynced data, except for a random part of each tail."""
         surviving_files = {}
@@ -129,6 +160,17 @@
         self.core = None
         self.folder.crash(self.cluster.rng)
 
+    def crash_with_all_unsynced_lost(self):
+        self.kill()
+        self.folder.lose_unsynced()
+
+    def kill(self):
+        """Ends the process; its files stay as they were written."""
+        self.up = False
+        self.crash_at = None
+        self.leave_until = None
+        self.core = None
+
     def lose_disk(self):
         self.up = False
         self.core = None
@@ -216,7 +258,11 @@
             return
         unsaved = ready.snapshot or ready.vote or ready.entries
         if unsaved or ready.commit is not None:
-            failure = core.persist(ready)
+            try:
+                failure = core.persist(ready)
+            except KilledError:
+                node.kill()
+                return
             if failure is not None:
                 node.crash()
                 return
--- a/testing/test_full_disk.py
+++ b/testing/test_full_disk.py
@@ -133,6 +133,9 @@
         assert log.write(wal.Vote(4, ""), []) is None
         assert log.write(wal.Vote(4, "z"), entries(21, 22)) is None
         folder.crash(random.Random(1))
+        waiting = wal.Wal(folder=folder).recover()
+        assert isinstance(waiting, errors.DiskFull)
+        folder.refuses_folder_syncs = False
         _, recovered = open_log(folder)
         assert recovered.vote == wal.Vote(4, "z")
         assert recovered.entries == entries(1, 22)
