--- a/src/_arbutuswalk/agreement/membership.py
+++ b/src/_arbutuswalk/agreement/membership.py
@@ -103,24 +103,26 @@
 
 
 def _bootstrap_group(replica: replicas.Replica, now: float) -> None:
-    """Bootstraps a group if all configured peers are seen and have none.
+    """Bootstraps a group if all founders are seen and have none.
 
-    Only the member at the lowest address does it. Because all peers must be
-    seen, a member that lost its disk finds the peer that has a group and joins
-    that group.
+    Only the member at the lowest address does it. The founders are the peers at
+    the first start of the system: the peers of a later start may all be members
+    that belong to no group although there is one.
     """
     group_by_address = {
         seen.address: seen.group
         for seen in replica.seen_members.values()
         if now - seen.at < presence.HELLO_MAX_AGE_S
     }
-    other_addresses = set(replica.peers) - {replica.address}
-    no_peer_has_group = all(
+    other_addresses = set(replica.founders) - {replica.address}
+    no_founder_has_group = all(
         group_by_address.get(address) == "" for address in other_addresses
     )
-    has_lowest_address = replica.address == min(replica.peers, default="")
+    has_lowest_address = replica.address == min(replica.founders, default="")
     if not (
-        no_peer_has_group and has_lowest_address and replica.log.last_index == 0
+        no_founder_has_group
+        and has_lowest_address
+        and replica.log.last_index == 0
     ):
         return
     members = types.Members(
--- a/src/_arbutuswalk/agreement/presence.py
+++ b/src/_arbutuswalk/agreement/presence.py
@@ -29,7 +29,8 @@
 
     They include the senders of recent ``Hello`` messages and the members that
     those name: a new member, or one that lost its disk, knows only the
-    configured addresses, and the leader may be at none of them.
+    configured addresses, and the leader may be at none of them. The founders
+    are still greeted when the settings name other peers.
     """
     member_addresses = {
         *replica.log.members.addresses.values(),
@@ -40,7 +41,8 @@
         for seen in replica.seen_members.values()
         if now - seen.at < HELLO_MAX_AGE_S
     }
-    return (member_addresses | recent | {*replica.peers}) - {replica.address}
+    configured = {*replica.peers, *replica.founders}
+    return (member_addresses | recent | configured) - {replica.address}
 
 
 def on_hello(
--- a/src/_arbutuswalk/agreement/replica.py
+++ b/src/_arbutuswalk/agreement/replica.py
@@ -112,8 +112,9 @@
         timing: Timeouts and intervals.
         rng: Source of election delays and of the group's random name.
         target_voters: How many voters the group should have.
-        peers: Configured addresses, including its own, of the members that
-            bootstrap a new group.
+        peers: Configured addresses of other members, perhaps with its own.
+        founders: Addresses, including its own, of the members that bootstrap a
+            group; none unless the folder dates from the system's first start.
         term: Highest term seen.
         voted_for: Candidate that has this member's vote in ``term``, or empty.
         vote_unsaved: Whether ``term`` and ``voted_for`` are yet to be saved.
@@ -157,6 +158,7 @@
         vote: wal.Vote | None = None,
         log: raftlog.RaftLog | None = None,
         commit: int = 0,
+        founders: tuple[str, ...] = (),
     ):
         self.member = member
         self.address = address
@@ -164,6 +166,7 @@
         self.rng = rng
         self.target_voters = target_voters
         self.peers = peers
+        self.founders = founders
         self.term = vote.term if vote else 0
         self.voted_for = vote.voted_for if vote else ""
         self.vote_unsaved = False
--- a/src/_arbutuswalk/control/durable_replica.py
+++ b/src/_arbutuswalk/control/durable_replica.py
@@ -37,11 +37,13 @@
         address: ``IP:port`` that the member listens on.
         peers: Addresses of all founding members, including its own.
         target_voters: Number of voters that the group should have.
+        may_bootstrap: Whether this may be the first start of the whole system.
     """
 
     address: str
     peers: tuple[str, ...]
     target_voters: int
+    may_bootstrap: bool = True
 
 
 class Applied(NamedTuple):
@@ -104,6 +106,9 @@
         if isinstance(member, errors.StorageError):
             return member
         log = self._rebuild(recovered)
+        founders = self._founders()
+        if isinstance(founders, errors.StorageError):
+            return founders
         self.replica = replicas.Replica(
             member=member,
             address=self.identity.address,
@@ -112,6 +117,7 @@
             now=now,
             target_voters=self.identity.target_voters,
             peers=self.identity.peers,
+            founders=founders,
             vote=recovered.vote,
             log=log,
             commit=recovered.commit,
@@ -149,6 +155,21 @@
         failure = self.data.replace(wal.MEMBER_ID_FILE, member.encode())
         return failure or member
 
+    def _founders(self) -> tuple[str, ...] | errors.StorageError:
+        """Returns the peers at the system's first start, if it was here.
+
+        A process that is killed before the group is bootstrapped may be started
+        again with settings that no longer allow it, or name other peers.
+        """
+        if wal.FOUNDERS_FILE in self.data.file_names():
+            content = self.data.read(wal.FOUNDERS_FILE).decode()
+            return tuple(content.split())
+        if not self.identity.may_bootstrap:
+            return ()
+        founders = self.identity.peers
+        content = " ".join(founders).encode()
+        return self.data.replace(wal.FOUNDERS_FILE, content) or founders
+
     @property
     def is_leader(self) -> bool:
         """Whether this member leads its term."""
--- a/src/_arbutuswalk/storage/wal.py
+++ b/src/_arbutuswalk/storage/wal.py
@@ -21,6 +21,8 @@
 VOTE_KIND = b"V"
 COMMIT_KIND = b"C"
 MEMBER_ID_FILE = "identity"
+FOUNDERS_FILE = "founders"
+"""Exists in a folder that was created at the first start of the system."""
 _ENTRY_HEADER = struct.Struct(">QQ")
 _VOTE_TERM = struct.Struct(">Q")
 _COMMIT_INDEX = struct.Struct(">Q")
--- a/testing/fakes.py
+++ b/testing/fakes.py
@@ -125,6 +125,7 @@
         self.address = address
         self.peers = peers
         self.folder = FakeFolder()
+        self.may_bootstrap = True
         self.up = False
         self.core = None
         self.inbox = []
@@ -136,7 +137,10 @@
         self.core = durable_replica.DurableReplica(
             data=self.folder,
             identity=durable_replica.Identity(
-                self.address, self.peers, self.cluster.target_voters
+                self.address,
+                self.peers,
+                self.cluster.target_voters,
+                self.may_bootstrap,
             ),
             timing=self.cluster.timing,
             rng=random.Random(self.cluster.rng.random()),
@@ -172,6 +176,7 @@
         self.core = None
 
     def lose_disk(self):
+        self.may_bootstrap = False
         self.up = False
         self.core = None
         self.folder = FakeFolder()
@@ -226,6 +231,7 @@
     def add_node(self, address, peers):
         """Starts a new, empty member that knows ``peers``."""
         node = self.nodes[address] = Node(self, address, peers)
+        node.may_bootstrap = False
         node.start()
         return node
 
