--- a/src/_arbutuswalk/storage/wal.py
+++ b/src/_arbutuswalk/storage/wal.py
@@ -21,6 +21,8 @@
 VOTE_KIND = b"V"
 COMMIT_KIND = b"C"
 MEMBER_ID_FILE = "identity"
+FOUNDERS_FILE = "founders"
+"""Exists in a folder that was created at the first start of the system."""
 _ENTRY_HEADER = struct.Struct(">QQ")
 _VOTE_TERM = struct.Struct(">Q")
 _COMMIT_INDEX = struct.Struct(">Q")
@@ -98,7 +100,13 @@
         self.has_failed_tail = False
 
     def recover(self) -> Recovered | errors.StorageError:
-        """Reads the whole log; truncates a torn tail, fails on corruption."""
+        """Reads the whole log; truncates a torn tail, fails on corruption.
+
+        All that it returns is durable, so that the member may acknowledge it.
+        """
+        failure = self.folder.sync_all()
+        if failure is not None:
+            return failure
         snapshot = self._newest_readable_snapshot()
         if isinstance(snapshot, errors.StorageError):
             return snapshot
