--- a/src/_arbutuswalk/agreement/types.py
+++ b/src/_arbutuswalk/agreement/types.py
@@ -89,8 +89,9 @@
 
 
 def unpack_members(command: bytes) -> Members:
-    """Parses a command made by ``pack_members``."""
+    """Parses a command made by ``pack_members``, also of a later build."""
     values = json.loads(command[1:])
+    values = {name: values[name] for name in Members._fields if name in values}
     values["voters"] = tuple(values["voters"])
     values["learners"] = tuple(values["learners"])
     return Members(**values)
--- a/src/_arbutuswalk/state/state_machine.py
+++ b/src/_arbutuswalk/state/state_machine.py
@@ -117,7 +117,7 @@
 
 
 def load(data: bytes) -> rows.Tables:
-    """Parses the result of ``dump``."""
+    """Parses the result of ``dump``, also of a later build."""
     parsed = json.loads(data)
     tables = rows.Tables()
     for name, content in parsed.items():
@@ -125,7 +125,17 @@
         if row_type is None:
             setattr(tables, name, content)
         else:
-            table = {key: row_type(*fields) for key, fields in content.items()}
+            table = {
+                key: _load_row(row_type, fields)
+                for key, fields in content.items()
+            }
             setattr(tables, name, table)
-    tables.history = [rows.Revision(*fields) for fields in tables.history]
+    tables.history = [
+        _load_row(rows.Revision, fields) for fields in tables.history
+    ]
     return tables
+
+
+def _load_row(row_type: type, fields: list[Any]) -> Any:
+    """Returns a row without the fields that only a later build knows."""
+    return row_type(*fields[: len(row_type._fields)])
