--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -30,6 +30,7 @@
     LOG_TAIL_CUT = (301, "torn log tail truncated file=%s offset=%s")
     STORAGE_FAILED = (302, "storage failed reason=%s")
     SNAPSHOT_WRITTEN = (303, "snapshot written index=%s bytes=%s")
+    LOG_ENTRY_SKIPPED = (304, "log entry of a later build skipped index=%s")
     TERM_CHANGED = (400, "term=%s role=%s leader=%s")
     MEMBERS_CHANGED = (401, "voters=%s learners=%s")
     SNAPSHOT_INSTALLED = (402, "snapshot installed index=%s")
--- a/src/_arbutuswalk/control/durable_replica.py
+++ b/src/_arbutuswalk/control/durable_replica.py
@@ -28,6 +28,10 @@
 
 SNAPSHOT_INTERVAL_ENTRIES = 2000
 """Log entries between two snapshots; equal on all members."""
+MAX_KEPT_BYTES = 64 * 1024 * 1024
+"""Size of the log entries that a member keeps for a later build in its place.
+Without a bound, a group that went back to a former build would never remove an
+entry again."""
 
 
 class Identity(NamedTuple):
@@ -130,6 +134,7 @@
             members, state = snapshot.unpack(packed)
             self.tables = state_machine.load(state)
             self.applied = index
+            self._log_skipped(before=0)
         return raftlog.RaftLog(
             snapshot_index=index,
             snapshot_term=term,
@@ -200,6 +205,7 @@
             self.tables = state_machine.load(state)
             self.applied = ready.snapshot.index
             events.log(events.Event.SNAPSHOT_INSTALLED, self.applied)
+            self._log_skipped(before=0)
         if ready.entries:
             last = ready.entries[-1]
             replication.saved(self.replica, last.index, last.term)
@@ -212,6 +218,7 @@
         entry = self.replica.log.slice(self.applied, 1)[0]
         kind, payload = entry.command[:1], entry.command[1:]
         outcome = None
+        before = self.tables.first_skipped
         if kind == types.COMMAND_KIND:
             outcome = state_machine.apply(self.tables, payload, self.applied)
         elif kind == types.MEMBERS_KIND:
@@ -219,15 +226,28 @@
             events.log(
                 events.Event.MEMBERS_CHANGED, members.voters, members.learners
             )
+        elif kind != types.NOOP_KIND:
+            state_machine.skip(self.tables, self.applied)
+        self._log_skipped(before=before)
         return Applied(self.applied, entry.term, outcome)
 
     def due_snapshot(self) -> wal.Snapshot | None:
-        """Returns a snapshot to save, at indices equal on all members."""
+        """Returns a snapshot to save, at indices equal on all members.
+
+        There is none after an entry of a later build was skipped: the log
+        still holds it for a process of that build, a snapshot would not.
+        """
         index = self.applied
         if index % self.snapshot_interval_entries or index <= max(
             self.replica.snapshots, default=0
         ):
             return None
+        log = self.replica.log
+        if (
+            self.tables.first_skipped
+            and log.bytes_up_to(index) <= MAX_KEPT_BYTES
+        ):
+            return None
         members = transfer.members_at(self.replica, index)
         packed = snapshot.pack(members, state_machine.dump(self.tables))
         return wal.Snapshot(index, self.replica.log.term_at(index), packed)
@@ -237,3 +257,10 @@
         transfer.retain_snapshot(
             self.replica, saved_snapshot.index, saved_snapshot.state
         )
+
+    def _log_skipped(self, *, before: int) -> None:
+        """Logs the first thing of a later build that was skipped."""
+        if self.tables.first_skipped != before:
+            events.warn(
+                events.Event.LOG_ENTRY_SKIPPED, self.tables.first_skipped
+            )
--- a/src/_arbutuswalk/state/state_machine.py
+++ b/src/_arbutuswalk/state/state_machine.py
@@ -87,6 +87,7 @@
     tables.applied = index
     command = commands.decode(encoded)
     if command is None:
+        skip(tables, index)
         return outcomes.Stale(what="a command this version does not know")
     _expire(tables)
     handler = _HANDLERS.get(type(command))
@@ -98,6 +99,11 @@
     return outcome
 
 
+def skip(tables: rows.Tables, index: int) -> None:
+    """Records that the log entry at ``index`` is of a later build."""
+    tables.first_skipped = tables.first_skipped or index
+
+
 def _expire(tables: rows.Tables) -> None:
     if tables.time_ms - tables.expired_ms < EXPIRY_INTERVAL_MS:
         return
@@ -113,29 +119,35 @@
 
 def to_json(tables: rows.Tables) -> dict[str, Any]:
     """Returns the tables as JSON values; encoding turns rows into lists."""
-    return dict(vars(tables))
+    values = dict(vars(tables))
+    del values["first_skipped"]
+    return values
 
 
 def load(data: bytes) -> rows.Tables:
     """Parses the result of ``dump``, also of a later build."""
     parsed = json.loads(data)
     tables = rows.Tables()
+    tables.applied = parsed.get("applied", 0)
     for name, content in parsed.items():
         row_type = _ROW_TYPES.get(name)
         if row_type is None:
             setattr(tables, name, content)
         else:
             table = {
-                key: _load_row(row_type, fields)
+                key: _load_row(tables, row_type, fields)
                 for key, fields in content.items()
             }
             setattr(tables, name, table)
     tables.history = [
-        _load_row(rows.Revision, fields) for fields in tables.history
+        _load_row(tables, rows.Revision, fields) for fields in tables.history
     ]
     return tables
 
 
-def _load_row(row_type: type, fields: list[Any]) -> Any:
+def _load_row(tables: rows.Tables, row_type: type, fields: list[Any]) -> Any:
     """Returns a row without the fields that only a later build knows."""
-    return row_type(*fields[: len(row_type._fields)])
+    known_count = len(row_type._fields)
+    if len(fields) > known_count:
+        skip(tables, tables.applied)
+    return row_type(*fields[:known_count])
--- a/src/_arbutuswalk/state/tables.py
+++ b/src/_arbutuswalk/state/tables.py
@@ -191,6 +191,9 @@
         expired_ms: Log time of the last removal of expired records.
         changed: Log index of the last change of each part of the view.
         applied: Index of the last log entry applied.
+        first_skipped: Index of the first log entry, or of the snapshot, with
+            something that only a later build knows, 0 if there is none. It
+            depends on the build, so snapshots do not contain it.
     """
 
     def __init__(self):
@@ -223,6 +226,7 @@
         self.expired_ms = 0
         self.changed: dict[str, int] = {}
         self.applied = 0
+        self.first_skipped = 0
 
     @property
     def published_version(self) -> int | None:
