--- a/testing/soak/__main__.py
+++ b/testing/soak/__main__.py
@@ -7,10 +7,21 @@
 import tempfile
 import time
 
+import former_builds
+import platform_fixtures
+
 from soak import regressions
 from soak import soak
 
 
+def extract_builds(commits, folder):
+    """Returns the root folders of former builds and of this one, or none."""
+    if not commits:
+        return []
+    former = [former_builds.extract(commit, folder) for commit in commits]
+    return [*former, platform_fixtures.ROOT]
+
+
 async def main(arguments):
     """Runs ``arguments.jobs`` seeds at a time; returns the failed seeds."""
     job_slots = asyncio.Semaphore(arguments.jobs)
@@ -19,7 +30,11 @@
     async def run_seed(seed):
         async with job_slots:
             folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-            soak_run = soak.Soak(folder=folder, seed=seed)
+            soak_run = soak.Soak(
+                folder=folder,
+                seed=seed,
+                roots=extract_builds(arguments.builds, folder),
+            )
             violations = await soak_run.run(arguments.seconds)
             served = sum(attempt.status == 200 for attempt in soak_run.attempts)
             print(
@@ -57,4 +72,11 @@
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--regressions", action="store_true")
     parser.add_argument("--jobs", type=int, default=1)
+    parser.add_argument(
+        "--builds",
+        nargs="+",
+        default=[],
+        metavar="COMMIT",
+        help="each start of a process picks one of these or this build",
+    )
     raise SystemExit(bool(asyncio.run(main(parser.parse_args()))))
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -9,6 +9,7 @@
 import platform_fixtures
 import process_fixtures
 
+from soak import builds
 from soak import callers
 from soak import checks
 from soak import endpoints
@@ -57,10 +58,19 @@
         leaving_periods: Times in which endpoints stated that they leave.
         fault_periods: Times of the faults of processes.
         last_fault_at: End of the last fault of a process, by IP address.
-        fault_log: Times and names of the injected faults.
+        fault_log: Times and names of the injected faults, and the builds that
+            starts picked.
     """
 
-    def __init__(self, *, folder, seed):
+    def __init__(self, *, folder, seed, roots=()):
+        """Starts nothing yet.
+
+        Args:
+            folder: Folder for settings, logs and data.
+            seed: Seed of all choices.
+            roots: Root folders of the builds that each start picks from; all
+                processes run this build if there are none.
+        """
         self.rng = random.Random(seed)
         self.cluster = platform_fixtures.PlatformCluster(folder)
         self.arrivals = []
@@ -84,6 +94,9 @@
         self.disk_loss_lock = asyncio.Lock()
         self.successors = 0
         self.fault_log = []
+        if roots:
+            # Picks must not change the faults that a seed stands for.
+            builds.pick_at_each_start(self, random.Random(-seed - 1), roots)
 
     @contextlib.asynccontextmanager
     async def exclusive_access(self, *ips, is_interruption=True):
--- a/testing/test_replaced_builds.py
+++ b/testing/test_replaced_builds.py
@@ -6,12 +6,15 @@
 import platform_fixtures
 import pytest
 import replacement_cluster
+from soak import soak
 
 TASK_FAILED = 104
 FRAME_REFUSED = 202
 CONTROL_LOST = 661
 BRITTLE_S = 3.0
 STATUS_OK = 200
+SOAK_SEED = 20261205
+SOAK_S = 6.0
 
 
 @pytest.fixture
@@ -54,3 +57,14 @@
                 event["reason"] for event in cluster.events(ip, CONTROL_LOST)
             ]
             assert not [r for r in reasons if "unusable" in r], reasons
+
+
+class TestSoakOfBuilds:
+    async def test_invariants_hold_if_each_start_picks_a_build(self, tmp_path):
+        former = former_builds.extract("d525f53", tmp_path)
+        roots = [former, platform_fixtures.ROOT]
+        soak_run = soak.Soak(folder=tmp_path, seed=SOAK_SEED, roots=roots)
+        assert await soak_run.run(SOAK_S) == []
+        assert any(a.status == STATUS_OK for a in soak_run.attempts)
+        picks = " ".join(soak_run.fault_log)
+        assert all(f"runs {root.name}" in picks for root in roots)
