--- a/src/_arbutuswalk/relay/control_features.py
+++ b/src/_arbutuswalk/relay/control_features.py
@@ -31,3 +31,22 @@
     Former builds cannot read None, so the number is 0 then.
     """
     return news["routes_version"] if news.get("has_routes", True) else None
+
+
+def is_settled(news: dict[str, Any]) -> bool:
+    """Returns whether a reply covers all running entries.
+
+    Former builds do not say so, also if they have just started.
+    """
+    return news.get("is_settled", False)
+
+
+def entry_count(news: dict[str, Any], known_count: int) -> int:
+    """Returns the number of entries that share limits, given the last one.
+
+    A former build that does not say whether it is settled counts only those
+    that have reached it; with fewer, each would take too large a share.
+    """
+    if "is_settled" not in news:
+        return max(news["entries"], known_count)
+    return news["entries"] or known_count
--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -305,8 +305,10 @@
                 self.relay, news["loads"], feed.reported_loads
             )
         stated_reports.merge(self.relay, news, feed.address)
-        feed.is_settled = news["is_settled"]
-        self.relay.entry_count = news["entries"] or self.relay.entry_count
+        feed.is_settled = control_features.is_settled(news)
+        self.relay.entry_count = control_features.entry_count(
+            news, self.relay.entry_count
+        )
         if feed.is_settled:
             quota_reports.record(
                 self.relay.quota_buckets,
--- a/src/_arbutuswalk/relay/status_feeds.py
+++ b/src/_arbutuswalk/relay/status_feeds.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from _arbutuswalk.base import events
+from _arbutuswalk.relay import control_features
 from _arbutuswalk.relay import leaving_endpoints
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.routing import directory
@@ -81,7 +82,7 @@
         source: Link address of the process.
     """
     feed.domain = news.get("domain", "")
-    feed.is_ready = news["is_settled"]
+    feed.is_ready = control_features.is_settled(news)
     feed.unknown_ids = set()
     for fields in news.get("heartbeats", []):
         heartbeat = directory.heartbeat_from_json(fields)
--- a/testing/test_replaced_builds.py
+++ b/testing/test_replaced_builds.py
@@ -8,10 +8,13 @@
 import replacement_cluster
 from soak import soak
 
+from _arbutuswalk.relay import control_features
+
 TASK_FAILED = 104
 FRAME_REFUSED = 202
 CONTROL_LOST = 661
 BRITTLE_S = 3.0
+OLD_CONTROL_S = 3.0
 STATUS_OK = 200
 SOAK_SEED = 20261205
 SOAK_S = 6.0
@@ -59,6 +62,36 @@
             assert not [r for r in reasons if "unusable" in r], reasons
 
 
+class TestControlOfOldBuilds:
+    async def test_entries_can_read_its_replies(self, cluster, tmp_path):
+        former = former_builds.extract("a5d3c34", tmp_path)
+        await cluster.start(
+            control_root=former, entry_root=platform_fixtures.ROOT
+        )
+        await asyncio.sleep(OLD_CONTROL_S)
+        assert await cluster.finish() == []
+        for ip in cluster.entry_ips:
+            assert cluster.events(ip, TASK_FAILED) == []
+            assert cluster.events(ip, CONTROL_LOST) == []
+        served = [a for a in cluster.attempts if a.status == STATUS_OK]
+        assert len(served) > len(cluster.attempts) / 2
+
+    @pytest.mark.parametrize(
+        ("news", "expected"),
+        [
+            ({"entries": 1}, 5),
+            ({"entries": 6}, 6),
+            ({"entries": 1, "is_settled": True}, 1),
+            ({"entries": 0, "is_settled": False}, 5),
+        ],
+        ids=["old", "old, more entries", "settled", "not settled"],
+    )
+    def test_one_that_may_have_just_started_lowers_no_count(
+        self, news, expected
+    ):
+        assert control_features.entry_count(news, 5) == expected
+
+
 class TestSoakOfBuilds:
     async def test_invariants_hold_if_each_start_picks_a_build(self, tmp_path):
         former = former_builds.extract("d525f53", tmp_path)
