--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -154,7 +154,7 @@
         self.delivery.may_have_run = True
         endpoint_limits.record_sent(self.relay, self.endpoint)
         connection.send_request(data, self.exchange)
-        self.silence.is_direct = not connection.peer
+        self.silence.peer = connection.peer
         self.silence.record_sent()
         self.timing.start()
         try:
--- a/src/_arbutuswalk/relay/crash_probes.py
+++ b/src/_arbutuswalk/relay/crash_probes.py
@@ -9,11 +9,13 @@
 from _arbutuswalk.base import background
 from _arbutuswalk.base import events
 from _arbutuswalk.relay import connection_limits
+from _arbutuswalk.relay import path_opener
 from _arbutuswalk.relay import placement
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory
 from _arbutuswalk.streams import pool
+from _arbutuswalk.streams import tunnels
 
 PROBE_DELAY_S = 0.1
 """Time after a lost connection at which another is opened. A process that ends
@@ -30,26 +32,39 @@
 
 
 def start_silent(
-    relay: relay_state.Relay, endpoint: directory.Endpoint
+    relay: relay_state.Relay, endpoint: directory.Endpoint, peer: str = ""
 ) -> None:
     """Opens a connection to a silent endpoint, unless that is under way.
 
     An endpoint that does not accept one becomes a suspect.
+
+    Args:
+        relay: State of the entry.
+        endpoint: The endpoint.
+        peer: Peer that the connection is to go through, empty for any path.
     """
     endpoint_start = directory.start_of(endpoint)
     if endpoint_start in relay.probed_starts:
         return
     relay.probed_starts.add(endpoint_start)
-    background.start("probe", _probe_silent(relay, endpoint))
+    background.start("probe", _probe_silent(relay, endpoint, peer))
 
 
 async def _probe_silent(
-    relay: relay_state.Relay, endpoint: directory.Endpoint
+    relay: relay_state.Relay, endpoint: directory.Endpoint, peer: str
 ) -> None:
     try:
-        if not connection_limits.may_use_another(relay, endpoint):
+        may_connect = connection_limits.may_use_another(relay, endpoint)
+        if peer:
+            # A peer replies to a request for no address as well.
+            address = endpoint.address if may_connect else ""
+            connection = await path_opener.open_through(relay, peer, address)
+        elif may_connect:
+            connection = await relay.pool.open(endpoint.address)
+        else:
+            return
+        if isinstance(connection, tunnels.PeerFailed):
             return
-        connection = await relay.pool.open(endpoint.address)
         if isinstance(connection, pool.NotOpened):
             if connection.is_path_failure:
                 return
--- a/src/_arbutuswalk/relay/path_opener.py
+++ b/src/_arbutuswalk/relay/path_opener.py
@@ -5,6 +5,7 @@
 
 from _arbutuswalk.base import background
 from _arbutuswalk.base import events
+from _arbutuswalk.base import stalls
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory
@@ -93,22 +94,42 @@
         await _wait_for_peers(relay, left_s)
     peers = paths.usable_peers()
     for peer in relay.rng.sample(peers, min(PEERS_TRIED, len(peers))):
-        connection = relay.pool.make_connection(address, peer)
-        failure = await tunnels.open_tunnel(
-            connection, name=relay.name, timeout_s=TUNNEL_TIMEOUT_S
-        )
-        relay.metrics.count("tunnels", f'opened="{failure is None}"')
-        if failure is None:
-            return connection
-        if isinstance(failure, pool.NotOpened):
-            return failure
-        paths.record_peer_failure(peer)
-        events.record(events.Event.TUNNEL_FAILED, peer, address, failure.reason)
+        opened = await open_through(relay, peer, address)
+        if not isinstance(opened, tunnels.PeerFailed):
+            return opened
     return pool.NotOpened(
         reason="no path to endpoints", refused=False, is_path_failure=True
     )
 
 
+async def open_through(
+    relay: relay_state.Relay, peer: str, address: str
+) -> connections.Connection | pool.NotOpened | tunnels.PeerFailed:
+    """Opens a connection through one peer and records what that shows."""
+    connection = relay.pool.make_connection(address, peer)
+    started_at = relay.now()
+    failure = await tunnels.open_tunnel(
+        connection, name=relay.name, timeout_s=TUNNEL_TIMEOUT_S
+    )
+    late_s = relay.now() - started_at - TUNNEL_TIMEOUT_S
+    relay.metrics.count("tunnels", f'opened="{failure is None}"')
+    if not isinstance(failure, tunnels.PeerFailed):
+        relay.paths.record_peer_heard(peer)
+        return connection if failure is None else failure
+    events.record(events.Event.TUNNEL_FAILED, peer, address, failure.reason)
+    if failure.is_silent and late_s <= stalls.MIN_STALL_S:
+        give_up_peer(relay, peer)
+    else:
+        relay.paths.record_peer_failure(peer)
+    return failure
+
+
+def give_up_peer(relay: relay_state.Relay, peer: str) -> None:
+    """Uses other peers than a silent one; its idle tunnels are dead."""
+    relay.paths.record_peer_silence(peer)
+    relay.pool.close_idle_if(lambda connection: connection.peer == peer)
+
+
 async def _wait_for_peers(relay: relay_state.Relay, left_s: float) -> None:
     """Waits until control has named peers, or the time is over."""
     try:
--- a/src/_arbutuswalk/relay/paths.py
+++ b/src/_arbutuswalk/relay/paths.py
@@ -6,6 +6,7 @@
 are refused; if new ones get no answer, they do.
 """
 
+import math
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -44,6 +45,8 @@
             that open ones are dead as well.
         peers: Addresses of entries that open tunnels.
         failed_peers: When a peer that failed may be asked again, by address.
+        peer_heard_at: When anything last came through a peer, by address.
+        peer_silent_at: When a peer was last found to be silent, by address.
         on_lost: Called when the path is lost.
         on_restored: Called with the time without it, in seconds.
     """
@@ -64,6 +67,8 @@
         self.is_silent = False
         self.peers: tuple[str, ...] = ()
         self.failed_peers: dict[str, float] = {}
+        self.peer_heard_at: dict[str, float] = {}
+        self.peer_silent_at: dict[str, float] = {}
         self.on_lost: Callable[[], None] = lambda: None
         self.on_restored: Callable[[float], None] = lambda cut_off_s: None
 
@@ -83,6 +88,8 @@
         if self.cut_off_since is not None:
             cut_off_s = self.now() - self.cut_off_since
             self.cut_off_since = None
+            self.peer_heard_at.clear()
+            self.peer_silent_at.clear()
             self.on_restored(cut_off_s)
 
     def record_failure(self, address: str, *, refused: bool) -> None:
@@ -143,3 +150,21 @@
             if until > self.now()
         }
         self.failed_peers[peer] = self.now() + PEER_FAILED_S
+
+    def record_peer_heard(self, peer: str) -> None:
+        """Records that something came through a peer."""
+        self.peer_heard_at[peer] = self.now()
+
+    def record_peer_silence(self, peer: str) -> None:
+        """Records that a peer is silent, and asks the others first."""
+        self.peer_silent_at[peer] = self.now()
+        self.record_peer_failure(peer)
+
+    def was_peer_heard(self, peer: str, since: float) -> bool:
+        """Returns whether anything came through a peer after ``since``."""
+        return self.peer_heard_at.get(peer, -math.inf) > since
+
+    def is_peer_silent(self, peer: str, since: float) -> bool:
+        """Returns whether the last sign of a peer since then is its silence."""
+        silent_at = self.peer_silent_at.get(peer, -math.inf)
+        return silent_at > since and not self.was_peer_heard(peer, silent_at)
--- a/src/_arbutuswalk/relay/silence.py
+++ b/src/_arbutuswalk/relay/silence.py
@@ -9,6 +9,7 @@
 
 from _arbutuswalk.base import stalls
 from _arbutuswalk.relay import crash_probes
+from _arbutuswalk.relay import path_opener
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import retry_reservation
@@ -31,7 +32,7 @@
         request: The request.
         endpoint: Endpoint that it was sent to.
         retry: Whether another attempt may follow.
-        is_direct: Whether it was sent on the entry's own path.
+        peer: Peer that it was sent through, empty on the entry's own path.
         has_begun: Whether events were sent to the caller.
         received_at: When anything was last received, in seconds.
         progress_at: When the request was sent, or events were last sent to the
@@ -51,7 +52,7 @@
         self.request = request
         self.endpoint = endpoint
         self.retry = retry
-        self.is_direct = True
+        self.peer = ""
         self.has_begun = False
         self.received_at = self.progress_at = relay.now()
         self.next_check_at = math.inf
@@ -66,6 +67,8 @@
         """Records that the endpoint has sent something."""
         self.received_at = self.relay.now()
         self.relay.heard_at[self.endpoint.id] = self.received_at
+        if self.peer:
+            self.relay.paths.record_peer_heard(self.peer)
 
     def record_sent_events(self) -> None:
         """Records that events of a stream were sent to the caller."""
@@ -117,6 +120,8 @@
         if not self.retry.reserve(since, needs_sound=needs_sound):
             return False
         self.retry.left.add(self.endpoint.id)
+        if self.peer and not self.relay.paths.was_peer_heard(self.peer, since):
+            path_opener.give_up_peer(self.relay, self.peer)
         return True
 
     @property
@@ -128,7 +133,10 @@
         unreachable_at = self.relay.unreachable_at.get(
             self.endpoint.id, -math.inf
         )
-        if self.is_direct and self._has_lost_path():
+        paths = self.relay.paths
+        if self.peer and paths.is_peer_silent(self.peer, silent_since):
+            return True
+        if not self.peer and self._has_lost_path():
             return True
         return unreachable_at > max(self._heard_at, silent_since)
 
@@ -137,5 +145,9 @@
         return paths.is_cut_off and paths.is_silent
 
     def _probe(self, now: float) -> None:
-        if now - max(self._heard_at, self.progress_at) >= PROBE_AFTER_S:
-            crash_probes.start_silent(self.relay, self.endpoint)
+        heard_at = self._heard_at
+        if self.peer:
+            peer_heard_at = self.relay.paths.peer_heard_at
+            heard_at = min(heard_at, peer_heard_at.get(self.peer, -math.inf))
+        if now - max(heard_at, self.progress_at) >= PROBE_AFTER_S:
+            crash_probes.start_silent(self.relay, self.endpoint, self.peer)
--- a/src/_arbutuswalk/streams/tunnels.py
+++ b/src/_arbutuswalk/streams/tunnels.py
@@ -16,9 +16,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PeerFailed:
-    """The peer could not be asked, or cannot open connections itself."""
+    """The peer could not be asked, or cannot open connections itself.
+
+    Attributes:
+        reason: Why not.
+        is_silent: Whether nothing was heard of the peer at all.
+    """
 
     reason: str
+    is_silent: bool = False
 
 
 class Handshake(asyncio.Protocol):
@@ -89,7 +95,10 @@
     except (TimeoutError, OSError, ValueError, OverflowError) as error:
         if transport is not None:
             transport.abort()
-        return PeerFailed(reason=str(error) or "timed out")
+        return PeerFailed(
+            reason=str(error) or "timed out",
+            is_silent=isinstance(error, TimeoutError),
+        )
     failure = _find_failure(reply, transport)
     if failure is not None:
         transport.abort()
