--- a/src/_arbutuswalk/relay/path_opener.py
+++ b/src/_arbutuswalk/relay/path_opener.py
@@ -117,7 +117,8 @@
         relay.paths.record_peer_heard(peer)
         return connection if failure is None else failure
     events.record(events.Event.TUNNEL_FAILED, peer, address, failure.reason)
-    if failure.is_silent and late_s <= stalls.MIN_STALL_S:
+    is_silent = failure.is_silent and late_s <= stalls.MIN_STALL_S
+    if is_silent or failure.has_lost_tunnels:
         give_up_peer(relay, peer)
     else:
         relay.paths.record_peer_failure(peer)
@@ -125,7 +126,7 @@
 
 
 def give_up_peer(relay: relay_state.Relay, peer: str) -> None:
-    """Uses other peers than a silent one; its idle tunnels are dead."""
+    """Uses other peers than one whose tunnels are dead, idle ones as well."""
     relay.paths.record_peer_silence(peer)
     relay.pool.close_idle_if(lambda connection: connection.peer == peer)
 
--- a/src/_arbutuswalk/relay/paths.py
+++ b/src/_arbutuswalk/relay/paths.py
@@ -46,7 +46,8 @@
         peers: Addresses of entries that open tunnels.
         failed_peers: When a peer that failed may be asked again, by address.
         peer_heard_at: When anything last came through a peer, by address.
-        peer_silent_at: When a peer was last found to be silent, by address.
+        peer_silent_at: When a peer, or what it opens connections to, was last
+            found to be silent, by address.
         on_lost: Called when the path is lost.
         on_restored: Called with the time without it, in seconds.
     """
@@ -156,7 +157,7 @@
         self.peer_heard_at[peer] = self.now()
 
     def record_peer_silence(self, peer: str) -> None:
-        """Records that a peer is silent, and asks the others first."""
+        """Records that tunnels of a peer are dead; others are asked first."""
         self.peer_silent_at[peer] = self.now()
         self.record_peer_failure(peer)
 
--- a/src/_arbutuswalk/relay/tunnel_server.py
+++ b/src/_arbutuswalk/relay/tunnel_server.py
@@ -6,6 +6,7 @@
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.routing import directory
 from _arbutuswalk.streams import pool
+from _arbutuswalk.streams import tunnels
 from _arbutuswalk.wire import codec
 from _arbutuswalk.wire import link
 from _arbutuswalk.wire import sockets
@@ -96,6 +97,8 @@
         self, address: str
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | ttypes.TunnelReply:
         relay = self.relay
+        if relay.paths.is_cut_off and relay.paths.is_silent:
+            return _make_reply(tunnels.CONNECTIONS_LOST, ask_another=True)
         if relay.draining or relay.paths.is_cut_off:
             return _make_reply("no path to endpoints", ask_another=True)
         if len(self.tasks) > MAX_TUNNELS:
--- a/src/_arbutuswalk/streams/tunnels.py
+++ b/src/_arbutuswalk/streams/tunnels.py
@@ -13,6 +13,10 @@
 from _arbutuswalk.wire import sockets
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
+CONNECTIONS_LOST = "connections to endpoints are lost"
+"""Reason of a peer whose tunnels are as dead as its own connections. Peers of
+former builds name none of this kind."""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PeerFailed:
@@ -21,10 +25,12 @@
     Attributes:
         reason: Why not.
         is_silent: Whether nothing was heard of the peer at all.
+        has_lost_tunnels: Whether the peer says that its tunnels are dead.
     """
 
     reason: str
     is_silent: bool = False
+    has_lost_tunnels: bool = False
 
 
 class Handshake(asyncio.Protocol):
@@ -116,5 +122,8 @@
     if reply.opened:
         return None
     if reply.ask_another:
-        return PeerFailed(reason=reply.reason)
+        return PeerFailed(
+            reason=reply.reason,
+            has_lost_tunnels=reply.reason == CONNECTIONS_LOST,
+        )
     return pool.NotOpened(reason=reply.reason, refused=reply.refused)
--- a/testing/test_silent_peers.py
+++ b/testing/test_silent_peers.py
@@ -3,10 +3,12 @@
 import asyncio
 import contextlib
 
+import pytest
 import relay_fixtures
 import test_silence_review
 import test_tunnels
 
+from _arbutuswalk.relay import connection_limits
 from _arbutuswalk.relay import relaying
 from _arbutuswalk.relay import tunnel_server
 from _arbutuswalk.routing import directory
@@ -85,10 +87,12 @@
         )
         await other.start(self.entry)
         self.entry.add_load("e2", 1, 0)
-        row = self.entry.directory.rows["e2"]
-        directory.announce(self.peer.directory, row.endpoint, self.peer.now())
+        other_peer = relay_fixtures.make_relay()
+        for relay in (self.peer, other_peer):
+            for row in self.entry.directory.rows.values():
+                directory.announce(relay.directory, row.endpoint, relay.now())
         self.other_server = tunnel_server.TunnelServer(
-            address="127.0.0.1:0", relay=self.peer
+            address="127.0.0.1:0", relay=other_peer
         )
         await self.other_server.start()
         port = self.other_server.server.sockets[0].getsockname()[1]
@@ -177,6 +181,26 @@
             assert caller.data.endswith(WHOLE_STREAM)
             assert caller.complete
 
+    async def test_it_is_found_without_a_free_connection_to_the_endpoint(
+        self, monkeypatch
+    ):
+        def fill(pair):
+            async def step(head, writer):
+                monkeypatch.setattr(
+                    connection_limits,
+                    "may_use_another",
+                    lambda relay, endpoint: endpoint.id != "e1",
+                )
+                await answer_into_silence(pair)(head, writer)
+
+            return step
+
+        async with running(fill, IDEMPOTENT) as pair:
+            async with test_silence_review.hearing(pair.entry, "e2"):
+                caller = await pair.relay()
+            assert (caller.status, caller.data) == (200, b"ok")
+            assert pair.endpoint.connection_count == 1
+
     async def test_its_idle_tunnels_are_closed_once_it_opens_none(self):
         async with TwoPeers(route=ONCE) as pair:
             await pair.open_idle("e1")
@@ -189,6 +213,24 @@
             assert (caller.status, caller.data) == (200, b"ok")
 
 
+class TestPeersThatAreCutOff:
+    def fall_silent(self, pair):
+        async def step(head, writer):
+            pair.peer.paths.cut_off_since = pair.peer.now()
+            pair.peer.paths.is_silent = True
+            pair.entry.paths.peers = (pair.sound,)
+            await asyncio.sleep(DEADLINE_S)
+
+        return step
+
+    async def test_a_request_leaves_its_tunnel(self):
+        """The connections that the peer has may be dead."""
+        async with running(self.fall_silent, IDEMPOTENT) as pair:
+            async with test_silence_review.hearing(pair.entry, "e1", "e2"):
+                caller = await pair.relay()
+            assert (caller.status, caller.data) == (200, b"ok")
+
+
 class TestShortSilences:
     async def test_they_lose_no_request_that_may_not_be_repeated(self):
         async with running(answer_into_silence, ONCE) as pair:
@@ -208,11 +250,21 @@
             assert caller.data.endswith(WHOLE_STREAM)
             assert caller.complete
 
-    async def test_a_slow_endpoint_is_not_left_if_its_peer_responds(self):
+    @pytest.mark.parametrize("state", ["sound", "stopping", "refused"])
+    async def test_a_slow_endpoint_is_not_left_if_its_peer_responds(
+        self, state
+    ):
         async def answer_late(head, writer):
+            pair.peer.draining = state == "stopping"
+            if state == "refused":
+                # Connections that the peer has live on.
+                pair.peer.paths.cut_off_since = pair.peer.now()
+            pair.entry.paths.peers = (pair.silent, pair.sound)
             await asyncio.sleep(2.2)
             await relay_fixtures.send_answer()(head, writer)
 
         async with TwoPeers(answer_late, route=IDEMPOTENT) as pair:
-            assert (await pair.relay()).status == 200
+            async with test_silence_review.hearing(pair.entry, "e2"):
+                caller = await pair.relay()
+            assert caller.status == 200
             assert not pair.endpoints["e2"].request_heads
