--- a/src/_arbutuswalk/streams/tunnels.py
+++ b/src/_arbutuswalk/streams/tunnels.py
@@ -13,12 +13,24 @@
 from _arbutuswalk.wire import sockets
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
+CONNECTIONS_LOST = "connections to endpoints are lost"
+"""Reason of a peer whose tunnels are as dead as its own connections. Peers of
+former builds name none of this kind."""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PeerFailed:
-    """The peer could not be asked, or cannot open connections itself."""
+    """The peer could not be asked, or cannot open connections itself.
+
+    Attributes:
+        reason: Why not.
+        is_silent: Whether nothing was heard of the peer at all.
+        has_lost_tunnels: Whether the peer says that its tunnels are dead.
+    """
 
     reason: str
+    is_silent: bool = False
+    has_lost_tunnels: bool = False
 
 
 class Handshake(asyncio.Protocol):
@@ -89,7 +101,10 @@
     except (TimeoutError, OSError, ValueError, OverflowError) as error:
         if transport is not None:
             transport.abort()
-        return PeerFailed(reason=str(error) or "timed out")
+        return PeerFailed(
+            reason=str(error) or "timed out",
+            is_silent=isinstance(error, TimeoutError),
+        )
     failure = _find_failure(reply, transport)
     if failure is not None:
         transport.abort()
@@ -107,5 +122,8 @@
     if reply.opened:
         return None
     if reply.ask_another:
-        return PeerFailed(reason=reply.reason)
+        return PeerFailed(
+            reason=reply.reason,
+            has_lost_tunnels=reply.reason == CONNECTIONS_LOST,
+        )
     return pool.NotOpened(reason=reply.reason, refused=reply.refused)
