--- a/src/_arbutuswalk/entry/execution.py
+++ b/src/_arbutuswalk/entry/execution.py
@@ -11,6 +11,7 @@
 from _arbutuswalk.entry import migration
 from _arbutuswalk.entry import model_requests
 from _arbutuswalk.entry import placement
+from _arbutuswalk.entry import retry_reservation
 from _arbutuswalk.limits import fair
 from _arbutuswalk.routing import upstreams
 from _arbutuswalk.routing import version_outcomes
@@ -19,7 +20,6 @@
 from _arbutuswalk.streams import attempts
 
 MAX_DECLINED_ATTEMPTS = 4
-BUDGET_POLL_INTERVAL_S = 0.05
 RETRYABLE_STATUSES = (429, 500, 502, 503, 504)
 
 
@@ -29,10 +29,9 @@
     Attributes:
         entry: The entry it runs in.
         request: The request.
-        avoid: Keys of upstreams on which an attempt failed.
+        retry: Upstreams that were tried, and the next attempt.
         declined_attempts: Attempts that were answered with an error.
         row_to_retry: Upstream to try once more on a new connection, or None.
-        budget_exempt: Whether the next attempt is not charged to the budget.
         ticket: Its queue ticket, before the first attempt.
     """
 
@@ -45,10 +44,11 @@
     ):
         self.entry = entry
         self.request = request
-        self.avoid: set[str] = set()
+        self.retry = retry_reservation.RetryReservation(
+            entry=entry, request=request
+        )
         self.declined_attempts = 0
         self.row_to_retry: upstreams.Row | None = None
-        self.budget_exempt = True
         self.ticket = ticket
 
 
@@ -67,7 +67,7 @@
     state = RunState(entry=entry, request=request, ticket=ticket)
     entry.retry_budget_for(request.upstream).deposit()
     while not request.answer.ended:
-        if not await _wait_for_budget(state):
+        if not await state.retry.wait_for_budget():
             _fail_at_deadline(state)
             return
         row = await _reserve_upstream(state)
@@ -80,18 +80,6 @@
         await _attempt(state, row)
 
 
-async def _wait_for_budget(state: RunState) -> bool:
-    """Waits for the retry budget; false when the deadline passes."""
-    entry, request = state.entry, state.request
-    budget = entry.retry_budget_for(request.upstream)
-    while entry.now() < request.deadline:
-        if state.budget_exempt or budget.withdraw(entry.now()):
-            state.budget_exempt = False
-            return True
-        await asyncio.sleep(BUDGET_POLL_INTERVAL_S)
-    return False
-
-
 async def _reserve_upstream(
     state: RunState,
 ) -> upstreams.Row | answer.Problem | None:
@@ -109,7 +97,7 @@
         if entry.is_suspect(request.fingerprint):
             _leave_queue(state)
             placed = await isolation.place_isolated(
-                entry, request, avoid=frozenset(state.avoid)
+                entry, request, avoid=frozenset(state.retry.avoid)
             )
             if placed is not None:
                 return placed
@@ -141,7 +129,7 @@
         placement.reserve(row_to_retry, request)
         return row_to_retry
     if ticket is None:
-        avoid = frozenset(state.avoid)
+        avoid = frozenset(state.retry.avoid)
         ticket = placement.enqueue(entry, request, avoid=avoid)
     return await placement.wait_for_placement(entry, request, ticket)
 
@@ -200,9 +188,18 @@
 ) -> attempts.Result:
     """Runs the attempt, or stops it once a move was requested."""
     entry, request = state.entry, state.request
+    events_before = len(request.answer.events)
+
+    def may_leave() -> bool:
+        has_begun = len(request.answer.events) > events_before
+        return state.retry.may_leave(row, has_begun=has_begun)
+
     attempt = asyncio.ensure_future(
         attempts.run(
-            _make_order(state, row), _attempt_deadlines(entry), on_events
+            _make_order(state, row),
+            _attempt_deadlines(entry),
+            on_events,
+            may_leave,
         )
     )
     move = asyncio.ensure_future(request.move_requested.wait())
@@ -271,7 +268,7 @@
         row.survived_at[request.fingerprint] = entry.now()
         crash_quarantine.announce_survival(entry, request.fingerprint)
     # An attempt lost with its upstream is no sign of overload.
-    state.budget_exempt = died or _is_leaving_or_moved(state, row, result)
+    state.retry.exempt = died or _is_leaving_or_moved(state, row, result)
     if blamed == request.fingerprint:
         isolation.end_conviction(entry, request)
         until_ms = entry.convicted_until_ms(request.fingerprint)
@@ -286,15 +283,11 @@
 def _prepare_retry(
     state: RunState, row: upstreams.Row, result: attempts.Result
 ) -> None:
-    if isinstance(result, attempts.Stopped):
-        state.avoid.add(row.key)
+    if isinstance(result, attempts.Silent):
+        if state.retry.record_left(row):
+            state.row_to_retry = row
         return
-    silent = isinstance(result, attempts.Silent)
-    if silent and row.key not in state.avoid:
-        # The connection may be at fault rather than the upstream. Its cache
-        # is warm, so it is tried once more before any other.
-        state.row_to_retry = row
-    state.avoid.add(row.key)
+    state.retry.avoid.add(row.key)
     if isinstance(result, attempts.Declined):
         _count_declined(state, result)
 
--- a/src/_arbutuswalk/streams/attempts.py
+++ b/src/_arbutuswalk/streams/attempts.py
@@ -23,6 +23,7 @@
 MAX_ERROR_BODY_BYTES = 64 * 1024
 """Size of an error's body at which the rest is not read."""
 MAX_ERROR_DETAIL_BYTES = 500
+SILENCE_CHECK_INTERVAL_S = 0.1
 
 
 class Deadlines(NamedTuple):
@@ -122,6 +123,8 @@
 )
 
 EventsCallback = Callable[[list[bytes]], None]
+LeaveCallback = Callable[[], bool]
+"""Returns whether an attempt ends whose upstream is silent."""
 
 
 class AttemptState:
@@ -209,12 +212,22 @@
 
 
 async def run(
-    order: Order, deadlines: Deadlines, on_events: EventsCallback
+    order: Order,
+    deadlines: Deadlines,
+    on_events: EventsCallback,
+    may_leave: LeaveCallback = lambda: True,
 ) -> Result:
     """Runs one attempt and passes the received events to ``on_events``.
 
     Every attempt opens a new connection: a reused one could have failed
     silently since its last use.
+
+    Args:
+        order: The request.
+        deadlines: Its timeouts.
+        on_events: Called with events.
+        may_leave: Called while the upstream is silent for longer than a
+            timeout, until it is not or the attempt ends.
     """
     state = AttemptState(
         on_events=on_events, attempt_id=order.attempt_id, echo=order.echo
@@ -229,15 +242,17 @@
     state.abort = connection.abort
     connection.send_request(_encode_request(order), state.exchange)
     try:
-        return await _wait_for_end(state, deadlines)
+        return await _wait_for_end(state, deadlines, may_leave)
     finally:
         connection.abort()
 
 
-async def _wait_for_end(state: AttemptState, deadlines: Deadlines) -> Result:
-    """Waits for the end of a response or for a timeout."""
+async def _wait_for_end(
+    state: AttemptState, deadlines: Deadlines, may_leave: LeaveCallback
+) -> Result:
+    """Waits for the end of a response, or until the upstream is left."""
     exchange = state.exchange
-    if not await _wait_for_headers(exchange, deadlines.first_byte_s):
+    if not await _wait_for_headers(exchange, deadlines, may_leave):
         return Silent(after_s=deadlines.first_byte_s)
     if is_mismatched(exchange, state.echo):
         return Crossed(got=exchange.mismatched_id)
@@ -245,12 +260,12 @@
         remaining_s = (
             exchange.last_received_at + deadlines.gap_s - clock.monotonic()
         )
-        if remaining_s <= 0:
+        if remaining_s <= 0 and may_leave():
             return _with_cached_tokens(
                 exchange, Silent(after_s=deadlines.gap_s)
             )
-        if not await exchange.wait_for_change(remaining_s):
-            _skip_own_delay(exchange, deadlines.gap_s)
+        if await _wait_while_silent(exchange, remaining_s):
+            exchange.last_received_at = clock.monotonic()
     if state.result is not None:
         return _with_cached_tokens(exchange, state.result)
     if exchange.status and exchange.status != STATUS_OK:
@@ -259,11 +274,20 @@
     return _with_cached_tokens(exchange, Broke(reason=reason))
 
 
-def _skip_own_delay(exchange: connections.Exchange, gap_s: float) -> None:
-    """Begins the silence anew if the process itself stood still."""
-    now = clock.monotonic()
-    if now - exchange.last_received_at - gap_s > stalls.MIN_STALL_S:
-        exchange.last_received_at = now
+async def _wait_while_silent(
+    exchange: connections.Exchange, remaining_s: float
+) -> bool:
+    """Waits for a change or until the silence is to be examined.
+
+    Returns:
+        Whether the process itself stood still, so that the silence begins anew.
+    """
+    is_overdue = remaining_s <= 0
+    timeout_s = SILENCE_CHECK_INTERVAL_S if is_overdue else remaining_s
+    examined_at = clock.monotonic() + timeout_s
+    if await exchange.wait_for_change(timeout_s):
+        return False
+    return clock.monotonic() - examined_at > stalls.MIN_STALL_S
 
 
 def _make_declined(status: int, body: bytes) -> Declined:
@@ -272,13 +296,17 @@
 
 
 async def _wait_for_headers(
-    exchange: connections.Exchange, timeout_s: float
+    exchange: connections.Exchange,
+    deadlines: Deadlines,
+    may_leave: LeaveCallback,
 ) -> bool:
-    """Waits for the headers or the end; returns false on a timeout."""
-    deadline = clock.monotonic() + timeout_s
+    """Waits for the headers or the end; false if the upstream is left."""
+    due_at = clock.monotonic() + deadlines.first_byte_s
     while not (exchange.reply or exchange.mismatched_id or exchange.ended):
-        if not await exchange.wait_for_change(deadline - clock.monotonic()):
+        remaining_s = due_at - clock.monotonic()
+        if remaining_s <= 0 and may_leave():
             return False
+        await _wait_while_silent(exchange, remaining_s)
     return True
 
 
--- a/testing/stream_machine.py
+++ b/testing/stream_machine.py
@@ -83,7 +83,7 @@
                 kills = self.killed_by.get(reference, 0)
                 self.killed_by[reference] = kills + 1
 
-    async def run(self, order, deadlines, on_events):
+    async def run(self, order, deadlines, on_events, may_leave):
         runner = self.runner_at(order.address)
         mode = self.rng.choice(self.modes)
         await asyncio.sleep(0.002)
@@ -93,9 +93,18 @@
             return attempts.Crossed(got="another")
         if mode == "error":
             return attempts.Declined(status=500, detail="fault")
-        return await self._generate(runner, order, deadlines, on_events, mode)
 
-    async def _generate(self, runner, order, deadlines, on_events, mode):
+        async def wait_until_left():
+            await asyncio.sleep(deadlines.gap_s)
+            while not may_leave():
+                await asyncio.sleep(attempts.SILENCE_CHECK_INTERVAL_S)
+            return attempts.Silent(after_s=deadlines.gap_s)
+
+        return await self._generate(
+            runner, order, wait_until_left, on_events, mode
+        )
+
+    async def _generate(self, runner, order, wait_until_left, on_events, mode):
         prompt = model_requests.prompt_of(order.body)
         reference = engine.parse_reference(prompt)
         nonce, position = engine.continuation_start(
@@ -111,8 +120,7 @@
             if position == fault_position and mode == "broke":
                 return attempts.Broke(reason="cut")
             if position == fault_position and mode == "silent":
-                await asyncio.sleep(deadlines.gap_s)
-                return attempts.Silent(after_s=deadlines.gap_s)
+                return await wait_until_left()
             token = engine.format_token(reference, nonce, position)
             choice = {"index": 0, "text": token}
             body = json.dumps({"choices": [choice]}).encode()
