--- a/src/_arbutuswalk/streams/attempts.py
+++ b/src/_arbutuswalk/streams/attempts.py
@@ -306,7 +306,8 @@
         remaining_s = due_at - clock.monotonic()
         if remaining_s <= 0 and may_leave():
             return False
-        await _wait_while_silent(exchange, remaining_s)
+        if await _wait_while_silent(exchange, remaining_s):
+            due_at = clock.monotonic() + deadlines.first_byte_s
     return True
 
 
--- a/testing/test_silent_upstreams.py
+++ b/testing/test_silent_upstreams.py
@@ -5,6 +5,7 @@
 import itertools
 import json
 import random
+import time
 
 import entry_fixtures
 import pytest
@@ -13,6 +14,7 @@
 from _arbutuswalk.entry import model_routes
 from _arbutuswalk.limits import budget
 from _arbutuswalk.routing import upstreams
+from _arbutuswalk.streams import attempts
 
 GAP_S = 0.5
 SILENCE_S = 1.0
@@ -260,3 +262,38 @@
         upstream = Upstream("u0", HANG)
         play = await Play(upstream, budget_tokens=EMPTY_TOKENS).run()
         play.assert_failed_at_deadline()
+
+
+class TestDelaysOfTheEntry:
+    async def test_a_stall_is_no_silence_before_the_headers(self):
+        """What the upstream sent meanwhile is unread."""
+        requested, released = asyncio.Event(), asyncio.Event()
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            requested.set()
+            await released.wait()
+            writer.write(HEAD % b"a" + b"data: [DONE]\n\n")
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        order = attempts.Order(
+            address=f"127.0.0.1:{port}",
+            path="/",
+            request_id="r",
+            attempt_id="a",
+            body={},
+            priority=0,
+            echo=True,
+        )
+        deadlines = attempts.Deadlines(connect_s=60, first_byte_s=1.0)
+        run = asyncio.ensure_future(
+            attempts.run(order, deadlines, lambda events: None)
+        )
+        await requested.wait()
+        time.sleep(1.5)  # noqa: ASYNC251
+        asyncio.get_running_loop().call_later(0.3, released.set)
+        result = await run
+        server.close()
+        assert isinstance(result, attempts.Completed)
