--- a/testing/test_attempts.py
+++ b/testing/test_attempts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 
 import endless_endpoint
 import pytest
@@ -12,6 +13,15 @@
 EVENT = b"data: {}\n\n"
 DONE_EVENT = b"data: [DONE]\n\n"
 SHORT_DEADLINES = attempts.Deadlines(connect_s=2, first_byte_s=0.3, gap_s=0.3)
+LONG_DEADLINES = attempts.Deadlines(connect_s=60, first_byte_s=60, gap_s=60)
+"""Time-outs where the limits on answers are tested, not the time."""
+MAX_LIMIT_WAIT_S = 15.0
+"""Less than any time-out, and than the endpoint's sending: only a limit ends an
+attempt within it."""
+MAX_PROCESSOR_S = 1.0
+MAX_SENT_BYTES = 16 * 1024 * 1024
+"""What an endpoint may send until a limit ends the attempt, with the buffers of
+its connection."""
 HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: mine\r\nX-Cached-Tokens: 7\r\n"
 
 
@@ -52,7 +62,7 @@
     return result_and_events
 
 
-async def run_at(address):
+async def run_at(address, deadlines=SHORT_DEADLINES):
     events = []
     order = attempts.Order(
         address=address,
@@ -63,7 +73,7 @@
         priority=3,
         echo=True,
     )
-    result = await attempts.run(order, SHORT_DEADLINES, events.extend)
+    result = await attempts.run(order, deadlines, events.extend)
     return result, events
 
 
@@ -175,7 +185,11 @@
 
 
 class TestAnswersWithoutEnd:
-    """Full speed only: a trickle goes on while bytes come, as an event may."""
+    """Full speed only: a trickle goes on while bytes come, as an event may.
+
+    Neither the endpoint's thread nor this one may get a processor for a while,
+    so that the bounds are of processor time and bytes.
+    """
 
     @pytest.mark.parametrize(
         ("answer", "outcome"),
@@ -205,11 +219,14 @@
     async def test_the_attempt_ends(self, answer, outcome):
         endpoint = endless_endpoint.EndlessEndpoint(*answer).listen()
         memory = endless_endpoint.resident_bytes()
-        async with asyncio.timeout(1.0):
-            result, events = await run_at(endpoint.address)
+        started_s = time.thread_time()
+        async with asyncio.timeout(MAX_LIMIT_WAIT_S):
+            result, events = await run_at(endpoint.address, LONG_DEADLINES)
+        assert time.thread_time() - started_s < MAX_PROCESSOR_S
         assert isinstance(result, outcome)
         assert events == []
         growth = endless_endpoint.resident_bytes() - memory
         assert growth < test_endless.MAX_MEMORY_BYTES
         await test_endless.wait_until_closed(endpoint)
+        assert endpoint.sent_bytes < MAX_SENT_BYTES
         endpoint.stop()
