--- a/src/_arbutuswalk/routing/refusals.py
+++ b/src/_arbutuswalk/routing/refusals.py
@@ -8,6 +8,8 @@
 from typing import Any
 from typing import NamedTuple
 
+from _arbutuswalk.routing import crash_blame
+
 RETENTION_S = 60.0
 """Time without such a request after which a refusal ends."""
 MAX_DURATION_S = 600.0
@@ -87,7 +89,14 @@
 
 
 def _rows_from_json(values: Any) -> Iterable[tuple[str, list[float]]]:
-    """Returns the rows; a former version sends the keys only."""
+    """Returns the rows; a former version sends the keys only.
+
+    It takes parts for requests, and blames what sound requests share.
+    """
     if isinstance(values, dict):
         return values.items()
-    return [(key, [0.0, 0.0]) for key in values]
+    return [
+        (key, [0.0, 0.0])
+        for key in values
+        if not key.startswith(crash_blame.PART_PREFIX)
+    ]
--- a/testing/test_crash_blame.py
+++ b/testing/test_crash_blame.py
@@ -198,6 +198,12 @@
         }
         assert second.rows["f"] == refusals.Refusal(1005.0, 1005.0)
 
+    def test_the_keys_of_a_former_version_are_taken_except_parts(self):
+        table = refusals.Refusals()
+        assert table.merge(["f", "part/p"], 10.0) == ["f"]
+        assert table.merge({"part/q": [1.0, 1.0]}, 10.0) == ["part/q"]
+        assert table.rows.keys() == {"f", "part/q"}
+
     def test_an_old_table_revives_no_refusal(self):
         table = refusals.Refusals()
         old = {"f": [70.0, refusals.RETENTION_S + 1.0]}
--- a/testing/test_replaced_builds.py
+++ b/testing/test_replaced_builds.py
@@ -4,6 +4,7 @@
 
 import former_builds
 import platform_fixtures
+import process_fixtures
 import pytest
 import replacement_cluster
 from soak import soak
@@ -12,10 +13,14 @@
 
 TASK_FAILED = 104
 FRAME_REFUSED = 202
+DEATH_NOTED = 670
 CONTROL_LOST = 661
 BRITTLE_S = 3.0
 OLD_CONTROL_S = 3.0
 STATUS_OK = 200
+STREAM_COUNT = 12
+ENDPOINT_COUNT = replacement_cluster.ENDPOINT_COUNT
+BLAME_S = 5.0
 SOAK_SEED = 20261205
 SOAK_S = 6.0
 
@@ -92,6 +97,71 @@
         assert control_features.entry_count(news, 5) == expected
 
 
+class TestRefusalsOfOldBuilds:
+    """Control that knows no parts blames what entries report of them."""
+
+    sent = 0
+
+    async def test_no_part_is_refused_on_their_word(self, cluster, tmp_path):
+        former = former_builds.extract("1493dda", tmp_path)
+        await cluster.start(
+            control_root=former, entry_root=platform_fixtures.ROOT
+        )
+        for endpoint in cluster.endpoints:
+            await self.crash(cluster, endpoint)
+        await asyncio.sleep(BLAME_S)
+        reported = [
+            event
+            for ip in cluster.entry_ips
+            for event in cluster.events(ip, DEATH_NOTED)
+            if "part/shared" in event["keys"]
+        ]
+        assert len({event["born"] for event in reported}) == ENDPOINT_COUNT
+        statuses = [await self.send(cluster, n, "/a/x") for n in (100, 101)]
+        assert statuses == [STATUS_OK, STATUS_OK]
+
+    async def crash(self, cluster, endpoint):
+        """Ends an endpoint without notice while it runs such requests."""
+        numbers = range(self.sent, self.sent + STREAM_COUNT)
+        self.sent += STREAM_COUNT
+        streams = [
+            asyncio.ensure_future(self.send(cluster, number, "/s/x"))
+            for number in numbers
+        ]
+        sent = {f"part-{number}" for number in numbers}
+
+        async def runs_one():
+            return any(
+                arrival.request_id in sent
+                and arrival.endpoint_id == endpoint.name
+                for arrival in cluster.arrivals
+            )
+
+        await process_fixtures.wait_until(runs_one, pause_s=0.01)
+        await endpoint.stop()
+        await asyncio.gather(*streams)
+        await endpoint.start()
+
+    async def send(self, cluster, number, path):
+        """Sends a request with one part that all have; returns its status."""
+        ip = cluster.entry_ips[number % len(cluster.entry_ips)]
+        headers = {
+            **platform_fixtures.CALLER_HEADERS,
+            "Host": platform_fixtures.HOST,
+            "X-Attempt-Id": f"part-{number}",
+            "X-Model-Name": "model",
+            "X-Token-Count": "72,8",
+            "X-Prefix-Hash": f"shared:64,own-{number}:8",
+        }
+        status, _ = await cluster.http_request(
+            "POST",
+            f"http://{ip}:{cluster.callers_port}{path}",
+            data=f"prompt {number}",
+            headers=headers,
+        )
+        return status
+
+
 class TestSoakOfBuilds:
     async def test_invariants_hold_if_each_start_picks_a_build(self, tmp_path):
         former = former_builds.extract("d525f53", tmp_path)
