--- a/testing/fakes.py
+++ b/testing/fakes.py
@@ -277,7 +277,11 @@
             node.crash()
             return
         self._send(node, ready.late)
-        self._apply(node)
+        try:
+            self._apply(node)
+        except KilledError:
+            node.kill()
+            return
         if node.leave_until is not None and (
             membership.may_leave(core.replica, self.now)
             or self.now >= node.leave_until
