--- a/src/_arbutuswalk/control/report_checks.py
+++ b/src/_arbutuswalk/control/report_checks.py
@@ -32,11 +32,14 @@
 
 
 def _is_row(*checks: Check) -> Check:
-    """Returns a check for lists whose items satisfy ``checks`` in order."""
+    """Returns a check for lists whose items satisfy ``checks`` in order.
+
+    Further items are of a later version.
+    """
     return lambda value: (
         isinstance(value, list)
-        and len(value) == len(checks)
-        and all(check(item) for check, item in zip(checks, value, strict=True))
+        and len(value) >= len(checks)
+        and all(check(item) for check, item in zip(checks, value, strict=False))
     )
 
 
--- a/src/_arbutuswalk/control/rollouts.py
+++ b/src/_arbutuswalk/control/rollouts.py
@@ -128,12 +128,12 @@
     """
     new: dict[str, list[int]] = {}
     old: dict[str, list[int]] = {}
+    known_count = len(rollout_evidence.Counts._fields)
     for (name, version, group, position), count in totals.items():
-        if name == upstream:
+        # Entries of a later build may report further counts.
+        if name == upstream and position < known_count:
             by_group = new if version == target else old
-            counts = by_group.setdefault(
-                group, [0] * len(rollout_evidence.Counts._fields)
-            )
+            counts = by_group.setdefault(group, [0] * known_count)
             counts[position] += count
     return rollout_evidence.Sums(_to_counts(new), _to_counts(old))
 
--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -11,6 +11,7 @@
 
 from _arbutuswalk.base import background
 from _arbutuswalk.base import events
+from _arbutuswalk.base import rows
 from _arbutuswalk.relay import config_fetch
 from _arbutuswalk.relay import control_features
 from _arbutuswalk.relay import crash_probes
@@ -288,8 +289,9 @@
         feed.features = control_features.from_json(news)
         feed.clock_offset_s = news["wall"] - self.relay.wall()
         for fields in news["endpoints"]:
+            known_fields = rows.known_fields(directory.Endpoint, fields)
             leaving_endpoints.merge_announcement(
-                self.relay, directory.from_json(fields), feed.address
+                self.relay, directory.from_json(known_fields), feed.address
             )
         for address in news["members"]:
             self._watch_address(address)
--- a/src/_arbutuswalk/relay/quota_reports.py
+++ b/src/_arbutuswalk/relay/quota_reports.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from _arbutuswalk.base import events
+from _arbutuswalk.base import rows
 from _arbutuswalk.limits import quota
 
 
@@ -81,7 +82,9 @@
     return Report(
         taken=news["taken"],
         returned=news.get("returned", {}),
-        pools={name: quota.Pool(*pool) for name, pool in pools.items()},
+        pools={
+            name: rows.parse(quota.Pool, pool) for name, pool in pools.items()
+        },
     )
 
 
--- a/src/_arbutuswalk/relay/status_feeds.py
+++ b/src/_arbutuswalk/relay/status_feeds.py
@@ -126,6 +126,6 @@
             max(0, running - own_share.running),
             max(0, tokens - own_share.waiting_tokens),
         )
-        for name, (running, tokens) in loads.items()
+        for name, (running, tokens, *_) in loads.items()
         for own_share in [reported.get(name, relay_state.Load())]
     }
--- a/src/_arbutuswalk/routing/directory.py
+++ b/src/_arbutuswalk/routing/directory.py
@@ -10,6 +10,7 @@
 from typing import Any
 from typing import NamedTuple
 
+from _arbutuswalk.base import rows
 from _arbutuswalk.base import settings
 from _arbutuswalk.routing import endpoint_fields
 from _arbutuswalk.routing import leaving
@@ -307,9 +308,9 @@
     Raises:
         ValueError: The value is no list of the fields of a heartbeat.
     """
-    if not isinstance(values, list) or len(values) != len(Heartbeat._fields):
+    if not isinstance(values, list) or len(values) < len(Heartbeat._fields):
         raise ValueError("not the fields of a heartbeat")
-    heartbeat = Heartbeat(*values)
+    heartbeat = rows.parse(Heartbeat, values)
     wrong = _find_wrong(heartbeat)
     return f"odd fields: {', '.join(wrong)}" if wrong else heartbeat
 
--- a/src/_arbutuswalk/routing/leaving.py
+++ b/src/_arbutuswalk/routing/leaving.py
@@ -66,5 +66,5 @@
     """Returns the statements that another process sent just now."""
     return {
         Start(endpoint_id, born_ms): now - age_s
-        for endpoint_id, born_ms, age_s in values
+        for endpoint_id, born_ms, age_s, *_ in values
     }
--- a/src/_arbutuswalk/routing/refusals.py
+++ b/src/_arbutuswalk/routing/refusals.py
@@ -56,7 +56,7 @@
     def merge(self, values: Any, now: float) -> list[str]:
         """Adds what another process sent just now; returns the new keys."""
         new_keys = []
-        for key, (blamed_age_s, asked_age_s) in _rows_from_json(values):
+        for key, (blamed_age_s, asked_age_s, *_) in _rows_from_json(values):
             received = Refusal(now - blamed_age_s, now - asked_age_s)
             known = self.rows.get(key)
             if known is None:
--- a/src/_arbutuswalk/routing/stated_limits.py
+++ b/src/_arbutuswalk/routing/stated_limits.py
@@ -93,7 +93,7 @@
     """Returns the statements that another process sent just now."""
     return {
         endpoint_id: Statement(born_ms, rate_per_s, now - age_s)
-        for endpoint_id, (born_ms, rate_per_s, age_s) in values.items()
+        for endpoint_id, (born_ms, rate_per_s, age_s, *_) in values.items()
     }
 
 
--- a/src/_arbutuswalk/state/routeconfig.py
+++ b/src/_arbutuswalk/state/routeconfig.py
@@ -8,6 +8,8 @@
 from typing import Any
 from typing import NamedTuple
 
+from _arbutuswalk.base import rows
+
 IDEMPOTENT = "idempotent"
 """Kind of a route whose requests may run more than once."""
 ONCE = "once"
@@ -236,32 +238,35 @@
 
 
 def from_json(values: dict[str, Any]) -> RouteConfig:
-    """Parses the result of ``to_json`` after JSON decoding."""
+    """Parses the result of ``to_json`` after JSON decoding.
+
+    Fields that only a later build knows are ignored.
+    """
     return RouteConfig(
         version=values["version"],
         routes=tuple(map(_parse_route, values["routes"])),
         upstreams=tuple(map(_parse_upstream, values["upstreams"])),
         workspaces=tuple(
-            Workspace(name, tuple(keys), *rest)
+            rows.parse(Workspace, (name, tuple(keys), *rest))
             for name, keys, *rest in values["workspaces"]
         ),
-        limits=Limits(*values["limits"]),
-        head_limits=HeadLimits(*values.get("head_limits", ())),
+        limits=rows.parse(Limits, values["limits"]),
+        head_limits=rows.parse(HeadLimits, values.get("head_limits", ())),
         requires_keys=values.get("requires_keys", bool(values["workspaces"])),
     )
 
 
 def _parse_route(fields: list[Any]) -> Route:
-    route = Route(*fields)
-    targets = tuple(Target(*target) for target in route.targets)
+    route = rows.parse(Route, fields)
+    targets = tuple(rows.parse(Target, target) for target in route.targets)
     return route._replace(targets=targets)
 
 
 def _parse_upstream(fields: list[Any]) -> Upstream:
-    name, connection_limit, engine, scaling = fields
+    name, connection_limit, engine, scaling, *_ = fields
     return Upstream(
         name,
         connection_limit,
-        Engine(*engine) if engine else None,
-        Scaling(*scaling) if scaling else None,
+        rows.parse(Engine, engine) if engine else None,
+        rows.parse(Scaling, scaling) if scaling else None,
     )
--- a/src/_arbutuswalk/wire/slot_messages.py
+++ b/src/_arbutuswalk/wire/slot_messages.py
@@ -3,6 +3,8 @@
 import json
 from typing import NamedTuple
 
+from _arbutuswalk.base import rows
+
 
 class Candidate(NamedTuple):
     """An endpoint whose slot an entry could use."""
@@ -75,13 +77,13 @@
         ValueError: The bytes are no content.
     """
     try:
-        ended, unleased, ask = json.loads(data)
+        ended, unleased, ask, *_ = json.loads(data)
         if ask is not None:
-            candidates = tuple(Candidate(*row) for row in ask[3])
+            candidates = tuple(rows.parse(Candidate, row) for row in ask[3])
             ask = Ask(ask[0], float(ask[1]), float(ask[2]), candidates)
         return Content(
-            tuple(Ended(*row) for row in ended),
-            tuple(Unleased(*row) for row in unleased),
+            tuple(rows.parse(Ended, row) for row in ended),
+            tuple(rows.parse(Unleased, row) for row in unleased),
             ask,
         )
     except (TypeError, IndexError, KeyError) as error:
