--- a/testing/crash_cluster.py
+++ b/testing/crash_cluster.py
@@ -226,7 +226,7 @@
             entry, announcement, age_s=delay_s
         )
 
-    async def _run_attempt(self, order, deadlines, on_events):
+    async def _run_attempt(self, order, deadlines, on_events, may_leave):
         runner = f"u{int(order.address[-1])}"
         name = order.request_id.partition("~")[0]
         is_poison = order.body["prompt"] == POISON
