Let a leader that is leaving remove itself before it steps down

Cause: a leading member that ends promoted the standby and stepped down. Only the next leader removed it, so an election took place among four voters, of whom three were needed; with one disk lost and the leaving member gone at the end of leave_s there was no majority any more. Ruled out: recovery, as no member had restarted.

Change: it proposes its own removal, leads until that is committed by the remaining voters, and steps down. While the removal is not committed it does not end and may be a candidate, as it may be the only one that has the entry.

--- a/src/_arbutuswalk/agreement/election.py
+++ b/src/_arbutuswalk/agreement/election.py
@@ -16,7 +16,7 @@
             presence.log_quorum_loss(replica, now)
             terms.become_follower(replica, replica.term, "", now)
         return
-    if replica.is_voter and now >= _election_due_at(replica):
+    if _may_be_candidate(replica) and now >= _election_due_at(replica):
         if replica.role is types.Role.TRIAL:
             presence.log_quorum_loss(replica, now)
         _start_election(replica, now, trial=True)
@@ -63,6 +63,17 @@
     _advance_on_majority(replica, now)
 
 
+def _may_be_candidate(replica: replicas.Replica) -> bool:
+    """Returns whether this member is a voter, or its removal is uncommitted.
+
+    It may be the only one that has the entry of its removal.
+    """
+    if replica.is_voter:
+        return True
+    committed = replica.log.members_at_index(replica.commit)
+    return replica.member in committed.voters
+
+
 def _election_due_at(replica: replicas.Replica) -> float:
     """Returns when to start an election, later for a leaving member.
 
--- a/src/_arbutuswalk/agreement/membership.py
+++ b/src/_arbutuswalk/agreement/membership.py
@@ -50,7 +50,12 @@
 
 
 def tick(replica: replicas.Replica, now: float) -> None:
-    """Bootstraps a group, or makes the leader's next membership change."""
+    """Bootstraps a group, or makes the leader's next membership change.
+
+    A leader that is leaving removes itself once it has been replaced, and leads
+    until that is committed. If another leader had to do it, there would be a
+    voter too many during the election, which then bears no other loss.
+    """
     if not replica.log.members.group:
         _bootstrap_group(replica, now)
     if replica.role is not types.Role.LEADER:
@@ -73,8 +78,6 @@
         if change.kind == REMOVE:
             _record_removal(replica, change.member, now)
         replication.propose(replica, types.pack_members(change.members), now)
-    elif _has_successor(replica):
-        terms.become_follower(replica, replica.term, "", now)
 
 
 def may_leave(replica: replicas.Replica, now: float) -> bool:
@@ -86,11 +89,15 @@
     own_index, _ = replica.log.membership_history[-1]
     was_removed = (
         heard.group == replica.log.members.group
-        and heard.index > own_index
+        and heard.index >= own_index
         and replica.member not in heard.addresses
     )
-    if was_removed or not replica.is_voter:
+    if was_removed:
         return True
+    if not replica.is_voter:
+        # Without this member the others may have no majority for its removal.
+        is_committed = replica.commit >= own_index
+        return is_committed and replica.role is not types.Role.LEADER
     members = replica.log.members
     is_being_replaced = len(members.voters) > replica.target_voters
     can_be_replaced = members.learners or presence.joining_members(replica, now)
@@ -138,24 +145,12 @@
     replica.vote_unsaved = True
 
 
-def _has_successor(replica: replicas.Replica) -> bool:
-    """Returns whether this leader is leaving and has been replaced.
-
-    Another leader then removes it; until then it still votes.
-    """
-    members = replica.log.members
-    return replica.leaving and len(members.voters) > replica.target_voters
-
-
 def _next_change(replica: replicas.Replica, now: float) -> Change | None:
     """Returns the next change by one member, if one is due."""
     members = replica.log.members
     replaceable = _voter_to_replace(replica, now)
     if len(members.voters) > replica.target_voters:
-        surplus = replaceable or _surplus_voter(replica)
-        if surplus.member == replica.member:
-            return None
-        return _removal(members, *surplus)
+        return _removal(members, *(replaceable or _surplus_voter(replica)))
     caught_up = _caught_up_learner(replica, now)
     too_few_voters = len(members.voters) < replica.target_voters
     if caught_up and (too_few_voters or replaceable):
--- a/testing/test_membership.py
+++ b/testing/test_membership.py
@@ -188,6 +188,41 @@
         assert standby.core.replica.member in voters
         assert len(voters) == 3
 
+    def test_leaving_leader_leaves_no_surplus_voter_behind(self, cluster):
+        """Guards against a fourth voter while no leader can remove it."""
+        standby = self.add_standby(cluster)
+        leaving = cluster.leader()
+        leaving.leave(LEAVE_S)
+        while leaving.up and leaving.core.replica.role is types.Role.LEADER:
+            cluster.run(0.02)
+        leaving.crash()
+        voter = next(
+            node
+            for node in cluster.nodes.values()
+            if node.up and node is not standby
+        )
+        voter.lose_disk()
+        cluster.run(RECOVERY_S)
+        assert cluster.leader() is not None
+
+    @pytest.mark.parametrize("cut_after_s", [0.0, 0.02, 0.04, 0.06, 0.1])
+    def test_leaving_leader_that_is_cut_off_meanwhile_is_replaced(
+        self, cluster, cut_after_s
+    ):
+        """Guards against a removal that only the removed member holds."""
+        self.add_standby(cluster)
+        leaving = cluster.leader()
+        leaving.leave(RECOVERY_S)
+        cluster.run(cut_after_s)
+        others = cluster.nodes.keys() - {leaving.address}
+        links = {(leaving.address, other) for other in others}
+        links |= {(other, leaving.address) for other in others}
+        cluster.cut |= links
+        cluster.run(2 * TIMING.election_s)
+        cluster.cut -= links
+        cluster.run(RECOVERY_S)
+        assert len(cluster.leader().core.replica.log.members.voters) == 3
+
     def test_leaving_voter_without_a_standby_ends_at_once(self, cluster):
         leaving = cluster.leader()
         leaving.leave(LEAVE_S)
