Evacuate failure domains by order of an operator

What callers saw: the platform's operators could not take a failure domain out of use; 404 for Evacuation.Begin and Evacuation.Finish.

Change: a replicated row by failure domain, changed by two commands that name the step they are based on, so that a delayed resend does not undo a later order. It reaches entries with the rollouts in each reply to a watch, those of the inventory with the configuration. Placement, the check before sending, probes and tunnels leave evacuated domains out; what an entry knew last holds while it is cut off.

--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -204,6 +204,14 @@
         701,
         "slots of brittle endpoints source=%s entries=%s reason=%s",
     )
+    EVACUATION_ORDERED = (
+        710,
+        "evacuation ordered domain=%s order=%s outcome=%s step=%s",
+    )
+    EVACUATION_IN_FORCE = (
+        711,
+        "evacuation in force domain=%s state=%s step=%s source=%s",
+    )
     HEAD_REFUSED = (683, "request head refused caller=%s status=%s reason=%s")
 
     @property
--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -366,7 +366,7 @@
             "peers": entry_paths.peers_of(
                 wanted.peers_of, self.reachable_entries
             ),
-            "rollouts": tables.rollouts,
+            **watch_updates.orders(tables),
             "taken": self.quota_use.totals,
             "returned": self.quota_returned.totals,
             "pools": self._shared_pools() if has_share else {},
--- a/src/_arbutuswalk/control/queries.py
+++ b/src/_arbutuswalk/control/queries.py
@@ -1,9 +1,10 @@
-"""Queries about routes, endpoints, rollouts and usage."""
+"""Queries about routes, endpoints, rollouts, evacuations and usage."""
 
 from collections.abc import Callable
 from typing import Any
 
 from _arbutuswalk.control import discovery as discoveries
+from _arbutuswalk.state import evacuations
 from _arbutuswalk.state import routeconfig
 from _arbutuswalk.state import tables as rows
 
@@ -20,6 +21,7 @@
         "rollouts": lambda _: {
             upstream: row._asdict() for upstream, row in tables.rollouts.items()
         },
+        "evacuation": lambda domain: evacuations.find(tables, domain)._asdict(),
         "usage": lambda _: tables.usage,
     }
 
--- a/src/_arbutuswalk/control/service.py
+++ b/src/_arbutuswalk/control/service.py
@@ -8,6 +8,7 @@
 from _arbutuswalk.base import events
 from _arbutuswalk.base import settings
 from _arbutuswalk.control import discovery as discoveries
+from _arbutuswalk.control import evacuations
 from _arbutuswalk.control import leases
 from _arbutuswalk.control import member as members
 from _arbutuswalk.control import permit_issuer
@@ -38,6 +39,7 @@
         discovery: Directory of endpoints and entries.
         permit_issuer: Issues permits for endpoints that state a limit.
         slot_issuer: Gives out the slots of brittle endpoints.
+        listed_domains: Failure domains that the settings list.
         term: Term that the leases belong to.
         extra_dump: Returns further values for the dump.
     """
@@ -57,6 +59,7 @@
             discovery=self.discovery
         )
         self.leases = leases.Leases(leader_since=member.now())
+        self.listed_domains: tuple[str, ...] = ()
         self.term = -1
         self.extra_dump = dict
         member.on_role_change = self._on_role_change
@@ -123,6 +126,7 @@
             )
         if isinstance(command, commands.Apply):
             events.log(events.Event.CONFIG_ACCEPTED, outcome)
+        evacuations.record_outcome(self.discovery, command, outcome)
         return ttypes.SubmitReply(status=OK, result=outcomes.encode(outcome))
 
     async def _sync(self, message: ttypes.Sync) -> ttypes.SyncReply:
@@ -216,6 +220,9 @@
             "call": self._call,
             "alone": self._is_idle,
             **queries.make_queries(self.member.tables, self.discovery),
+            "evacuations": lambda _: evacuations.describe(
+                self.discovery, self.listed_domains
+            ),
             "replace": self._order_replacement,
         }
 
@@ -341,7 +348,7 @@
     if command is None:
         return "unknown command"
     if not isinstance(command, commands.Apply):
-        return ""
+        return evacuations.find_problem(command)
     if not isinstance(command.inventory, dict):
         return "inventory: not a table"
     checked = inventories.check(command.inventory, where="inventory")
--- a/src/_arbutuswalk/control/watch_updates.py
+++ b/src/_arbutuswalk/control/watch_updates.py
@@ -11,6 +11,7 @@
 
 from _arbutuswalk.control import entry_reports
 from _arbutuswalk.routing import directory as directories
+from _arbutuswalk.state import tables as rows
 
 
 class Wanted(NamedTuple):
@@ -50,6 +51,11 @@
     )
 
 
+def orders(tables: rows.Tables) -> dict[str, Any]:
+    """Returns what operators ordered, other than the route configuration."""
+    return {"rollouts": tables.rollouts, "evacuations": tables.evacuations}
+
+
 def parts(
     directory: directories.Directory,
     revision: int,
--- a/src/_arbutuswalk/entry/control_sync.py
+++ b/src/_arbutuswalk/entry/control_sync.py
@@ -14,6 +14,7 @@
 from _arbutuswalk.entry import placement
 from _arbutuswalk.routing import upstreams
 from _arbutuswalk.state import commands
+from _arbutuswalk.state import evacuations
 from _arbutuswalk.state import outcomes
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
@@ -97,7 +98,12 @@
 def _apply_view(
     entry: entry_state.Entry, parts: dict[str, Any], version: int
 ) -> None:
+    evacuated_before = entry.evacuated_domains
+    if "configuration" in parts:
+        # A leader of a former build does not name evacuated domains.
+        parts["configuration"].setdefault("evacuated", evacuated_before)
     entry.view.update(parts)
+    _record_evacuations(entry, evacuated_before, version)
     entry.view_version = version
     if "entries" in parts:
         entry.control.relay_addresses = [
@@ -118,6 +124,17 @@
             placement.place_queued(entry, name)
 
 
+def _record_evacuations(
+    entry: entry_state.Entry, before: list[str], version: int
+) -> None:
+    for domain in sorted(set(before) ^ set(entry.evacuated_domains)):
+        is_evacuated = domain in entry.evacuated_domains
+        state = evacuations.EVACUATED if is_evacuated else evacuations.OPEN
+        events.log(
+            events.Event.EVACUATION_IN_FORCE, domain, state, version, "view"
+        )
+
+
 def _drop_ended_cut_offs(entry: entry_state.Entry) -> None:
     """Drops local cut-offs of versions that no live move introduces."""
     live_versions = {
--- a/src/_arbutuswalk/entry/entry_state.py
+++ b/src/_arbutuswalk/entry/entry_state.py
@@ -145,6 +145,11 @@
         """Versions of upstreams and moves between them."""
         return self.view.get("moves", {})
 
+    @property
+    def evacuated_domains(self) -> list[str]:
+        """Failure domains whose upstreams get no requests."""
+        return self.view.get("configuration", {}).get("evacuated", [])
+
     @property
     def peers(self) -> dict[str, Any]:
         """Other entries that are not gone, by id."""
--- a/src/_arbutuswalk/entry/execution.py
+++ b/src/_arbutuswalk/entry/execution.py
@@ -125,6 +125,7 @@
         row_to_retry
         and not row_to_retry.isolated
         and row_to_retry.health(now) is upstreams.Health.USABLE
+        and placement.may_send_to(entry, row_to_retry)
     ):
         placement.reserve(row_to_retry, request)
         return row_to_retry
--- a/src/_arbutuswalk/entry/placement.py
+++ b/src/_arbutuswalk/entry/placement.py
@@ -37,7 +37,11 @@
     A new version that this entry has cut off, or that has no usable upstream,
     is replaced by the old version.
     """
-    rows = upstreams.usable(entry.upstreams, name, entry.now())
+    rows = [
+        row
+        for row in upstreams.usable(entry.upstreams, name, entry.now())
+        if may_send_to(entry, row)
+    ]
     assigned, fallback = versions.pick_version(
         entry.moves, name, route, request_id
     )
@@ -54,6 +58,11 @@
     return [row for row in rows if row.announcement["version"] == fallback]
 
 
+def may_send_to(entry: entry_state.Entry, row: upstreams.Row) -> bool:
+    """Returns whether an upstream's failure domain is not evacuated."""
+    return row.announcement["domain"] not in entry.evacuated_domains
+
+
 def early_refusal(
     entry: entry_state.Entry, request: model_requests.ModelRequest
 ) -> answer.Problem | None:
--- a/src/_arbutuswalk/entry/retry_reservation.py
+++ b/src/_arbutuswalk/entry/retry_reservation.py
@@ -88,7 +88,9 @@
 
     def _has_next(self, row: upstreams.Row, excluded: set[str]) -> bool:
         now = self.entry.now()
-        is_usable = row.health(now) is upstreams.Health.USABLE
+        is_usable = row.health(
+            now
+        ) is upstreams.Health.USABLE and placement.may_send_to(self.entry, row)
         if is_usable and row.key not in excluded:
             return True
         others = [
--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -12,14 +12,13 @@
 from _arbutuswalk.relay import crash_probes
 from _arbutuswalk.relay import delivery
 from _arbutuswalk.relay import endpoint_limits
-from _arbutuswalk.relay import endpoint_pauses
 from _arbutuswalk.relay import placement
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import results
 from _arbutuswalk.relay import retry_reservation
+from _arbutuswalk.relay import send_checks
 from _arbutuswalk.relay import silence
-from _arbutuswalk.relay import stopping
 from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory
 from _arbutuswalk.state import routeconfig
@@ -136,10 +135,9 @@
             if self.delivery.caller_left:
                 return results.CallerLeft()
             return results.NotSent(reason="no time left")
-        if endpoint_pauses.is_paused(self.relay, self.endpoint):
-            connection_limits.release(self.relay, self.endpoint, connection)
-            return results.NotSent(reason="the endpoint is paused")
-        refusal = stopping.find_refusal(self.relay, self.request)
+        refusal = send_checks.find_refusal(
+            self.relay, self.request, self.endpoint
+        )
         if refusal is not None:
             connection_limits.release(self.relay, self.endpoint, connection)
             return refusal
--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -15,6 +15,7 @@
 from _arbutuswalk.relay import config_fetch
 from _arbutuswalk.relay import control_features
 from _arbutuswalk.relay import crash_probes
+from _arbutuswalk.relay import evacuations
 from _arbutuswalk.relay import leaving_endpoints
 from _arbutuswalk.relay import path_opener
 from _arbutuswalk.relay import permit_requests
@@ -288,6 +289,7 @@
         feed.term = news["term"]
         feed.features = control_features.from_json(news)
         feed.clock_offset_s = news["wall"] - self.relay.wall()
+        evacuations.merge(self.relay, news, feed.address)
         for fields in news["endpoints"]:
             known_fields = rows.known_fields(directory.Endpoint, fields)
             leaving_endpoints.merge_announcement(
--- a/src/_arbutuswalk/relay/crash_probes.py
+++ b/src/_arbutuswalk/relay/crash_probes.py
@@ -9,6 +9,7 @@
 from _arbutuswalk.base import background
 from _arbutuswalk.base import events
 from _arbutuswalk.relay import connection_limits
+from _arbutuswalk.relay import evacuations
 from _arbutuswalk.relay import path_opener
 from _arbutuswalk.relay import placement
 from _arbutuswalk.relay import relay_state
@@ -27,6 +28,8 @@
     endpoint_start = directory.start_of(endpoint)
     if endpoint_start in relay.probed_starts:
         return
+    if evacuations.is_evacuated(relay, endpoint):
+        return
     relay.probed_starts.add(endpoint_start)
     background.start("probe", _probe(relay, endpoint))
 
@@ -46,6 +49,8 @@
     endpoint_start = directory.start_of(endpoint)
     if endpoint_start in relay.probed_starts:
         return
+    if evacuations.is_evacuated(relay, endpoint):
+        return
     relay.probed_starts.add(endpoint_start)
     background.start("probe", _probe_silent(relay, endpoint, peer))
 
--- a/src/_arbutuswalk/relay/path_opener.py
+++ b/src/_arbutuswalk/relay/path_opener.py
@@ -6,6 +6,7 @@
 from _arbutuswalk.base import background
 from _arbutuswalk.base import events
 from _arbutuswalk.base import stalls
+from _arbutuswalk.relay import evacuations
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory
@@ -189,4 +190,5 @@
         row.endpoint.address
         for row in relay.directory.rows.values()
         if row.endpoint.state == directory.READY
+        and not evacuations.is_evacuated(relay, row.endpoint)
     ]
--- a/src/_arbutuswalk/relay/permitted_placement.py
+++ b/src/_arbutuswalk/relay/permitted_placement.py
@@ -6,6 +6,7 @@
 from _arbutuswalk.relay import connection_limits
 from _arbutuswalk.relay import endpoint_limits
 from _arbutuswalk.relay import endpoint_pauses
+from _arbutuswalk.relay import evacuations
 from _arbutuswalk.relay import leaving_endpoints
 from _arbutuswalk.relay import placement
 from _arbutuswalk.relay import relay_state
@@ -122,7 +123,9 @@
         e for e in endpoints if endpoint_pauses.expected_wait(relay, e) > 0
     ]
     if not untried and not paused:
-        reason = leaving_endpoints.explain_if_all_leave(relay, request)
+        reason = leaving_endpoints.explain_if_all_leave(
+            relay, request
+        ) or evacuations.explain_if_none_left(relay, request)
         return results.NotSent(reason=reason or "no endpoint is ready")
     waits_s = [_expected_wait(relay, e) for e in {*untried, *paused}]
     first_wait_s = min([wait_s for wait_s in waits_s if wait_s], default=0.0)
--- a/src/_arbutuswalk/relay/placement.py
+++ b/src/_arbutuswalk/relay/placement.py
@@ -8,6 +8,7 @@
 from _arbutuswalk.relay import connection_limits
 from _arbutuswalk.relay import endpoint_limits
 from _arbutuswalk.relay import endpoint_pauses
+from _arbutuswalk.relay import evacuations
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.routing import directory
@@ -191,6 +192,7 @@
         if row.endpoint.upstream == request.upstream
         and row.endpoint.state == directory.READY
         and row.endpoint.id not in tried
+        and not evacuations.is_evacuated(relay, row.endpoint)
     ]
 
 
--- a/src/_arbutuswalk/relay/relay_state.py
+++ b/src/_arbutuswalk/relay/relay_state.py
@@ -23,6 +23,7 @@
 from _arbutuswalk.relay import usage
 from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory
+from _arbutuswalk.routing import evacuations
 from _arbutuswalk.routing import leaving
 from _arbutuswalk.routing import outliers
 from _arbutuswalk.routing import recent_parts
@@ -124,6 +125,7 @@
         usage: Started requests by window and workspace.
         rollout_outcomes: Outcomes of the versions of rollouts.
         rollouts: Rollout rows from control, by upstream.
+        evacuations: Failure domains that are or were evacuated.
         entry_count: Entries that share limits, including unreachable ones.
         unreachable_entries: Those of them that control cannot reach.
         draining: Whether the process is shutting down.
@@ -187,6 +189,7 @@
         self.usage = usage.Usage(window_s=options.usage_window_s)
         self.rollout_outcomes = rollout_outcomes.RolloutOutcomes()
         self.rollouts: dict[str, list] = {}
+        self.evacuations = evacuations.Evacuations()
         self.entry_count = DEFAULT_ENTRY_COUNT
         self.unreachable_entries = 0
         self.draining = False
--- a/src/_arbutuswalk/relay/relaying.py
+++ b/src/_arbutuswalk/relay/relaying.py
@@ -9,6 +9,7 @@
 from _arbutuswalk.relay import attempts
 from _arbutuswalk.relay import connection_limits
 from _arbutuswalk.relay import delivery
+from _arbutuswalk.relay import evacuations
 from _arbutuswalk.relay import leaving_endpoints
 from _arbutuswalk.relay import permitted_placement
 from _arbutuswalk.relay import placement
@@ -125,6 +126,8 @@
         return not_found
     if leaving_endpoints.explain_if_all_leave(relay, request):
         return not_found
+    if evacuations.explain_if_none_left(relay, request):
+        return not_found
     is_available = await relay.wait_until_known(
         lambda: permitted_placement.has_endpoint(relay, request)
     )
--- a/src/_arbutuswalk/relay/tunnel_server.py
+++ b/src/_arbutuswalk/relay/tunnel_server.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from _arbutuswalk.base import background
+from _arbutuswalk.relay import evacuations
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.routing import directory
 from _arbutuswalk.streams import pool
@@ -108,6 +109,8 @@
         )
         if row is None or row.endpoint.state == directory.GONE:
             return _make_reply("unknown endpoint", ask_another=True)
+        if evacuations.is_evacuated(relay, row.endpoint):
+            return _make_reply("evacuated failure domain")
         host, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
--- a/src/_arbutuswalk/state/commands.py
+++ b/src/_arbutuswalk/state/commands.py
@@ -232,6 +232,26 @@
     reason: str
 
 
+class BeginEvacuation(NamedTuple):
+    """Evacuates a failure domain: nothing more is sent to its endpoints.
+
+    Attributes:
+        domain: The failure domain.
+        seen_step: Step of the domain that the order is based on; if it has
+            changed since, the command is ignored.
+    """
+
+    domain: str
+    seen_step: int
+
+
+class FinishEvacuation(NamedTuple):
+    """Opens a failure domain again; the fields are as above."""
+
+    domain: str
+    seen_step: int
+
+
 class SettleUsage(NamedTuple):
     """Settles the counts of a closed usage window, by workspace."""
 
@@ -262,6 +282,8 @@
     | PublishRoutes
     | BeginRollout
     | StepRollout
+    | BeginEvacuation
+    | FinishEvacuation
     | SettleUsage
     | Tick
 )
@@ -287,6 +309,8 @@
         PublishRoutes,
         BeginRollout,
         StepRollout,
+        BeginEvacuation,
+        FinishEvacuation,
         SettleUsage,
         Tick,
     )
--- a/src/_arbutuswalk/state/state_machine.py
+++ b/src/_arbutuswalk/state/state_machine.py
@@ -7,6 +7,7 @@
 from _arbutuswalk.state import commands
 from _arbutuswalk.state import configuration
 from _arbutuswalk.state import entries
+from _arbutuswalk.state import evacuations
 from _arbutuswalk.state import fleet
 from _arbutuswalk.state import ledger
 from _arbutuswalk.state import moves
@@ -40,6 +41,8 @@
     commands.PublishRoutes: route_publication.publish,
     commands.BeginRollout: rollouts.begin,
     commands.StepRollout: rollouts.step,
+    commands.BeginEvacuation: evacuations.begin,
+    commands.FinishEvacuation: evacuations.finish,
     commands.SettleUsage: usage.settle,
 }
 
@@ -63,6 +66,7 @@
     "instances": rows.InstanceRow,
     "orders": rows.OrderRow,
     "rollouts": rows.RolloutRow,
+    "evacuations": rows.EvacuationRow,
 }
 
 
--- a/src/_arbutuswalk/state/tables.py
+++ b/src/_arbutuswalk/state/tables.py
@@ -157,6 +157,20 @@
     reason: str
 
 
+class EvacuationRow(NamedTuple):
+    """Whether a failure domain is evacuated.
+
+    Attributes:
+        state: ``evacuated`` or ``open``.
+        step: Number of changes of this row.
+        changed_ms: Log time of the last change.
+    """
+
+    state: str
+    step: int
+    changed_ms: int
+
+
 class Tables:
     """All replicated tables; each log entry is applied to them atomically.
 
@@ -187,6 +201,7 @@
         routes: Route configuration as JSON values, None before the first.
         routes_source: The operator's original input, deflated and in base 64.
         rollouts: Rollouts by upstream name.
+        evacuations: Failure domains that are or were evacuated, by name.
         usage: Settled counts by window number and workspace.
         expired_ms: Log time of the last removal of expired records.
         changed: Log index of the last change of each part of the view.
@@ -222,6 +237,7 @@
         self.routes: dict[str, Any] | None = None
         self.routes_source = ""
         self.rollouts: dict[str, RolloutRow] = {}
+        self.evacuations: dict[str, EvacuationRow] = {}
         self.usage: dict[str, dict[str, int]] = {}
         self.expired_ms = 0
         self.changed: dict[str, int] = {}
--- a/src/_arbutuswalk/state/view.py
+++ b/src/_arbutuswalk/state/view.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from _arbutuswalk.state import commands
+from _arbutuswalk.state import evacuations
 from _arbutuswalk.state import moves
 from _arbutuswalk.state import tables as rows
 
@@ -25,6 +26,9 @@
     commands.Isolate: (QUARANTINE,),
     commands.Release: (QUARANTINE,),
     commands.MarkInstance: (LEAVING,),
+    # Former builds fail at the name of a part that they do not know.
+    commands.BeginEvacuation: (CONFIGURATION,),
+    commands.FinishEvacuation: (CONFIGURATION,),
 }
 
 
@@ -38,12 +42,16 @@
     return {
         part: _PART_BUILDERS[part](tables)
         for part, part_version in tables.changed.items()
-        if part_version > known_version
+        if part_version > known_version and part in _PART_BUILDERS
     }
 
 
 def _build_configuration(tables: rows.Tables) -> dict[str, Any]:
-    return {"revision": tables.revision, "inventory": tables.inventory}
+    return {
+        "revision": tables.revision,
+        "inventory": tables.inventory,
+        "evacuated": sorted(evacuations.evacuated_domains(tables)),
+    }
 
 
 def _build_moves(tables: rows.Tables) -> dict[str, Any]:
