Order no endpoints in evacuated domains, and count none there

Orders of replacements go to the other domains. For the time that an endpoint takes to start after a domain is open again, the replacements are kept, as its own endpoints may be cold. Rollouts and moves do not count versions that serve only there.

--- a/src/_arbutuswalk/control/rollouts.py
+++ b/src/_arbutuswalk/control/rollouts.py
@@ -12,6 +12,7 @@
 from _arbutuswalk.control import process
 from _arbutuswalk.routing import directory
 from _arbutuswalk.state import commands
+from _arbutuswalk.state import evacuations
 from _arbutuswalk.state import rollout_evidence
 from _arbutuswalk.state import rollout_policy
 from _arbutuswalk.state import rollouts
@@ -150,10 +151,12 @@
 def _has_ready_endpoint(
     components: process.Components, upstream: str, version: str
 ) -> bool:
+    evacuated = evacuations.evacuated_domains(components.member.tables)
     return any(
         row.endpoint.upstream == upstream
         and row.endpoint.version == version
         and row.endpoint.state == directory.READY
+        and row.endpoint.domain not in evacuated
         for row in components.discovery.directory.rows.values()
     )
 
--- a/src/_arbutuswalk/control/scaling.py
+++ b/src/_arbutuswalk/control/scaling.py
@@ -1,5 +1,6 @@
 """Collects the input of scaling decisions for every upstream that scales."""
 
+from _arbutuswalk.control import evacuations
 from _arbutuswalk.control import process
 from _arbutuswalk.routing import directory
 from _arbutuswalk.state import rollouts
@@ -71,8 +72,16 @@
         _record_reclaims(fleet, fleets.reclaimed, kept, now)
         running = sum(loads.get(row.endpoint.id, (0, 0))[0] for row in rows)
         scaling_policy.record_load(fleet, running, now)
+        closed_domains = evacuations.domains_without_orders(
+            components.member.tables,
+            wall_s=components.member.wall(),
+            settling_s=upstream.scaling.boot_s + scaling_policy.BOOT_GRACE_S,
+        )
         orders = scaling_policy.decide(
-            fleet, upstream.scaling, _count_by_pool(serving), now
+            fleet,
+            scaling_policy.without_domains(upstream.scaling, closed_domains),
+            _count_by_pool(serving, closed_domains),
+            now,
         )
         due_orders += [(upstream.name, order) for order in orders]
     return due_orders
@@ -155,10 +164,12 @@
 
 
 def _count_by_pool(
-    serving: list[directory.Row],
+    serving: list[directory.Row], closed_domains: frozenset[str]
 ) -> dict[scaling_policy.PoolKey, int]:
     counts: dict[scaling_policy.PoolKey, int] = {}
     for row in serving:
+        if row.endpoint.domain in closed_domains:
+            continue
         key = (row.endpoint.domain, row.endpoint.reclaimable)
         counts[key] = counts.get(key, 0) + 1
     return counts
--- a/src/_arbutuswalk/state/move_policy.py
+++ b/src/_arbutuswalk/state/move_policy.py
@@ -13,6 +13,7 @@
 from _arbutuswalk.state import commands
 from _arbutuswalk.state import counter_sum
 from _arbutuswalk.state import entries
+from _arbutuswalk.state import evacuations
 from _arbutuswalk.state import evidence
 from _arbutuswalk.state import inventory as inventories
 from _arbutuswalk.state import moves
@@ -127,13 +128,19 @@
 
 def usable_versions(
     reports: dict[str, dict[str, Any]],
+    evacuated: frozenset[str] = frozenset(),
 ) -> set[tuple[str, str]]:
-    """Returns (upstream name, version) of all usable upstreams."""
+    """Returns (upstream name, version) of all usable upstreams.
+
+    Args:
+        reports: Last report of each entry.
+        evacuated: Failure domains whose upstreams get no requests.
+    """
     versions = set()
     for report in reports.values():
         for row in report.get("upstreams", {}).values():
-            name, version, usable = row[0], row[1], row[-1]
-            if usable:
+            name, version, domain, usable = row[0], row[1], row[3], row[-1]
+            if usable and domain not in evacuated:
                 versions.add((name, version))
     return versions
 
@@ -146,7 +153,7 @@
 ) -> list[commands.StepMove]:
     """Returns the steps of all active moves that are due."""
     sums = sum_reports(tables, reports, trials.outcomes)
-    available = usable_versions(reports)
+    available = usable_versions(reports, evacuations.evacuated_domains(tables))
     steps = []
     for move, row in tables.moves.items():
         if row.state in moves.ACTIVE_STATES:
--- a/src/_arbutuswalk/state/scaling_policy.py
+++ b/src/_arbutuswalk/state/scaling_policy.py
@@ -185,6 +185,18 @@
     ]
 
 
+def without_domains(
+    scaling: routeconfig.Scaling, domains: frozenset[str]
+) -> routeconfig.Scaling:
+    """Returns the scaling for the other domains; orders in these stay."""
+    prices = {
+        domain: price
+        for domain, price in scaling.prices.items()
+        if domain not in domains
+    }
+    return scaling._replace(prices=prices)
+
+
 def _adopt_running(
     fleet: FleetState,
     scaling: routeconfig.Scaling,
