--- a/src/_arbutuswalk/cli/main.py
+++ b/src/_arbutuswalk/cli/main.py
@@ -9,6 +9,7 @@
 from _arbutuswalk.base import settings
 from _arbutuswalk.cli import apply
 from _arbutuswalk.cli import common
+from _arbutuswalk.cli import evacuation_commands
 from _arbutuswalk.cli import relay_commands
 from _arbutuswalk.cli import remote
 from _arbutuswalk.entry import model_requests
@@ -184,6 +185,7 @@
         Dump,
         Replace,
         *relay_commands.COMMANDS,
+        *evacuation_commands.COMMANDS,
     ):
         app.add(command_class())
     return app
