Show evacuated domains in the status, test beside a former build

Placement filters only while a domain is evacuated, so others pay nothing. A process test replaces a former build's control process and entry: nothing is undone, and the successor finds the evacuation in its log.

--- a/src/_arbutuswalk/cli/main.py
+++ b/src/_arbutuswalk/cli/main.py
@@ -36,6 +36,9 @@
             f"learners {', '.join(summary['learners']) or 'none'}",
             f"quarantined requests: {summary['quarantined']}",
         ]
+        if summary.get("evacuated"):
+            domains = ", ".join(summary["evacuated"])
+            lines.append(f"evacuated failure domains: {domains}")
         lines += [
             f"{name}: version {version}"
             for name, version in summary["versions"].items()
--- a/src/_arbutuswalk/control/service.py
+++ b/src/_arbutuswalk/control/service.py
@@ -17,6 +17,7 @@
 from _arbutuswalk.routing import directory
 from _arbutuswalk.state import commands
 from _arbutuswalk.state import entries
+from _arbutuswalk.state import evacuations as evacuated
 from _arbutuswalk.state import inventory as inventories
 from _arbutuswalk.state import ledger
 from _arbutuswalk.state import outcomes
@@ -249,6 +250,7 @@
             ],
             "versions": tables.versions,
             "instances": present,
+            "evacuated": sorted(evacuated.evacuated_domains(tables)),
             "quarantined": len(tables.convicted),
             "history": [row._asdict() for row in tables.history[-10:]],
         }
--- a/src/_arbutuswalk/entry/placement.py
+++ b/src/_arbutuswalk/entry/placement.py
@@ -37,11 +37,9 @@
     A new version that this entry has cut off, or that has no usable upstream,
     is replaced by the old version.
     """
-    rows = [
-        row
-        for row in upstreams.usable(entry.upstreams, name, entry.now())
-        if may_send_to(entry, row)
-    ]
+    rows = upstreams.usable(entry.upstreams, name, entry.now())
+    if entry.evacuated_domains:
+        rows = [row for row in rows if may_send_to(entry, row)]
     assigned, fallback = versions.pick_version(
         entry.moves, name, route, request_id
     )
--- a/src/_arbutuswalk/relay/placement.py
+++ b/src/_arbutuswalk/relay/placement.py
@@ -186,14 +186,18 @@
 def _ready_rows(
     relay: relay_state.Relay, request: requests.Request, tried: set[str]
 ) -> list[directory.Row]:
-    return [
+    rows = [
         row
         for row in relay.directory.rows.values()
         if row.endpoint.upstream == request.upstream
         and row.endpoint.state == directory.READY
         and row.endpoint.id not in tried
-        and not evacuations.is_evacuated(relay, row.endpoint)
     ]
+    if relay.evacuations.domains:
+        return [
+            r for r in rows if not evacuations.is_evacuated(relay, r.endpoint)
+        ]
+    return rows
 
 
 def record_sent(
--- a/testing/test_evacuation_processes.py
+++ b/testing/test_evacuation_processes.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 import cut_cluster
+import former_builds
 import platform_fixtures
 import process_fixtures
 import pytest
@@ -248,3 +249,43 @@
         assert await order(cluster, "Finish", "d2") == 200
         for ip in cluster.entry_ips:
             await cluster.wait_for_status(ip, 200)
+
+
+class TestFormerBuild:
+    """One control process and one entry run a build without evacuations."""
+
+    async def test_it_undoes_nothing_and_knows_all_once_replaced(
+        self, cluster, tmp_path
+    ):
+        former = former_builds.extract("a6a369c", tmp_path)
+        former_ip, former_entry_ip = (
+            cluster.control_ips[2],
+            cluster.entry_ips[1],
+        )
+        cluster.roots = dict.fromkeys((former_ip, former_entry_ip), former)
+        await start(cluster)
+        status = await read(cluster, "status")
+        if status["leader"].startswith(f"{former_ip}:"):
+            cluster.kill(former_ip)
+            assert await order(cluster, "Finish") == 200
+            cluster.start_control(former_ip)
+        assert await order(cluster, "Begin") == 200
+        for ip in cluster.entry_ips:
+            assert (await cluster.send_request(ip))[0] == 200
+        del cluster.roots[former_ip]
+        cluster.kill(former_ip)
+        cluster.start_control(former_ip)
+        address = f"{former_ip}:{cluster.internal_port}"
+
+        async def knows_it():
+            dumped = await asyncio.to_thread(remote.dump, address)
+            if isinstance(dumped, remote.Failed):
+                return False
+            return "d1" in dumped["tables"]["evacuations"]
+
+        await process_fixtures.wait_until(knows_it)
+        cluster.kill(former_entry_ip)
+        arrivals = await count_arrivals(cluster.endpoint, IN_FORCE_S)
+        async with load(cluster):
+            arrivals += await count_arrivals(cluster.endpoint)
+        assert arrivals == 0
--- a/testing/test_evacuations.py
+++ b/testing/test_evacuations.py
@@ -9,6 +9,7 @@
 import pytest
 import relay_fixtures
 import test_duties
+import test_entry
 import test_scaling_rollouts
 import test_watching
 from arbutuswalk_platform import control_api
@@ -16,8 +17,13 @@
 from _arbutuswalk.control import evacuations as control_evacuations
 from _arbutuswalk.control import scaling
 from _arbutuswalk.control import service as services
+from _arbutuswalk.entry import control_sync
+from _arbutuswalk.entry import placement
+from _arbutuswalk.relay import crash_probes
 from _arbutuswalk.relay import evacuations as relay_evacuations
+from _arbutuswalk.relay import path_opener
 from _arbutuswalk.relay import relaying
+from _arbutuswalk.relay import tunnel_server
 from _arbutuswalk.state import commands
 from _arbutuswalk.state import evacuations
 from _arbutuswalk.state import move_policy
@@ -326,6 +332,58 @@
         assert len(second.request_heads) == 1
 
 
+class TestConnections:
+    async def test_no_probe_or_tunnel_is_opened_to_an_evacuated_domain(self):
+        relay = relay_fixtures.make_relay()
+        first, second = await start_both(relay)
+        relay_evacuations.merge(relay, news(d1=("evacuated", 1, 5)), "a")
+        endpoint, other = (
+            relay.directory.rows[name].endpoint for name in ("e-d1", "e-d2")
+        )
+        crash_probes.start(relay, endpoint)
+        crash_probes.start_silent(relay, endpoint)
+        assert not relay.probed_starts
+        assert path_opener._ready_addresses(relay) == [other.address]
+        tunnels = tunnel_server.TunnelServer(address="", relay=relay)
+        reply = await tunnels._open(endpoint.address)
+        assert "evacuated" in reply.reason
+        # The entry that asked goes to another endpoint, not to another peer.
+        assert not reply.ask_another
+        assert not reply.refused
+        _, writer = await tunnels._open(other.address)
+        writer.close()
+        assert first.connection_count == 0
+
+
+class TestUpstreamsOfTheInventory:
+    @pytest.fixture
+    def edge(self):
+        new_edge = test_entry.Edge()
+        yield new_edge
+        new_edge.close()
+
+    def update(self, edge, *left_out):
+        tables = edge.control.tables
+        parts = view.parts_since(tables, edge.entry.view_version)
+        for name in left_out:
+            del parts["configuration"][name]
+        control_sync._apply_view(edge.entry, parts, view.version(tables))
+        found = placement.candidates(edge.entry, "model", "generate", "r")
+        return bool(found)
+
+    def test_none_of_an_evacuated_domain_is_a_candidate(self, edge):
+        assert self.update(edge)
+        edge.control.commit(BEGIN("d1", 0))
+        assert not self.update(edge)
+        assert edge.post(test_entry.PLAIN, test_entry.ask()).status == 503
+        # A leader of a former build names no evacuated domains.
+        tables = edge.control.tables
+        edge.control.commit(commands.Apply("later", "ann", 1, tables.inventory))
+        assert not self.update(edge, "evacuated")
+        edge.control.commit(FINISH("d1", 1))
+        assert self.update(edge)
+
+
 class TestEndpointOrders:
     def orders(self, components, fleets):
         found = scaling.decide_orders(components, fleets)
