--- a/src/_arbutuswalk/cli/main.py
+++ b/src/_arbutuswalk/cli/main.py
@@ -9,6 +9,7 @@
 from _arbutuswalk.base import settings
 from _arbutuswalk.cli import apply
 from _arbutuswalk.cli import common
+from _arbutuswalk.cli import evacuation_commands
 from _arbutuswalk.cli import relay_commands
 from _arbutuswalk.cli import remote
 from _arbutuswalk.entry import model_requests
@@ -35,6 +36,9 @@
             f"learners {', '.join(summary['learners']) or 'none'}",
             f"quarantined requests: {summary['quarantined']}",
         ]
+        if summary.get("evacuated"):
+            domains = ", ".join(summary["evacuated"])
+            lines.append(f"evacuated failure domains: {domains}")
         lines += [
             f"{name}: version {version}"
             for name, version in summary["versions"].items()
@@ -184,6 +188,7 @@
         Dump,
         Replace,
         *relay_commands.COMMANDS,
+        *evacuation_commands.COMMANDS,
     ):
         app.add(command_class())
     return app
--- a/src/_arbutuswalk/entry/placement.py
+++ b/src/_arbutuswalk/entry/placement.py
@@ -38,6 +38,8 @@
     is replaced by the old version.
     """
     rows = upstreams.usable(entry.upstreams, name, entry.now())
+    if entry.evacuated_domains:
+        rows = [row for row in rows if may_send_to(entry, row)]
     assigned, fallback = versions.pick_version(
         entry.moves, name, route, request_id
     )
@@ -54,6 +56,11 @@
     return [row for row in rows if row.announcement["version"] == fallback]
 
 
+def may_send_to(entry: entry_state.Entry, row: upstreams.Row) -> bool:
+    """Returns whether an upstream's failure domain is not evacuated."""
+    return row.announcement["domain"] not in entry.evacuated_domains
+
+
 def early_refusal(
     entry: entry_state.Entry, request: model_requests.ModelRequest
 ) -> answer.Problem | None:
--- a/src/_arbutuswalk/relay/placement.py
+++ b/src/_arbutuswalk/relay/placement.py
@@ -8,6 +8,7 @@
 from _arbutuswalk.relay import connection_limits
 from _arbutuswalk.relay import endpoint_limits
 from _arbutuswalk.relay import endpoint_pauses
+from _arbutuswalk.relay import evacuations
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.routing import directory
@@ -185,13 +186,18 @@
 def _ready_rows(
     relay: relay_state.Relay, request: requests.Request, tried: set[str]
 ) -> list[directory.Row]:
-    return [
+    rows = [
         row
         for row in relay.directory.rows.values()
         if row.endpoint.upstream == request.upstream
         and row.endpoint.state == directory.READY
         and row.endpoint.id not in tried
     ]
+    if relay.evacuations.domains:
+        return [
+            r for r in rows if not evacuations.is_evacuated(relay, r.endpoint)
+        ]
+    return rows
 
 
 def record_sent(
