Limit requests to endpoints that warm up

What callers saw: endpoints that come back together look idle to all entries, get what the entries send at once, and crash under it: their streams end and are repeated elsewhere.

Cause: endpoints announce how long they warm up, and the configuration what they tolerate meanwhile; nothing read either as a limit.

Change: a request to an endpoint that warms up needs a permit of the leader, as for stated limits, but with 2 in store at most, and is sent within 0.25 s of it. Without a leader each entry has its share of half the limit. Endpoints in full use are preferred while they have room, and the share of requests that consider an endpoint grows for 3 s after its warm-up. An announcement of a longer warm-up is sent to all entries at once. Former builds neither get a message that they cannot read nor configuration fields inside a row that they unpack.

test_later_rows: its configuration has warm-ups as well now; no check changes.

--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -151,6 +151,10 @@
         "permits for limited endpoints source=%s entries=%s reason=%s",
     )
     ENDPOINT_LIMIT_INVALID = (677, "endpoint limit invalid value=%s")
+    ENDPOINT_WARMS_UP = (
+        702,
+        "endpoint warms up endpoint=%s born=%s left_s=%s limit=%s source=%s",
+    )
     ENDPOINT_LEAVING = (680, "endpoint leaving endpoint=%s born=%s source=%s")
     ENDPOINT_LEAVING_INVALID = (
         681,
--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -314,10 +314,9 @@
         return {"limits": self.stated_limits, "brittle": self.stated_brittle}
 
     def _has_update(self, message: ttypes.Watch, revision: int) -> bool:
-        tables = self.member.tables
         if message.session != self.session:
             return True
-        if route_parts.has_newer(tables, message):
+        if route_parts.has_newer(self.member.tables, message):
             return True
         return directories.has_changes_since(self.directory, revision)
 
@@ -371,6 +370,7 @@
             "returned": self.quota_returned.totals,
             "pools": self._shared_pools() if has_share else {},
             **{k: t.to_json(now) for k, t in self._stated_tables().items()},
+            **watch_updates.FEATURES,
             "is_settled": self.is_settled(),
             "entries": max(1, counts.known)
             if self.is_settled()
--- a/src/_arbutuswalk/control/watch_updates.py
+++ b/src/_arbutuswalk/control/watch_updates.py
@@ -12,6 +12,9 @@
 from _arbutuswalk.control import entry_reports
 from _arbutuswalk.routing import directory as directories
 
+FEATURES = {"warm_up_permits": True}
+"""What the sender of a reply can do that its other parts do not show."""
+
 
 class Wanted(NamedTuple):
     """What an entry asks for in a watch.
--- a/src/_arbutuswalk/limits/permits.py
+++ b/src/_arbutuswalk/limits/permits.py
@@ -1,4 +1,4 @@
-"""Permits to send requests to an endpoint that states a limit.
+"""Permits to send requests to an endpoint that has a limit.
 
 The limit holds for all entries together. The leader issues the permits from one
 bucket per endpoint, so what one entry does not use is available to the others.
@@ -7,11 +7,17 @@
 """
 
 import dataclasses
+import math
 
 BURST_S = 0.5
 MIN_BURST = 2.0
 """Permits that accumulate while no entry asks: as time at the limit, but enough
 that a permit is not lost before the next entry asks."""
+WARM_UP_BURST = 2.0
+"""The same for an endpoint that warms up, whose limit holds in every second."""
+WARM_UP_OWN_SHARE = 0.5
+"""Part of such a limit that all entries without a leader use together, as they
+choose their times independently."""
 MIN_RATE_PER_S = 0.2
 """Lowest rate at which an endpoint is used: only its answers show that it has
 raised its limit."""
@@ -61,7 +67,12 @@
         self.asked_at: dict[str, float] = {}
 
     def take(
-        self, entry: str, rate_per_s: float, max_wait_s: float, now: float
+        self,
+        entry: str,
+        rate_per_s: float,
+        max_wait_s: float,
+        now: float,
+        max_burst: float = math.inf,
     ) -> Decision:
         """Takes a permit for an entry.
 
@@ -70,10 +81,11 @@
             rate_per_s: Permits per second for the entries that can ask.
             max_wait_s: Longest wait that the entry accepts.
             now: Current time in seconds.
+            max_burst: Most permits that accumulate.
         """
         self.asked_at[entry] = now
         rate_per_s = max(MIN_RATE_PER_S, rate_per_s)
-        capacity = max(MIN_BURST, rate_per_s * BURST_S)
+        capacity = min(max_burst, max(MIN_BURST, rate_per_s * BURST_S))
         refilled = self.level + (now - self.refilled_at) * rate_per_s
         self.level = min(capacity, refilled)
         self.refilled_at = now
--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -12,14 +12,13 @@
 from _arbutuswalk.relay import crash_probes
 from _arbutuswalk.relay import delivery
 from _arbutuswalk.relay import endpoint_limits
-from _arbutuswalk.relay import endpoint_pauses
 from _arbutuswalk.relay import placement
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import results
 from _arbutuswalk.relay import retry_reservation
+from _arbutuswalk.relay import send_checks
 from _arbutuswalk.relay import silence
-from _arbutuswalk.relay import stopping
 from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory
 from _arbutuswalk.state import routeconfig
@@ -41,7 +40,8 @@
         relay: State of the entry.
         delivery: Answer to the caller, shared by all attempts of a request.
         request: The request.
-        endpoint: Endpoint that the request is sent to.
+        chosen: Where the request is sent to.
+        endpoint: Its endpoint.
         lease_id: Lease of its slot if it is brittle, empty without one.
         exchange: HTTP exchange on the connection.
         started_at: When the attempt started, in seconds.
@@ -61,6 +61,7 @@
         self.relay = relay
         self.delivery = caller_delivery
         self.request = caller_delivery.request
+        self.chosen = chosen
         self.endpoint = chosen.endpoint
         self.lease_id = chosen.lease_id
         self.unread_tokens = chosen.uncached_tokens
@@ -130,22 +131,15 @@
         if self._is_leaving():
             connection.abort()
             return results.NotSent(reason="the endpoint is leaving")
-        left_s = self.request.deadline - self.relay.now()
-        if self.delivery.caller_left or left_s < results.MIN_TIME_LEFT_S:
-            connection_limits.release(self.relay, self.endpoint, connection)
-            if self.delivery.caller_left:
-                return results.CallerLeft()
-            return results.NotSent(reason="no time left")
-        if endpoint_pauses.is_paused(self.relay, self.endpoint):
-            connection_limits.release(self.relay, self.endpoint, connection)
-            return results.NotSent(reason="the endpoint is paused")
-        refusal = stopping.find_refusal(self.relay, self.request)
-        if refusal is not None:
+        obstacle = send_checks.find_obstacle(
+            self.relay, self.delivery, self.chosen, self.started_at
+        )
+        if obstacle is not None:
             connection_limits.release(self.relay, self.endpoint, connection)
-            return refusal
+            return obstacle
         options = requests.AttemptOptions(
             endpoint=self.endpoint.id,
-            left_s=left_s,
+            left_s=self.request.deadline - self.relay.now(),
             last_event=self.delivery.last_event,
             priority=min(LOWEST_PRIORITY, self.request.priority),
         )
--- a/src/_arbutuswalk/relay/control_features.py
+++ b/src/_arbutuswalk/relay/control_features.py
@@ -14,15 +14,21 @@
     Attributes:
         permits: Whether it issues permits for endpoints that state a limit.
         slots: Whether it gives out slots of brittle endpoints.
+        warm_up_permits: Whether it issues permits for endpoints that warm up.
     """
 
     permits: bool = False
     slots: bool = False
+    warm_up_permits: bool = False
 
 
 def from_json(news: dict[str, Any]) -> Features:
     """Returns what the sender of a reply can do."""
-    return Features(permits="limits" in news, slots="brittle" in news)
+    return Features(
+        permits="limits" in news,
+        slots="brittle" in news,
+        warm_up_permits=news.get("warm_up_permits", False),
+    )
 
 
 def routes_version(news: dict[str, Any]) -> int | None:
--- a/src/_arbutuswalk/relay/crash_probes.py
+++ b/src/_arbutuswalk/relay/crash_probes.py
@@ -12,6 +12,7 @@
 from _arbutuswalk.relay import path_opener
 from _arbutuswalk.relay import placement
 from _arbutuswalk.relay import relay_state
+from _arbutuswalk.relay import warm_up_limits
 from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory
 from _arbutuswalk.streams import pool
@@ -110,6 +111,8 @@
             relay.crashes, directory.start_of(endpoint), relay.now()
         )
         resolve_suspects(relay)
+        # What listens there next has just started.
+        warm_up_limits.assume(relay, endpoint)
 
 
 def resolve_suspects(relay: relay_state.Relay) -> None:
--- a/src/_arbutuswalk/relay/endpoint_limits.py
+++ b/src/_arbutuswalk/relay/endpoint_limits.py
@@ -1,7 +1,8 @@
-"""Keeps requests within the limits that endpoints state.
+"""Keeps requests within the limits of endpoints.
 
-An endpoint with a limit is used only with a permit: from the leader, or from
-the entry's equal share of the limit while no leader answers.
+An endpoint that states a limit, or has one as it warms up, is used only with a
+permit: from the leader, or from the entry's equal share of the limit while no
+leader answers.
 """
 
 import asyncio
@@ -11,6 +12,7 @@
 from _arbutuswalk.limits import permits
 from _arbutuswalk.relay import permit_client
 from _arbutuswalk.relay import relay_state
+from _arbutuswalk.relay import warm_up_limits
 from _arbutuswalk.routing import directory
 from _arbutuswalk.routing import stated_limits
 
@@ -50,6 +52,29 @@
     """Counts a request that is sent to an endpoint with a limit."""
     if relay.stated_limits.rate(endpoint.id, endpoint.born_ms) is not None:
         relay.metrics.count("sent_to_limited", f'endpoint="{endpoint.id}"')
+    warm_up_limits.record_sent(relay, endpoint)
+
+
+def are_known(relay: relay_state.Relay) -> bool:
+    """Returns whether any endpoint may have a limit."""
+    return bool(
+        relay.stated_limits.statements or relay.directory.warm_ups.ends_at
+    )
+
+
+def find(
+    relay: relay_state.Relay, endpoint: directory.Endpoint
+) -> permit_client.Limit | None:
+    """Returns the lowest limit of an endpoint, None without one."""
+    stated = relay.stated_limits.rate(endpoint.id, endpoint.born_ms)
+    warm_up = warm_up_limits.rate(relay, endpoint)
+    if warm_up is not None:
+        lowest = warm_up if stated is None else min(warm_up, stated)
+        return permit_client.Limit(lowest, None)
+    if stated is None:
+        return None
+    statement = relay.stated_limits.statements[endpoint.id]
+    return permit_client.Limit(stated, statement)
 
 
 def expected_wait(
@@ -59,7 +84,7 @@
 
     It is zero for an endpoint without a limit.
     """
-    if relay.stated_limits.rate(endpoint.id, endpoint.born_ms) is None:
+    if find(relay, endpoint) is None:
         return 0.0
     next_ask_at = relay.permits.next_ask_at.get(endpoint.id, -math.inf)
     return max(0.0, next_ask_at - relay.now())
@@ -71,15 +96,15 @@
     """Acquires a permit to send one request, waiting until it is valid.
 
     Returns:
-        Whether the request may be sent now. It may if the endpoint states no
+        Whether the request may be sent now. It may if the endpoint has no
         limit.
     """
-    statement = relay.stated_limits.statements.get(endpoint.id)
-    rate_per_s = relay.stated_limits.rate(endpoint.id, endpoint.born_ms)
-    if rate_per_s is None:
+    limit = find(relay, endpoint)
+    if limit is None:
         return True
+    rate_per_s = limit.rate_per_s
     asked_at = relay.now()
-    reply = await relay.permits.ask_leader(endpoint, statement, max_wait_s)
+    reply = await relay.permits.ask_leader(endpoint, limit, max_wait_s)
     if isinstance(reply, permit_client.LeaderDecision):
         _record_source(relay, reply.leader, "")
         relay.permits.pacers.clear()
@@ -87,7 +112,7 @@
     else:
         _record_source(relay, OWN_SHARE, reply)
         decision, asking = (
-            _take_share(relay, endpoint, rate_per_s, max_wait_s),
+            _take_share(relay, endpoint, limit, max_wait_s),
             0,
         )
     outcome = type(decision).__name__
@@ -112,9 +137,12 @@
 def _take_share(
     relay: relay_state.Relay,
     endpoint: directory.Endpoint,
-    rate_per_s: float,
+    limit: permit_client.Limit,
     max_wait_s: float,
 ) -> permits.Decision:
+    rate_per_s = limit.rate_per_s
+    if limit.statement is None:
+        rate_per_s *= permits.WARM_UP_OWN_SHARE
     pacer = relay.permits.pacers.setdefault(endpoint.id, permits.SharePacer())
     return pacer.take(
         rate_per_s,
--- a/src/_arbutuswalk/relay/leaving_endpoints.py
+++ b/src/_arbutuswalk/relay/leaving_endpoints.py
@@ -9,6 +9,7 @@
 from _arbutuswalk.relay import placement
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
+from _arbutuswalk.relay import warm_up_limits
 from _arbutuswalk.routing import directory
 from _arbutuswalk.routing import leaving
 from _arbutuswalk.streams import replies
@@ -55,6 +56,9 @@
         return
     before = relay.directory.rows.get(announcement.id)
     is_change = directory.announce(relay.directory, announcement, relay.now())
+    if is_change:
+        former = before and before.endpoint
+        warm_up_limits.record_announced(relay, former, announcement, source)
     if before is None or not is_change:
         return
     after = relay.directory.rows[announcement.id].endpoint
--- a/src/_arbutuswalk/relay/permit_client.py
+++ b/src/_arbutuswalk/relay/permit_client.py
@@ -1,4 +1,4 @@
-"""What an entry knows about permits for endpoints that state a limit."""
+"""What an entry knows about permits for endpoints that have a limit."""
 
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -9,6 +9,18 @@
 from _arbutuswalk.routing import stated_limits
 
 
+class Limit(NamedTuple):
+    """A limit of an endpoint.
+
+    Attributes:
+        rate_per_s: Requests per second from all entries together.
+        statement: Statement that it is from, None for that of a warm-up.
+    """
+
+    rate_per_s: float
+    statement: stated_limits.Statement | None
+
+
 class LeaderDecision(NamedTuple):
     """The leader's decision on a request for a permit.
 
@@ -24,11 +36,11 @@
 
 
 AskLeader = Callable[
-    [directory.Endpoint, stated_limits.Statement, float],
+    [directory.Endpoint, Limit, float],
     Awaitable[LeaderDecision | str],
 ]
-"""Asks the leader for a permit, given the endpoint, its last statement and the
-longest wait in seconds. Returns why there is no decision if the leader is
+"""Asks the leader for a permit, given the endpoint, its limit and the longest
+wait in seconds. Returns why there is no decision if the leader is
 unknown or does not answer."""
 
 
--- a/src/_arbutuswalk/relay/permit_requests.py
+++ b/src/_arbutuswalk/relay/permit_requests.py
@@ -1,4 +1,4 @@
-"""Asks the leader for permits to use endpoints that state a limit."""
+"""Asks the leader for permits to use endpoints that have a limit."""
 
 from collections.abc import Callable
 from collections.abc import Sequence
@@ -9,7 +9,6 @@
 from _arbutuswalk.relay import permit_client
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.routing import directory
-from _arbutuswalk.routing import stated_limits
 from _arbutuswalk.wire import link
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
@@ -36,7 +35,7 @@
 
     async def ask_leader(
         endpoint: directory.Endpoint,
-        statement: stated_limits.Statement,
+        limit: permit_client.Limit,
         max_wait_s: float,
     ) -> permit_client.LeaderDecision | str:
         leader = max(list_feeds(), key=lambda feed: feed.term, default=None)
@@ -44,15 +43,21 @@
             return "no leader is known"
         if not leader.features.permits:
             return f"{leader.address} gives no permits"
+        statement = limit.statement
+        if statement is None and not leader.features.warm_up_permits:
+            return f"{leader.address} gives no permits for warm-ups"
         if relay.now() < leader.permit_retry_at:
             return f"{leader.address} did not answer recently"
         message = ttypes.PermitRequest(
             entry=relay.name,
             endpoint=endpoint.id,
             born_ms=endpoint.born_ms,
-            rate_per_s=statement.rate_per_s,
-            statement_age_s=relay.now() - statement.stated_at,
+            rate_per_s=limit.rate_per_s,
+            statement_age_s=relay.now() - statement.stated_at
+            if statement
+            else 0.0,
             max_wait_s=max_wait_s,
+            warms_up=True if statement is None else None,
         )
         reply = await leader.link.call(message, timeout_s=TIMEOUT_S)
         if not isinstance(reply, ttypes.PermitReply):
--- a/src/_arbutuswalk/relay/permitted_placement.py
+++ b/src/_arbutuswalk/relay/permitted_placement.py
@@ -12,6 +12,8 @@
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import results
 from _arbutuswalk.relay import slotted_placement
+from _arbutuswalk.relay import slow_start
+from _arbutuswalk.relay import warm_up_limits
 from _arbutuswalk.routing import directory
 
 MAX_PERMIT_REQUESTS = 3
@@ -76,9 +78,21 @@
 async def _find_permitted(
     relay: relay_state.Relay, request: requests.Request, tried: set[str]
 ) -> placement.Placement | results.NotSent:
-    for _ in range(MAX_PERMIT_REQUESTS):
+    for number in range(MAX_PERMIT_REQUESTS):
         max_wait_s = max_pause_wait_s = 0.0
         chosen = placement.find_placement(relay, request, tried)
+        if (
+            number == MAX_PERMIT_REQUESTS - 1
+            and chosen is not None
+            and not slow_start.is_warm(relay, chosen.endpoint)
+        ):
+            # The last permit is worth a wait if no other endpoint serves.
+            chosen = placement.find_placement(
+                relay,
+                request,
+                tried,
+                accepts=lambda e: slow_start.is_warm(relay, e),
+            )
         if chosen is None:
             max_wait_s = _max_wait(request)
             max_pause_wait_s = min(max_wait_s, _objective_left(relay, request))
@@ -99,6 +113,7 @@
         if chosen is None:
             break
         is_permitted = False
+        warms_up = warm_up_limits.rate(relay, chosen.endpoint) is not None
         try:
             is_permitted = await endpoint_pauses.acquire(
                 relay, chosen.endpoint, max_pause_wait_s
@@ -108,6 +123,9 @@
         finally:
             if not is_permitted:
                 slotted_placement.drop(relay, chosen)
+        if is_permitted and warms_up:
+            ends_at = warm_up_limits.permit_ends_at(relay, chosen.endpoint)
+            return chosen._replace(permit_ends_at=ends_at)
         if is_permitted:
             return chosen
     return _no_endpoint(relay, request, tried)
--- a/src/_arbutuswalk/relay/placement.py
+++ b/src/_arbutuswalk/relay/placement.py
@@ -10,6 +10,7 @@
 from _arbutuswalk.relay import endpoint_pauses
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
+from _arbutuswalk.relay import slow_start
 from _arbutuswalk.routing import directory
 from _arbutuswalk.routing import selection
 
@@ -29,11 +30,14 @@
         endpoint: The endpoint.
         uncached_tokens: Prompt tokens to be read there.
         lease_id: Lease of its slot if it is brittle, empty without one.
+        permit_ends_at: Until when the request may be sent if the endpoint warms
+            up, in seconds; None if it did not when it was chosen.
     """
 
     endpoint: directory.Endpoint
     uncached_tokens: int
     lease_id: str = ""
+    permit_ends_at: float | None = None
 
 
 def _accept_all(_: directory.Endpoint) -> bool:
@@ -65,14 +69,18 @@
         )
         if accepts(relay.directory.rows[candidate.id].endpoint)
     ]
-    chosen = _choose(relay, request, candidates, now)
-    if (
-        chosen is None
-        or not within_connection_limits
-        or connection_limits.has_own_connection(relay, chosen.endpoint)
-    ):
-        return chosen
-    return _choose(relay, request, _with_connection(relay, candidates), now)
+    for group in slow_start.groups(relay, candidates):
+        chosen = _choose(relay, request, group, now)
+        if (
+            chosen is not None
+            and within_connection_limits
+            and not connection_limits.has_own_connection(relay, chosen.endpoint)
+        ):
+            connected = _with_connection(relay, group)
+            chosen = _choose(relay, request, connected, now)
+        if chosen is not None:
+            return chosen
+    return None
 
 
 def usable_endpoints(
@@ -108,7 +116,7 @@
     """Returns the endpoints that may be sent a request after these waits."""
     now = relay.now()
     rows = _ready_rows(relay, request, tried)
-    if relay.stated_limits.statements:
+    if endpoint_limits.are_known(relay):
         rows = [
             row
             for row in rows
--- a/src/_arbutuswalk/routing/directory.py
+++ b/src/_arbutuswalk/routing/directory.py
@@ -14,6 +14,7 @@
 from _arbutuswalk.base import settings
 from _arbutuswalk.routing import endpoint_fields
 from _arbutuswalk.routing import leaving
+from _arbutuswalk.routing import warm_ups
 
 READY = "ready"
 LEAVING = "leaving"
@@ -67,7 +68,7 @@
         announced_at: Local time of the newest announcement, in seconds.
         revision: Directory revision of the newest announcement.
         change_revision: Directory revision of the newest change other than of
-            the sequence or the remaining warm-up time.
+            the sequence or the rest of a known warm-up.
     """
 
     endpoint: Endpoint
@@ -83,11 +84,13 @@
         rows: Row by endpoint id.
         ids_by_address: Endpoint id by address.
         leaving_starts: Starts that state in their answers that they leave.
+        warm_ups: Starts that warm up.
         revision: Number of updates so far.
     """
 
     def __init__(self):
         self.leaving_starts = leaving.LeavingStarts()
+        self.warm_ups = warm_ups.WarmUps()
         self.rows: dict[str, Row] = {}
         self.ids_by_address: dict[str, str] = {}
         self.revision = 0
@@ -122,6 +125,8 @@
             address_owner.announced_at,
         )
     _put_row(directory, merged, now)
+    if merged.sequence == announcement.sequence:
+        directory.warm_ups.record(start_of(merged), merged.cold_s, now)
     if merged.address:
         directory.ids_by_address[merged.address] = merged.id
     return existing is None or _is_relevant_change(existing.endpoint, merged)
@@ -367,6 +372,9 @@
 
 
 def _is_relevant_change(before: Endpoint, after: Endpoint) -> bool:
+    """Returns whether anything changed but the rest of a known warm-up."""
+    if after.cold_s > before.cold_s:
+        return True
     return before._replace(sequence=0, cold_s=0.0) != after._replace(
         sequence=0, cold_s=0.0
     )
--- a/src/_arbutuswalk/routing/routetable.py
+++ b/src/_arbutuswalk/routing/routetable.py
@@ -13,6 +13,7 @@
         routes_by_prefix: Route by host and path prefix.
         workspaces_by_key: Workspace by API key.
         connection_limits: Connections that an endpoint accepts, by upstream.
+        warm_ups: What endpoints tolerate while they warm up, by upstream.
     """
 
     def __init__(self, *, config: routeconfig.RouteConfig):
@@ -30,6 +31,9 @@
             upstream.name: upstream.connection_limit
             for upstream in config.upstreams
         }
+        self.warm_ups = {
+            warm_up.upstream: warm_up for warm_up in config.warm_ups
+        }
 
 
 def find_route(
--- a/src/_arbutuswalk/state/routeconfig.py
+++ b/src/_arbutuswalk/state/routeconfig.py
@@ -110,6 +110,21 @@
     scaling: Scaling | None
 
 
+class WarmUp(NamedTuple):
+    """What the endpoints of an upstream tolerate while they warm up.
+
+    Attributes:
+        upstream: Name of the upstream.
+        duration_s: Longest warm-up in seconds.
+        rate_per_s: Requests per second that an endpoint tolerates from all
+            callers.
+    """
+
+    upstream: str
+    duration_s: float
+    rate_per_s: float
+
+
 class Workspace(NamedTuple):
     """A workspace: its API keys, priority and quota.
 
@@ -157,6 +172,8 @@
             without it can read a stored configuration.
         requires_keys: Whether requests on routes that are not anonymous need
             the key of a workspace, also if no workspace has one.
+        warm_ups: Limits of upstreams during warm-ups, separate from
+            ``upstreams`` for the same reason.
     """
 
     version: int
@@ -166,6 +183,7 @@
     limits: Limits
     head_limits: HeadLimits = HeadLimits()
     requires_keys: bool = True
+    warm_ups: tuple[WarmUp, ...] = ()
 
 
 def is_newer(version: int | None, than: int | None) -> bool:
@@ -253,6 +271,9 @@
         limits=rows.parse(Limits, values["limits"]),
         head_limits=rows.parse(HeadLimits, values.get("head_limits", ())),
         requires_keys=values.get("requires_keys", bool(values["workspaces"])),
+        warm_ups=tuple(
+            rows.parse(WarmUp, fields) for fields in values.get("warm_ups", ())
+        ),
     )
 
 
--- a/src/_arbutuswalk/wire/arbutuswalk.thrift
+++ b/src/_arbutuswalk/wire/arbutuswalk.thrift
@@ -159,8 +159,8 @@
   4: optional string exact_version, // decimal, if 1 cannot hold it
 }
 
-// Asks for a permit to send one request to an endpoint that states a limit. The
-// leader issues the permits of all entries.
+// Asks for a permit to send one request to an endpoint that states a limit or
+// warms up. The leader issues the permits of all entries.
 
 struct PermitRequest {
   1: required string entry,
@@ -169,6 +169,7 @@
   4: required double rate_per_s, // its limit as the entry knows it
   5: required double statement_age_s, // age of the answer that stated it
   6: required double max_wait_s, // longest wait for a permit
+  7: optional bool warms_up, // whether 4 holds for a warm-up; 5 is unused then
 }
 
 struct PermitReply {
--- a/src/_arbutuswalk/wire/gen/arbutus/ttypes.py
+++ b/src/_arbutuswalk/wire/gen/arbutus/ttypes.py
@@ -2237,6 +2237,7 @@
      - rate_per_s
      - statement_age_s
      - max_wait_s
+     - warms_up
 
     """
 
@@ -2247,16 +2248,18 @@
         'rate_per_s',
         'statement_age_s',
         'max_wait_s',
+        'warms_up',
     )
 
 
-    def __init__(self, entry=None, endpoint=None, born_ms=None, rate_per_s=None, statement_age_s=None, max_wait_s=None,):
+    def __init__(self, entry=None, endpoint=None, born_ms=None, rate_per_s=None, statement_age_s=None, max_wait_s=None, warms_up=None,):
         self.entry = entry
         self.endpoint = endpoint
         self.born_ms = born_ms
         self.rate_per_s = rate_per_s
         self.statement_age_s = statement_age_s
         self.max_wait_s = max_wait_s
+        self.warms_up = warms_up
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2297,6 +2300,11 @@
                     self.max_wait_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.warms_up = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2331,6 +2339,10 @@
             oprot.writeFieldBegin('max_wait_s', TType.DOUBLE, 6)
             oprot.writeDouble(self.max_wait_s)
             oprot.writeFieldEnd()
+        if self.warms_up is not None:
+            oprot.writeFieldBegin('warms_up', TType.BOOL, 7)
+            oprot.writeBool(self.warms_up)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4346,6 +4358,7 @@
     (4, TType.DOUBLE, 'rate_per_s', None, None, ),  # 4
     (5, TType.DOUBLE, 'statement_age_s', None, None, ),  # 5
     (6, TType.DOUBLE, 'max_wait_s', None, None, ),  # 6
+    (7, TType.BOOL, 'warms_up', None, None, ),  # 7
 )
 all_structs.append(PermitReply)
 PermitReply.thrift_spec = (
--- a/testing/test_later_rows.py
+++ b/testing/test_later_rows.py
@@ -139,13 +139,14 @@
                 routeconfig.Workspace("w", ("k",), None, False, 1, 0.0, 0.0),
             ),
             limits=routeconfig.Limits(0, 0.0),
+            warm_ups=(routeconfig.WarmUp("m", 3.0, 8.6),),
         )
         values = json.loads(json.dumps(routeconfig.to_json(config)))
         for route in values["routes"]:
             route[7] = list(map(later, route[7]))
         for upstream in values["upstreams"]:
             upstream[2:] = map(later, upstream[2:])
-        for name in ("routes", "upstreams", "workspaces"):
+        for name in ("routes", "upstreams", "workspaces", "warm_ups"):
             values[name] = list(map(later, values[name]))
         values["limits"] = later(values["limits"])
         values["head_limits"] = later(values["head_limits"])
--- a/testing/test_platform_messages.py
+++ b/testing/test_platform_messages.py
@@ -227,6 +227,26 @@
         assert config.upstreams[0].scaling.reclaimable_price == 0.18
         assert config.workspaces[0].keys == ("k1", "k2")
         assert config.limits.idle_timeout_s == 15.0
+        assert config.warm_ups == ()
+
+    @pytest.mark.parametrize(
+        ("fields", "decoded"),
+        [
+            ({"cold_start_s": 3.0, "cold_per_s": 8.6}, (3.0, 8.6)),
+            ({"cold_per_s": 8}, (0.0, 8.0)),
+            ({"cold_start_s": 3.0, "cold_per_s": 0.0}, None),
+            ({"cold_start_s": None, "cold_per_s": None}, None),
+            ({"cold_start_s": 3.0, "cold_per_s": -1.0}, None),
+        ],
+    )
+    def test_cold_runners_are_decoded_as_warm_ups(self, fields, decoded):
+        service = {**CONFIG["services"][0], **fields}
+        services = [service, *CONFIG["services"][1:]]
+        config = operators.decode_config(
+            encode({**CONFIG, "services": services})
+        )
+        limits = [routeconfig.WarmUp("huvo11a", *decoded)] if decoded else []
+        assert list(config.warm_ups) == limits
 
     @pytest.mark.parametrize(
         ("limits", "decoded"),
