--- a/src/_arbutuswalk/control/watch_updates.py
+++ b/src/_arbutuswalk/control/watch_updates.py
@@ -13,6 +13,9 @@
 from _arbutuswalk.routing import directory as directories
 from _arbutuswalk.state import tables as rows
 
+FEATURES = {"warm_up_permits": True}
+"""What the sender of a reply can do that its other parts do not show."""
+
 
 class Wanted(NamedTuple):
     """What an entry asks for in a watch.
