--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -204,6 +204,7 @@
         701,
         "slots of brittle endpoints source=%s entries=%s reason=%s",
     )
+    CLIENT_REFUSED = (720, "client refused caller=%s status=%s reason=%s")
     HEAD_REFUSED = (683, "request head refused caller=%s status=%s reason=%s")
 
     @property
