--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -216,6 +216,7 @@
         711,
         "evacuation in force domain=%s state=%s step=%s source=%s",
     )
+    CLIENT_REFUSED = (720, "client refused caller=%s status=%s reason=%s")
     HEAD_REFUSED = (683, "request head refused caller=%s status=%s reason=%s")
 
     @property
