Limit what the peers of links make a process hold

A peer could take all descriptors of a control process, after which it accepts nobody and opens no file of its log, or more memory than its instance has.

Cause: nothing accounted for what a peer had the process hold: connections without a frame, frames that stay incomplete, calls whose replies it never reads.

Change: reading from a peer pauses while it is too far ahead; frames that are incomplete are limited in all, and connections in number.

--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -26,6 +26,7 @@
     LINK_REPLACED = (201, "link replaced to=%s reason=%s")
     FRAME_REFUSED = (202, "frame refused from=%s reason=%s")
     MESSAGE_UNKNOWN = (203, "message of a later build skipped from=%s")
+    PEER_DISCONNECTED = (204, "peer disconnected from=%s reason=%s")
     LOG_RECOVERED = (300, "log recovered first=%s last=%s snapshot=%s")
     LOG_TAIL_CUT = (301, "torn log tail truncated file=%s offset=%s")
     STORAGE_FAILED = (302, "storage failed reason=%s")
--- a/src/_arbutuswalk/control/main.py
+++ b/src/_arbutuswalk/control/main.py
@@ -29,6 +29,12 @@
     settings.Field("heartbeat_s", "seconds", settings.is_positive, 0.1),
     settings.Field("election_s", "seconds", settings.is_positive, 0.6),
     settings.Field("replace_after_s", "seconds", settings.is_positive, 10.0),
+    settings.Field(
+        "link_connections",
+        "a whole number, 0 for half of the descriptors",
+        settings.is_non_negative_int,
+        0,
+    ),
     settings.Field("leave_s", "seconds", settings.is_non_negative, 4.0),
     settings.Field(
         "platform",
--- a/src/_arbutuswalk/control/process.py
+++ b/src/_arbutuswalk/control/process.py
@@ -65,7 +65,9 @@
         member=member, name=values["id"], discovery=discovery
     )
     server = link.LinkServer(
-        address=values["address"], handler=request_service.handle
+        address=values["address"],
+        handler=request_service.handle,
+        max_connections=values.get("link_connections", 0),
     )
     await server.start()
     stop = asyncio.Event()
--- a/src/_arbutuswalk/wire/link.py
+++ b/src/_arbutuswalk/wire/link.py
@@ -13,6 +13,7 @@
 from _arbutuswalk.base import clock
 from _arbutuswalk.base import events
 from _arbutuswalk.wire import codec
+from _arbutuswalk.wire import peer_limits
 from _arbutuswalk.wire import sockets
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
@@ -24,6 +25,9 @@
 instance that has started meanwhile. The longer timeouts allow for slow links.
 """
 MAX_SEND_BUFFER_BYTES = 64 * 1024 * 1024
+READ_BYTES = 64 * 1024
+"""Largest part of a frame that is read at once."""
+SILENT_PEER_CHECK_INTERVAL_S = 5.0
 
 Handler = Callable[[object], Awaitable[object | None]]
 """Handles one message; returns its reply, or None for one-way messages."""
@@ -193,18 +197,35 @@
 
 
 async def read_frame(
-    reader: asyncio.StreamReader,
+    reader: asyncio.StreamReader, *, max_bytes: int = codec.MAX_FRAME_BYTES
 ) -> tuple[int, bool, object] | codec.BadFrame | None:
     """Reads one frame; returns None at the end of the connection."""
+    payload = await _read_payload(reader, max_bytes=max_bytes)
+    return codec.decode(payload) if isinstance(payload, bytes) else payload
+
+
+async def _read_payload(
+    reader: asyncio.StreamReader,
+    *,
+    max_bytes: int = codec.MAX_FRAME_BYTES,
+    on_received: Callable[[int], None] = lambda _: None,
+) -> bytes | codec.BadFrame | None:
+    """Reads a frame without its length; reports the parts of a large one."""
     try:
         length_prefix = await reader.readexactly(codec.LENGTH_PREFIX.size)
         (length,) = codec.LENGTH_PREFIX.unpack(length_prefix)
-        if length > codec.MAX_FRAME_BYTES:
+        if length > max_bytes:
             return codec.BadFrame(reason=f"frame of {length} bytes")
-        payload = await reader.readexactly(length)
+        if length <= READ_BYTES:
+            return await reader.readexactly(length)
+        parts = []
+        while length:
+            parts.append(await reader.readexactly(min(length, READ_BYTES)))
+            length -= len(parts[-1])
+            on_received(len(parts[-1]))
+        return b"".join(parts)
     except (asyncio.IncompleteReadError, OSError):
         return None
-    return codec.decode(payload)
 
 
 class LinkServer:
@@ -213,14 +234,21 @@
     Attributes:
         address: ``IP:port`` it listens on.
         handler: Called with each message; returns its reply.
+        peers: The open connections.
     """
 
-    def __init__(self, *, address: str, handler: Handler):
+    def __init__(
+        self, *, address: str, handler: Handler, max_connections: int = 0
+    ):
         self.address = address
         self.handler = handler
         self.server: asyncio.Server | None = None
-        self.writers: set[asyncio.StreamWriter] = set()
+        self.peers = peer_limits.Peers(
+            max_connections=max_connections
+            or peer_limits.default_max_connections()
+        )
         self.tasks: set[asyncio.Task] = set()
+        self.check_task: asyncio.Task | None = None
 
     async def start(self) -> None:
         """Opens the listening socket.
@@ -230,66 +258,102 @@
         """
         host, _, port = self.address.rpartition(":")
         self.server = await asyncio.start_server(self._serve, host, int(port))
+        self.check_task = background.start(
+            "silent peers", self._disconnect_silent_peers()
+        )
 
     async def stop(self) -> None:
         """Closes the listening socket and all connections."""
         if self.server is not None:
             self.server.close()
-        for writer in list(self.writers):
+        if self.check_task is not None:
+            self.check_task.cancel()
+        for writer in list(self.peers.connected):
             writer.transport.abort()
         for task in list(self.tasks):
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
+    async def _disconnect_silent_peers(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(SILENT_PEER_CHECK_INTERVAL_S)
+            self.peers.disconnect_silent(loop.time())
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        self.writers.add(writer)
+        loop = asyncio.get_running_loop()
+        peer = self.peers.add(writer, loop.time())
+        if peer is None:
+            writer.transport.abort()
+            return
         try:
             sockets.set_options(writer.get_extra_info("socket"), sockets.LINK)
             while True:
-                decoded = await read_frame(reader)
-                if decoded is None:
+                payload = await _read_payload(
+                    reader,
+                    on_received=lambda size: self.peers.add_incomplete(
+                        peer, size
+                    ),
+                )
+                self.peers.end_frame(peer)
+                if payload is None:
                     return
+                peer.record_frame(loop.time())
+                decoded = payload
+                if isinstance(payload, bytes):
+                    decoded = codec.decode(payload)
                 if isinstance(decoded, codec.BadFrame):
-                    peer = writer.get_extra_info("peername")
+                    name = writer.get_extra_info("peername")
                     events.warn(
-                        events.Event.FRAME_REFUSED, peer, decoded.reason
+                        events.Event.FRAME_REFUSED, name, decoded.reason
                     )
                     return
-                self._dispatch(decoded, writer)
+                self._dispatch(decoded, peer, len(payload))
+                await peer.wait_for_room()
         except OSError:
-            return  # the connection was lost before its options were set
+            return  # the connection was lost
         finally:
-            self.writers.discard(writer)
+            self.peers.remove(peer)
             writer.transport.abort()
 
     def _dispatch(
         self,
         decoded: tuple[int, bool, object],
-        writer: asyncio.StreamWriter,
+        peer: peer_limits.Peer,
+        size: int,
     ) -> None:
         call_number, _, message = decoded
+        writer = peer.writer
         if isinstance(message, ttypes.Ping):
             pong = codec.encode(0, ttypes.Ping(), reply=True)
             writer.write(pong)
             return
         if isinstance(message, codec.UnknownMessage):
-            peer = writer.get_extra_info("peername")
-            events.record(events.Event.MESSAGE_UNKNOWN, peer)
+            name = writer.get_extra_info("peername")
+            events.record(events.Event.MESSAGE_UNKNOWN, name)
             if call_number:
                 reply = ttypes.Done(ok=False)
                 writer.write(codec.encode(call_number, reply, reply=True))
             return
         task = background.start(
-            "link handler", self._handle(call_number, message, writer)
+            "link handler", self._handle(call_number, message, peer)
         )
+        peer.start_call(size)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(lambda _: peer.end_call(size))
 
     async def _handle(
-        self, call_number: int, message: object, writer: asyncio.StreamWriter
+        self, call_number: int, message: object, peer: peer_limits.Peer
     ) -> None:
+        writer = peer.writer
+        if call_number:
+            try:
+                await peer.wait_for_reader()
+            except OSError:
+                return  # nobody reads the reply
         reply = await self.handler(message)
         if call_number and reply is not None and not writer.is_closing():
             writer.write(codec.encode(call_number, reply, reply=True))
--- a/testing/test_link_floods.py
+++ b/testing/test_link_floods.py
@@ -15,6 +15,7 @@
 
 MAX_DESCRIPTORS = 200
 MAX_PEAK_KB = 192 * 1024
+MAX_PEER_CONNECTIONS = 64
 CROWD = 400
 LARGE_FRAMES = 24
 UNREAD_CALLS = 4000
@@ -39,6 +40,7 @@
             "data": str(process_group.folder / "data"),
             "peers": [self.address],
             "voters": 1,
+            "link_connections": MAX_PEER_CONNECTIONS,
         }
         self.process = process_group.start("c", "arbutuswalk-control", settings)
         resource.prlimit(
