Count unread answers towards the memory of buffered ones

Cause: an answer left the account of buffered answers once it was received. It was then handed to the connection in one piece and stayed there, with its copy, for as long as the caller acknowledged without reading.

Change: an answer over 256 KiB is sent in parts, each once the one before is almost sent, and counts until its end. If all answers together exceed the limit, the largest is given up, whether it is being received or read.

--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -106,6 +106,7 @@
         "answer aborted request=%s route=%s endpoint=%s reason=%s ms=%s"
         " decision=%s inputs=%s",
     )
+    ANSWER_GIVEN_UP = (704, "unread answer given up request=%s bytes=%s")
     CONTROL_LOST = (661, "control connection lost address=%s reason=%s")
     CONTROL_FOUND = (662, "control connection established address=%s term=%s")
     DUTY_CALL = (
--- a/src/_arbutuswalk/relay/delivery.py
+++ b/src/_arbutuswalk/relay/delivery.py
@@ -6,12 +6,20 @@
 if the stream cannot be continued anyway.
 """
 
+import asyncio
+
+from _arbutuswalk.base import events
+from _arbutuswalk.relay import answer_buffers
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import sse
 from _arbutuswalk.streams import framing
 from _arbutuswalk.streams import replies
 
+PART_BYTES = 256 * 1024
+"""Size of the parts that a large answer is sent in, each once the one before
+has almost been sent."""
+
 
 class Delivery:
     """State of the answer to one caller.
@@ -161,6 +169,33 @@
         """Sends a complete answer with exactly these headers."""
         self.headers_sent = True
         await self.sender.send_head(status, headers)
+        if len(body) > PART_BYTES:
+            await self._send_large_body(body)
+            return
         if body:
             await self.sender.send_body(body)
         await self.sender.end_answer()
+
+    async def _send_large_body(self, body: bytes) -> None:
+        """Sends a body as it is read; gives it up if the memory is needed."""
+        scope = asyncio.timeout(None)
+        unread = answer_buffers.UnreadAnswer(
+            give_up=lambda: scope.reschedule(0.0)
+        )
+        buffers = self.relay.answer_buffers
+        try:
+            async with scope:
+                buffers.add(unread, len(body))
+                for start in range(0, len(body), PART_BYTES):
+                    await self.sender.send_body(
+                        body[start : start + PART_BYTES]
+                    )
+                await self.sender.end_answer()
+        except TimeoutError:
+            if not scope.expired():
+                raise
+            events.record(
+                events.Event.ANSWER_GIVEN_UP, self.request.id, len(body)
+            )
+        finally:
+            buffers.remove(unread)
--- a/testing/test_slow_callers.py
+++ b/testing/test_slow_callers.py
@@ -25,12 +25,18 @@
 REQUEST = test_platform_front.VALID_REQUEST.replace(b": 1000", b": 12000")
 
 
-async def connect_busy_caller(running_entry):
-    """Returns a connection on which nothing is read ahead."""
+def make_small_socket():
+    """Returns a socket that takes little of what nobody reads."""
     sock = socket.socket()
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     sock.setblocking(False)
+    return sock
+
+
+async def connect_busy_caller(running_entry):
+    """Returns a connection on which nothing is read ahead."""
+    sock = make_small_socket()
     address = ("127.0.0.1", running_entry.port)
     await asyncio.get_running_loop().sock_connect(sock, address)
     return await asyncio.open_connection(sock=sock, limit=READ_BYTES)
