Limit the size of requests for tunnels

What callers saw: nothing yet; found by the test, which fails without this change. 40 connections that each send all but the last byte of a frame of 16 MiB took an entry 215,872 kB within the second that a request may take.

Cause: the request for a tunnel could be as large as any frame.

Change: it has at most 4 KiB, many times an entry's name and an address. 40,972 kB with the change (bound 192 MiB).

--- a/src/_arbutuswalk/relay/tunnel_server.py
+++ b/src/_arbutuswalk/relay/tunnel_server.py
@@ -17,6 +17,8 @@
 """Below the time-out of the entry that waits, so that it learns the result."""
 MAX_TUNNELS = 1000
 """A quarter of the descriptors of an entry, as each tunnel takes two."""
+MAX_REQUEST_BYTES = 4096
+"""Largest frame that asks for a tunnel."""
 COPY_BYTES = 64 * 1024
 
 
@@ -69,7 +71,9 @@
                 writer.get_extra_info("socket"), sockets.UPSTREAM
             )
             async with asyncio.timeout(REQUEST_TIMEOUT_S):
-                decoded = await link.read_frame(reader)
+                decoded = await link.read_frame(
+                    reader, max_bytes=MAX_REQUEST_BYTES
+                )
             if decoded is None or isinstance(decoded, codec.BadFrame):
                 return
             call_number, _, message = decoded
--- a/testing/test_unread_answers.py
+++ b/testing/test_entry_floods.py
@@ -1,4 +1,4 @@
-"""Callers that never read the large answers that they asked for."""
+"""Peers of an entry: callers that never read answers, and other entries."""
 
 import asyncio
 import contextlib
@@ -10,9 +10,14 @@
 import relay_fixtures
 import test_slow_callers
 
+from _arbutuswalk.wire import codec
+
 ANSWER = bytes(7 * 1024 * 1024)
 CALLER_COUNT = 40
 ANSWER_TIMEOUT_S = 3.0
+INCOMPLETE_FRAME = codec.LENGTH_PREFIX.pack(codec.MAX_FRAME_BYTES) + bytes(
+    codec.MAX_FRAME_BYTES - 1
+)
 MAX_PEAK_KB = 192 * 1024
 REQUEST = (
     b"GET /a/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: attempt-1\r\n"
@@ -51,6 +56,34 @@
     return writer
 
 
+async def send_large_frame(ip, port):
+    """Sends all but the last byte of a frame, as far as it is read."""
+    with contextlib.suppress(TimeoutError, OSError):
+        _, writer = await asyncio.open_connection(ip, port)
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            writer.write(INCOMPLETE_FRAME)
+            await writer.drain()
+            await writer.wait_closed()
+
+
+class TestTunnels:
+    async def test_the_memory_for_incomplete_requests_is_limited(self, cluster):
+        await cluster.start_all("/a/")
+        ip = cluster.entry_ips[0]
+        await asyncio.gather(
+            *(
+                send_large_frame(ip, cluster.internal_port)
+                for _ in range(CALLER_COUNT)
+            )
+        )
+        process = cluster.processes[ip]
+        print(f"peak {peak_kb(process)} kB")
+        assert process.poll() is None
+        assert peak_kb(process) < MAX_PEAK_KB
+        await cluster.wait_for_status(ip, 200)
+        assert process.poll() is None
+
+
 class TestEntry:
     async def test_the_memory_for_unread_answers_is_limited(self, cluster):
         await cluster.start_all("/a/")
