Limit connections that ask for a tunnel

What callers saw: nothing yet; found by reading. Connections to the tunnel port that never send held a descriptor each for a second, in any number.

Cause: the limit on tunnels was checked only once a request had been read.

Change: beside the tunnels at most 200 connections are open; further ones are closed at once.

--- a/src/_arbutuswalk/relay/tunnel_server.py
+++ b/src/_arbutuswalk/relay/tunnel_server.py
@@ -17,6 +17,8 @@
 """Below the time-out of the entry that waits, so that it learns the result."""
 MAX_TUNNELS = 1000
 """A quarter of the descriptors of an entry, as each tunnel takes two."""
+MAX_WAITING = 200
+"""Connections beside the tunnels that may still ask for one."""
 MAX_REQUEST_BYTES = 4096
 """Largest frame that asks for a tunnel."""
 COPY_BYTES = 64 * 1024
@@ -58,6 +60,9 @@
     def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if len(self.tasks) >= MAX_TUNNELS + MAX_WAITING:
+            writer.transport.abort()
+            return
         task = background.start("tunnel", self._serve(reader, writer))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
--- a/testing/test_tunnels.py
+++ b/testing/test_tunnels.py
@@ -209,6 +209,26 @@
                 caller = await test_relay.relay_to(pair.entry)
                 assert caller.status == 200
 
+    async def test_connections_that_ask_for_nothing_are_limited(
+        self, monkeypatch
+    ):
+        """They took the descriptors that the entry's callers need."""
+        for name in ("MAX_TUNNELS", "MAX_WAITING"):
+            monkeypatch.setattr(tunnel_server, name, 3)
+        monkeypatch.setattr(tunnel_server, "REQUEST_TIMEOUT_S", 60.0)
+        async with Pair() as pair:
+            connections = [await pair.connect() for _ in range(20)]
+            for reader, _ in connections[6:]:
+                with contextlib.suppress(ConnectionError):
+                    assert await reader.read() == b""
+            assert len(pair.server.tasks) == 6
+            for _, writer in connections:
+                writer.transport.abort()
+            while pair.server.tasks:
+                await asyncio.sleep(0.01)
+            caller = await test_relay.relay_to(pair.entry)
+            assert caller.status == 200
+
     async def test_only_known_endpoints_are_connected_to(self):
         async with Pair() as pair:
             other = relay_fixtures.ScriptedEndpoint()
