Return smaller entries to the callers of fewer failure domains

What callers saw: callers choose among the entries of a look-up at random, so an entry of 0.387 cores got as many of them as one of 1.29.

Change: entries state the cores of their settings in their reports, in an optional field that former builds ignore. Where capacities differ, an entry has places in the look-ups of a number of domains that is proportional to its capacity, and at least in that of its own.

--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -107,6 +107,11 @@
         " decision=%s inputs=%s",
     )
     ANSWER_GIVEN_UP = (704, "unread answer given up request=%s bytes=%s")
+    ENTRY_CAPACITIES = (
+        705,
+        "capacities of ready entries entries=%s stated=%s smallest_cores=%s"
+        " largest_cores=%s",
+    )
     CONTROL_LOST = (661, "control connection lost address=%s reason=%s")
     CONTROL_FOUND = (662, "control connection established address=%s term=%s")
     DUTY_CALL = (
--- a/src/_arbutuswalk/control/lookups.py
+++ b/src/_arbutuswalk/control/lookups.py
@@ -8,18 +8,15 @@
 
 import hashlib
 from collections.abc import Iterable
-from typing import NamedTuple
+
+from _arbutuswalk.control import entry_places
 
 MAX_OWN_FRACTION = 0.75
 """Largest fraction of a reply in the caller's failure domain, so that the
 caller knows other entries if that domain is lost."""
 
 
-class EntryAddress(NamedTuple):
-    """Where a ready entry accepts callers."""
-
-    address: str
-    domain: str
+EntryAddress = entry_places.EntryAddress
 
 
 def select(
@@ -29,9 +26,13 @@
 
     Entries of that domain come first, then the others; both are ranked by
     rendezvous hashing on the domain, so that each entry is returned to the
-    callers of about as many domains as any other.
+    callers of about as many domains as any other. Entries of less capacity than
+    others are returned to the callers of fewer domains.
     """
-    ranked = sorted(entries, key=lambda entry: _rank(domain, entry.address))
+    candidates = entry_places.with_place(
+        list(entries), domain=domain, limit=limit
+    )
+    ranked = sorted(candidates, key=lambda entry: _rank(domain, entry.address))
     if len(ranked) <= limit:
         return ranked
     own = [entry for entry in ranked if entry.domain == domain]
--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from _arbutuswalk.base import background
+from _arbutuswalk.base import capacities
 from _arbutuswalk.base import events
 from _arbutuswalk.base import rows
 from _arbutuswalk.relay import config_fetch
@@ -270,6 +271,7 @@
             "rollout_outcomes": relay.rollout_outcomes.to_json(),
             "tunnel_address": self.tunnel_address,
             **path_opener.to_json(relay),
+            **capacities.to_json(relay.options.capacity),
         }
 
     def _apply_reply(self, feed: ControlFeed, reply: ttypes.WatchReply) -> None:
--- a/src/_arbutuswalk/relay/relay_state.py
+++ b/src/_arbutuswalk/relay/relay_state.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from _arbutuswalk.base import capacities
 from _arbutuswalk.base import clock
 from _arbutuswalk.base import metrics
 from _arbutuswalk.limits import pauses
@@ -51,6 +52,7 @@
         usage_window_s: Length of a usage window.
         quota: Permitted inaccuracy of quotas.
         heartbeat_s: Heartbeat interval of endpoints.
+        capacity: What this process may use of its instance.
     """
 
     retry_ratio: float
@@ -59,6 +61,7 @@
     usage_window_s: float
     quota: quota_levels.QuotaTolerance
     heartbeat_s: float
+    capacity: capacities.Capacity = capacities.Capacity()
 
 
 class Load(NamedTuple):
