--- a/testing/test_lookups.py
+++ b/testing/test_lookups.py
@@ -11,6 +11,7 @@
 from arbutuswalk_platform import control_api
 from arbutuswalk_platform import server
 
+from _arbutuswalk.base import capacities
 from _arbutuswalk.control import discovery as discoveries
 from _arbutuswalk.control import lookups
 from _arbutuswalk.wire import compressed_json
@@ -91,40 +92,57 @@
         assert len(selected) == LIMIT
 
 
+async def look_up(entries, domain):
+    """Returns the addresses that a control process returns over HTTP."""
+    discovery = discoveries.Discovery(member=test_duties.FakeMember())
+    for i, entry in enumerate(entries):
+        report = {
+            "address": entry.address,
+            "domain": entry.domain,
+            "ready": True,
+            **capacities.to_json(capacities.Capacity(cores=entry.cores)),
+        }
+        discovery._record_watch(
+            ttypes.Watch(
+                entry=f"e{i}",
+                incarnation=1,
+                session="",
+                version=0,
+                routes_version=0,
+                report=compressed_json.encode(report),
+            ),
+            0,
+        )
+    components = SimpleNamespace(discovery=discovery)
+    (port,) = process_fixtures.free_ports(1)
+    listener = server.Listener(
+        address=f"127.0.0.1:{port}",
+        app=control_api.make_lookups_app(components, 5.0),
+    )
+    await listener.start()
+    url = f"http://127.0.0.1:{port}/v1/resolution?name=h&region=r&zone={domain}"
+    async with (
+        aiohttp.ClientSession() as session,
+        session.get(url) as response,
+    ):
+        reply = await response.json()
+    await listener.stop()
+    return reply["addresses"]
+
+
 class TestReplies:
     async def test_a_look_up_prefers_the_callers_domain(self):
-        discovery = discoveries.Discovery(member=test_duties.FakeMember())
-        for i, entry in enumerate(make_entries()):
-            report = {
-                "address": entry.address,
-                "domain": entry.domain,
-                "ready": True,
-            }
-            discovery._record_watch(
-                ttypes.Watch(
-                    entry=f"e{i}",
-                    incarnation=1,
-                    session="",
-                    version=0,
-                    routes_version=0,
-                    report=compressed_json.encode(report),
-                ),
-                0,
-            )
-        components = SimpleNamespace(discovery=discovery)
-        (port,) = process_fixtures.free_ports(1)
-        listener = server.Listener(
-            address=f"127.0.0.1:{port}",
-            app=control_api.make_lookups_app(components, 5.0),
-        )
-        await listener.start()
-        url = f"http://127.0.0.1:{port}/v1/resolution?name=h&region=r&zone=d3"
-        async with (
-            aiohttp.ClientSession() as session,
-            session.get(url) as response,
-        ):
-            reply = await response.json()
-        await listener.stop()
+        addresses = await look_up(make_entries(), "d3")
         own = {e.address for e in make_entries() if e.domain == "d3"}
-        assert len(reply["addresses"]) == control_api.MAX_LOOKUP_ADDRESSES
-        assert own <= set(reply["addresses"])
+        assert len(addresses) == control_api.MAX_LOOKUP_ADDRESSES
+        assert own <= set(addresses)
+
+    async def test_a_look_up_leaves_out_small_entries_of_other_domains(self):
+        entries = [
+            entry._replace(cores=1.0 + 2 * (i % 2))
+            for i, entry in enumerate(make_entries(60))
+        ]
+        addresses = await look_up(entries, "d3")
+        selected = lookups.select(entries, domain="d3", limit=LIMIT)
+        assert addresses == [entry.address for entry in selected]
+        assert len(addresses) < 60
