--- a/src/_arbutuswalk/control/entry_places.py
+++ b/src/_arbutuswalk/control/entry_places.py
@@ -33,7 +33,8 @@
 MIN_OTHER_FRACTION = 0.25
 """Fraction of a reply from other domains, in case the caller's is lost."""
 _HASH_BYTES = 8
-_CACHED_HASHES = 65_536
+_CACHED_HASHES = 16_384
+_CACHED_REPLIES = 16
 
 
 class EntryAddress(NamedTuple):
@@ -99,10 +100,24 @@
     Entries without one fill a reply that would be too short, or have too few
     of other domains.
     """
+    stated = {entry.cores for entry in entries}
+    if len(stated) <= 1:
+        return list(entries)
+    # What a caller states is cached only if it is a domain of entries.
+    known = {entry.domain for entry in entries}
+    return list(
+        _with_place(tuple(entries), domain if domain in known else "", limit)
+    )
+
+
+@functools.lru_cache(maxsize=_CACHED_REPLIES)
+def _with_place(
+    entries: tuple[EntryAddress, ...], domain: str, limit: int
+) -> tuple[EntryAddress, ...]:
     domains = {entry.domain for entry in entries} | {domain}
     counts = places(entries, domain_count=len(domains), limit=limit)
     if counts is None:
-        return list(entries)
+        return entries
     # An entry has a place up to 1; the lowest values beyond are the next ones.
     due = {
         entry: _position(entry, domain, domains) / count
@@ -117,7 +132,7 @@
         own_count * MIN_OTHER_FRACTION / (1 - MIN_OTHER_FRACTION)
     )
     chosen.update(others[: min(other_count, limit)])
-    return [entry for entry in entries if entry in chosen]
+    return tuple(entry for entry in entries if entry in chosen)
 
 
 def _position(entry: EntryAddress, domain: str, domains: set[str]) -> float:
--- a/testing/test_entry_places.py
+++ b/testing/test_entry_places.py
@@ -152,6 +152,15 @@
         shuffled = random.Random(1).sample(entries, len(entries))
         assert select(entries, "d1") == select(shuffled, "d1")
 
+    def test_what_callers_state_is_not_kept(self):
+        """Any text may be stated as a failure domain."""
+        entries = make_entries(80)
+        first = set(select(entries, "other"))
+        cached = entry_places._hash.cache_info().currsize
+        for i in range(100):
+            assert set(select(entries, f"other-{i}")) == first
+        assert entry_places._hash.cache_info().currsize == cached
+
     @pytest.mark.parametrize("domain", ["d1", "d2", "", "other"])
     def test_few_entries_are_all_returned(self, domain):
         entries = make_entries(8)
