Limit the answer of a model

What callers saw: nothing yet; found by test_chat_floods, which fails without this change. Four requests to an upstream that sends events of 60 kB without end took an entry of the chat front 2,549,372 kB within half a minute, and would have ended it on any instance.

Cause: an answer is kept for callers that resume it, and nothing limited it: not the tokens that the request permits, nor its deadline once events come.

Change: an answer has at most 1 MiB and 16 KiB for each token permitted, up to 32 MiB. Beyond it the request fails and is not sent to another upstream; it is no evidence of a crash.

--- a/src/_arbutuswalk/entry/execution.py
+++ b/src/_arbutuswalk/entry/execution.py
@@ -234,6 +234,7 @@
         body=body,
         priority=request.priority,
         echo=row.announcement["echo"],
+        max_bytes=request.remaining_bytes,
     )
 
 
@@ -276,10 +277,17 @@
             crash_quarantine.convicted_problem(request, until_ms)
         )
         return
+    if isinstance(result, attempts.TooLarge):
+        request.answer.fail(_too_large_problem(result))
     await isolation.release_isolation(entry, request, cleared=False)
     _prepare_retry(state, row, result)
 
 
+def _too_large_problem(result: attempts.TooLarge) -> answer.Problem:
+    detail = f"the upstream sent over {result.max_bytes} bytes"
+    return answer.Problem(502, "answer too large", detail, "yes")
+
+
 def _prepare_retry(
     state: RunState, row: upstreams.Row, result: attempts.Result
 ) -> None:
--- a/src/_arbutuswalk/entry/model_requests.py
+++ b/src/_arbutuswalk/entry/model_requests.py
@@ -9,6 +9,7 @@
 from _arbutuswalk.routing import choose
 from _arbutuswalk.state import inventory as inventories
 from _arbutuswalk.streams import answer
+from _arbutuswalk.streams import attempts
 
 ROUTE_PATHS = {"chat": "/v1/chat/completions", "completions": "/v1/completions"}
 MAX_TOKENS_LIMIT = 32768
@@ -18,6 +19,11 @@
 DEFAULT_PRIORITY = 5
 MAX_PRIORITY = 9
 MAX_KEY_CHARS = 128
+MIN_ANSWER_BYTES = 1024 * 1024
+"""Size that an answer may have beside that of its tokens."""
+BYTES_PER_TOKEN = 16 * 1024
+"""Size of the event of one token that an answer may have, with log
+probabilities, up to the largest answer."""
 
 
 class RequestOptions(NamedTuple):
@@ -113,6 +119,15 @@
         """Maximum number of tokens still to be generated."""
         return max(0, self.max_tokens - len(self.answer.events))
 
+    @property
+    def remaining_bytes(self) -> int:
+        """Size that the rest of the answer may have."""
+        max_bytes = min(
+            MIN_ANSWER_BYTES + BYTES_PER_TOKEN * self.max_tokens,
+            attempts.MAX_ANSWER_BYTES,
+        )
+        return max(0, max_bytes - self.answer.size)
+
 
 def new_request_id(entry: str) -> str:
     """Returns a request id that names the entry that accepted it."""
--- a/src/_arbutuswalk/streams/answer.py
+++ b/src/_arbutuswalk/streams/answer.py
@@ -5,6 +5,14 @@
 
 from _arbutuswalk.streams import framing
 
+EVENT_OVERHEAD_BYTES = 64
+"""Memory that an event takes beside its bytes."""
+
+
+def size_of(events: list[bytes]) -> int:
+    """Returns the memory that events take."""
+    return EVENT_OVERHEAD_BYTES * len(events) + sum(map(len, events))
+
 
 class Problem(NamedTuple):
     """Why a request has no complete answer.
@@ -34,6 +42,7 @@
     Attributes:
         request_id: Id of the request.
         events: Engine events in order, without ids and separators.
+        size: Memory that they take, in bytes.
         id_prefix: Start of every event's id line.
         done: Whether the end marker was received.
         problem: Why the answer ended without the end marker.
@@ -43,6 +52,7 @@
     def __init__(self, *, request_id: str):
         self.request_id = request_id
         self.events: list[bytes] = []
+        self.size = 0
         self.id_prefix = framing.id_prefix(request_id)
         self.done = False
         self.problem: Problem | None = None
@@ -56,6 +66,7 @@
     def add(self, events: list[bytes]) -> None:
         """Adds engine events and calls the readers."""
         self.events += events
+        self.size += size_of(events)
         self._wake()
 
     def framed(self, start: int) -> bytes:
--- a/src/_arbutuswalk/streams/attempts.py
+++ b/src/_arbutuswalk/streams/attempts.py
@@ -9,6 +9,7 @@
 from _arbutuswalk.base import clock
 from _arbutuswalk.base import digits
 from _arbutuswalk.base import stalls
+from _arbutuswalk.streams import answer
 from _arbutuswalk.streams import connection as connections
 from _arbutuswalk.streams import framing
 from _arbutuswalk.streams import pool
@@ -23,6 +24,8 @@
 MAX_ERROR_BODY_BYTES = 64 * 1024
 """Size of an error's body at which the rest is not read."""
 MAX_ERROR_DETAIL_BYTES = 500
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
+"""Largest answer to any request: 1 KiB for each of 32,768 tokens."""
 SILENCE_CHECK_INTERVAL_S = 0.1
 
 
@@ -51,6 +54,7 @@
         body: JSON body.
         priority: Priority forwarded to the engine.
         echo: Whether the upstream echoes the attempt id.
+        max_bytes: Largest answer, as ``answer.size_of`` counts it.
     """
 
     address: str
@@ -60,6 +64,7 @@
     body: dict[str, Any]
     priority: int
     echo: bool
+    max_bytes: int = MAX_ANSWER_BYTES
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -98,6 +103,14 @@
     cached_tokens: int = 0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TooLarge:
+    """The response is larger than any answer to the request may be."""
+
+    max_bytes: int
+    cached_tokens: int = 0
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Silent:
     """Nothing was received within a timeout; the connection was closed."""
@@ -119,7 +132,14 @@
 
 
 Result = (
-    Completed | NotConnected | Declined | Broke | Silent | Crossed | Stopped
+    Completed
+    | NotConnected
+    | Declined
+    | Broke
+    | TooLarge
+    | Silent
+    | Crossed
+    | Stopped
 )
 
 EventsCallback = Callable[[list[bytes]], None]
@@ -133,6 +153,8 @@
     Attributes:
         on_events: Called with complete events.
         echo: Whether the upstream echoes the attempt id.
+        max_bytes: Largest answer, as ``answer.size_of`` counts it.
+        size: Size of the events that were received.
         exchange: Exchange whose body is read.
         framer: Splits the body into events.
         result: Result, once it is known.
@@ -141,10 +163,17 @@
     """
 
     def __init__(
-        self, *, on_events: EventsCallback, attempt_id: str, echo: bool
+        self,
+        *,
+        on_events: EventsCallback,
+        attempt_id: str,
+        echo: bool,
+        max_bytes: int,
     ):
         self.on_events = on_events
         self.echo = echo
+        self.max_bytes = max_bytes
+        self.size = 0
         self.exchange = connections.Exchange(
             expected_id=attempt_id, has_body=True, on_body=self.receive_body
         )
@@ -166,7 +195,10 @@
             self._set_result(Broke(reason=reason))
             return
         events = self.framer.feed(data)
-        if len(self.framer.rest) > framing.MAX_EVENT_BYTES:
+        self.size += answer.size_of(events)
+        if self.size > self.max_bytes:
+            self._set_result(TooLarge(max_bytes=self.max_bytes))
+        elif len(self.framer.rest) > framing.MAX_EVENT_BYTES:
             self._set_result(Broke(reason="event too large"))
         elif events:
             self._deliver_events(events)
@@ -230,7 +262,10 @@
             timeout, until it is not or the attempt ends.
     """
     state = AttemptState(
-        on_events=on_events, attempt_id=order.attempt_id, echo=order.echo
+        on_events=on_events,
+        attempt_id=order.attempt_id,
+        echo=order.echo,
+        max_bytes=order.max_bytes,
     )
     connection = await pool.connect(
         order.address, read_reply=read_reply, timeout_s=deadlines.connect_s
