Let a large forwarded change not hold up its acknowledgements

A member that forwarded a change of over 4 MiB was not read until the change was committed, but the acknowledgements that commit it come on the same link: with one member of three lost, the change failed. The new test fails without this change (the link is closed as silent).

Change: 32 MiB of messages, two of the largest frames, may be handled at once.

--- a/src/_arbutuswalk/wire/peer_limits.py
+++ b/src/_arbutuswalk/wire/peer_limits.py
@@ -13,8 +13,10 @@
 
 MAX_CALLS_AHEAD = 4096
 """Messages of one peer that are being handled."""
-MAX_CALL_BYTES_AHEAD = 4 * 1024 * 1024
-"""Bytes of the messages of one peer that are being handled."""
+MAX_CALL_BYTES_AHEAD = 32 * 1024 * 1024
+"""Bytes of the messages of one peer that are being handled: two of the largest.
+A change that a member forwards waits for acknowledgements that follow it on the
+same link, so that one must not pause it."""
 MAX_UNREAD_BYTES = 4 * 1024 * 1024
 """Bytes of replies that wait for one peer to read."""
 MAX_INCOMPLETE_BYTES = 32 * 1024 * 1024
--- a/testing/test_wire.py
+++ b/testing/test_wire.py
@@ -251,6 +251,28 @@
         assert await reader.read() == b""
         writer.close()
 
+    async def test_a_large_call_does_not_hold_up_what_follows(self):
+        """Its handler may wait for the message that follows."""
+        followed = asyncio.Event()
+
+        async def handle(message):
+            if len(message.command) == 1:
+                followed.set()
+            await followed.wait()
+            return await echo(message)
+
+        server = link.LinkServer(address=free_address(), handler=handle)
+        await server.start()
+        client = link.Link(address=server.address)
+        large = bytes(codec.MAX_FRAME_BYTES - 1000)
+        reply, _ = await asyncio.gather(
+            client.call(submit(large), timeout_s=10),
+            client.call(submit(b"x"), timeout_s=10),
+        )
+        assert reply.status == ttypes.Status.OK
+        await client.stop()
+        await server.stop()
+
     async def test_silent_connection_is_replaced(self, monkeypatch):
         monkeypatch.setattr(link, "HEARTBEAT_INTERVAL_S", 0.02)
         monkeypatch.setattr(link, "SILENCE_TIMEOUT_S", 0.1)
