--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -26,6 +26,7 @@
     LINK_REPLACED = (201, "link replaced to=%s reason=%s")
     FRAME_REFUSED = (202, "frame refused from=%s reason=%s")
     MESSAGE_UNKNOWN = (203, "message of a later build skipped from=%s")
+    PEER_DISCONNECTED = (204, "peer disconnected from=%s reason=%s")
     LOG_RECOVERED = (300, "log recovered first=%s last=%s snapshot=%s")
     LOG_TAIL_CUT = (301, "torn log tail truncated file=%s offset=%s")
     STORAGE_FAILED = (302, "storage failed reason=%s")
@@ -105,6 +106,12 @@
         "answer aborted request=%s route=%s endpoint=%s reason=%s ms=%s"
         " decision=%s inputs=%s",
     )
+    ANSWER_GIVEN_UP = (704, "unread answer given up request=%s bytes=%s")
+    ENTRY_CAPACITIES = (
+        705,
+        "capacities of ready entries entries=%s stated=%s smallest_cores=%s"
+        " largest_cores=%s",
+    )
     CONTROL_LOST = (661, "control connection lost address=%s reason=%s")
     CONTROL_FOUND = (662, "control connection established address=%s term=%s")
     DUTY_CALL = (
--- a/src/_arbutuswalk/relay/tunnel_server.py
+++ b/src/_arbutuswalk/relay/tunnel_server.py
@@ -18,6 +18,10 @@
 """Below the time-out of the entry that waits, so that it learns the result."""
 MAX_TUNNELS = 1000
 """A quarter of the descriptors of an entry, as each tunnel takes two."""
+MAX_WAITING = 200
+"""Connections beside the tunnels that may still ask for one."""
+MAX_REQUEST_BYTES = 4096
+"""Largest frame that asks for a tunnel."""
 COPY_BYTES = 64 * 1024
 
 
@@ -57,6 +61,9 @@
     def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if len(self.tasks) >= MAX_TUNNELS + MAX_WAITING:
+            writer.transport.abort()
+            return
         task = background.start("tunnel", self._serve(reader, writer))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
@@ -70,7 +77,9 @@
                 writer.get_extra_info("socket"), sockets.UPSTREAM
             )
             async with asyncio.timeout(REQUEST_TIMEOUT_S):
-                decoded = await link.read_frame(reader)
+                decoded = await link.read_frame(
+                    reader, max_bytes=MAX_REQUEST_BYTES
+                )
             if decoded is None or isinstance(decoded, codec.BadFrame):
                 return
             call_number, _, message = decoded
