Compare the speeds of endpoints from the streams of all entries

Callers of an upstream whose endpoints differ in speed wait for the slow ones: placement counts the same delay at each. Entries now measure complete streams (gap between events, time to read a prompt token) and report the samples in the watch; each control process compares them by endpoint and start and returns factors once they differ clearly. Nothing is sent without streams of model requests, and no factor without a difference.

The timing of an attempt takes the placement in place of the version, and data in place of its size; its tests construct it so, with the same assertions.

--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -204,6 +204,10 @@
         701,
         "slots of brittle endpoints source=%s entries=%s reason=%s",
     )
+    ENDPOINT_SPEED_CHANGED = (
+        710,
+        "endpoint speed changed endpoint=%s slowness=%s before=%s",
+    )
     HEAD_REFUSED = (683, "request head refused caller=%s status=%s reason=%s")
 
     @property
--- a/src/_arbutuswalk/base/metrics.py
+++ b/src/_arbutuswalk/base/metrics.py
@@ -27,6 +27,13 @@
         """Adds ``amount`` to a counter."""
         self.counters[name, labels] += amount
 
+    def replace_values(self, name: str, values: dict[str, int]) -> None:
+        """Sets current values by labels; others of that name are removed."""
+        for key in [key for key in self.counters if key[0] == name]:
+            del self.counters[key]
+        for labels, value in values.items():
+            self.counters[name, labels] = value
+
     def record(self, name: str, labels: str, seconds: float) -> None:
         """Records one duration in a histogram."""
         durations = self.histograms.get((name, labels))
--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -26,6 +26,7 @@
 from _arbutuswalk.control import report_counters
 from _arbutuswalk.control import route_parts
 from _arbutuswalk.control import shared_pools
+from _arbutuswalk.control import speed_reports
 from _arbutuswalk.control import watch_updates
 from _arbutuswalk.routing import directory as directories
 from _arbutuswalk.routing import leaving
@@ -74,6 +75,7 @@
         stated_limits: Limits that endpoints state, as entries report them.
         stated_brittle: Rejections that brittle endpoints state, likewise.
         crash_reports: What entries report on crashes.
+        speeds: Speeds of endpoints that entries measure.
         started_at: When this process started, in seconds.
         first_watch_at: When an entry first sent a watch, None before.
         restored_entry_count: Entries before the last restart, 0 if unknown.
@@ -97,6 +99,7 @@
         self.stated_limits = stated_limits.StatedLimits()
         self.stated_brittle = stated_limits.StatedLimits()
         self.crash_reports = crash_reports.CrashReports()
+        self.speeds = speed_reports.SpeedReports()
         self.changed = asyncio.Event()
         self.now: clock.Clock = member.now
         self.started_at = self.now()
@@ -240,9 +243,8 @@
         It counts from the first watch: entries learn the address of a new
         member only when it has joined the group.
         """
-        if self.first_watch_at is None:
-            return False
-        return self.now() - self.first_watch_at >= SETTLING_TIME_S
+        since = self.first_watch_at
+        return since is not None and self.now() - since >= SETTLING_TIME_S
 
     def loads(self) -> entry_reports.Loads:
         """Returns the loads of all reachable entries, by endpoint."""
@@ -258,10 +260,8 @@
         return sorted({self.member.address, *known})
 
     def _has_entry_behind(self, revision: int) -> bool:
-        return any(
-            entry.revision < revision
-            for entry in self.reachable_entries().values()
-        )
+        entries = self.reachable_entries().values()
+        return any(entry.revision < revision for entry in entries)
 
     def _record_watch(
         self, message: ttypes.Watch, revision: int
@@ -278,6 +278,7 @@
         if self.crash_reports.record(report, self.entries.values(), self.now()):
             self.notify_watches()
         now = self.now()
+        self.speeds.record(key, report, self.directory, now)
         for name, table in self._stated_tables().items():
             statements = stated_limits.from_json(report.get(name, {}), now)
             self.record_limits(statements, table)
@@ -314,12 +315,11 @@
         return {"limits": self.stated_limits, "brittle": self.stated_brittle}
 
     def _has_update(self, message: ttypes.Watch, revision: int) -> bool:
-        tables = self.member.tables
-        if message.session != self.session:
-            return True
-        if route_parts.has_newer(tables, message):
-            return True
-        return directories.has_changes_since(self.directory, revision)
+        return (
+            message.session != self.session
+            or route_parts.has_newer(self.member.tables, message)
+            or directories.has_changes_since(self.directory, revision)
+        )
 
     def routes_part(self, message: ttypes.RoutesRequest) -> ttypes.RoutesPart:
         """Returns a part of the compressed route configuration."""
@@ -361,6 +361,7 @@
             "routes_version": tables.routes_version,
             "has_routes": tables.routes is not None,
             **watch_updates.parts(self.directory, revision, wanted, loads),
+            **self.speeds.parts(self.directory, wanted.speeds_since, now),
             "members": self.member_addresses(),
             "domain": self.domain,
             "peers": entry_paths.peers_of(
@@ -383,10 +384,9 @@
         }
 
     def _shared_pools(self) -> dict[str, list[float]]:
-        return self.shared_pools.summarize(
-            (entry.report for entry in self.reachable_entries().values()),
-            self.now(),
-        )
+        entries = self.reachable_entries().values()
+        reports = (entry.report for entry in entries)
+        return self.shared_pools.summarize(reports, self.now())
 
     def _lease_term(self) -> int:
         """Returns the term if this member holds the leader lease, else 0."""
--- a/src/_arbutuswalk/control/report_checks.py
+++ b/src/_arbutuswalk/control/report_checks.py
@@ -12,11 +12,20 @@
 
 Check = Callable[[Any], bool]
 
+MAX_LOG_STEPS = 10_000
+"""Largest logarithm of a time that is stored, in steps."""
+
 
 def _is_number_or_none(value: Any) -> bool:
     return value is None or settings.is_number(value)
 
 
+def _is_log_steps_or_none(value: Any) -> bool:
+    return value is None or (
+        settings.is_number(value) and abs(value) <= MAX_LOG_STEPS
+    )
+
+
 def _is_text(value: Any) -> bool:
     return isinstance(value, str)
 
@@ -84,6 +93,18 @@
         _is_table_of(_is_row_of_numbers), _is_list_of(_is_text)
     ),
     "successes": _is_table_of(_is_number_or_none),
+    "speeds": _is_row(
+        settings.is_non_negative_int,
+        settings.is_non_negative_int,
+        _is_list_of(
+            _is_row(
+                _is_text,
+                settings.is_number,
+                _is_log_steps_or_none,
+                _is_log_steps_or_none,
+            )
+        ),
+    ),
     "usage": _is_table_of(_is_table_of(settings.is_number)),
     "taken": _is_table_of(settings.is_number),
     "returned": _is_table_of(settings.is_number),
--- a/src/_arbutuswalk/control/watch_updates.py
+++ b/src/_arbutuswalk/control/watch_updates.py
@@ -21,6 +21,8 @@
             if it wants neither.
         compact: Whether it understands heartbeats without the whole endpoint.
         unknown_ids: Endpoints that it does not have.
+        speeds_since: Revision of the speeds of endpoints that it has, None if
+            it wants none.
         peers_of: Its id if it asks for entries that open tunnels, or empty.
     """
 
@@ -28,6 +30,7 @@
     compact: bool = False
     unknown_ids: frozenset[str] = frozenset()
     peers_of: str = ""
+    speeds_since: int | None = None
 
 
 def wanted_by(report: dict[str, Any], revision: int) -> Wanted:
@@ -42,11 +45,13 @@
     if "status_since" not in report:
         return Wanted(revision)
     since = report["status_since"]
+    speeds_since = report.get("speeds", [0])[0] if revision else 0
     return Wanted(
         status_since=None if since is None else min(since, revision),
         compact=True,
         unknown_ids=frozenset(report.get("unknown", ())),
         peers_of=report.get("entry", "") if report.get("wants_peers") else "",
+        speeds_since=None if since is None else speeds_since,
     )
 
 
--- a/src/_arbutuswalk/relay/attempt_timing.py
+++ b/src/_arbutuswalk/relay/attempt_timing.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from _arbutuswalk.relay import attempt_speed
+from _arbutuswalk.relay import placement
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import rollout_outcomes
@@ -18,6 +20,7 @@
     Attributes:
         relay: State of the entry.
         version: Version of the endpoint.
+        speed: Speed of the endpoint, None if it is not measured.
         group: Group of requests that it is counted with.
         size: Prompt size, 0 without a prompt.
         compared: Whether a rollout of the upstream is under way.
@@ -35,10 +38,10 @@
         *,
         relay: relay_state.Relay,
         request: requests.Request,
-        version: str,
+        chosen: placement.Placement,
     ):
         self.relay = relay
-        self.version = version
+        self.version = chosen.endpoint.version
         self.size = request.prompt.tokens_in if request.prompt else 0
         self.group = rollout_outcomes.Group(
             request.upstream,
@@ -47,7 +50,12 @@
         )
         rollout = relay.rollouts.get(request.upstream)
         self.compared = rollout is not None and rollout[1] == rollouts.GROWING
-        self.is_sample = not self.compared or rollout[0] != version
+        self.is_sample = not self.compared or rollout[0] != self.version
+        self.speed = (
+            attempt_speed.AttemptSpeed(relay=relay, chosen=chosen)
+            if request.prompt
+            else None
+        )
         self.started_at = relay.now()
         self.first_data_at: float | None = None
         self.further_bytes = 0
@@ -57,6 +65,8 @@
 
     def start(self) -> None:
         """Starts the timer for late first data."""
+        if self.speed is not None:
+            self.speed.record_sent()
         if not self.compared:
             return
         bounds = self.relay.rollout_outcomes.bounds(
@@ -71,21 +81,27 @@
         """Records the latency to the first data, or to the whole answer."""
         self.stop()
         self.first_data_at = self.relay.now()
+        if self.speed is not None:
+            self.speed.record_first_data()
         self._record(
             rollout_outcomes.FIRST_DATA,
             self.first_data_at - self.started_at,
             is_counted=self.is_overdue,
         )
 
-    def record_further_data(self, byte_count: int) -> None:
+    def record_further_data(self, data: bytes) -> None:
         """Records more data of a stream."""
-        self.further_bytes += byte_count
+        if self.speed is not None:
+            self.speed.record_further_data(data)
+        self.further_bytes += len(data)
         if self.relay.now() - self.first_data_at >= PACE_AFTER_S:
             self._record_pace()
 
     def record_end(self, *, ran: bool, failed: bool) -> None:
         """Records the end of the attempt."""
         self._record_pace()
+        if self.speed is not None and ran and not failed:
+            self.speed.record_success()
         if self.compared and ran:
             self.relay.rollout_outcomes.record_end(
                 self.group, self.version, failed=failed
--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -74,7 +74,7 @@
         self.timing = attempt_timing.AttemptTiming(
             relay=relay,
             request=self.request,
-            version=self.endpoint.version,
+            chosen=chosen,
         )
         self.exchange = connections.Exchange(
             expected_id=self.request.id,
@@ -301,7 +301,7 @@
             if data:
                 self.silence.record_received()
                 if has_data:
-                    self.timing.record_further_data(len(data))
+                    self.timing.record_further_data(data)
                 else:
                     self.timing.record_first_data()
                     self._record_prompt_read()
--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -232,7 +232,9 @@
             self.relay.domain,
             self.relay.now(),
         )
-        report |= status_feeds.to_json(feed.status, wanted=wants_status)
+        report |= status_feeds.to_json(
+            self.relay, feed.status, wanted=wants_status
+        )
         feed.quota.reported_taken = report["taken"]
         feed.quota.reported_returned = report["returned"]
         feed.reported_loads = dict(report["loads"])
--- a/src/_arbutuswalk/relay/relay_state.py
+++ b/src/_arbutuswalk/relay/relay_state.py
@@ -14,6 +14,7 @@
 from _arbutuswalk.limits import quota_levels
 from _arbutuswalk.limits import retries
 from _arbutuswalk.relay import answer_buffers
+from _arbutuswalk.relay import endpoint_speeds
 from _arbutuswalk.relay import lateness
 from _arbutuswalk.relay import paths
 from _arbutuswalk.relay import permit_client
@@ -102,6 +103,7 @@
         directory: Known endpoints.
         own_loads: Load from this entry by endpoint.
         other_loads: Load from other entries by endpoint.
+        endpoint_speeds: Measured and known speeds of endpoints.
         stated_limits: Limits that endpoints state.
         invalid_leaving: Starts whose invalid statement was logged.
         permits: Permits for endpoints that state a limit.
@@ -166,6 +168,7 @@
         )
         self.own_loads: dict[str, Load] = {}
         self.other_loads: dict[str, Load] = {}
+        self.endpoint_speeds = endpoint_speeds.EndpointSpeeds()
         self.stated_limits = stated_limits.StatedLimits()
         self.invalid_leaving = leaving.LeavingStarts()
         self.permits = permit_client.PermitClient()
@@ -215,6 +218,13 @@
         if load.running or load.waiting_tokens:
             self.own_loads[endpoint] = load
 
+    def known_loads(self, endpoint: str) -> tuple[Load, Load]:
+        """Returns the loads of an endpoint from this and from other entries."""
+        return (
+            self.own_loads.get(endpoint, Load()),
+            self.other_loads.get(endpoint, Load()),
+        )
+
     def remove_unknown_endpoints(self) -> None:
         """Forgets when endpoints that are not in the directory failed."""
         for times in (
--- a/src/_arbutuswalk/relay/status_feeds.py
+++ b/src/_arbutuswalk/relay/status_feeds.py
@@ -12,6 +12,7 @@
 
 from _arbutuswalk.base import events
 from _arbutuswalk.relay import control_features
+from _arbutuswalk.relay import endpoint_speeds
 from _arbutuswalk.relay import leaving_endpoints
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.routing import directory
@@ -30,6 +31,7 @@
         received_at: When its last status was received, in seconds.
         unknown_ids: Endpoints of which it sent heartbeats only, and which this
             entry does not have.
+        speeds: Speeds of endpoints exchanged with it.
     """
 
     def __init__(self):
@@ -38,6 +40,7 @@
         self.revision = 0
         self.received_at = float("-inf")
         self.unknown_ids: set[str] = set()
+        self.speeds = endpoint_speeds.Feed()
 
 
 def is_wanted(
@@ -57,12 +60,14 @@
     return not has_near or now - feed.received_at >= FAR_INTERVAL_S
 
 
-def to_json(feed: StatusFeed, *, wanted: bool) -> dict[str, Any]:
+def to_json(
+    relay: relay_state.Relay, feed: StatusFeed, *, wanted: bool
+) -> dict[str, Any]:
     """Returns the part of a watch's report that asks for a status."""
     fields: dict[str, Any] = {"status_since": feed.revision if wanted else None}
     if feed.unknown_ids:
         fields["unknown"] = sorted(feed.unknown_ids)
-    return fields
+    return fields | endpoint_speeds.to_json(relay.endpoint_speeds, feed.speeds)
 
 
 def record_reply(
@@ -90,6 +95,9 @@
             events.record(events.Event.ENDPOINT_INVALID, source, heartbeat)
         elif not _apply_heartbeat(relay, heartbeat, source):
             feed.unknown_ids.add(heartbeat.id)
+    endpoint_speeds.record_reply(
+        relay.endpoint_speeds, feed.speeds, news, relay.now(), relay.metrics
+    )
     if "loads" in news:
         feed.revision = revision
         feed.received_at = relay.now()
--- a/testing/test_rollout_speed.py
+++ b/testing/test_rollout_speed.py
@@ -5,10 +5,12 @@
 import pytest
 import relay_fixtures
 import rollout_simulation
+import test_crashes
 import test_duties
 
 from _arbutuswalk.control import rollouts as control_rollouts
 from _arbutuswalk.relay import attempt_timing
+from _arbutuswalk.relay import placement
 from _arbutuswalk.relay import rollout_outcomes
 from _arbutuswalk.state import rollout_evidence
 from _arbutuswalk.state import rollout_policy
@@ -221,7 +223,11 @@
     relay.rollouts["ops"] = ["v2", state, 60, 1, 0]
     request = relay_fixtures.make_request(relay)
     timing = attempt_timing.AttemptTiming(
-        relay=relay, request=request, version=version
+        relay=relay,
+        request=request,
+        chosen=placement.Placement(
+            test_crashes.make_endpoint("e", version=version), 0
+        ),
     )
     for _ in range(20):
         for measure, took in (
@@ -263,7 +269,7 @@
         timing = make_timing(clock)
         timing.record_first_data()
         clock.now += attempt_timing.PACE_AFTER_S
-        timing.record_further_data(50)
+        timing.record_further_data(bytes(50))
         assert counts_of(timing).pace == [1, 1, 1]
         timing.record_end(ran=True, failed=False)
         assert counts_of(timing).pace == [1, 1, 1]
@@ -274,7 +280,7 @@
         timing = make_timing(clock)
         timing.record_first_data()
         clock.now += 0.05
-        timing.record_further_data(50)
+        timing.record_further_data(bytes(50))
         timing.record_end(ran=True, failed=False)
         assert counts_of(timing).pace == [1, 0, 0]
 
