Place model requests by the speed of endpoints

The expected time to the first event at an endpoint (tokens waiting, own uncached ones, running requests) is multiplied by its learned factor.

--- a/src/_arbutuswalk/relay/placement.py
+++ b/src/_arbutuswalk/relay/placement.py
@@ -228,6 +228,7 @@
         slots=row.endpoint.slots,
         near=row.endpoint.domain == relay.domain,
         doubtful=doubtful or relay.suspect_until.get(endpoint_id, 0.0) > now,
+        slowness=relay.endpoint_speeds.factor(row.endpoint, now),
     )
 
 
--- a/src/_arbutuswalk/routing/selection.py
+++ b/src/_arbutuswalk/routing/selection.py
@@ -37,6 +37,8 @@
         near: Whether it is in the entry's own failure domain.
         doubtful: Whether it failed recently and is to be used only as a last
             resort.
+        slowness: Time that it takes for the same work, relative to the typical
+            endpoint of the upstream.
     """
 
     id: str
@@ -45,6 +47,7 @@
     slots: int
     near: bool
     doubtful: bool
+    slowness: float = 1.0
 
 
 class PromptProfile(NamedTuple):
@@ -93,7 +96,8 @@
 def _least_loaded(usable: list[Candidate], draw: float) -> Candidate:
     def load_per_slot(candidate: Candidate) -> float:
         remote_load = 0.0 if candidate.near else REMOTE_DOMAIN_LOAD_REQUESTS
-        return (candidate.running + remote_load) / max(1, candidate.slots)
+        load = (candidate.running + remote_load) / max(1, candidate.slots)
+        return load * candidate.slowness
 
     lowest_load = min(map(load_per_slot, usable))
     least_loaded = [
@@ -139,15 +143,21 @@
     return min(ranked_choices)[2]
 
 
-def _delay_tokens(candidate: Candidate, tokens: int) -> int:
-    """Returns the expected time to read the prompt, in prompt tokens."""
+def _delay_tokens(candidate: Candidate, tokens: int) -> float:
+    """Returns the expected time to the first event.
+
+    Its unit is the time in which the typical endpoint reads a prompt token.
+    """
     queued_tokens = (
         max(0, candidate.running - candidate.slots)
         * RUNNING_REQUEST_DELAY_TOKENS
         * 4
     )
     running_tokens = candidate.running * RUNNING_REQUEST_DELAY_TOKENS
-    return candidate.waiting_tokens + tokens + running_tokens + queued_tokens
+    delay_tokens = (
+        candidate.waiting_tokens + tokens + running_tokens + queued_tokens
+    )
+    return delay_tokens * candidate.slowness
 
 
 def _uncached_tokens(
