Take no speed from answers in one piece

The time to the whole answer of a model request that gets no stream was counted as the time to read its prompt, though it contains the time to generate the answer. Only streams with more than one piece are measured now. The new test failed before.

--- a/src/_arbutuswalk/relay/attempt_speed.py
+++ b/src/_arbutuswalk/relay/attempt_speed.py
@@ -60,9 +60,10 @@
     def record_success(self) -> None:
         """Adds a sample of a stream that was complete.
 
-        A failed one may have been fast because nothing was generated.
+        A failed one may have been fast because nothing was generated. An answer
+        in one piece contains the time to generate it.
         """
-        if self.event_at is None:
+        if not self.gaps_s:
             return
         measures = endpoint_speed.Measures(
             self.read, endpoint_speed.measure_pace(self.gaps_s)
