Bench of placement by speed

bench/endpoint_speed.py holds the simulation of the tests and prints, for unknown, learned and known speeds, the times to the first event, the share of known speeds and the processor time of a decision. Tests find it by the root folder in pytest's path.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,11 +1,12 @@
-"""Runs the benchmarks of routing, moves, control and streams in turn."""
+"""Runs the benchmarks of routing, speeds, moves, control and streams."""
 
 from bench import control
+from bench import endpoint_speed
 from bench import moves
 from bench import routing
 from bench import streams
 
 if __name__ == "__main__":
-    for module in (routing, moves, control, streams):
+    for module in (routing, endpoint_speed, moves, control, streams):
         print(f"== {module.__name__}")
         module.main()
--- a/testing/speed_simulation.py
+++ b/bench/endpoint_speed.py
@@ -1,4 +1,6 @@
-"""Entries that place model requests side by side on simulated endpoints.
+"""Time to the first event from endpoints of different speed, simulated.
+
+Entries place model requests side by side.
 
 An endpoint works in steps: each generates a token of every running request and
 reads one chunk of the waiting prompts. Its speed is a factor of all its times;
@@ -10,6 +12,8 @@
 import heapq
 import itertools
 import random
+import statistics
+import time
 from typing import NamedTuple
 
 from _arbutuswalk.base import metrics
@@ -31,6 +35,13 @@
 STALL_SHARE = 0.15
 STALL_FACTOR = 2.5
 STALL_S = 0.6
+SPEEDS = (0.6, 1.0, 1.6)
+ENDPOINT_COUNT = 30
+SEED_COUNT = 3
+DURATION_S = 40.0
+WARM_UP_S = 10.0
+LOADS = (1.0, 1.5, 2.0)
+TIMED_DECISIONS = 3000
 
 
 class Kind(NamedTuple):
@@ -168,7 +179,6 @@
         self.entries = [Entry(f"n{i}") for i in range(entry_count)]
         self.control = speed_reports.SpeedReports()
         self.first_s = {kind: [] for kind in KINDS}
-        self.finished = 0
         for kind in KINDS:
             self._schedule_next(kind)
         for i, entry in enumerate(self.entries):
@@ -217,14 +227,17 @@
         profile = selection.PromptProfile(
             own_tokens + sum(tokens for _, tokens in parts), parts
         )
-        choice = selection.choose(
+        choice = self.choose(entry, profile)
+        entry.parts.record(parts[-1][0], choice.id, self.now)
+        self._send(entry, kind, profile, choice)
+
+    def choose(self, entry, profile):
+        return selection.choose(
             [self._candidate(entry, each) for each in self.engines.values()],
             profile,
-            entry.parts.endpoints_holding(parts[-1][0], self.now),
+            entry.parts.endpoints_holding(profile.parts[-1][0], self.now),
             (self.rng.random(), self.rng.random()),
         )
-        entry.parts.record(parts[-1][0], choice.id, self.now)
-        self._send(entry, kind, profile, choice)
 
     def _candidate(self, entry, engine):
         name = engine.endpoint.id
@@ -296,3 +309,71 @@
 def quantile(values, share):
     ordered = sorted(values)
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def simulate(*, load, seed, policy):
+    """Simulates one policy: speeds unknown, learned or known at once."""
+    slowness = [1 / SPEEDS[i % len(SPEEDS)] for i in range(ENDPOINT_COUNT)]
+    simulation = Simulation(
+        slowness=slowness, load=load, seed=seed, learns=policy == "learned"
+    )
+    if policy == "known":
+        for entry in simulation.entries:
+            entry.speeds.factor = lambda endpoint, now: (
+                simulation.engines[endpoint.id].slowness
+            )
+    simulation.run(DURATION_S)
+    return simulation
+
+
+def first_times(simulation):
+    """Returns the times to the first event after the warm-up."""
+    return [
+        took_s
+        for times in simulation.first_s.values()
+        for sent_at, took_s in times
+        if sent_at > WARM_UP_S
+    ]
+
+
+def time_decision(simulation):
+    """Returns the processor time of one decision, in microseconds."""
+    entry = simulation.entries[0]
+    profile = selection.PromptProfile(9000, (("a", 2000), ("b", 4000)))
+    started_at = time.process_time()
+    for _ in range(TIMED_DECISIONS):
+        simulation.choose(entry, profile)
+    return (time.process_time() - started_at) / TIMED_DECISIONS * 1e6
+
+
+def main():
+    rate = sum(kind.rate_per_s for kind in KINDS.values())
+    print(
+        f"{ENDPOINT_COUNT} endpoints of speeds {SPEEDS}, 60 entries;"
+        f" medians of {SEED_COUNT} seeds, ms to the first event"
+    )
+    for load in LOADS:
+        best_mean_s = None
+        for policy in ("known", "learned", "unknown"):
+            simulations = [
+                simulate(load=load, seed=seed, policy=policy)
+                for seed in range(1, 1 + SEED_COUNT)
+            ]
+            times = [first_times(simulation) for simulation in simulations]
+            mean_s = statistics.median(map(statistics.mean, times))
+            best_mean_s = best_mean_s or mean_s
+            p50_s, p99_s = (
+                statistics.median(quantile(each, share) for each in times)
+                for share in (0.5, 0.99)
+            )
+            print(
+                f"{load * rate:.0f}/s {policy:8} mean {mean_s * 1000:.0f}"
+                f" p50 {p50_s * 1000:.0f} p99 {p99_s * 1000:.0f}"
+                f" share of known {best_mean_s / mean_s:.2f}"
+                f" decision {time_decision(simulations[0]):.0f} us",
+                flush=True,
+            )
+
+
+if __name__ == "__main__":
+    main()
--- a/testing/test_endpoint_speed.py
+++ b/testing/test_endpoint_speed.py
@@ -5,7 +5,6 @@
 
 import pytest
 import relay_fixtures
-import speed_simulation
 import test_crashes
 import test_status_feeds
 
@@ -19,6 +18,7 @@
 from _arbutuswalk.routing import endpoint_speed
 from _arbutuswalk.routing import selection
 from _arbutuswalk.wire import speed_fields
+from bench import endpoint_speed as simulations
 
 SLOWNESS = {"slow": 1 / 0.6, "typical": 1.0, "fast": 1 / 1.6}
 GAP_S = 0.02
@@ -148,6 +148,11 @@
         timing.record_end(ran=ran, failed=True)
         assert not timing.relay.endpoint_speeds.samples
 
+    def test_an_answer_in_one_piece_is_not(self, timing, clock):
+        receive(timing, clock, 0)
+        timing.record_end(ran=True, failed=False)
+        assert not timing.relay.endpoint_speeds.samples
+
     def test_an_error_without_events_is_not(self, timing, clock):
         timing.start()
         clock.time += 0.001
@@ -333,7 +338,7 @@
 
 
 def first_times(slowness, *, learns, until):
-    simulation = speed_simulation.Simulation(
+    simulation = simulations.Simulation(
         slowness=slowness, entry_count=60, learns=learns
     )
     simulation.run(until)
@@ -354,8 +359,7 @@
         assert sum(after) / len(after) < 0.95 * sum(before) / len(before)
         for share in (0.9, 0.99):
             later, earlier = (
-                speed_simulation.quantile(times, share)
-                for times in (before, after)
+                simulations.quantile(times, share) for times in (before, after)
             )
             assert earlier < 0.95 * later
         for name, (_, steps) in simulation.control.table.items():
