--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -224,6 +224,10 @@
         "evacuation in force domain=%s state=%s step=%s source=%s",
     )
     CLIENT_REFUSED = (720, "client refused caller=%s status=%s reason=%s")
+    ENDPOINT_SPEED_CHANGED = (
+        706,
+        "endpoint speed changed endpoint=%s slowness=%s before=%s",
+    )
     HEAD_REFUSED = (683, "request head refused caller=%s status=%s reason=%s")
 
     @property
