Assume a warm-up after a failed connection, and forget old ones

What callers could see: an endpoint that is out of reach comes back and warms up, which only it knows until its next heartbeat; all entries that were waiting for it send at once.

Change: an entry that could not connect assumes a warm-up until an announcement says otherwise. Control forgets the warm-ups in its directory, as entries do; before, its table grew by each start that had warmed up.

--- a/src/_arbutuswalk/relay/crash_probes.py
+++ b/src/_arbutuswalk/relay/crash_probes.py
@@ -106,13 +106,13 @@
     if failure.is_path_failure:
         return
     relay.unreachable_at[endpoint.id] = relay.now()
+    # What accepts connections there next may have just started.
+    warm_up_limits.assume(relay, endpoint)
     if failure.refused:
         crashes.record_refused_connection(
             relay.crashes, directory.start_of(endpoint), relay.now()
         )
         resolve_suspects(relay)
-        # What listens there next has just started.
-        warm_up_limits.assume(relay, endpoint)
 
 
 def resolve_suspects(relay: relay_state.Relay) -> None:
--- a/src/_arbutuswalk/relay/stated_reports.py
+++ b/src/_arbutuswalk/relay/stated_reports.py
@@ -5,7 +5,6 @@
 from _arbutuswalk.relay import brittle_endpoints
 from _arbutuswalk.relay import endpoint_limits
 from _arbutuswalk.relay import relay_state
-from _arbutuswalk.relay import warm_up_limits
 
 
 def to_json(relay: relay_state.Relay) -> dict[str, Any]:
@@ -28,4 +27,3 @@
     """Forgets the statements of endpoints that are no longer known."""
     endpoint_limits.remove_unknown(relay)
     brittle_endpoints.remove_unknown(relay)
-    warm_up_limits.expire(relay)
--- a/src/_arbutuswalk/relay/warm_up_limits.py
+++ b/src/_arbutuswalk/relay/warm_up_limits.py
@@ -109,14 +109,6 @@
         _record_event(relay, after, after.cold_s, source)
 
 
-def expire(relay: relay_state.Relay) -> None:
-    """Forgets the warm-ups of endpoints that are in full use or unknown."""
-    if relay.directory.warm_ups.ends_at:
-        relay.directory.warm_ups.expire(
-            directory.known_starts(relay.directory), relay.now()
-        )
-
-
 def _record_event(
     relay: relay_state.Relay,
     endpoint: directory.Endpoint,
--- a/src/_arbutuswalk/routing/directory.py
+++ b/src/_arbutuswalk/routing/directory.py
@@ -204,8 +204,10 @@
 
 
 def expire_leaving(directory: Directory, now: float) -> None:
-    """Forgets the old statements of starts that are not in the directory."""
-    directory.leaving_starts.expire(now, known_starts(directory))
+    """Forgets old statements of starts not in the directory, and warm-ups."""
+    known = known_starts(directory)
+    directory.leaving_starts.expire(now, known)
+    directory.warm_ups.expire(known, now)
 
 
 def known_starts(directory: Directory) -> set[leaving.Start]:
--- a/testing/test_warm_ups.py
+++ b/testing/test_warm_ups.py
@@ -9,6 +9,7 @@
 
 from _arbutuswalk.limits import permits
 from _arbutuswalk.relay import control_features
+from _arbutuswalk.relay import crash_probes
 from _arbutuswalk.relay import leaving_endpoints
 from _arbutuswalk.relay import permit_client
 from _arbutuswalk.relay import placement
@@ -17,6 +18,7 @@
 from _arbutuswalk.routing import leaving
 from _arbutuswalk.routing import warm_ups
 from _arbutuswalk.state import routeconfig
+from _arbutuswalk.streams import pool
 from _arbutuswalk.wire import codec
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
@@ -75,6 +77,8 @@
             for i, left_s in enumerate([0.0, 3.0, 1.8, 3.0, 0.0])
         ]
         assert changes == [True, True, False, True, False]
+        directory.expire_leaving(known, 4.0 + warm_ups.SLOW_START_S)
+        assert not known.warm_ups.ends_at
 
     def test_an_older_announcement_changes_no_warm_up(self):
         known = directory.Directory()
@@ -179,6 +183,16 @@
         assert warm_up_limits.needs_other_permit(*args, valid_until - 1.0, 0.0)
         assert warm_up_limits.needs_other_permit(*args, None, 0.0)
 
+    @pytest.mark.parametrize("is_path_failure", [True, False])
+    def test_an_unreachable_endpoint_may_warm_up(self, is_path_failure):
+        relay = make_relay(left_s=0.0)
+        failure = pool.NotOpened(
+            reason="t", refused=False, is_path_failure=is_path_failure
+        )
+        crash_probes.record_not_opened(relay, ENDPOINT, failure)
+        is_limited = warm_up_limits.rate(relay, ENDPOINT) is not None
+        assert is_limited != is_path_failure
+
     def test_an_endpoint_that_was_hard_to_reach_may_warm_up(self):
         relay = make_relay(left_s=0.0)
         assert not warm_up_limits.needs_other_permit(relay, ENDPOINT, None, 0.4)
