Send slow repeatable requests to a second endpoint

Callers of repeatable requests waited for single slow endpoints up to their deadline; the operators accept some extra work if it cuts the slowest answers.

Change: with the new setting extra_attempts (a share of the requests of a route, 0 without it) an entry sends a request that has no answer after the usual time once more, to an endpoint with a free place, and cancels the attempt that is slower. limits.hedging decides without a network, relay.hedged_attempts runs the pair. Streams, non-idempotent routes, rollouts and contention are left out; see docs/design/hedging.md.

Tests: test_hedging, 27 pass; with relay, cancellation, silence, retry, platform front, settings, stop and decision tests 467 pass.

--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -185,6 +185,11 @@
         684,
         "caller connection timed out caller=%s busy=%s write_paused=%s",
     )
+    ATTEMPT_OVERTAKEN = (
+        689,
+        "attempt overtaken request=%s endpoint=%s by=%s after_ms=%s"
+        " extra_won=%s",
+    )
     PATH_LOST = (
         690,
         "path to endpoints lost reason=%s endpoints=%s peers=%s",
--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -150,7 +150,7 @@
             priority=min(LOWEST_PRIORITY, self.request.priority),
         )
         data = self.relay.dialect.encode(self.request, options)
-        self.delivery.on_caller_left = self.exchange.changed.set
+        self.delivery.on_caller_left.append(self.exchange.changed.set)
         self.delivery.may_have_run = True
         endpoint_limits.record_sent(self.relay, self.endpoint)
         connection.send_request(data, self.exchange)
--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -383,6 +383,7 @@
         return
     quota_buckets.update(relay, config, is_first_config=not relay.route_table)
     relay.route_table = routetable.RouteTable(config=config)
+    relay.hedging.keep_routes({route.name for route in config.routes})
     events.record(events.Event.ROUTES_IN_FORCE, config.version, before, source)
 
 
--- a/src/_arbutuswalk/relay/delivery.py
+++ b/src/_arbutuswalk/relay/delivery.py
@@ -6,6 +6,8 @@
 if the stream cannot be continued anyway.
 """
 
+from collections.abc import Callable
+
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import sse
@@ -29,7 +31,8 @@
         framer: Splits the current attempt's data into events.
         inside_event: Whether a part of the current event has been sent.
         may_have_run: Whether an endpoint may have run the request.
-        on_caller_left: Called when the caller closes the connection.
+        on_caller_left: Called when the caller closes the connection, by the
+            attempts that are running or have run.
     """
 
     def __init__(
@@ -51,12 +54,13 @@
         self.framer = framing.Framer()
         self.inside_event = False
         self.may_have_run = False
-        self.on_caller_left = lambda: None
+        self.on_caller_left: list[Callable[[], None]] = []
 
     def mark_caller_left(self) -> None:
         """Records that the caller has closed the connection."""
         self.caller_left = True
-        self.on_caller_left()
+        for notify in self.on_caller_left:
+            notify()
 
     def is_continuation(self, status: int, headers: replies.Headers) -> bool:
         """Returns whether an answer can continue the stream that was begun.
--- a/src/_arbutuswalk/relay/relay_state.py
+++ b/src/_arbutuswalk/relay/relay_state.py
@@ -9,6 +9,7 @@
 
 from _arbutuswalk.base import clock
 from _arbutuswalk.base import metrics
+from _arbutuswalk.limits import hedging
 from _arbutuswalk.limits import pauses
 from _arbutuswalk.limits import quota
 from _arbutuswalk.limits import quota_levels
@@ -51,6 +52,8 @@
         usage_window_s: Length of a usage window.
         quota: Permitted inaccuracy of quotas.
         heartbeat_s: Heartbeat interval of endpoints.
+        extra_attempts: Second attempts that are made while the first one is
+            running, as a share of the requests of a route; 0 for none.
     """
 
     retry_ratio: float
@@ -59,6 +62,7 @@
     usage_window_s: float
     quota: quota_levels.QuotaTolerance
     heartbeat_s: float
+    extra_attempts: float = 0.0
 
 
 class Load(NamedTuple):
@@ -120,6 +124,7 @@
         unreachable_at: When a connection to an endpoint last failed, by id.
         suspect_until: Time until which an endpoint is used last, by id.
         retry_windows: Retry window by upstream.
+        hedging: When requests are sent to a second endpoint meanwhile.
         quota_buckets: Quota bucket by workspace.
         usage: Started requests by window and workspace.
         rollout_outcomes: Outcomes of the versions of rollouts.
@@ -183,6 +188,9 @@
         self.unreachable_at: dict[str, float] = {}
         self.suspect_until: dict[str, float] = {}
         self.retry_windows: dict[str, retries.RetryWindow] = {}
+        self.hedging = hedging.Hedging(
+            share=options.extra_attempts, rng=self.rng
+        )
         self.quota_buckets: dict[str, quota.Bucket] = {}
         self.usage = usage.Usage(window_s=options.usage_window_s)
         self.rollout_outcomes = rollout_outcomes.RolloutOutcomes()
--- a/src/_arbutuswalk/relay/relaying.py
+++ b/src/_arbutuswalk/relay/relaying.py
@@ -6,9 +6,9 @@
 
 from _arbutuswalk.base import events
 from _arbutuswalk.relay import admission
-from _arbutuswalk.relay import attempts
 from _arbutuswalk.relay import connection_limits
 from _arbutuswalk.relay import delivery
+from _arbutuswalk.relay import hedged_attempts
 from _arbutuswalk.relay import leaving_endpoints
 from _arbutuswalk.relay import permitted_placement
 from _arbutuswalk.relay import placement
@@ -91,13 +91,9 @@
                 endpoint_id,
                 caller_delivery.last_event,
             )
-        attempt = attempts.Attempt(
-            relay=relay,
-            caller_delivery=caller_delivery,
-            chosen=chosen,
-            retry=retry,
+        result, endpoint_id = await hedged_attempts.run(
+            relay, caller_delivery, chosen, retry
         )
-        result = await attempt.run()
         retry.record_result(result)
         caller_delivery.may_have_run = retry.tally.runs > 0
         if isinstance(result, results.Answered):
