--- a/src/_arbutuswalk/relay/delivery.py
+++ b/src/_arbutuswalk/relay/delivery.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 from _arbutuswalk.base import events
 from _arbutuswalk.relay import answer_buffers
@@ -37,7 +38,8 @@
         framer: Splits the current attempt's data into events.
         inside_event: Whether a part of the current event has been sent.
         may_have_run: Whether an endpoint may have run the request.
-        on_caller_left: Called when the caller closes the connection.
+        on_caller_left: Called when the caller closes the connection, by the
+            attempts that are running or have run.
     """
 
     def __init__(
@@ -59,12 +61,13 @@
         self.framer = framing.Framer()
         self.inside_event = False
         self.may_have_run = False
-        self.on_caller_left = lambda: None
+        self.on_caller_left: list[Callable[[], None]] = []
 
     def mark_caller_left(self) -> None:
         """Records that the caller has closed the connection."""
         self.caller_left = True
-        self.on_caller_left()
+        for notify in self.on_caller_left:
+            notify()
 
     def is_continuation(self, status: int, headers: replies.Headers) -> bool:
         """Returns whether an answer can continue the stream that was begun.
--- a/src/_arbutuswalk/relay/relay_state.py
+++ b/src/_arbutuswalk/relay/relay_state.py
@@ -10,6 +10,7 @@
 from _arbutuswalk.base import capacities
 from _arbutuswalk.base import clock
 from _arbutuswalk.base import metrics
+from _arbutuswalk.limits import hedging
 from _arbutuswalk.limits import pauses
 from _arbutuswalk.limits import quota
 from _arbutuswalk.limits import quota_levels
@@ -55,6 +56,8 @@
         quota: Permitted inaccuracy of quotas.
         heartbeat_s: Heartbeat interval of endpoints.
         capacity: What this process may use of its instance.
+        extra_attempts: Second attempts that are made while the first one is
+            running, as a share of the requests of a route; 0 for none.
     """
 
     retry_ratio: float
@@ -64,6 +67,7 @@
     quota: quota_levels.QuotaTolerance
     heartbeat_s: float
     capacity: capacities.Capacity = capacities.Capacity()
+    extra_attempts: float = 0.0
 
 
 class Load(NamedTuple):
@@ -126,6 +130,7 @@
         unreachable_at: When a connection to an endpoint last failed, by id.
         suspect_until: Time until which an endpoint is used last, by id.
         retry_windows: Retry window by upstream.
+        hedging: When requests are sent to a second endpoint meanwhile.
         quota_buckets: Quota bucket by workspace.
         usage: Started requests by window and workspace.
         rollout_outcomes: Outcomes of the versions of rollouts.
@@ -191,6 +196,9 @@
         self.unreachable_at: dict[str, float] = {}
         self.suspect_until: dict[str, float] = {}
         self.retry_windows: dict[str, retries.RetryWindow] = {}
+        self.hedging = hedging.Hedging(
+            share=options.extra_attempts, rng=self.rng
+        )
         self.quota_buckets: dict[str, quota.Bucket] = {}
         self.usage = usage.Usage(window_s=options.usage_window_s)
         self.rollout_outcomes = rollout_outcomes.RolloutOutcomes()
