--- a/src/_arbutuswalk/routing/endpoint_speed.py
+++ b/src/_arbutuswalk/routing/endpoint_speed.py
@@ -8,6 +8,7 @@
 
 import math
 import statistics
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 from typing import NamedTuple
@@ -41,6 +42,10 @@
 prompts all the time, which makes their pace several times as slow."""
 MIN_ERRORS = 3.0
 """The least such ratio, in standard errors of one endpoint's estimate."""
+MAX_PACE_ERROR = 0.2
+"""Standard error of the pace from which it is the load that differs, if a
+quarter of the endpoints have it: their pace has two values, with and without
+prompts to read. Stalls alone do not reach it from 20 samples on."""
 MIN_ERROR = 0.05
 """Least standard error assumed, on the logarithmic scale. Samples of one
 endpoint share its load."""
@@ -151,12 +156,13 @@
     }
     if len(combined) < MIN_ENDPOINTS:
         return {}
-    spread = _spread(combined.values())
-    if spread > math.log(MAX_SPREAD):
-        return None
+    lower, _, upper = _quartiles(each.value for each in combined.values())
     error = statistics.median(each.error for each in combined.values())
+    spread = upper - lower
     if spread < max(math.log(MIN_SPREAD), MIN_ERRORS * error):
         return {}
+    if spread > math.log(MAX_SPREAD) or _varies(by_measure[-1].values()):
+        return None
     return {
         endpoint: _factor(estimate)
         for endpoint, estimate in combined.items()
@@ -164,11 +170,15 @@
     }
 
 
-def _spread(estimates: Iterable[_Estimate]) -> float:
-    lower, _, upper = statistics.quantiles(
-        [each.value for each in estimates], n=4
-    )
-    return upper - lower
+def _varies(paces: Collection[_Estimate]) -> bool:
+    """Returns whether the paces of a quarter of the endpoints vary."""
+    if len(paces) < MIN_ENDPOINTS:
+        return False
+    return _quartiles(each.error for each in paces)[2] > MAX_PACE_ERROR
+
+
+def _quartiles(values: Iterable[float]) -> list[float]:
+    return statistics.quantiles(values, n=4)
 
 
 def _factor(estimate: _Estimate) -> float:
@@ -207,7 +217,7 @@
 
 def _estimate(values: list[int]) -> _Estimate:
     """Returns the median, which stalls and some cached prompts don't move."""
-    lower, median, upper = statistics.quantiles(values, n=4)
+    lower, median, upper = _quartiles(values)
     deviation = (upper - lower) * QUARTILES_TO_DEVIATION
     error = MEDIAN_ERROR * deviation / math.sqrt(len(values))
     return _Estimate(median / LOG_STEPS, max(MIN_ERROR, error / LOG_STEPS))
