--- a/testing/test_endpoint_speed.py
+++ b/testing/test_endpoint_speed.py
@@ -1,11 +1,13 @@
 """Speeds of endpoints: measured, compared, exchanged and used, without I/O."""
 
+import asyncio
 import math
 import random
 
 import pytest
 import relay_fixtures
 import test_crashes
+import test_relay
 import test_status_feeds
 
 from _arbutuswalk.base import metrics
@@ -17,6 +19,7 @@
 from _arbutuswalk.routing import directory
 from _arbutuswalk.routing import endpoint_speed
 from _arbutuswalk.routing import selection
+from _arbutuswalk.state import routeconfig
 from _arbutuswalk.wire import speed_fields
 from bench import endpoint_speed as simulations
 
@@ -168,6 +171,32 @@
         assert not timing.relay.endpoint_speeds.samples
 
 
+class TestRelayedStreams:
+    async def test_the_gaps_of_a_relayed_stream_are_measured(self):
+        relay = relay_fixtures.make_relay(
+            relay_fixtures.make_config(
+                relay_fixtures.make_route(kind=routeconfig.STREAM)
+            )
+        )
+
+        async def stream(head, writer):
+            await relay_fixtures.send_stream((1, "a"), end=False)(head, writer)
+            for _ in range(5):
+                await asyncio.sleep(GAP_S)
+                writer.write(b"9\r\ndata: x\n\n\r\n")
+            writer.write(b"0\r\n\r\n")
+
+        await test_relay.relay_to(
+            relay,
+            relay_fixtures.ScriptedEndpoint(stream),
+            prompt=requests.Prompt("m", 1000, 30, ()),
+        )
+        (sample,) = relay.endpoint_speeds.samples
+        assert sample.endpoint_id == "e1"
+        assert sample.measures.pace >= 100 * math.log(GAP_S / 2)
+        assert sample.measures.read is not None
+
+
 class TestReports:
     """One entry that reports to a control process."""
 
