--- a/testing/client_crowds.py
+++ b/testing/client_crowds.py
@@ -93,6 +93,48 @@
         await process_fixtures.wait_until(is_answered)
 
 
+class ChatCluster(process_fixtures.Cluster):
+    """A cluster of the chat front with lowered limits.
+
+    Attributes:
+        extra: Settings of the entries that state the limits.
+    """
+
+    extra = {"memory_mb": MEMORY_MB, "descriptors": DESCRIPTORS}
+
+    def start_entry(self, i):
+        process = self.process_group.start(
+            f"entry-{i}",
+            "arbutuswalk-entry",
+            {
+                "id": f"entry-{i}",
+                "address": self.entry_addresses[i],
+                "link_address": self.link_addresses[i],
+                "domain": f"d{i + 1}",
+                "control": self.control_addresses,
+                **self.extra,
+            },
+        )
+        limit = (ADDRESS_SPACE_BYTES, ADDRESS_SPACE_BYTES)
+        resource.prlimit(process.pid, resource.RLIMIT_AS, limit)
+
+    async def assert_serves(self, address):
+        """Checks that one ordinary request is answered."""
+        timeout = aiohttp.ClientTimeout(total=2)
+
+        async def is_answered():
+            url = f"http://{address}/v1/entries"
+            try:
+                async with aiohttp.request(
+                    "GET", url, timeout=timeout
+                ) as response:
+                    return response.status == 200
+            except (aiohttp.ClientError, TimeoutError):
+                return False
+
+        await process_fixtures.wait_until(is_answered)
+
+
 class Use(NamedTuple):
     """What a process has used.
 
--- a/testing/test_client_crowds.py
+++ b/testing/test_client_crowds.py
@@ -8,6 +8,8 @@
 
 CALLERS, READINESS, METRICS = "callers", "readiness", "metrics"
 OPERATORS, LOOKUPS = "operators", "lookups"
+ANNOUNCE = "/v1/upstreams/announce"
+SERVICE = "/v1/services/plain"
 REPLACE = "/v1/Configuration.Replace"
 READY = "/v1/readiness"
 RESOLUTION = "/v1/resolution?name=h.example"
@@ -56,6 +58,14 @@
     """Lets a crowd send, and checks the process beside and after it."""
     address = address_of(cluster, listener)
     process = cluster.processes[address[0]]
+
+    async def assert_serves():
+        await cluster.assert_serves(address[0])
+
+    await check_process(process, address, pieces, assert_serves, **options)
+
+
+async def check_process(process, address, pieces, assert_serves, **options):
     async with client_crowds.Crowd(address, pieces, **options):
         await asyncio.sleep(client_crowds.STANDSTILL_S)
         used_by_crowd = client_crowds.measure(process)
@@ -63,8 +73,8 @@
         assert used_by_crowd is not None
         assert used_by_crowd.peak_mb < client_crowds.MEMORY_MB
         assert used_by_crowd.descriptors < client_crowds.DESCRIPTORS
-        await cluster.assert_serves(address[0])
-    await cluster.assert_serves(address[0])
+        await assert_serves()
+    await assert_serves()
     used = client_crowds.measure(process)
     assert used is not None
     assert used.peak_mb < client_crowds.MEMORY_MB
@@ -171,3 +181,44 @@
             client_crowds.nothing,
             clients=client_crowds.DESCRIPTORS + 100,
         )
+
+
+class TestChatFront:
+    @pytest.mark.parametrize(
+        ("pieces", "clients"),
+        [
+            (lambda: client_crowds.endless_chunks("/v1/entries"), None),
+            (lambda: client_crowds.endless_chunks(ANNOUNCE), None),
+            (lambda: client_crowds.unfinished_body(SERVICE), MANY_CLIENTS),
+            (lambda: client_crowds.requests_ahead("/v1/entries"), None),
+            (lambda: client_crowds.requests_ahead("/metrics"), None),
+            (lambda: client_crowds.unfinished_head("/metrics"), MANY_HEADS),
+            (client_crowds.nothing, client_crowds.DESCRIPTORS + 100),
+        ],
+        ids=[
+            "body not read",
+            "body read",
+            "unfinished bodies",
+            "requests ahead",
+            "metrics ahead",
+            "unfinished heads",
+            "idle",
+        ],
+    )
+    async def test_clients_over_the_limits(
+        self, process_group, pieces, clients
+    ):
+        cluster = client_crowds.ChatCluster(process_group)
+        try:
+            await cluster.start_all(entry_count=1)
+            address = cluster.entry_addresses[0]
+            host, _, port = address.rpartition(":")
+            await check_process(
+                process_group.processes["entry-0"],
+                (host, int(port)),
+                pieces,
+                lambda: cluster.assert_serves(address),
+                clients=clients or client_crowds.CLIENTS,
+            )
+        finally:
+            await cluster.client.stop()
