Bound what clients of the chat front hold

The connections of the platform's listeners move to wire/http_connections.py, and the chat front uses them with an account of its own. Its settings may state memory_mb and descriptors.

--- a/src/_arbutuswalk/entry/main.py
+++ b/src/_arbutuswalk/entry/main.py
@@ -19,16 +19,16 @@
 from _arbutuswalk.entry import entry_state
 from _arbutuswalk.entry import link_handler
 from _arbutuswalk.entry import maintenance
+from _arbutuswalk.limits import client_memory
 from _arbutuswalk.routing import upstreams
 from _arbutuswalk.state import commands
 from _arbutuswalk.state import entries
+from _arbutuswalk.wire import http_connections
 from _arbutuswalk.wire import link
 
 UPSTREAM_IDLE_TIMEOUT_S = 4.0
 """How long an idle connection to an upstream is kept for reuse."""
-CALLER_IDLE_TIMEOUT_S = 75
 STATE_COMMAND_TIMEOUT_S = 3.0
-LISTEN_BACKLOG = 2048
 
 FIELDS = (
     settings.Field("id", "a name", settings.is_non_empty_string),
@@ -58,6 +58,18 @@
         float(app.ENTRY_LIST_TTL_S),
     ),
     settings.Field("drain_limit_s", "seconds", settings.is_positive, 3600.0),
+    settings.Field(
+        "memory_mb",
+        "MiB that the process may use",
+        settings.is_non_negative,
+        0,
+    ),
+    settings.Field(
+        "descriptors",
+        "a whole number, 0 for the system's limit",
+        settings.is_non_negative_int,
+        0,
+    ),
     settings.Field(
         "log_level", "an absl log level", settings.is_non_empty_string, "info"
     ),
@@ -108,6 +120,12 @@
     )
     await link_server.start()
     host, _, port = setting_values["address"].rpartition(":")
+    account = client_memory.Account(
+        limits=client_memory.derive_limits(
+            setting_values["memory_mb"], setting_values["descriptors"]
+        ),
+        count=entry.metrics.count,
+    )
     config = uvicorn.Config(
         app.make_app(entry),
         host=host,
@@ -115,8 +133,9 @@
         log_config=None,
         access_log=False,
         lifespan="off",
-        timeout_keep_alive=CALLER_IDLE_TIMEOUT_S,
-        backlog=LISTEN_BACKLOG,
+        http=http_connections.make_factory(account),
+        ws="none",
+        backlog=account.limits.backlog,
         server_header=False,
     )
     server = Server(config)
--- a/testing/test_request_heads.py
+++ b/testing/test_request_heads.py
@@ -7,11 +7,12 @@
 import relay_fixtures
 import test_platform_front
 from arbutuswalk_platform import entry
-from arbutuswalk_platform import server
 
 from _arbutuswalk.base import events
 from _arbutuswalk.relay import control_watch
 from _arbutuswalk.state import routeconfig
+from _arbutuswalk.wire import client_connections
+from _arbutuswalk.wire import http_connections
 
 VALID_REQUEST = test_platform_front.VALID_REQUEST
 MAX_BYTES = 1000
@@ -116,7 +117,7 @@
         ) as running_entry:
             data, took_s = await send(running_entry, *pieces)
             assert_refused(data, 431)
-            assert took_s < server.LINGER_S + LATENESS_S
+            assert took_s < client_connections.LINGER_S + LATENESS_S
             assert refused_statuses(logged) == [431]
             assert not running_entry.endpoint.request_heads
 
@@ -290,10 +291,15 @@
     async def test_defaults_hold_without_limits(self):
         relay = relay_fixtures.make_relay(make_config(0, 0.0))
         limits = entry.connection_limits(relay)
-        assert limits.max_header_bytes == server.DEFAULT_MAX_HEADER_BYTES
-        assert limits.head_timeout_s == server.DEFAULT_HEAD_TIMEOUT_S
+        assert (
+            limits.max_header_bytes == http_connections.DEFAULT_MAX_HEADER_BYTES
+        )
+        assert limits.head_timeout_s == http_connections.DEFAULT_HEAD_TIMEOUT_S
         relay.route_table = None
-        assert entry.connection_limits(relay) == server.ConnectionLimits()
+        assert (
+            entry.connection_limits(relay)
+            == http_connections.ConnectionLimits()
+        )
 
     async def test_a_stored_configuration_without_head_limits_is_read(self):
         values = routeconfig.to_json(make_config())
