--- a/src/_arbutuswalk/wire/client_connections.py
+++ b/src/_arbutuswalk/wire/client_connections.py
@@ -10,11 +10,11 @@
 from collections.abc import Callable
 from typing import Any
 
-from uvicorn.protocols.http import flow_control
 from uvicorn.protocols.http import httptools_impl
 
 from _arbutuswalk.base import events
 from _arbutuswalk.limits import client_memory
+from _arbutuswalk.wire import read_flow
 
 MAX_UNPARSED_BYTES = 16 * 1024
 """Bytes of requests sent ahead over which a connection reads no more."""
@@ -37,19 +37,8 @@
 """Charge of a byte of an unread answer: the application may hold it, too."""
 
 
-class _Flow(flow_control.FlowControl):
-    """Flow control that can keep a connection from being read.
-
-    Attributes:
-        holds_reading: Whether the connection must not be read.
-    """
-
-    holds_reading = False
-
-    def resume_reading(self) -> None:
-        """Resumes reading, unless the connection must not be read."""
-        if not self.holds_reading:
-            super().resume_reading()
+class HeaderLimitExceededError(Exception):
+    """The headers of a request are too large."""
 
 
 class ClientConnection(httptools_impl.HttpToolsProtocol):
@@ -58,6 +47,7 @@
     Attributes:
         account: What all connections of the process hold.
         held_bytes: Charge of this connection.
+        max_header_bytes: Maximum size of the headers of the current head.
         max_body_bytes: Returns the maximum size of a request's body.
         body_timeout_s: Returns the time in which a part of a body must arrive.
         unparsed: Received bytes, of which those from ``unparsed_from`` on
@@ -81,6 +71,7 @@
         self,
         *,
         account: client_memory.Account,
+        max_header_bytes: int,
         max_body_bytes: Callable[[], int],
         body_timeout_s: Callable[[], float],
         **options: Any,
@@ -88,6 +79,7 @@
         super().__init__(**options)
         self.account = account
         self.held_bytes = 0
+        self.max_header_bytes = max_header_bytes
         self.max_body_bytes = max_body_bytes
         self.body_timeout_s = body_timeout_s
         self.unparsed = b""
@@ -117,7 +109,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Opens the connection if there is room for it."""
         super().connection_made(transport)
-        self.flow = _Flow(transport)
+        self.flow = read_flow.ReadFlow(transport)
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         if not self.account.open(self):
             self.refuse(STATUS_UNAVAILABLE, "too many connections")
@@ -166,9 +158,11 @@
         self.body_left = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header."""
-        super().on_header(name, value)
+        """Stores a header, up to the limit for all headers together."""
         self.header_bytes += len(name) + len(value) + HEADER_SEPARATOR_BYTES
+        if self.header_bytes > self.max_header_bytes:
+            raise HeaderLimitExceededError
+        super().on_header(name, value)
         if len(name) == len(LENGTH_HEADER) and name.lower() == LENGTH_HEADER:
             self.body_left = int(value) if value.strip().isdigit() else 0
 
@@ -314,7 +308,11 @@
         if not self.reading_head and self.body_left > 0:
             return min(len(data), position + self.body_left)
         index = data.find(HEAD_END, position)
-        return len(data) if index < 0 else index + len(HEAD_END)
+        if index < 0:
+            return len(data)
+        end = index + len(HEAD_END)
+        # What follows is a body that needs no piece of its own.
+        return len(data) if data.find(HEAD_END, end) < 0 else end
 
     def _keep(self, data: bytes, position: int) -> None:
         """Keeps unparsed data, and stops reading if it is too much."""
--- a/src/_arbutuswalk/wire/http_connections.py
+++ b/src/_arbutuswalk/wire/http_connections.py
@@ -60,10 +60,6 @@
     return pipelined is not None and pipelined.is_waiting
 
 
-class HeaderLimitExceededError(Exception):
-    """The headers of a request are too large."""
-
-
 class HttpConnection(client_connections.ClientConnection):
     """An HTTP connection that limits idle times and the heads of requests.
 
@@ -71,7 +67,6 @@
 
     Attributes:
         limits: Returns the limits in force.
-        max_header_bytes: Limit in force when the current head began.
         is_head_only: Whether the data that is parsed contains only a head.
         head_bytes: Received bytes of a head that is not complete.
         head_timer: Limits the time of a head; None while there is none.
@@ -89,6 +84,7 @@
         default_body_bytes = account.limits.max_body_bytes
         super().__init__(
             account=account,
+            max_header_bytes=limits().max_header_bytes,
             max_body_bytes=lambda: (
                 limits().max_body_bytes or default_body_bytes
             ),
@@ -96,7 +92,6 @@
             **options,
         )
         self.limits = limits
-        self.max_header_bytes = limits().max_header_bytes
         self.is_head_only = True
         self.head_bytes = 0
         self.head_timer: asyncio.TimerHandle | None = None
@@ -161,13 +156,7 @@
         """Adds a part of the URL, up to the limit of a request line."""
         super().on_url(url)
         if len(self.url) > self.max_head_bytes:
-            raise HeaderLimitExceededError
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header, up to the limit for all headers together."""
-        super().on_header(name, value)
-        if self.header_bytes > self.max_header_bytes:
-            raise HeaderLimitExceededError
+            raise client_connections.HeaderLimitExceededError
 
     def on_headers_complete(self) -> None:
         """Ends the head of a request."""
