Let endpoints that warm up take their part of the requests

Cause: the preference for endpoints in full use. The limit alone protects those that warm up.

Change: half of the requests consider an endpoint that warms up, all of them 3 s after its end; the slots in use decide nothing any more.

Endpoints of a domain that is opened again are assumed to warm up until they announce that they do not. A background task is referenced while it runs, so that one place serves watches, too.

--- a/src/_arbutuswalk/base/background.py
+++ b/src/_arbutuswalk/base/background.py
@@ -7,10 +7,15 @@
 
 from _arbutuswalk.base import events
 
+_running: set[asyncio.Task] = set()
+"""References to the tasks, as the event loop keeps weak ones only."""
+
 
 def start(name: str, coroutine: Coroutine) -> asyncio.Task:
     """Starts a task that is not expected to end with an error."""
     task = asyncio.ensure_future(coroutine)
+    _running.add(task)
+    task.add_done_callback(_running.discard)
     task.add_done_callback(lambda ended: _log_end(name, ended))
     return task
 
--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -367,12 +367,11 @@
             "peers": entry_paths.peers_of(
                 wanted.peers_of, self.reachable_entries
             ),
-            **watch_updates.orders(tables),
+            **watch_updates.common_parts(tables),
             "taken": self.quota_use.totals,
             "returned": self.quota_returned.totals,
             "pools": self._shared_pools() if has_share else {},
             **{k: t.to_json(now) for k, t in self._stated_tables().items()},
-            **watch_updates.FEATURES,
             "is_settled": self.is_settled(),
             "entries": max(1, counts.known)
             if self.is_settled()
--- a/src/_arbutuswalk/control/watch_updates.py
+++ b/src/_arbutuswalk/control/watch_updates.py
@@ -13,9 +13,6 @@
 from _arbutuswalk.routing import directory as directories
 from _arbutuswalk.state import tables as rows
 
-FEATURES = {"warm_up_permits": True}
-"""What the sender of a reply can do that its other parts do not show."""
-
 
 class Wanted(NamedTuple):
     """What an entry asks for in a watch.
@@ -59,9 +56,17 @@
     )
 
 
-def orders(tables: rows.Tables) -> dict[str, Any]:
-    """Returns what operators ordered, other than the route configuration."""
-    return {"rollouts": tables.rollouts, "evacuations": tables.evacuations}
+def common_parts(tables: rows.Tables) -> dict[str, Any]:
+    """Returns what every reply contains: operators' orders, and a feature.
+
+    ``warm_up_permits`` says that the sender issues such permits, which its
+    other parts do not show.
+    """
+    return {
+        "rollouts": tables.rollouts,
+        "evacuations": tables.evacuations,
+        "warm_up_permits": True,
+    }
 
 
 def parts(
--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import statistics
-from collections.abc import Awaitable
 from typing import Any
 
 from _arbutuswalk.base import background
@@ -140,7 +139,7 @@
             if timed_out and address not in self.seeds:
                 del self.feeds[address]
                 feed.task.cancel()
-                _run_in_background(feed.link.stop())
+                background.start("link stop", feed.link.stop())
         self._expire_endpoints(now)
         self.relay.remove_unknown_endpoints()
         stated_reports.remove_unknown(self.relay)
@@ -391,13 +390,3 @@
     relay.route_table = routetable.RouteTable(config=config)
     relay.hedging.keep_routes({route.name for route in config.routes})
     events.record(events.Event.ROUTES_IN_FORCE, config.version, before, source)
-
-
-_background_tasks: set[asyncio.Task] = set()
-
-
-def _run_in_background(coroutine: Awaitable[None]) -> None:
-    """Runs a coroutine, keeping a reference to its task until it is done."""
-    task = asyncio.ensure_future(coroutine)
-    _background_tasks.add(task)
-    task.add_done_callback(_background_tasks.discard)
--- a/src/_arbutuswalk/relay/evacuations.py
+++ b/src/_arbutuswalk/relay/evacuations.py
@@ -9,6 +9,7 @@
 from _arbutuswalk.base import events
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
+from _arbutuswalk.relay import warm_up_limits
 from _arbutuswalk.routing import directory
 from _arbutuswalk.routing import evacuations
 
@@ -26,6 +27,18 @@
                 events.Event.EVACUATION_IN_FORCE, domain, state, step, source
             )
             relay.metrics.count("evacuations", f'state="{state}"')
+            if state == evacuations.OPEN:
+                _assume_warm_ups(relay, domain)
+
+
+def _assume_warm_ups(relay: relay_state.Relay, domain: str) -> None:
+    """Assumes that the endpoints of a reopened domain warm up.
+
+    They may have started again, or have lost their caches, without requests.
+    """
+    for row in relay.directory.rows.values():
+        if row.endpoint.domain == domain:
+            warm_up_limits.assume(relay, row.endpoint)
 
 
 def is_evacuated(
--- a/src/_arbutuswalk/relay/slow_start.py
+++ b/src/_arbutuswalk/relay/slow_start.py
@@ -1,5 +1,7 @@
 """Prefers endpoints in full use to those that warm up or have just done so.
 
+A part of the requests does not consider the latter, so that they fill up slowly.
+
 Designed for a failure domain whose endpoints return together: they look idle to
 all entries, which would send them everything at once.
 """
@@ -8,10 +10,6 @@
 from _arbutuswalk.routing import directory
 from _arbutuswalk.routing import selection
 
-ROOM_FRACTION = 0.5
-"""Share of its slots up to which an endpoint is preferred to those that warm
-up."""
-
 
 def groups(
     relay: relay_state.Relay, candidates: list[selection.Candidate]
@@ -25,9 +23,7 @@
     preferred = [
         candidate
         for candidate in candidates
-        if not candidate.doubtful
-        and candidate.running < ROOM_FRACTION * candidate.slots
-        and _takes_part(relay, candidate.id)
+        if not candidate.doubtful and _takes_part(relay, candidate.id)
     ]
     return [preferred, candidates]
 
--- a/src/_arbutuswalk/routing/warm_ups.py
+++ b/src/_arbutuswalk/routing/warm_ups.py
@@ -12,8 +12,9 @@
 SLOW_START_S = 3.0
 """Time after a warm-up in which the endpoint's share of requests grows to the
 full one: all entries have reported several times by then what they send it."""
-MIN_SHARE = 0.1
-"""Share of the requests at the end of the warm-up."""
+MIN_SHARE = 0.5
+"""Share of the requests during the warm-up: the endpoint may be slower than
+others, but the limit protects it, and others need its room."""
 CONFIRMATION_S = 2.0
 """Time after an assumption in which an announcement may have been made before
 it: the longest that control takes to pass on a heartbeat."""
@@ -68,9 +69,8 @@
         ends_at = self.ends_at.get(start)
         if ends_at is None:
             return 1.0
-        if now < ends_at:
-            return 0.0
-        return min(1.0, max(MIN_SHARE, (now - ends_at) / SLOW_START_S))
+        progress = min(1.0, max(0.0, (now - ends_at) / SLOW_START_S))
+        return MIN_SHARE + (1.0 - MIN_SHARE) * progress
 
     def expire(self, known: Container[leaving.Start], now: float) -> None:
         """Forgets endpoints in full use and those that are not known."""
