--- a/src/_arbutuswalk/relay/slow_start.py
+++ b/src/_arbutuswalk/relay/slow_start.py
@@ -1,6 +1,6 @@
 """Prefers endpoints in full use to those that warm up or have just done so.
 
-A part of the requests does not consider the latter, so that they fill up slowly.
+A part of the requests does not consider the latter, so they fill up slowly.
 
 Designed for a failure domain whose endpoints return together: they look idle to
 all entries, which would send them everything at once.
