Test refusals and requests sent ahead over real connections

Order and number of answers to 300 requests sent ahead, 413 before an announced body, 408 for one that does not arrive, 503 for one that gives way. Each passed at its first run; the tests came after the change.

--- /dev/null
+++ b/testing/test_client_connections.py
@@ -0,0 +1,90 @@
+"""Refusals and requests sent ahead, over real connections."""
+
+import asyncio
+
+import relay_fixtures
+import test_platform_front
+
+from _arbutuswalk.state import routeconfig
+
+REQUEST = test_platform_front.VALID_REQUEST
+HEAD = REQUEST.partition(b"\r\n\r\n")[0]
+SENT_AHEAD = 300
+
+
+async def read_to_end(reader):
+    async with asyncio.timeout(10):
+        return await reader.read()
+
+
+class TestRequestsSentAhead:
+    async def test_all_are_answered_in_order(self):
+        async with test_platform_front.RunningEntry() as entry:
+            reader, writer = await entry.connect()
+            requests = [
+                REQUEST.replace(b"body", b"%04d" % i) for i in range(SENT_AHEAD)
+            ]
+            writer.write(b"".join(requests))
+            async with asyncio.timeout(20):
+                for _ in requests:
+                    assert (await reader.readuntil(b"ok")).startswith(
+                        b"HTTP/1.1 200"
+                    )
+            bodies = entry.endpoint.request_bodies
+            assert bodies == [b"%04d" % i for i in range(SENT_AHEAD)]
+            writer.close()
+
+    async def test_one_refused_after_another_does_not_cut_its_answer(self):
+        large = HEAD.replace(b"Length: 4", b"Length: 100001") + b"\r\n\r\nx"
+        async with test_platform_front.RunningEntry() as entry:
+            reader, writer = await entry.connect()
+            writer.write(REQUEST + large)
+            data = await read_to_end(reader)
+            assert data.startswith(b"HTTP/1.1 200")
+            assert data.endswith(b"ok")
+            assert len(entry.endpoint.request_bodies) == 1
+            writer.close()
+
+
+class TestRefusals:
+    async def test_an_announced_body_is_refused_before_it_is_sent(self):
+        async with test_platform_front.RunningEntry() as entry:
+            reader, writer = await entry.connect()
+            writer.write(HEAD.replace(b"Length: 4", b"Length: 100001"))
+            writer.write(b"\r\n\r\n")
+            data = await read_to_end(reader)
+            assert data.startswith(b"HTTP/1.1 413 ")
+            assert b"connection: close" in data
+            assert not entry.endpoint.request_heads
+            writer.close()
+
+    async def test_a_body_that_does_not_arrive_is_refused(self):
+        config = relay_fixtures.make_config(relay_fixtures.make_route())
+        config = config._replace(limits=routeconfig.Limits(0, 0.2))
+        async with test_platform_front.RunningEntry(config) as entry:
+            reader, writer = await entry.connect()
+            writer.write(HEAD + b"\r\n\r\nbo")
+            data = await read_to_end(reader)
+            assert data.startswith(b"HTTP/1.1 408 ")
+            assert not entry.endpoint.request_heads
+            writer.close()
+
+    async def test_an_unread_body_gives_way_with_a_promise(self):
+        async with test_platform_front.RunningEntry() as entry:
+            reader, writer = await entry.connect()
+            writer.write(HEAD + b"\r\n\r\nbo")
+            account = entry.listener.account
+            async with asyncio.timeout(5):
+                while (
+                    not account.holders
+                    or not next(iter(account.holders)).body_bytes
+                ):
+                    await asyncio.sleep(0.01)
+            (connection,) = account.holders
+            account.charge(connection, account.limits.memory_bytes)
+            data = await read_to_end(reader)
+            assert data.startswith(b"HTTP/1.1 503 ")
+            assert b"retry-after: 1\r\n" in data
+            assert not entry.endpoint.request_heads
+            assert account.held_bytes == 0
+            writer.close()
