Charge what the system holds for connections that are not read

Found by reading: reading of requests sent ahead pauses, and what the client goes on sending waits in the socket. The platform counts such bytes as memory of the process, but the account of clients did not.

Change: 64 KiB while reading is withheld. The new test fails without it, for want of the constant, and passed three of three times; the other 15 tests of client connections and memory pass.

--- a/src/_arbutuswalk/limits/client_memory.py
+++ b/src/_arbutuswalk/limits/client_memory.py
@@ -31,6 +31,8 @@
 
 CONNECTION_BYTES = 32 * 1024
 """Charge of a connection, with a write buffer that is not full."""
+UNREAD_BYTES = 64 * 1024
+"""Charge of a connection that is not read, for what its socket holds."""
 REQUEST_BYTES = 16 * 1024
 """Charge of a request that was read and is not answered yet."""
 HEADER_BYTES = 200
--- a/src/_arbutuswalk/wire/client_connections.py
+++ b/src/_arbutuswalk/wire/client_connections.py
@@ -319,6 +319,9 @@
         self.account.charge(self, len(data) - len(self.unparsed))
         self.unparsed, self.unparsed_from = data, position
         is_too_much = len(data) - position > MAX_UNPARSED_BYTES
+        if is_too_much != self.flow.holds_reading:
+            charge = client_memory.UNREAD_BYTES
+            self.account.charge(self, charge if is_too_much else -charge)
         self.flow.holds_reading = is_too_much
         if is_too_much:
             self.flow.pause_reading()
--- a/testing/test_client_connections.py
+++ b/testing/test_client_connections.py
@@ -5,6 +5,7 @@
 import relay_fixtures
 import test_platform_front
 
+from _arbutuswalk.limits import client_memory
 from _arbutuswalk.state import routeconfig
 
 REQUEST = test_platform_front.VALID_REQUEST
@@ -45,6 +46,34 @@
             assert len(entry.endpoint.request_bodies) == 1
             writer.close()
 
+    async def test_what_the_socket_holds_is_charged_until_it_is_read(self):
+        """The system counts unread bytes as memory of the process."""
+        released = asyncio.Event()
+
+        async def answer(head, writer):
+            await released.wait()
+            await relay_fixtures.send_answer()(head, writer)
+
+        async with test_platform_front.RunningEntry(steps=[answer]) as entry:
+            account = entry.listener.account
+            reader, writer = await entry.connect()
+            writer.write(SENT_AHEAD * REQUEST)
+            async with asyncio.timeout(20):
+                while not account.held_bytes > client_memory.UNREAD_BYTES:
+                    await asyncio.sleep(0.01)
+                (connection,) = entry.listener.server_state.connections
+                assert account.held_bytes == (
+                    client_memory.CONNECTION_BYTES
+                    + client_memory.UNREAD_BYTES
+                    + len(connection.unparsed)
+                    + sum(connection.charges)
+                )
+                released.set()
+                for _ in range(SENT_AHEAD):
+                    await reader.readuntil(b"ok")
+            assert account.held_bytes == client_memory.CONNECTION_BYTES
+            writer.close()
+
 
 class TestRefusals:
     async def test_an_announced_body_is_refused_before_it_is_sent(self):
