Let a removed member that restarts stand for no election

It knows from hellos that it was removed; that decides now.

A follower whose log has the removal of its leader already names that leader by its hello, so that callers are sent on to it.

--- a/src/_arbutuswalk/agreement/election.py
+++ b/src/_arbutuswalk/agreement/election.py
@@ -70,6 +70,8 @@
     """
     if replica.is_voter:
         return True
+    if replicas.was_removed(replica):
+        return False
     committed = replica.log.members_at_index(replica.commit)
     return replica.member in committed.voters
 
--- a/src/_arbutuswalk/agreement/membership.py
+++ b/src/_arbutuswalk/agreement/membership.py
@@ -85,16 +85,10 @@
 
     It waits while it is a voter and another member could take its place.
     """
-    heard = replica.heard_membership
-    own_index, _ = replica.log.membership_history[-1]
-    was_removed = (
-        heard.group == replica.log.members.group
-        and heard.index >= own_index
-        and replica.member not in heard.addresses
-    )
-    if was_removed:
+    if replicas.was_removed(replica):
         return True
     if not replica.is_voter:
+        own_index, _ = replica.log.membership_history[-1]
         # Without this member the others may have no majority for its removal.
         is_committed = replica.commit >= own_index
         return is_committed and replica.role is not types.Role.LEADER
--- a/src/_arbutuswalk/agreement/replica.py
+++ b/src/_arbutuswalk/agreement/replica.py
@@ -205,6 +205,17 @@
         self.outbox.append(types.Outgoing(to, message, after_sync))
 
 
+def was_removed(replica: Replica) -> bool:
+    """Returns whether another member stated a membership without this one."""
+    heard = replica.heard_membership
+    own_index, _ = replica.log.membership_history[-1]
+    return (
+        heard.group == replica.log.members.group
+        and heard.index >= own_index
+        and replica.member not in heard.addresses
+    )
+
+
 def is_quorum(voters: tuple[str, ...], agreeing: set[str]) -> bool:
     """Returns whether ``agreeing`` includes a majority of ``voters``."""
     return len(agreeing.intersection(voters)) * 2 > len(voters)
--- a/src/_arbutuswalk/control/member.py
+++ b/src/_arbutuswalk/control/member.py
@@ -136,8 +136,8 @@
 
     def leader_address(self) -> str:
         """Returns the leader's address, or an empty string."""
-        members = self.replica.log.members
-        return members.addresses.get(self.replica.leader, "")
+        # One that is leaving may have removed itself already.
+        return self._address_of(self.replica.leader)
 
     async def submit(
         self, command: bytes, *, timeout_s: float
