Run hedged attempts in the request's own task, count both, blame neither

A review showed, with extra_attempts set: requests of one turn of the event loop were placed on the same load, as the first attempt began in a task of its own (connection limit 2: 6, 4, 4 and 2 requests); an endpoint that worked on a large request was avoided once its copy won (3.5 of 6 endpoints at 100 requests/s); both attempts were left for a third that was not permitted (502 for 200) and paid for it twice; a failure of the second was answered only at the deadline.

Change: the first attempt runs where it did without the setting and is ended by the second one's answer. The second is counted as one that may have run while it runs, reserves nothing, needs a sound endpoint, and no endpoint is avoided. An error in it does not end the request.

--- a/src/_arbutuswalk/relay/hedged_attempts.py
+++ b/src/_arbutuswalk/relay/hedged_attempts.py
@@ -7,8 +7,10 @@
 """
 
 import asyncio
+import contextlib
 from typing import NamedTuple
 
+from _arbutuswalk.base import background
 from _arbutuswalk.base import events
 from _arbutuswalk.limits import hedging
 from _arbutuswalk.relay import admission
@@ -20,6 +22,7 @@
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import results
 from _arbutuswalk.relay import retry_reservation
+from _arbutuswalk.relay import silence
 from _arbutuswalk.relay import stopping
 from _arbutuswalk.relay import warm_up_limits
 from _arbutuswalk.routing import directory
@@ -56,132 +59,165 @@
     request = caller_delivery.request
     latencies = relay.hedging.latencies(request.route.name, relay.now())
     relay.hedging.allowance(request.route.name).record_request()
-    pair = _Pair(first)
+    race = _Race(first=first, retry=retry)
+    delay_s = hedging.delay(
+        latencies,
+        relay.options.extra_attempts,
+        request.route.objective_s,
+        relay.now(),
+    )
+    timer = asyncio.get_running_loop().call_later(delay_s, race.start_second)
     try:
-        ended = await _run_pair(pair, caller_delivery, retry, latencies)
+        ended = await race.run()
     finally:
-        pair.cancel()
+        timer.cancel()
+        race.cancel()
     if _is_answer(ended.result):
         now = relay.now()
         latencies.record(now - first.started_at, now)
     return ended
 
 
-class _Pair:
-    """The attempts of a request that run side by side.
+class _Race:
+    """Two attempts of a request, of which the first one may run alone.
 
     Attributes:
-        attempts: The attempt of each running task.
+        first: The first attempt, which runs in the task of the request.
+        second: The second one, None before it starts.
+        retry: Attempts of the request. While the second one runs it is counted
+            as one that may have run.
+        former_tally: Counts without the second attempt.
+        task: Runs the second attempt.
+        scope: Cancels the first attempt when its deadline is set.
+        end_timer: Ends the wait for the first one after the second has failed.
     """
 
-    def __init__(self, first: attempts.Attempt):
-        self.attempts: dict[asyncio.Task, attempts.Attempt] = {}
-        self.start(first)
-
-    def start(self, attempt: attempts.Attempt) -> None:
-        """Starts an attempt."""
-        self.attempts[asyncio.ensure_future(attempt.run())] = attempt
-
-    async def next_ended(self, timeout_s: float | None) -> Ended | None:
-        """Returns the next attempt that ends, None after ``timeout_s``."""
-        done, _ = await asyncio.wait(
-            self.attempts,
-            timeout=timeout_s,
-            return_when=asyncio.FIRST_COMPLETED,
+    def __init__(
+        self,
+        *,
+        first: attempts.Attempt,
+        retry: retry_reservation.RetryReservation,
+    ):
+        self.first = first
+        self.second: attempts.Attempt | None = None
+        self.retry = retry
+        self.former_tally = retry.tally
+        self.task: asyncio.Task | None = None
+        self.scope = asyncio.timeout(None)
+        self.end_timer: asyncio.TimerHandle | None = None
+
+    async def run(self) -> Ended:
+        """Returns the attempt whose result counts."""
+        try:
+            async with self.scope:
+                result = await self.first.run()
+        except TimeoutError:
+            if not self.scope.expired():
+                raise
+            result = OVERTAKEN
+        ended = Ended(result, self.first.endpoint.id)
+        if self.task is None:
+            return ended
+        if _is_final(result) and not self.task.done():
+            _record_overtaken(self.second, ended, extra_won=False)
+            return ended
+        await asyncio.wait([self.task])
+        other = Ended(_result_of(self.task), self.second.endpoint.id)
+        if _rank(other.result) <= _rank(ended.result):
+            return ended
+        # The caller counts the result that is returned.
+        self.retry.tally = results.tally_result(self.former_tally, result)
+        if result is OVERTAKEN:
+            _record_overtaken(
+                self.first, other, extra_won=_is_answer(other.result)
+            )
+        return other
+
+    def start_second(self) -> None:
+        """Starts the second attempt if it is permitted now."""
+        relay, request = self.first.relay, self.first.request
+        chosen = _find_second(relay, request, self.retry, self.first)
+        if chosen is None:
+            return
+        self.retry.tried.add(chosen.endpoint.id)
+        self.retry.record_result(OVERTAKEN)
+        relay.metrics.count("extra_attempts", f'route="{request.route.name}"')
+        self.second = attempts.Attempt(
+            relay=relay,
+            caller_delivery=self.first.delivery,
+            chosen=chosen,
+            retry=retry_reservation.NoReservation(relay=relay, request=request),
         )
-        for task in done:
-            return Ended(task.result(), self.attempts.pop(task).endpoint.id)
-        return None
-
-    def cancel(self) -> None:
-        """Cancels what still runs; its connections are closed."""
-        for task in self.attempts:
-            task.cancel()
+        self.task = asyncio.ensure_future(self.second.run())
+        self.task.add_done_callback(self._record_second_end)
+
+    def _record_second_end(self, task: asyncio.Task) -> None:
+        if task.cancelled():
+            return
+        result = _result_of(task)
+        self.retry.tally = results.tally_result(self.former_tally, result)
+        loop = asyncio.get_running_loop()
+        if _is_final(result):
+            self._end_first()
+        else:
+            self.end_timer = loop.call_later(
+                silence.LEAVE_AFTER_S, self._end_first
+            )
 
+    def _end_first(self) -> None:
+        if self.first.exchange.reply is None:
+            with contextlib.suppress(RuntimeError):  # it has ended
+                self.scope.reschedule(asyncio.get_running_loop().time())
 
-async def _run_pair(
-    pair: _Pair,
-    caller_delivery: delivery.Delivery,
-    retry: retry_reservation.RetryReservation,
-    latencies: hedging.Latencies,
-) -> Ended:
-    request, relay = caller_delivery.request, caller_delivery.relay
-    delay_s = hedging.delay(
-        latencies,
-        relay.options.extra_attempts,
-        request.route.objective_s,
-        relay.now(),
-    )
-    ended = await pair.next_ended(delay_s)
-    if ended is not None:
-        return ended
-    (first,) = pair.attempts.values()
-    second = _find_second(relay, request, retry, first)
-    if second is None:
-        return await pair.next_ended(None)
-    retry.tried.add(second.endpoint.id)
-    relay.metrics.count("extra_attempts", f'route="{request.route.name}"')
-    pair.start(
-        attempts.Attempt(
-            relay=relay,
-            caller_delivery=caller_delivery,
-            chosen=second,
-            retry=retry,
-        )
-    )
-    ended = await pair.next_ended(None)
-    if not (_is_answer(ended.result) or _is_caller_left(ended.result)):
-        other = await pair.next_ended(None)
-        ended, failed = _better(ended, other)
-        retry.record_result(failed.result)
-        return ended
-    for attempt in pair.attempts.values():
-        retry.record_result(OVERTAKEN)
-        _record_overtaken(relay, request, attempt, ended, first)
-    return ended
+    def cancel(self) -> None:
+        """Cancels the second attempt if it still runs."""
+        if self.end_timer is not None:
+            self.end_timer.cancel()
+        if self.task is not None:
+            self.task.cancel()
 
 
-def _better(one: Ended, other: Ended) -> tuple[Ended, Ended]:
-    """Returns the attempt whose result counts, and the other one."""
-    if _rank(other.result) > _rank(one.result):
-        return other, one
-    return one, other
+def _result_of(task: asyncio.Task) -> results.Result:
+    """Returns the result of an attempt; an error counts as a lost answer."""
+    error = task.exception()
+    if error is None:
+        return task.result()
+    background.log_error("second attempt", error)
+    return results.Lost(reason=repr(error))
 
 
 def _rank(result: results.Result) -> int:
-    if _is_answer(result) or _is_caller_left(result):
-        return 3
+    """Returns how much a result says; that of the higher rank counts."""
+    if _is_final(result):
+        return 4
     if isinstance(result, results.Answered):
+        return 3
+    if isinstance(result, results.TimedOut):
         return 2
-    # One that may have run says more than one that has not.
-    return int(not isinstance(result, results.NotSent | results.NotRun))
+    return int(isinstance(result, results.Lost) and result is not OVERTAKEN)
 
 
 def _record_overtaken(
-    relay: relay_state.Relay,
-    request: requests.Request,
-    overtaken: attempts.Attempt,
-    ended: Ended,
-    first: attempts.Attempt,
+    overtaken: attempts.Attempt, ended: Ended, *, extra_won: bool
 ) -> None:
-    has_won = overtaken is first and _is_answer(ended.result)
-    if has_won:
+    relay, request = overtaken.relay, overtaken.request
+    if extra_won:
         label = f'route="{request.route.name}"'
         relay.metrics.count("extra_attempts_won", label)
-        if overtaken.exchange.reply is None:
-            placement.mark_suspect(
-                relay, overtaken.endpoint.id, OVERTAKEN.reason
-            )
     events.record(
         events.Event.ATTEMPT_OVERTAKEN,
         request.id,
         overtaken.endpoint.id,
         ended.endpoint_id,
         round((relay.now() - overtaken.started_at) * 1000),
-        has_won,
+        extra_won,
     )
 
 
+def _is_final(result: results.Result) -> bool:
+    return _is_answer(result) or isinstance(result, results.CallerLeft)
+
+
 def _is_answer(result: results.Result) -> bool:
     return (
         isinstance(result, results.Answered)
@@ -189,10 +225,6 @@
     )
 
 
-def _is_caller_left(result: results.Result) -> bool:
-    return isinstance(result, results.CallerLeft)
-
-
 def _may_be_hedged(
     relay: relay_state.Relay,
     request: requests.Request,
@@ -204,16 +236,20 @@
     missing in the comparison of the versions.
     """
     route = request.route
-    rollout = relay.rollouts.get(request.upstream)
     return (
         relay.options.extra_attempts > 0
         and route.kind == routeconfig.IDEMPOTENT
         and route.max_attempts > 1
         and not retry.tally.sends
-        and (rollout is None or rollout[1] != rollouts.GROWING)
+        and not _has_rollout(relay, request)
     )
 
 
+def _has_rollout(relay: relay_state.Relay, request: requests.Request) -> bool:
+    rollout = relay.rollouts.get(request.upstream)
+    return rollout is not None and rollout[1] == rollouts.GROWING
+
+
 def _find_second(
     relay: relay_state.Relay,
     request: requests.Request,
@@ -235,11 +271,18 @@
         return None
     if relay.connection_waiters.get(request.upstream):
         return None
+    if _has_rollout(relay, request):
+        return None
+    sound = placement.usable_endpoints(
+        relay, request, retry.tried, needs_sound=True
+    )
     second = placement.find_placement(
         relay,
         request,
         retry.tried,
-        accepts=lambda endpoint: _has_room(relay, endpoint),
+        accepts=lambda endpoint: (
+            endpoint.id in sound and _has_room(relay, endpoint)
+        ),
     )
     if second is None or not _acquire(relay, request):
         return None
--- a/src/_arbutuswalk/relay/retry_reservation.py
+++ b/src/_arbutuswalk/relay/retry_reservation.py
@@ -138,3 +138,17 @@
     def _heard(self, endpoints: Iterable[str], since: float) -> list[str]:
         heard_at = self.relay.heard_at
         return [name for name in endpoints if heard_at.get(name, 0.0) > since]
+
+
+class NoReservation(RetryReservation):
+    """Of an attempt that runs beside another one and that none may follow."""
+
+    def record_sent(self) -> None:
+        """Leaves the reservation to the other attempt."""
+
+    def prepare(self, since: float, *, needs_sound: bool) -> None:
+        """Examines no endpoint."""
+
+    def reserve(self, since: float, *, needs_sound: bool) -> bool:
+        """Takes no attempt."""
+        return False
