Disconnect a peer that leaves replies of running calls unread

A review showed 26 MB of unread replies for a limit of 4: it was checked before a call was handled, and all calls that waited for the reader wrote at once. Now a reply beyond twice the limit ends the connection. test_link_floods passes.

--- a/src/_arbutuswalk/wire/link.py
+++ b/src/_arbutuswalk/wire/link.py
@@ -356,4 +356,7 @@
                 return  # nobody reads the reply
         reply = await self.handler(message)
         if call_number and reply is not None and not writer.is_closing():
+            if peer.leaves_replies_unread():
+                peer.disconnect("replies unread")
+                return
             writer.write(codec.encode(call_number, reply, reply=True))
--- a/src/_arbutuswalk/wire/peer_limits.py
+++ b/src/_arbutuswalk/wire/peer_limits.py
@@ -99,6 +99,14 @@
         if self.writer.transport.get_write_buffer_size() > MAX_UNREAD_BYTES:
             await self.writer.drain()
 
+    def leaves_replies_unread(self) -> bool:
+        """Returns whether replies wait beyond what pausing calls allows.
+
+        Those of calls that were being handled when it paused may add to it.
+        """
+        size = self.writer.transport.get_write_buffer_size()
+        return size > 2 * MAX_UNREAD_BYTES
+
     def disconnect(self, reason: str) -> None:
         """Closes the connection."""
         name = self.writer.get_extra_info("peername")
