--- a/src/_arbutuswalk/limits/client_memory.py
+++ b/src/_arbutuswalk/limits/client_memory.py
@@ -3,13 +3,16 @@
 Each connection is charged for what it holds: bodies, heads, requests that were
 read ahead, and answers that its client does not read. Charges are estimates of
 the memory in use, several times the bytes that were received. Once all together
-exceed the limit, the connection that holds most gives way: requests of ordinary
-size are served beside clients that hold as much as they can.
+exceed the limit, connections give way whose requests nobody answers, or whose
+clients do not read: first those that hold much, then the least recent ones. So
+requests of ordinary size are served beside clients that hold as much as they
+can, and running requests are broken off last.
 """
 
 import collections
 import resource
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 from typing import NamedTuple
 from typing import Protocol
@@ -25,18 +28,30 @@
 BACKLOG_SHARE = 0.25
 """Share of the descriptors that connections may use before they are opened."""
 MAX_BACKLOG = 1024
+PROBE_MEMORY_SHARE = 0.0625
+"""Share of the memory of a process for probes and metrics, which are answered
+also if clients use all of theirs."""
+PROBE_CONNECTIONS = 32
+"""Most connections for probes and metrics."""
 LINGERING_SHARE = 0.25
 """Refused connections that are not closed yet, as a share of open ones."""
 BYTES_PER_MB = 1024 * 1024
 
 CONNECTION_BYTES = 32 * 1024
 """Charge of a connection, with a write buffer that is not full."""
+ORDINARY_BYTES = 256 * 1024
+"""Charge below which connections count as holding equally much."""
 UNREAD_BYTES = 64 * 1024
 """Charge of a connection that is not read, for what its socket holds."""
 REQUEST_BYTES = 16 * 1024
 """Charge of a request that was read and is not answered yet."""
 HEADER_BYTES = 200
 """Charge of a header beside its bytes."""
+HEADER_SEPARATOR_BYTES = 4
+"""Bytes of a header line beside name and value."""
+UNREAD_ANSWER_COPIES = 2
+"""Copies of an answer that the client does not read: the application may hold
+it, too."""
 BODY_COPIES = 3
 """Copies of a body while it is read, checked and sent on."""
 
@@ -79,39 +94,69 @@
     )
 
 
+def derive_probe_limits(limits: Limits) -> Limits:
+    """Returns the limits for probes and metrics beside those of clients."""
+    memory_bytes = limits.memory_bytes * PROBE_MEMORY_SHARE / CLIENT_SHARE
+    connections = min(PROBE_CONNECTIONS, limits.connections)
+    return Limits(int(memory_bytes), connections, limits.backlog)
+
+
 def head_charge(header_count: int, header_bytes: int) -> int:
     """Returns the charge of a request without its body."""
     return REQUEST_BYTES + header_count * HEADER_BYTES + header_bytes
 
 
+def header_line_bytes(name: bytes, value: bytes) -> int:
+    """Returns the size of a header line."""
+    return len(name) + len(value) + HEADER_SEPARATOR_BYTES
+
+
 class Holder(Protocol):
     """A connection that is charged.
 
     Attributes:
         held_bytes: Its charge.
-        is_answering: Whether it answers a request that was read in full.
+        is_idle: Whether it answers nothing, and its client has read all.
+        is_at_work: Whether it answers a request that was read in full, and its
+            client reads what is sent.
         give_way: Gives up all that it holds.
     """
 
     held_bytes: int
 
     @property
-    def is_answering(self) -> bool: ...
+    def is_idle(self) -> bool: ...
+
+    @property
+    def is_at_work(self) -> bool: ...
 
     def give_way(self, reason: str) -> None: ...
 
 
-def find_largest(holders: Iterable[Holder]) -> Holder:
-    """Returns the connection that holds most, the least recent of several."""
-    return max(holders, key=lambda holder: holder.held_bytes)
+def find_expendable(holders: Iterable[Holder]) -> Holder:
+    """Returns the connection that is to give way when memory is short.
+
+    Of those that hold about as much it is the least recent one.
+    """
+    return max(
+        holders,
+        key=lambda holder: (
+            not holder.is_at_work,
+            holder.held_bytes // ORDINARY_BYTES,
+        ),
+    )
 
 
-def find_idle(holders: Iterable[Holder]) -> Holder | None:
-    """Returns the least recent connection that answers nothing, or None."""
-    for holder in holders:
-        if not holder.is_answering:
-            return holder
-    return None
+def find_replaceable(holders: Collection[Holder]) -> Holder | None:
+    """Returns the connection that is to make place for another, if any.
+
+    It is the least recent idle one, else one whose request is incomplete or
+    whose client does not read.
+    """
+    idle = next((holder for holder in holders if holder.is_idle), None)
+    return idle or next(
+        (holder for holder in holders if not holder.is_at_work), None
+    )
 
 
 class Account:
@@ -142,11 +187,11 @@
     def open(self, holder: Holder) -> bool:
         """Adds a connection; returns False if there is no room for it."""
         if len(self.holders) >= self.limits.connections:
-            idle = find_idle(self.holders)
-            if idle is None:
+            replaceable = find_replaceable(self.holders)
+            if replaceable is None:
                 return False
-            self.close(idle)
-            idle.give_way("too many connections")
+            self.close(replaceable)
+            replaceable.give_way("too many connections")
         self.holders[holder] = None
         self.charge(holder, CONNECTION_BYTES)
         return True
@@ -181,6 +226,6 @@
         holder.held_bytes += change
         self.held_bytes += change
         while self.held_bytes > self.limits.memory_bytes and self.holders:
-            largest = find_largest(self.holders)
-            self.close(largest)
-            largest.give_way("too much memory held")
+            expendable = find_expendable(self.holders)
+            self.close(expendable)
+            expendable.give_way("too much memory held")
--- a/src/_arbutuswalk/wire/client_connections.py
+++ b/src/_arbutuswalk/wire/client_connections.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import json
 from collections.abc import Callable
 from typing import Any
 
@@ -14,7 +13,9 @@
 
 from _arbutuswalk.base import events
 from _arbutuswalk.limits import client_memory
+from _arbutuswalk.wire import client_refusals
 from _arbutuswalk.wire import read_flow
+from _arbutuswalk.wire import request_pieces
 
 MAX_UNPARSED_BYTES = 16 * 1024
 """Bytes of requests sent ahead over which a connection reads no more."""
@@ -24,17 +25,7 @@
 """Time after a refusal in which a client's remaining bytes are dropped."""
 BODY_LINGER_S = 5.0
 """The same for a client that may still send a body."""
-RETRY_AFTER_S = 1.0
-HEAD_END = b"\r\n\r\n"
-"""Ends each head, and each body in chunks."""
-HEADER_SEPARATOR_BYTES = 4
-"""Bytes of a header line beside name and value."""
 LENGTH_HEADER = b"content-length"
-STATUS_TIMEOUT = 408
-STATUS_CONTENT_TOO_LARGE = 413
-STATUS_UNAVAILABLE = 503
-WRITE_CHARGE = 2
-"""Charge of a byte of an unread answer: the application may hold it, too."""
 
 
 class HeaderLimitExceededError(Exception):
@@ -106,13 +97,27 @@
             return False
         return not (answering is self.cycle and answering.more_body)
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether it answers nothing, and its client has read all."""
+        return not (self.is_answering or self.transport.get_write_buffer_size())
+
+    @property
+    def is_at_work(self) -> bool:
+        """Whether it answers a request, and its client reads what is sent."""
+        return self.is_answering and not (
+            self.flow.write_paused or self.flow.holds_reading
+        )
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Opens the connection if there is room for it."""
         super().connection_made(transport)
         self.flow = read_flow.ReadFlow(transport)
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         if not self.account.open(self):
-            self.refuse(STATUS_UNAVAILABLE, "too many connections")
+            self.refuse(
+                client_refusals.STATUS_UNAVAILABLE, "too many connections"
+            )
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Drops what was received and the charges."""
@@ -122,13 +127,17 @@
             self.account.end_lingering()
         if self.body_timer is not None:
             self.body_timer.cancel()
+        if self.answering is not None and not self.answering.response_complete:
+            # uvicorn tells only the last request that was read.
+            self.answering.disconnected = True
+            self.answering.message_event.set()
         super().connection_lost(exc)
 
     def pause_writing(self) -> None:
         """Charges an answer that the client does not read."""
         super().pause_writing()
         size = self.transport.get_write_buffer_size()
-        self.write_charge = WRITE_CHARGE * size
+        self.write_charge = client_memory.UNREAD_ANSWER_COPIES * size
         self.account.charge(self, self.write_charge)
 
     def resume_writing(self) -> None:
@@ -159,7 +168,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores a header, up to the limit for all headers together."""
-        self.header_bytes += len(name) + len(value) + HEADER_SEPARATOR_BYTES
+        self.header_bytes += client_memory.header_line_bytes(name, value)
         if self.header_bytes > self.max_header_bytes:
             raise HeaderLimitExceededError
         super().on_header(name, value)
@@ -177,7 +186,7 @@
         self.charges.append(charge)
         self.account.charge(self, charge - self.head_charge)
         self.head_charge = 0
-        if self.body_left > self.max_body_bytes():
+        if not self.refused and self.body_left > self.max_body_bytes():
             self._refuse_large_body()
 
     def on_body(self, body: bytes) -> None:
@@ -250,7 +259,7 @@
         if self.flow.write_paused or not self.account.start_lingering():
             self.transport.abort()
             return
-        self.transport.write(_encode_refusal(status, reason))
+        self.transport.write(client_refusals.encode(status, reason))
         self.transport.write_eof()
         self.linger_timer = self.loop.call_later(linger_s, self.transport.close)
 
@@ -261,7 +270,7 @@
         )
         self._drop()
         if is_reading:
-            self.refuse(STATUS_UNAVAILABLE, reason)
+            self.refuse(client_refusals.STATUS_UNAVAILABLE, reason)
             return
         events.record(
             events.Event.CLIENT_REFUSED, self.client_name(), 0, reason
@@ -281,7 +290,12 @@
             if self.refused or self.transport.is_closing():
                 self._keep(b"", 0)
                 return
-            end = self._find_piece(data, position)
+            end = request_pieces.find_end(
+                data,
+                position,
+                reading_head=self.reading_head,
+                body_left=self.body_left,
+            )
             is_whole = position == 0 and end == size
             self.feed(data if is_whole else data[position:end])
             position = end
@@ -300,20 +314,6 @@
     def _has_request_ahead(self) -> bool:
         return bool(self.pipeline) and self.reading_head
 
-    def _find_piece(self, data: bytes, position: int) -> int:
-        """Returns the end of the next piece to parse.
-
-        A piece contains the end of one head or body at most.
-        """
-        if not self.reading_head and self.body_left > 0:
-            return min(len(data), position + self.body_left)
-        index = data.find(HEAD_END, position)
-        if index < 0:
-            return len(data)
-        end = index + len(HEAD_END)
-        # What follows is a body that needs no piece of its own.
-        return len(data) if data.find(HEAD_END, end) < 0 else end
-
     def _keep(self, data: bytes, position: int) -> None:
         """Keeps unparsed data, and stops reading if it is too much."""
         self.account.charge(self, len(data) - len(self.unparsed))
@@ -336,7 +336,11 @@
 
     def _refuse_large_body(self) -> None:
         reason = f"body over {self.max_body_bytes()} bytes"
-        self.refuse(STATUS_CONTENT_TOO_LARGE, reason, linger_s=BODY_LINGER_S)
+        self.refuse(
+            client_refusals.STATUS_CONTENT_TOO_LARGE,
+            reason,
+            linger_s=BODY_LINGER_S,
+        )
 
     def _start_body_timer(self) -> None:
         self.body_timer = self.loop.call_later(
@@ -352,8 +356,10 @@
             self.transport.close()
             return
         if self.body_bytes == self.checked_bytes and not self.flow.read_paused:
-            timeout_s = self.body_timeout_s()
-            self.refuse(STATUS_TIMEOUT, f"no part of a body in {timeout_s:g} s")
+            self.refuse(
+                client_refusals.STATUS_TIMEOUT,
+                f"no part of a body in {self.body_timeout_s():g} s",
+            )
             return
         self.checked_bytes = self.body_bytes
         self._start_body_timer()
@@ -383,18 +389,3 @@
             # The connection may be part of a reference cycle.
             self.headers.clear()
         self.write_charge = self.head_charge = 0
-
-
-def _encode_refusal(status: int, reason: str) -> bytes:
-    body = json.dumps({"status": status, "detail": reason}).encode()
-    retry_after = b""
-    if status == STATUS_UNAVAILABLE:
-        retry_after = b"retry-after: %g\r\n" % RETRY_AFTER_S
-    return (
-        httptools_impl.STATUS_LINE[status]
-        + b"content-type: application/problem+json\r\n"
-        + b"content-length: %d\r\n" % len(body)
-        + retry_after
-        + b"connection: close\r\n\r\n"
-        + body
-    )
--- a/src/_arbutuswalk/wire/whole_answers.py
+++ b/src/_arbutuswalk/wire/whole_answers.py
@@ -10,6 +10,8 @@
 
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 """Largest answer without a length that is kept in memory."""
+MAX_TOTAL_BYTES = 32 * 1024 * 1024
+"""Bytes of all such answers; one that would exceed them is not kept."""
 _INCOMPLETE = 502
 _INCOMPLETE_BODY = b'{"status": 502, "title": "answer incomplete"}'
 
@@ -19,6 +21,13 @@
 """An ASGI application."""
 
 
+class _Kept:
+    """Bytes of all answers that are kept now."""
+
+    def __init__(self):
+        self.total = 0
+
+
 class _Answer:
     """An answer that is collected until it is complete.
 
@@ -27,9 +36,15 @@
         body: Parts of its body.
         size: Bytes of the body.
         is_complete: Whether its last part was received.
+        is_too_large: Whether it was dropped.
+        kept: Bytes of all answers; those of this one are in it.
+        kept_bytes: The latter.
     """
 
-    def __init__(self):
+    def __init__(self, kept: _Kept):
+        self.kept = kept
+        self.kept_bytes = 0
+        self.is_too_large = False
         self.head: dict[str, Any] | None = None
         self.body: list[bytes] = []
         self.size = 0
@@ -42,15 +57,30 @@
             return
         part = message.get("body", b"")
         self.size += len(part)
-        if self.size <= MAX_ANSWER_BYTES:
-            self.body.append(part)
+        self._keep(len(part))
+        self.is_too_large = (
+            self.is_too_large
+            or self.size > MAX_ANSWER_BYTES
+            or self.kept.total > MAX_TOTAL_BYTES
+        )
+        if self.is_too_large:
+            self.drop()
         else:
-            self.body.clear()
+            self.body.append(part)
         self.is_complete = not message.get("more_body", False)
 
+    def drop(self) -> None:
+        """Drops the body."""
+        self.body.clear()
+        self._keep(-self.kept_bytes)
+
+    def _keep(self, size: int) -> None:
+        self.kept.total += size
+        self.kept_bytes += size
+
     def messages(self) -> list[dict[str, Any]]:
         """Returns the messages of the answer, or of a failure."""
-        is_whole = self.is_complete and self.size <= MAX_ANSWER_BYTES
+        is_whole = self.is_complete and not self.is_too_large
         status = self.head["status"] if is_whole else _INCOMPLETE
         body = b"".join(self.body) if is_whole else _INCOMPLETE_BODY
         headers = list(
@@ -70,14 +100,18 @@
 
 def for_http_1_0(app: App) -> App:
     """Returns ``app`` with whole answers for callers with HTTP/1.0."""
+    kept = _Kept()
 
     async def serve(scope: dict[str, Any], receive: Any, send: Any) -> None:
         if scope.get("http_version") != "1.0":
             await app(scope, receive, send)
             return
-        answer = _Answer()
-        await app(scope, receive, answer.collect)
-        for message in answer.messages():
-            await send(message)
+        answer = _Answer(kept)
+        try:
+            await app(scope, receive, answer.collect)
+            for message in answer.messages():
+                await send(message)
+        finally:
+            answer.drop()
 
     return serve
--- a/testing/test_client_connections.py
+++ b/testing/test_client_connections.py
@@ -74,6 +74,41 @@
             assert account.held_bytes == client_memory.CONNECTION_BYTES
             writer.close()
 
+    async def test_an_answer_that_is_awaited_ends_with_its_caller(self):
+        """The endpoint went on if another request had been sent ahead."""
+        async with test_platform_front.RunningEntry(
+            steps=[relay_fixtures.send_bytes(b"")]
+        ) as entry:
+            _, writer = await entry.connect()
+            writer.write(2 * REQUEST)
+            async with asyncio.timeout(10):
+                while not entry.endpoint.request_heads:
+                    await asyncio.sleep(0.01)
+                writer.transport.abort()
+                await entry.endpoint.connection_lost.wait()
+
+
+class TestChunks:
+    async def test_blank_lines_in_a_body_are_parsed_in_few_pieces(self):
+        """Each one cost as much as a request: one client held up all others."""
+        head = HEAD.replace(b"Content-Length: 4", b"Transfer-Encoding: chunked")
+        body = 16 * 1024 * b"\r\n\r\n"
+        request = head + b"\r\n\r\n%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+        pieces = []
+        async with test_platform_front.RunningEntry() as entry:
+            reader, writer = await entry.connect()
+            await asyncio.sleep(0.05)
+            (connection,) = entry.listener.server_state.connections
+            feed = connection.feed
+            connection.feed = lambda data: (pieces.append(data), feed(data))
+            writer.write(request + REQUEST)
+            async with asyncio.timeout(10):
+                for _ in range(2):
+                    await reader.readuntil(b"ok")
+            assert entry.endpoint.request_bodies == [body, b"body"]
+            writer.close()
+        assert len(pieces) < len(request) / 512
+
 
 class TestRefusals:
     async def test_an_announced_body_is_refused_before_it_is_sent(self):
--- a/testing/test_client_memory.py
+++ b/testing/test_client_memory.py
@@ -10,9 +10,10 @@
 class Connection:
     """A connection that records why it gave way."""
 
-    def __init__(self, is_answering=False):
+    def __init__(self, is_at_work=False, is_idle=None):
         self.held_bytes = 0
-        self.is_answering = is_answering
+        self.is_at_work = is_at_work
+        self.is_idle = not is_at_work if is_idle is None else is_idle
         self.reason = ""
 
     def give_way(self, reason):
@@ -70,8 +71,42 @@
         account.close(connection)
         assert (account.held_bytes, connection.held_bytes) == (0, 0)
 
+    def test_running_requests_are_broken_off_last(self):
+        account = make_account()
+        running, newcomer = Connection(True), Connection()
+        for connection, held in ((running, 80), (newcomer, 30)):
+            account.open(connection)
+            account.charge(connection, held * CONNECTION)
+        assert newcomer.reason
+        assert not running.reason
+
+    def test_many_small_ones_do_not_keep_out_ordinary_ones(self):
+        account = make_account(connections=100)
+        crowd = [Connection() for _ in range(50)]
+        for connection in crowd:
+            account.open(connection)
+            account.charge(connection, CONNECTION - 1000)
+        ordinary = Connection()
+        account.open(ordinary)
+        account.charge(ordinary, 2 * CONNECTION)
+        assert not ordinary.reason
+        assert crowd[0].reason
+
 
 class TestConnections:
+    def test_one_whose_answer_is_unread_gives_way_after_idle_ones(self):
+        account = make_account()
+        unread, idle = Connection(is_idle=False), Connection()
+        busy = Connection(True)
+        for connection in (unread, idle, busy):
+            account.open(connection)
+        assert account.open(Connection(True))
+        assert idle.reason
+        assert not unread.reason
+        assert account.open(Connection(True))
+        assert unread.reason
+        assert not account.open(Connection(True))
+
     def test_the_one_that_was_idle_longest_gives_way(self):
         account = make_account()
         first, busy, last = Connection(), Connection(True), Connection()
@@ -86,7 +121,7 @@
     def test_a_new_one_is_refused_beside_busy_ones(self):
         account = make_account()
         for _ in range(3):
-            account.open(Connection(is_answering=True))
+            account.open(Connection(is_at_work=True))
         assert not account.open(Connection())
         assert len(account.holders) == 3
 
