Give entries of the cut cluster the defaults of their settings

Its settings are not read from a file, so those that were added since are missing: on entries failed to start in 13 tests of test_cut_off_entries and test_evacuation_processes. The 18 tests of both pass; their checks are unchanged.

--- a/testing/cut_cluster.py
+++ b/testing/cut_cluster.py
@@ -12,7 +12,9 @@
 import platform_fixtures
 import relay_fixtures
 from arbutuswalk_platform import entry
+from arbutuswalk_platform import settings
 
+from _arbutuswalk.base import settings as base_settings
 from _arbutuswalk.streams import pool
 
 REQUEST_INTERVAL_S = 0.05
@@ -102,7 +104,13 @@
         self.endpoints = []
 
     def start_entry(self, ip):
+        defaults = {
+            field.key: field.default
+            for field in settings.ENTRY_FIELDS
+            if field.default is not base_settings.REQUIRED
+        }
         values = {
+            **defaults,
             **self.common_settings(ip),
             "callers": f"{ip}:{self.callers_port}",
             "readiness": f"{ip}:{self.readiness_port}",
