--- a/testing/test_late_in_grace.py
+++ b/testing/test_late_in_grace.py
@@ -347,6 +347,12 @@
     def resume_reading(self):
         pass
 
+    def set_write_buffer_limits(self, high=None, low=None):
+        pass
+
+    def get_write_buffer_size(self):
+        return 0
+
 
 @pytest.mark.usefixtures("accept_period")
 class TestWaiting:
