Apply the limits in force when a request was received, and mend a layer

Callers that sent requests together got no answer to the last if a configuration with lower limits came into force meanwhile: requests that wait are parsed later since the bounds on clients, and were refused by the new limits, with the end of the connection.

Change: what is unparsed keeps the largest limits since it was received; the size of a body is limited by what was in force when its request began.

The bound on bodies, heads and memory is as before.

--- a/src/_arbutuswalk/entry/main.py
+++ b/src/_arbutuswalk/entry/main.py
@@ -19,10 +19,10 @@
 from _arbutuswalk.entry import entry_state
 from _arbutuswalk.entry import link_handler
 from _arbutuswalk.entry import maintenance
-from _arbutuswalk.limits import client_memory
 from _arbutuswalk.routing import upstreams
 from _arbutuswalk.state import commands
 from _arbutuswalk.state import entries
+from _arbutuswalk.wire import client_memory
 from _arbutuswalk.wire import http_connections
 from _arbutuswalk.wire import link
 
--- a/src/_arbutuswalk/wire/client_connections.py
+++ b/src/_arbutuswalk/wire/client_connections.py
@@ -12,7 +12,7 @@
 from uvicorn.protocols.http import httptools_impl
 
 from _arbutuswalk.base import events
-from _arbutuswalk.limits import client_memory
+from _arbutuswalk.wire import client_memory
 from _arbutuswalk.wire import client_refusals
 from _arbutuswalk.wire import read_flow
 from _arbutuswalk.wire import request_pieces
@@ -43,6 +43,9 @@
         body_timeout_s: Returns the time in which a part of a body must arrive.
         unparsed: Received bytes, of which those from ``unparsed_from`` on
             are not parsed yet.
+        body_limit: Maximum size of the body of the last request that began.
+        kept_body_limit: The largest such limit in force since the first of the
+            unparsed bytes was received.
         charges: Charge of each request that was read and is not answered.
         write_charge: Charge of an answer that the client does not read.
         answering: The request that is answered now or was answered last.
@@ -75,6 +78,7 @@
         self.body_timeout_s = body_timeout_s
         self.unparsed = b""
         self.unparsed_from = 0
+        self.body_limit = self.kept_body_limit = 0
         self.charges: list[int] = []
         self.write_charge = 0
         self.answering: httptools_impl.RequestResponseCycle | None = None
@@ -163,6 +167,7 @@
         """Starts the head of a request."""
         super().on_message_begin()
         self.has_parsed_start = True
+        self.body_limit = max(self.max_body_bytes(), self.kept_body_limit)
         self.header_bytes = 0
         self.body_left = 0
 
@@ -186,7 +191,7 @@
         self.charges.append(charge)
         self.account.charge(self, charge - self.head_charge)
         self.head_charge = 0
-        if not self.refused and self.body_left > self.max_body_bytes():
+        if not self.refused and self.body_left > self.body_limit:
             self._refuse_large_body()
 
     def on_body(self, body: bytes) -> None:
@@ -201,7 +206,7 @@
         charge = client_memory.BODY_COPIES * len(body)
         self.charges[-1] += charge
         self.account.charge(self, charge)
-        if not self.refused and self.body_bytes > self.max_body_bytes():
+        if not self.refused and self.body_bytes > self.body_limit:
             self._refuse_large_body()
 
     def on_message_complete(self) -> None:
@@ -318,6 +323,8 @@
         """Keeps unparsed data, and stops reading if it is too much."""
         self.account.charge(self, len(data) - len(self.unparsed))
         self.unparsed, self.unparsed_from = data, position
+        limit = max(self.kept_body_limit, self.max_body_bytes())
+        self.kept_body_limit = limit if data else 0
         is_too_much = len(data) - position > MAX_UNPARSED_BYTES
         if is_too_much != self.flow.holds_reading:
             charge = client_memory.UNREAD_BYTES
@@ -335,7 +342,7 @@
         self.head_charge = charge
 
     def _refuse_large_body(self) -> None:
-        reason = f"body over {self.max_body_bytes()} bytes"
+        reason = f"body over {self.body_limit} bytes"
         self.refuse(
             client_refusals.STATUS_CONTENT_TOO_LARGE,
             reason,
--- a/src/_arbutuswalk/wire/http_connections.py
+++ b/src/_arbutuswalk/wire/http_connections.py
@@ -6,8 +6,8 @@
 from typing import NamedTuple
 
 from _arbutuswalk.base import events
-from _arbutuswalk.limits import client_memory
 from _arbutuswalk.wire import client_connections
+from _arbutuswalk.wire import client_memory
 from _arbutuswalk.wire import sockets
 
 DEFAULT_IDLE_TIMEOUT_S = 75.0
@@ -67,6 +67,8 @@
 
     Attributes:
         limits: Returns the limits in force.
+        kept_header_limit: The largest limit on headers in force since the first
+            of the unparsed bytes was received.
         is_head_only: Whether the data that is parsed contains only a head.
         head_bytes: Received bytes of a head that is not complete.
         head_timer: Limits the time of a head; None while there is none.
@@ -92,6 +94,7 @@
             **options,
         )
         self.limits = limits
+        self.kept_header_limit = 0
         self.is_head_only = True
         self.head_bytes = 0
         self.head_timer: asyncio.TimerHandle | None = None
@@ -147,10 +150,17 @@
         elif self.has_begun_head and self.head_timer is None:
             self._start_head_timer()
 
+    def _keep(self, data: bytes, position: int) -> None:
+        super()._keep(data, position)
+        limit = max(self.kept_header_limit, self.limits().max_header_bytes)
+        self.kept_header_limit = limit if data else 0
+
     def on_message_begin(self) -> None:
         """Starts the head of a request."""
         super().on_message_begin()
-        self.max_header_bytes = self.limits().max_header_bytes
+        self.max_header_bytes = max(
+            self.limits().max_header_bytes, self.kept_header_limit
+        )
 
     def on_url(self, url: bytes) -> None:
         """Adds a part of the URL, up to the limit of a request line."""
--- a/testing/test_client_connections.py
+++ b/testing/test_client_connections.py
@@ -5,8 +5,8 @@
 import relay_fixtures
 import test_platform_front
 
-from _arbutuswalk.limits import client_memory
 from _arbutuswalk.state import routeconfig
+from _arbutuswalk.wire import client_memory
 
 REQUEST = test_platform_front.VALID_REQUEST
 HEAD = REQUEST.partition(b"\r\n\r\n")[0]
--- a/testing/test_client_memory.py
+++ b/testing/test_client_memory.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from _arbutuswalk.limits import client_memory
+from _arbutuswalk.wire import client_memory
 
 CONNECTION = client_memory.CONNECTION_BYTES
 
