Start the clock of a caller before it connects

test_a_connection_without_bytes_ends_as_an_idle_one failed once at load 14, with 0.1927 s for an idle time-out of 0.2 s: the entry starts its timer when it accepts the connection, and the test read the clock only after it had the connection, which may be later. It reads it before now, so the lower bound holds always, and the upper bounds include the time to connect. No bound is changed.

--- a/testing/test_request_heads.py
+++ b/testing/test_request_heads.py
@@ -50,8 +50,8 @@
 
 async def send(running_entry, *pieces, pause_s=0.0):
     """Returns what a caller gets until its connection ends, and the time."""
-    reader, writer = await running_entry.connect()
     started_at = time.monotonic()
+    reader, writer = await running_entry.connect()
 
     async def write():
         for piece in pieces:
