Let control keep more connections of clients

Not shown: whether it did.

Control gives clients three fifths of the descriptors and links a fifth; with refused connections that linger and the 200 for files they stay below all (a test asks for it).

--- a/src/_arbutuswalk/wire/client_memory.py
+++ b/src/_arbutuswalk/wire/client_memory.py
@@ -75,12 +75,17 @@
         return int(self.memory_bytes * MAX_BODY_SHARE) // BODY_COPIES
 
 
-def derive_limits(memory_mb: float = 0, descriptors: int = 0) -> Limits:
+def derive_limits(
+    memory_mb: float = 0,
+    descriptors: int = 0,
+    connection_share: float = CONNECTION_SHARE,
+) -> Limits:
     """Returns the limits of a process.
 
     Args:
         memory_mb: Memory that the process may use in MiB, 0 if unknown.
         descriptors: Descriptors that it may open, 0 for the system's limit.
+        connection_share: Share of them that clients' connections may use.
     """
     if not descriptors:
         descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
@@ -89,7 +94,7 @@
     memory_bytes = (memory_mb or DEFAULT_MEMORY_MB) * BYTES_PER_MB
     return Limits(
         memory_bytes=int(memory_bytes * CLIENT_SHARE),
-        connections=max(1, int(descriptors * CONNECTION_SHARE)),
+        connections=max(1, int(descriptors * connection_share)),
         backlog=max(1, min(MAX_BACKLOG, int(descriptors * BACKLOG_SHARE))),
     )
 
--- a/testing/test_client_memory.py
+++ b/testing/test_client_memory.py
@@ -1,6 +1,7 @@
 """Decisions on the memory and the connections of clients."""
 
 import pytest
+from arbutuswalk_platform import control
 
 from _arbutuswalk.wire import client_memory
 
@@ -41,6 +42,11 @@
         limits = client_memory.derive_limits(300, 1)
         assert (limits.connections, limits.backlog) == (1, 1)
 
+    def test_control_keeps_descriptors_for_its_folder(self):
+        """The platform reserves 200 of at least 4,096 for files."""
+        clients = control.CONNECTION_SHARE * (1 + client_memory.LINGERING_SHARE)
+        assert clients + control.LINK_SHARE <= 1 - 200 / 4096
+
 
 class TestMemory:
     def test_the_connection_that_holds_most_gives_way(self):
