Accept few connections of links at a time

test_link_floods, test_many_connections_that_never_send, failed once in the second pass over all tests (182 descriptors of 180 permitted, 200 in all): up to 100 connections are accepted in one go, and each counts only once its task runs. Clients' listeners divide their backlog already.

--- a/src/_arbutuswalk/wire/link.py
+++ b/src/_arbutuswalk/wire/link.py
@@ -257,7 +257,9 @@
             OSError: The address cannot be used.
         """
         host, _, port = self.address.rpartition(":")
-        self.server = await asyncio.start_server(self._serve, host, int(port))
+        self.server = await asyncio.start_server(
+            self._serve, host, int(port), backlog=self.peers.backlog
+        )
         self.check_task = background.start(
             "silent peers", self._disconnect_silent_peers()
         )
--- a/src/_arbutuswalk/wire/peer_limits.py
+++ b/src/_arbutuswalk/wire/peer_limits.py
@@ -23,6 +23,10 @@
 """Bytes received of all peers' incomplete frames: two of the largest."""
 DESCRIPTORS_FRACTION = 0.5
 """Fraction of the process's descriptors that links may take."""
+BACKLOG_FRACTION = 0.25
+"""Connections that are accepted at a time, before they are counted, as a
+fraction of all."""
+MAX_BACKLOG = 100
 SILENT_CONNECTION_TIMEOUT_S = 60.0
 """Time without a complete frame after which a peer is disconnected: over a
 hundred heartbeats, and enough for the largest frame at 3.75 Mbit/s."""
@@ -128,6 +132,14 @@
         self.connected: dict[asyncio.StreamWriter, Peer] = {}
         self.incomplete_bytes = 0
 
+    @property
+    def backlog(self) -> int:
+        """How many connections are accepted at a time."""
+        if not self.max_connections:
+            return MAX_BACKLOG
+        share = int(BACKLOG_FRACTION * self.max_connections)
+        return max(1, min(MAX_BACKLOG, share))
+
     def add(self, writer: asyncio.StreamWriter, now: float) -> Peer | None:
         """Adds a connection, in place of one that has never sent a frame.
 
