Ask for an endpoint's limit, and name a status, in one place

Read over the whole change: hedging checked stated limits and warm-ups apart, which endpoint_limits.find does together, and the status of a time-out stood in two modules of clients' connections. Behaviour is unchanged; the 544 tests of hedging, request heads, layers and client connections pass.

--- a/src/_arbutuswalk/relay/hedged_attempts.py
+++ b/src/_arbutuswalk/relay/hedged_attempts.py
@@ -17,6 +17,7 @@
 from _arbutuswalk.relay import attempts
 from _arbutuswalk.relay import brittle_endpoints
 from _arbutuswalk.relay import delivery
+from _arbutuswalk.relay import endpoint_limits
 from _arbutuswalk.relay import placement
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
@@ -24,7 +25,6 @@
 from _arbutuswalk.relay import retry_reservation
 from _arbutuswalk.relay import silence
 from _arbutuswalk.relay import stopping
-from _arbutuswalk.relay import warm_up_limits
 from _arbutuswalk.routing import directory
 from _arbutuswalk.state import rollouts
 from _arbutuswalk.state import routeconfig
@@ -306,6 +306,5 @@
     return (
         own + others < endpoint.slots
         and brittle_endpoints.rejections_per_s(relay, endpoint) is None
-        and relay.stated_limits.rate(endpoint.id, endpoint.born_ms) is None
-        and warm_up_limits.rate(relay, endpoint) is None
+        and endpoint_limits.find(relay, endpoint) is None
     )
--- a/src/_arbutuswalk/wire/http_connections.py
+++ b/src/_arbutuswalk/wire/http_connections.py
@@ -8,6 +8,7 @@
 from _arbutuswalk.base import events
 from _arbutuswalk.wire import client_connections
 from _arbutuswalk.wire import client_memory
+from _arbutuswalk.wire import client_refusals
 from _arbutuswalk.wire import sockets
 
 DEFAULT_IDLE_TIMEOUT_S = 75.0
@@ -18,7 +19,6 @@
 """Time-out of a request's head if the configuration sets none."""
 REQUEST_LINE_BYTES = 8 * 1024
 """Size of a head in addition to that of its headers."""
-STATUS_TIMEOUT = 408
 STATUS_HEADERS_TOO_LARGE = 431
 
 
@@ -229,7 +229,9 @@
             self._start_head_timer()
             return
         timeout_s = self.limits().head_timeout_s
-        self._refuse_head(STATUS_TIMEOUT, f"head took over {timeout_s:g} s")
+        self._refuse_head(
+            client_refusals.STATUS_TIMEOUT, f"head took over {timeout_s:g} s"
+        )
 
     def _refuse_large_head(self) -> None:
         self._refuse_head(
