Count connections that were made in time but noticed late

Callers saw 503 "connect timed out" for repeatable requests, and the endpoint was avoided for 1.5 s, though it had accepted the connection at once: an entry that is busy with hundreds of new connections handles its own connects more than 0.6 s after they were made.

Cause: pool.connect cancelled the attempt when its timer fired, whatever the state of the socket. Its second attempt after a stall did not apply, as the result was 0.01 to 0.13 s late and not 0.3 s.

Ruled out: connections dropped by a full backlog of the endpoint (the kernel counted none in the run that failed).

Change: at the time-out the socket is asked whether it is connected.

The new test failed before.

--- a/src/_arbutuswalk/streams/pool.py
+++ b/src/_arbutuswalk/streams/pool.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import dataclasses
+import socket
 from collections.abc import Awaitable
 from collections.abc import Callable
 
@@ -197,22 +198,55 @@
     timeout_s: float,
     on_close: Callable[[connections.Connection], None],
 ) -> connections.Connection | NotOpened:
-    host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(timeout_s):
-            _, connection = await loop.create_connection(
-                lambda: connections.Connection(
-                    address=address, read_reply=read_reply, on_close=on_close
-                ),
-                host,
-                int(port),
-            )
+        sock = await _connect_socket(address, timeout_s)
+        _, connection = await loop.create_connection(
+            lambda: connections.Connection(
+                address=address, read_reply=read_reply, on_close=on_close
+            ),
+            sock=sock,
+        )
     except OSError as error:
         return not_opened(error)
     return connection
 
 
+async def _connect_socket(address: str, timeout_s: float) -> socket.socket:
+    """Returns a socket that is connected to ``address``.
+
+    A connection made in time counts although a busy event loop has not handled
+    it before its time-out.
+
+    Raises:
+        OSError: The connection was refused or lost, or timed out.
+    """
+    host, _, port = address.rpartition(":")
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    try:
+        async with asyncio.timeout(timeout_s):
+            await asyncio.get_running_loop().sock_connect(
+                sock, (host, int(port))
+            )
+    except TimeoutError:
+        if not _is_connected(sock):
+            sock.close()
+            raise
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
+def _is_connected(sock: socket.socket) -> bool:
+    try:
+        sock.getpeername()
+    except OSError:
+        return False
+    return True
+
+
 def not_opened(error: OSError) -> NotOpened:
     """Returns the result of a failed attempt to connect, or of a time-out."""
     if isinstance(error, TimeoutError) and not error.errno:
--- a/testing/test_stalled_entry.py
+++ b/testing/test_stalled_entry.py
@@ -1,6 +1,8 @@
 """An entry that stood still, as when its machine is suspended."""
 
 import asyncio
+import socket
+import time
 
 import aiohttp
 import entry_fixtures
@@ -8,10 +10,13 @@
 import pytest
 import test_crash_processes as crash_processes
 import virtual
+from arbutuswalk_platform import headers
 
 from _arbutuswalk.base import stalls
 from _arbutuswalk.entry import crash_quarantine
 from _arbutuswalk.routing import upstreams
+from _arbutuswalk.streams import connection as connections
+from _arbutuswalk.streams import pool
 
 STALL_S = 2.0
 """Longer than announcements may be missing, shorter than a lease."""
@@ -163,6 +168,46 @@
         assert is_dead is not announces_again
 
 
+class TestConnecting:
+    TIMEOUT_S = 0.2
+
+    @pytest.fixture
+    def listener(self):
+        """Returns a listener with room for one connection."""
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            sock.listen(0)
+            yield sock
+
+    async def connect(self, listener):
+        """Opens a connection while the event loop handles nothing else."""
+        host, port = listener.getsockname()
+        task = asyncio.ensure_future(
+            pool.connect(
+                f"{host}:{port}",
+                read_reply=headers.interpret_response,
+                timeout_s=self.TIMEOUT_S,
+            )
+        )
+        await asyncio.sleep(0)
+        time.sleep(self.TIMEOUT_S + stalls.MIN_STALL_S / 2)
+        return await task
+
+    async def test_one_made_in_time_counts_if_it_is_handled_late(
+        self, listener
+    ):
+        opened = await self.connect(listener)
+        assert isinstance(opened, connections.Connection)
+        opened.abort()
+
+    async def test_one_that_is_not_made_times_out(self, listener):
+        with socket.create_connection(listener.getsockname()):
+            opened = await self.connect(listener)
+        assert opened == pool.NotOpened(
+            reason="connect timed out", refused=False
+        )
+
+
 class TestProcesses:
     async def test_requests_after_a_stall_are_served(self, cluster):
         """They were sent while the entry stood still."""
