Give late requests of a test a second more

test_one_that_ends_inside_the_grace_is_answered[stream] failed in 1 of 8 runs beside other work (load average 12 to 20): the request's last byte, sent 1.1 s after its first, was read after the deadline of 1.4 s, and the entry rightly refused it with "no time left". The test was wrong to leave 0.25 s for the machine. The deadline and the grace period are both one second longer; the deadline still ends 0.2 s before the last answers are due, and the request is still read after listening has ended, so the check is as strict.

--- a/testing/test_late_in_grace.py
+++ b/testing/test_late_in_grace.py
@@ -192,8 +192,8 @@
     @pytest.mark.parametrize(
         "route",
         [
-            ONCE._replace(timeout_s=LATE_S + 0.4),
-            STREAM._replace(timeout_s=LATE_S + 0.4),
+            ONCE._replace(timeout_s=LATE_S + 1.4),
+            STREAM._replace(timeout_s=LATE_S + 1.4),
             IDEMPOTENT,
         ],
         ids=["once", "stream", "idempotent"],
@@ -201,6 +201,7 @@
     async def test_one_that_ends_inside_the_grace_is_answered(self, route):
         config = make_config(route)
         async with StoppingEntry(config, [work(0.05)]) as stopping_entry:
+            stopping_entry.grace_s = GRACE_S + 1.0
             answer = await stopping_entry.send_late_body()
             assert (answer.status, answer.body) == (200, b"data: 1\n\n")
             assert answer.says_close
