Explain where a request would go, without sending it

Operators could tell from logs where a request had gone, not where one would go now. arbutuswalk explain-placement asks a running entry, at the address of its metrics: refusal, quota, and for each upstream of the route the outcome and the endpoints with their share, load, waits and what speaks against them.

--- a/src/_arbutuswalk/cli/main.py
+++ b/src/_arbutuswalk/cli/main.py
@@ -10,6 +10,7 @@
 from _arbutuswalk.cli import apply
 from _arbutuswalk.cli import common
 from _arbutuswalk.cli import evacuation_commands
+from _arbutuswalk.cli import placement_commands
 from _arbutuswalk.cli import relay_commands
 from _arbutuswalk.cli import remote
 from _arbutuswalk.entry import model_requests
@@ -189,6 +190,7 @@
         Replace,
         *relay_commands.COMMANDS,
         *evacuation_commands.COMMANDS,
+        *placement_commands.COMMANDS,
     ):
         app.add(command_class())
     return app
--- a/src/_arbutuswalk/cli/remote.py
+++ b/src/_arbutuswalk/cli/remote.py
@@ -5,6 +5,8 @@
 import json
 from typing import Any
 
+import aiohttp
+
 from _arbutuswalk.entry import control_client
 from _arbutuswalk.state import commands
 from _arbutuswalk.state import outcomes
@@ -13,6 +15,7 @@
 
 CALL_TIMEOUT_S = 10.0
 POLL_INTERVAL_S = 0.2
+HTTP_OK = 200
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -80,6 +83,40 @@
     return json.loads(reply.result)
 
 
+def explain_placement(
+    address: str, query: list[tuple[str, str]]
+) -> dict[str, Any] | Failed:
+    """Returns what an entry would do with a request.
+
+    Args:
+        address: IP:port at which the entry serves its metrics.
+        query: Names and values that describe the request.
+    """
+    return asyncio.run(_explain_placement(address, query))
+
+
+async def _explain_placement(
+    address: str, query: list[tuple[str, str]]
+) -> dict[str, Any] | Failed:
+    timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+    url = f"http://{address}/placement"
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.get(url, params=query) as response,
+        ):
+            text = await response.text()
+    except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        return Failed(reason=f"{address}: {error!r}", unreachable=True)
+    if response.status != HTTP_OK:
+        reason = f"{address}: status {response.status} {text[:200]}"
+        return Failed(reason=reason, unreachable=False)
+    try:
+        return json.loads(text)
+    except ValueError:
+        return Failed(reason=f"{address}: no JSON answer", unreachable=False)
+
+
 async def _call(address: str, message: object) -> object:
     connection = link.Link(address=address)
     try:
--- a/src/_arbutuswalk/relay/permitted_placement.py
+++ b/src/_arbutuswalk/relay/permitted_placement.py
@@ -97,13 +97,7 @@
         if chosen is None:
             max_wait_s = _max_wait(request)
             max_pause_wait_s = min(max_wait_s, _objective_left(relay, request))
-            chosen = placement.find_placement(
-                relay,
-                request,
-                tried,
-                max_permit_wait_s=max_wait_s,
-                max_pause_wait_s=max_pause_wait_s,
-            )
+            chosen = find_after_wait(relay, request, tried)
         if chosen is not None:
             slot_wait_s = min(
                 _max_wait(request), _objective_left(relay, request)
@@ -129,12 +123,27 @@
             return chosen._replace(permit_ends_at=ends_at)
         if is_permitted:
             return chosen
-    return _no_endpoint(relay, request, tried)
+    return explain_none(relay, request, tried)
+
+
+def find_after_wait(
+    relay: relay_state.Relay, request: requests.Request, tried: set[str]
+) -> placement.Placement | None:
+    """Returns an endpoint that may be sent the request after a short wait."""
+    max_wait_s = _max_wait(request)
+    return placement.find_placement(
+        relay,
+        request,
+        tried,
+        max_permit_wait_s=max_wait_s,
+        max_pause_wait_s=min(max_wait_s, _objective_left(relay, request)),
+    )
 
 
-def _no_endpoint(
+def explain_none(
     relay: relay_state.Relay, request: requests.Request, tried: set[str]
 ) -> results.NotSent:
+    """Returns why no endpoint may be sent the request, and when one may."""
     endpoints = placement.ready_endpoints(relay, request, set())
     untried = [e for e in endpoints if e.id not in tried]
     paused = [
