--- a/src/_arbutuswalk/relay/relay_state.py
+++ b/src/_arbutuswalk/relay/relay_state.py
@@ -24,6 +24,7 @@
 from _arbutuswalk.relay import rollout_outcomes
 from _arbutuswalk.relay import slot_client
 from _arbutuswalk.relay import usage
+from _arbutuswalk.relay import workspace_demand
 from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory
 from _arbutuswalk.routing import evacuations
@@ -58,6 +59,7 @@
         capacity: What this process may use of its instance.
         extra_attempts: Second attempts that are made while the first one is
             running, as a share of the requests of a route; 0 for none.
+        rejects_late: Whether requests that would be late are rejected.
     """
 
     retry_ratio: float
@@ -68,6 +70,7 @@
     heartbeat_s: float
     capacity: capacities.Capacity = capacities.Capacity()
     extra_attempts: float = 0.0
+    rejects_late: bool = False
 
 
 class Load(NamedTuple):
@@ -112,6 +115,7 @@
         own_loads: Load from this entry by endpoint.
         other_loads: Load from other entries by endpoint.
         endpoint_speeds: Measured and known speeds of endpoints.
+        workspace_demand: Counted and known demand of workspaces.
         stated_limits: Limits that endpoints state.
         invalid_leaving: Starts whose invalid statement was logged.
         permits: Permits for endpoints that state a limit.
@@ -179,6 +183,7 @@
         self.own_loads: dict[str, Load] = {}
         self.other_loads: dict[str, Load] = {}
         self.endpoint_speeds = endpoint_speeds.EndpointSpeeds()
+        self.workspace_demand = workspace_demand.WorkspaceDemand()
         self.stated_limits = stated_limits.StatedLimits()
         self.invalid_leaving = leaving.LeavingStarts()
         self.permits = permit_client.PermitClient()
