Sum the demand of workspaces over entries, and find fair shares

No entry knew what workspaces ask of an upstream through the others, so that none could tell whose requests take more than their share.

With rejects_late, entries report what is asked and admitted by upstream, workspace and priority; every control process sums that and sends back who asks for more than a fair share.

--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -233,6 +233,11 @@
         706,
         "endpoint speed changed endpoint=%s slowness=%s before=%s",
     )
+    WORKSPACE_SHARE_CHANGED = (
+        707,
+        "workspace share changed upstream=%s workspace=%s excess=%s asked=%s "
+        "admitted=%s entries=%s",
+    )
     HEAD_REFUSED = (683, "request head refused caller=%s status=%s reason=%s")
 
     @property
--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -19,6 +19,7 @@
 from _arbutuswalk.base import events
 from _arbutuswalk.base import metrics
 from _arbutuswalk.control import crash_reports
+from _arbutuswalk.control import demand_reports
 from _arbutuswalk.control import entry_paths
 from _arbutuswalk.control import entry_reports
 from _arbutuswalk.control import member as members
@@ -76,6 +77,7 @@
         stated_brittle: Rejections that brittle endpoints state, likewise.
         crash_reports: What entries report on crashes.
         speeds: Speeds of endpoints that entries measure.
+        demand: Demand of workspaces that entries report.
         started_at: When this process started, in seconds.
         first_watch_at: When an entry first sent a watch, None before.
         restored_entry_count: Entries before the last restart, 0 if unknown.
@@ -107,6 +109,7 @@
         self.restored_entry_count = 0
         self.wall: clock.Clock = member.wall
         self.metrics = metrics.Metrics()
+        self.demand = demand_reports.DemandReports(metrics=self.metrics)
         self.route_parts = route_parts.RouteParts()
         self.shared_loads = entry_reports.SharedValue()
         self.shared_counts = entry_reports.SharedValue()
@@ -163,7 +166,7 @@
         if endpoint_id in self.directory.rows:
             revision = self.directory.rows[endpoint_id].change_revision
         deadline = self.now() + ENTRIES_UPDATE_TIMEOUT_S
-        while self._has_entry_behind(revision):
+        while entry_reports.has_behind(self.reachable_entries(), revision):
             remaining_s = deadline - self.now()
             if remaining_s <= 0:
                 return False
@@ -259,10 +262,6 @@
         known = self.member.replica.log.members.addresses.values()
         return sorted({self.member.address, *known})
 
-    def _has_entry_behind(self, revision: int) -> bool:
-        entries = self.reachable_entries().values()
-        return any(entry.revision < revision for entry in entries)
-
     def _record_watch(
         self, message: ttypes.Watch, revision: int
     ) -> dict[str, Any]:
@@ -279,6 +278,7 @@
             self.notify_watches()
         now = self.now()
         self.speeds.record(key, report, self.directory, now)
+        self.demand.record(key, report, now)
         for name, table in self._stated_tables().items():
             statements = stated_limits.from_json(report.get(name, {}), now)
             self.record_limits(statements, table)
@@ -362,6 +362,7 @@
             "has_routes": tables.routes is not None,
             **watch_updates.parts(self.directory, revision, wanted, loads),
             **self.speeds.parts(self.directory, wanted.speeds_since, now),
+            **self.demand.parts(tables.routes, wanted.shares_since, now),
             "members": self.member_addresses(),
             "domain": self.domain,
             "peers": entry_paths.peers_of(
@@ -378,7 +379,7 @@
             else self.restored_entry_count,
             "silent": counts.silent,
             "wall": self.wall(),
-            "term": self._lease_term(),
+            "term": self.member.replica.term if self.member.holds_lease else 0,
             "refused": self.crash_reports.refusals.to_json(self.now()),
             "crash_candidates": self.crash_reports.candidates,
         }
@@ -388,10 +389,6 @@
         reports = (entry.report for entry in entries)
         return self.shared_pools.summarize(reports, self.now())
 
-    def _lease_term(self) -> int:
-        """Returns the term if this member holds the leader lease, else 0."""
-        return self.member.replica.term if self.member.holds_lease else 0
-
     def _forward_to_members(self, endpoint: directories.Endpoint) -> None:
         payload = json.dumps(endpoint).encode()
         message = ttypes.UpstreamNews(announcements=[payload])
--- a/src/_arbutuswalk/control/entry_reports.py
+++ b/src/_arbutuswalk/control/entry_reports.py
@@ -55,6 +55,11 @@
     return newest
 
 
+def has_behind(entries: dict[str, KnownEntry], revision: int) -> bool:
+    """Returns whether an entry lacks a directory revision."""
+    return any(entry.revision < revision for entry in entries.values())
+
+
 def sum_loads(entries: Iterable[KnownEntry]) -> Loads:
     """Returns the sums of the loads that entries report."""
     totals: Loads = {}
--- a/src/_arbutuswalk/control/report_checks.py
+++ b/src/_arbutuswalk/control/report_checks.py
@@ -9,6 +9,7 @@
 
 from _arbutuswalk.base import settings
 from _arbutuswalk.wire import compressed_json
+from _arbutuswalk.wire import demand_fields
 
 Check = Callable[[Any], bool]
 
@@ -56,6 +57,18 @@
     return lambda value: any(check(value) for check in checks)
 
 
+_is_demand = _is_table_of(
+    _is_row(
+        demand_fields.is_rate,
+        _is_table_of(
+            _is_list_of(
+                _is_row(settings.is_non_negative_int, demand_fields.is_rate)
+            )
+        ),
+    )
+)
+
+
 def _is_outcome(value: Any) -> bool:
     return (
         isinstance(value, list)
@@ -65,6 +78,9 @@
     )
 
 
+_is_row_of_counts = _is_row(
+    settings.is_non_negative_int, settings.is_non_negative_int
+)
 _is_row_of_numbers = _is_row(settings.is_number, settings.is_number)
 _CHECKS: dict[str, Check] = {
     "entry": _is_text,
@@ -105,6 +121,14 @@
             )
         ),
     ),
+    "demand": _is_any_of(
+        _is_row(
+            settings.is_non_negative_int,
+            settings.is_non_negative_int,
+            _is_demand,
+        ),
+        lambda value: _is_row_of_counts(value) and len(value) == 2,
+    ),
     "usage": _is_table_of(_is_table_of(settings.is_number)),
     "taken": _is_table_of(settings.is_number),
     "returned": _is_table_of(settings.is_number),
--- a/src/_arbutuswalk/control/watch_updates.py
+++ b/src/_arbutuswalk/control/watch_updates.py
@@ -24,6 +24,7 @@
         unknown_ids: Endpoints that it does not have.
         speeds_since: Revision of the speeds of endpoints that it has, None if
             it wants none.
+        shares_since: The same of the shares of workspaces.
         peers_of: Its id if it asks for entries that open tunnels, or empty.
     """
 
@@ -32,6 +33,7 @@
     unknown_ids: frozenset[str] = frozenset()
     peers_of: str = ""
     speeds_since: int | None = None
+    shares_since: int | None = None
 
 
 def wanted_by(report: dict[str, Any], revision: int) -> Wanted:
@@ -47,12 +49,15 @@
         return Wanted(revision)
     since = report["status_since"]
     speeds_since = report.get("speeds", [0])[0] if revision else 0
+    wants_shares = since is not None and "demand" in report
+    shares_since = report["demand"][0] if wants_shares and revision else 0
     return Wanted(
         status_since=None if since is None else min(since, revision),
         compact=True,
         unknown_ids=frozenset(report.get("unknown", ())),
         peers_of=report.get("entry", "") if report.get("wants_peers") else "",
         speeds_since=None if since is None else speeds_since,
+        shares_since=shares_since if wants_shares else None,
     )
 
 
--- a/src/_arbutuswalk/relay/status_feeds.py
+++ b/src/_arbutuswalk/relay/status_feeds.py
@@ -15,6 +15,7 @@
 from _arbutuswalk.relay import endpoint_speeds
 from _arbutuswalk.relay import leaving_endpoints
 from _arbutuswalk.relay import relay_state
+from _arbutuswalk.relay import workspace_demand
 from _arbutuswalk.routing import directory
 
 FAR_INTERVAL_S = 2.0
@@ -32,6 +33,7 @@
         unknown_ids: Endpoints of which it sent heartbeats only, and which this
             entry does not have.
         speeds: Speeds of endpoints exchanged with it.
+        demand: Demand and shares of workspaces exchanged with it.
     """
 
     def __init__(self):
@@ -41,6 +43,7 @@
         self.received_at = float("-inf")
         self.unknown_ids: set[str] = set()
         self.speeds = endpoint_speeds.Feed()
+        self.demand = workspace_demand.Feed()
 
 
 def is_wanted(
@@ -67,6 +70,10 @@
     fields: dict[str, Any] = {"status_since": feed.revision if wanted else None}
     if feed.unknown_ids:
         fields["unknown"] = sorted(feed.unknown_ids)
+    if relay.options.rejects_late:
+        fields |= workspace_demand.to_json(
+            relay.workspace_demand, feed.demand, relay.now()
+        )
     return fields | endpoint_speeds.to_json(relay.endpoint_speeds, feed.speeds)
 
 
@@ -98,6 +105,9 @@
     endpoint_speeds.record_reply(
         relay.endpoint_speeds, feed.speeds, news, relay.now(), relay.metrics
     )
+    workspace_demand.record_reply(
+        relay.workspace_demand, feed.demand, news, relay.now(), relay.metrics
+    )
     if "loads" in news:
         feed.revision = revision
         feed.received_at = relay.now()
