--- a/src/_arbutuswalk/control/demand_reports.py
+++ b/src/_arbutuswalk/control/demand_reports.py
@@ -61,6 +61,15 @@
         self.asked: dict[str, dict[int, float]] = {}
         self.admitted = 0.0
 
+    def add(
+        self, priority: int, workspaces: list[str], rates: list[float]
+    ) -> None:
+        """Adds what an entry is asked for with one priority."""
+        for workspace, rate in zip(workspaces, rates, strict=False):
+            if rate:
+                sums = self.asked.setdefault(workspace, {})
+                sums[priority] = sums.get(priority, 0.0) + rate
+
 
 class DemandReports:
     """Demand of all entries, and the shares found for it.
@@ -157,16 +166,13 @@
         self.entry_count = len(recent)
         self.demand = {}
         for entry_demand in recent:
-            for upstream, (admitted, asked, *_) in entry_demand.items():
+            for upstream, (admitted, names, rows, *_) in entry_demand.items():
                 demand = self.demand.get(upstream)
                 if demand is None:
                     demand = self.demand[upstream] = Demand()
                 demand.admitted += admitted
-                for workspace, rows in asked.items():
-                    sums = demand.asked.setdefault(workspace, {})
-                    for row in rows:
-                        priority, rate = row[:2]
-                        sums[priority] = sums.get(priority, 0.0) + rate
+                for row in rows:
+                    demand.add(row[0], names, row[1])
 
     def _log_changes(self, before: Table) -> None:
         """Logs who goes over its share and back, not how far it is over it."""
--- a/src/_arbutuswalk/control/report_checks.py
+++ b/src/_arbutuswalk/control/report_checks.py
@@ -60,9 +60,11 @@
 _is_demand = _is_table_of(
     _is_row(
         demand_fields.is_rate,
-        _is_table_of(
-            _is_list_of(
-                _is_row(settings.is_non_negative_int, demand_fields.is_rate)
+        _is_list_of(_is_text),
+        _is_list_of(
+            _is_row(
+                settings.is_non_negative_int,
+                _is_list_of(demand_fields.is_rate),
             )
         ),
     )
--- a/src/_arbutuswalk/wire/demand_fields.py
+++ b/src/_arbutuswalk/wire/demand_fields.py
@@ -1,8 +1,8 @@
 """Demand as entries send it to control, and shares as control sends them back.
 
-Demand: by upstream, what is admitted per second and, by workspace, rows of a
-priority and what is asked per second. Shares: by upstream and workspace, steps
-of what is asked relative to the share.
+Demand: by upstream, what is admitted per second, the workspaces, and rows of a
+priority and what each of them asks per second. Shares: by upstream and
+workspace, steps of what is asked relative to the share.
 """
 
 import math
@@ -26,17 +26,31 @@
 
 def demand_to_json(asked: Rates, admitted: Rates) -> dict[str, Any]:
     """Returns the demand of an entry with two significant digits."""
-    demand: dict[str, Any] = {}
-    for (upstream, workspace, priority), rate in asked.items():
-        _, by_workspace = demand.setdefault(upstream, [0.0, {}])
-        rows = by_workspace.setdefault(workspace, [])
-        rows.append([priority, _rounded(rate)])
-    for (upstream, _, _), rate in admitted.items():
-        if upstream in demand:
-            demand[upstream][0] += rate
-    for fields in demand.values():
-        fields[0] = _rounded(fields[0])
-    return demand
+    return {
+        upstream: _upstream_to_json(asked, admitted, upstream)
+        for upstream in sorted({upstream for upstream, _, _ in asked})
+    }
+
+
+def _upstream_to_json(asked: Rates, admitted: Rates, name: str) -> list[Any]:
+    keys = [key for key in asked if key[0] == name]
+    workspaces = sorted({workspace for _, workspace, _ in keys})
+    priorities = sorted({priority for _, _, priority in keys})
+    total = sum(rate for key, rate in admitted.items() if key[0] == name)
+    return [
+        _rounded(total),
+        workspaces,
+        [
+            [
+                priority,
+                [
+                    _rounded(asked.get((name, workspace, priority), 0.0))
+                    for workspace in workspaces
+                ],
+            ]
+            for priority in priorities
+        ],
+    ]
 
 
 def is_rate(value: Any) -> bool:
