--- a/src/_arbutuswalk/wire/demand_fields.py
+++ b/src/_arbutuswalk/wire/demand_fields.py
@@ -15,8 +15,11 @@
 """Ratio of two neighbouring values relative to the share."""
 MAX_STEPS = 26
 """Most steps, over a hundred times the share."""
+FIRST_STEPS = 1.5
+"""Distance from its share up to which a workspace is not over it: a third, more
+than most differences by chance at a few requests a second."""
 KEEPING_STEPS = 0.75
-"""Distance up to which the former step is kept, against changes by chance."""
+"""Distance up to which a further step is kept."""
 MAX_RATE = 1e15
 """Largest rate that is accepted, per second."""
 
@@ -61,7 +64,8 @@
 def steps(factor: float, before: int) -> int:
     """Returns the steps of a factor of at least 1, the former ones if close."""
     exact = math.log(factor) / math.log(STEP)
-    return before if abs(exact - before) <= KEEPING_STEPS else round(exact)
+    kept_steps = KEEPING_STEPS if before else FIRST_STEPS
+    return before if abs(exact - before) <= kept_steps else round(exact)
 
 
 def factor(step_count: int) -> float:
