Order endpoints by tokens asked, measured speed and objectives

Endpoints were ordered by concurrent requests over fixed constants (4 for each reclaimable model endpoint, 6 on demand), so callers of slow engines waited beyond their objective, and fast engines were ordered twice over.

With `sizing = "tokens"` of control processes, off by default, the load is the mean number of endpoints that read prompts, with backlog that grows. The time to read a prompt and the strictest objective of the streaming routes give the utilization at which the expected wait stays within a third of what the objective leaves. Rises are extended over the start-up time, counts are held for five of those, enough remains if a domain is lost, and silent entries lower nothing. Without a speed the old constants hold.

--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -233,6 +233,11 @@
         706,
         "endpoint speed changed endpoint=%s slowness=%s before=%s",
     )
+    SIZING_CHANGED = (
+        717,
+        "sizing changed upstream=%s reclaimable=%s on_demand=%s bound=%s"
+        " read_ms=%s pace_ms=%s objective_ms=%s",
+    )
     HEAD_REFUSED = (683, "request head refused caller=%s status=%s reason=%s")
 
     @property
--- a/src/_arbutuswalk/control/duties.py
+++ b/src/_arbutuswalk/control/duties.py
@@ -14,6 +14,7 @@
 from _arbutuswalk.base import events
 from _arbutuswalk.control import process
 from _arbutuswalk.control import scaling
+from _arbutuswalk.control import sizing
 from _arbutuswalk.control import usage_reports
 from _arbutuswalk.state import scaling_policy
 
@@ -68,6 +69,7 @@
         window_s: Length of a usage window.
         delay_s: Time after a window's end by which its report is due.
         heartbeat_s: Heartbeat interval of endpoints.
+        sizing: One of ``sizing.METHODS``.
     """
 
     usage: bool
@@ -76,6 +78,7 @@
     window_s: float
     delay_s: float
     heartbeat_s: float
+    sizing: str = sizing.REQUESTS
 
 
 class DutyHolder:
@@ -118,13 +121,13 @@
     """Performs the duties while this process holds them."""
     holder = DutyHolder(components=components, options=options)
     sent_reports = usage_reports.SentReports(window_s=options.window_s)
-    fleets = scaling.Fleets(heartbeat_s=options.heartbeat_s)
+    fleets = _make_fleets(options)
 
     async def tick() -> None:
         nonlocal fleets
         if not holder.update_term():
             sent_reports.clear()
-            fleets = scaling.Fleets(heartbeat_s=options.heartbeat_s)
+            fleets = _make_fleets(options)
         elif holder.may_act():
             if options.usage:
                 await _report_usage(holder, platform_calls, sent_reports)
@@ -134,6 +137,12 @@
     await background.repeat("duties", TICK_INTERVAL_S, tick)
 
 
+def _make_fleets(options: Options) -> scaling.Fleets:
+    return scaling.Fleets(
+        heartbeat_s=options.heartbeat_s, method=options.sizing
+    )
+
+
 async def _report_usage(
     holder: DutyHolder,
     platform_calls: PlatformCalls,
--- a/src/_arbutuswalk/control/scaling.py
+++ b/src/_arbutuswalk/control/scaling.py
@@ -2,6 +2,7 @@
 
 from _arbutuswalk.control import evacuations
 from _arbutuswalk.control import process
+from _arbutuswalk.control import sizing
 from _arbutuswalk.routing import directory
 from _arbutuswalk.state import rollouts
 from _arbutuswalk.state import routeconfig
@@ -27,14 +28,16 @@
             before the first.
         reclaimed: Leaving endpoints already recorded, by id and start time.
         config: Route configuration that defines the scaling.
+        sizings: Sizing by tokens, None to size by concurrent requests.
     """
 
-    def __init__(self, *, heartbeat_s: float):
+    def __init__(self, *, heartbeat_s: float, method: str = sizing.REQUESTS):
         self.heartbeat_s = heartbeat_s
         self.by_upstream: dict[str, scaling_policy.FleetState] = {}
         self.routes_version: int | None = None
         self.reclaimed: set[tuple[str, int]] = set()
         self.config: routeconfig.RouteConfig | None = None
+        self.sizings = sizing.Sizings() if method == sizing.TOKENS else None
 
     def is_serving(self, row: directory.Row, now: float) -> bool:
         """Returns whether an endpoint is ready and announces itself."""
@@ -77,11 +80,22 @@
             wall_s=components.member.wall(),
             settling_s=upstream.scaling.boot_s + scaling_policy.BOOT_GRACE_S,
         )
+        counts = None
+        if fleets.sizings is not None:
+            counts = sizing.compute_counts(
+                components,
+                fleets.sizings,
+                fleets.config,
+                upstream,
+                serving,
+                loads,
+            )
         orders = scaling_policy.decide(
             fleet,
             scaling_policy.without_domains(upstream.scaling, closed_domains),
             _count_by_pool(serving, closed_domains),
             now,
+            counts,
         )
         due_orders += [(upstream.name, order) for order in orders]
     return due_orders
--- a/src/_arbutuswalk/control/speed_reports.py
+++ b/src/_arbutuswalk/control/speed_reports.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+from collections.abc import Iterable
 from typing import Any
 from typing import NamedTuple
 
@@ -108,6 +109,18 @@
                 start = self.starts[endpoint_id] = Start(born_ms=born_ms)
             start.samples.append((now, endpoint_speed.Measures(read, pace)))
 
+    def typical(
+        self, rows: Iterable[directories.Row], now: float
+    ) -> endpoint_speed.Seconds | None:
+        """Returns the times that a typical one of these endpoints takes."""
+        samples = [
+            self.starts[row.endpoint.id].recent(now)
+            for row in rows
+            if row.endpoint.id in self.starts
+            and self.starts[row.endpoint.id].born_ms == row.endpoint.born_ms
+        ]
+        return endpoint_speed.typical_seconds(samples)
+
     def parts(
         self, directory: directories.Directory, since: int | None, now: float
     ) -> dict[str, Any]:
--- a/src/_arbutuswalk/routing/endpoint_speed.py
+++ b/src/_arbutuswalk/routing/endpoint_speed.py
@@ -30,6 +30,8 @@
 
 MIN_SAMPLES = 6
 """Samples from which an endpoint is compared."""
+MIN_MEDIAN_SAMPLES = 3
+"""Samples from which their median is not moved by one of them."""
 MIN_ENDPOINTS = 4
 """Compared endpoints from which they have a typical one."""
 PRIOR_SAMPLES = 2
@@ -69,6 +71,18 @@
     pace: int | None
 
 
+class Seconds(NamedTuple):
+    """Times that a typical endpoint takes, 0 if unknown.
+
+    Attributes:
+        read_s: Time to read a prompt token.
+        pace_s: Time between two events of a stream.
+    """
+
+    read_s: float
+    pace_s: float
+
+
 class ReadLoad(NamedTuple):
     """What an endpoint had to do before its first event, as far as known.
 
@@ -116,6 +130,44 @@
     return round(math.log(value) * LOG_STEPS)
 
 
+def typical_seconds(
+    samples: Collection[Collection[Measures]],
+) -> Seconds | None:
+    """Returns the times of the mean endpoint, None if none is known.
+
+    Args:
+        samples: Recent samples by endpoint. An endpoint counts by its median,
+            which a stall of one answer does not move.
+    """
+    found = [
+        _typical(
+            [
+                [
+                    value
+                    for each in measures
+                    if (value := each[position]) is not None
+                ]
+                for measures in samples
+            ]
+        )
+        for position in range(len(Measures._fields))
+    ]
+    return Seconds(*found) if any(found) else None
+
+
+def _typical(values: list[list[int]]) -> float:
+    """Returns the geometric mean of the endpoints in seconds, 0 if unknown.
+
+    Endpoints with few samples count together.
+    """
+    if sum(map(len, values)) < MIN_SAMPLES:
+        return 0.0
+    groups = [each for each in values if len(each) >= MIN_MEDIAN_SAMPLES]
+    groups = groups or [[value for each in values for value in each]]
+    mean = statistics.fmean(map(statistics.median, groups))
+    return math.exp(mean / LOG_STEPS)
+
+
 class _Estimate(NamedTuple):
     """An estimated logarithm and its standard error."""
 
--- a/src/_arbutuswalk/state/scaling_policy.py
+++ b/src/_arbutuswalk/state/scaling_policy.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from _arbutuswalk.state import routeconfig
+from _arbutuswalk.state import token_sizing
 
 REQUESTS_PER_ENDPOINT = 4.0
 """Target of concurrent requests per model engine. Above it, the processing of
@@ -105,23 +106,32 @@
 
 
 def reclaimable_count(
-    fleet: FleetState, scaling: routeconfig.Scaling, now: float
+    fleet: FleetState,
+    scaling: routeconfig.Scaling,
+    now: float,
+    counts: token_sizing.Counts | None = None,
 ) -> int:
     """Returns the number of reclaimable endpoints for the peak load."""
     peak = max((running for _, running in fleet.load_samples), default=0)
+    at_peak = counts.reclaimable if counts else peak / REQUESTS_PER_ENDPOINT
     initial_estimate = (
         fleet.initial_endpoints * INITIAL_SURPLUS_FACTOR
         if _is_learning_load(fleet, now)
         else 0
     )
-    required = max(initial_estimate, peak / REQUESTS_PER_ENDPOINT)
+    required = max(initial_estimate, at_peak)
     return _clamp_count(fleet, scaling, required, now)
 
 
 def required_count(
-    fleet: FleetState, scaling: routeconfig.Scaling, now: float
+    fleet: FleetState,
+    scaling: routeconfig.Scaling,
+    now: float,
+    counts: token_sizing.Counts | None = None,
 ) -> int:
     """Returns the number of endpoints required even at the on-demand price."""
+    if counts is not None:
+        return _clamp_count(fleet, scaling, counts.on_demand, now)
     load_samples = [running for _, running in fleet.load_samples] or [0]
     typical = statistics.median(load_samples) * LOAD_HEADROOM_FACTOR
     return _clamp_count(
@@ -160,6 +170,7 @@
     scaling: routeconfig.Scaling,
     ready: dict[PoolKey, int],
     now: float,
+    counts: token_sizing.Counts | None = None,
 ) -> list[Order]:
     """Returns the orders that are due.
 
@@ -168,11 +179,13 @@
         scaling: Bounds and prices.
         ready: Serving endpoints that are not leaving, by domain and kind.
         now: Seconds.
+        counts: Required endpoints by tokens, None to require them by concurrent
+            requests.
     """
     _adopt_running(fleet, scaling, ready, now)
-    count = reclaimable_count(fleet, scaling, now)
+    count = reclaimable_count(fleet, scaling, now, counts)
     targets = _reclaimable_targets(fleet, scaling, ready, count, now)
-    on_demand_minimum = required_count(fleet, scaling, now)
+    on_demand_minimum = required_count(fleet, scaling, now, counts)
     targets |= _on_demand_targets(
         fleet, scaling, ready, targets, on_demand_minimum, now
     )
