Remove the metrics of a holder that lost the duty; record once a second

A process that lost the scaling duty went on showing its last counts, and event 717 came up to four times a second when the count on demand varied. Both were seen by reading the code, no run showed them.

--- a/src/_arbutuswalk/control/duties.py
+++ b/src/_arbutuswalk/control/duties.py
@@ -128,6 +128,7 @@
         if not holder.update_term():
             sent_reports.clear()
             fleets = _make_fleets(options)
+            sizing.remove_metrics(components)
         elif holder.may_act():
             if options.usage:
                 await _report_usage(holder, platform_calls, sent_reports)
--- a/src/_arbutuswalk/control/sizing.py
+++ b/src/_arbutuswalk/control/sizing.py
@@ -17,6 +17,8 @@
 """Sizes upstreams by tokens asked, measured speed and objectives."""
 METHODS = (REQUESTS, TOKENS)
 METRIC = "required_endpoints"
+MIN_RECORD_INTERVAL_S = 1.0
+"""Least time between two records of an upstream."""
 
 
 def is_method(value: object) -> bool:
@@ -30,11 +32,13 @@
     Attributes:
         by_upstream: Sizing by upstream name.
         logged: What was last recorded, by upstream name.
+        logged_at: When it was, in seconds.
     """
 
     def __init__(self):
         self.by_upstream: dict[str, token_sizing.Sizing] = {}
         self.logged: dict[str, tuple[int, int, str] | None] = {}
+        self.logged_at: dict[str, float] = {}
 
 
 def compute_counts(
@@ -134,6 +138,11 @@
     )
 
 
+def remove_metrics(components: process.Components) -> None:
+    """Removes the metrics of a process that lost the duty."""
+    components.discovery.metrics.replace_values(METRIC, {})
+
+
 def _strictest(objectives_s: Iterable[float]) -> float:
     return min((value for value in objectives_s if value > 0), default=0.0)
 
@@ -152,9 +161,14 @@
         token_sizing.whole(counts.on_demand),
         counts.bound,
     )
-    if rounded == sizings.logged.get(upstream):
+    now = components.member.now()
+    elapsed_s = now - sizings.logged_at.get(upstream, float("-inf"))
+    if (
+        rounded == sizings.logged.get(upstream)
+        or elapsed_s < MIN_RECORD_INTERVAL_S
+    ):
         return
-    sizings.logged[upstream] = rounded
+    sizings.logged[upstream], sizings.logged_at[upstream] = rounded, now
     reclaimable, on_demand, bound = rounded or (0, 0, "unknown speed")
     events.record(
         events.Event.SIZING_CHANGED,
