--- a/testing/test_token_sizing.py
+++ b/testing/test_token_sizing.py
@@ -361,7 +361,7 @@
         return components, fleets, orders
 
     def test_the_default_is_todays_count(self):
-        _, fleets, orders = self.play(duties_default())
+        _, fleets, orders = self.play(test_duties.OPTIONS.sizing)
         assert fleets.sizings is None
         assert sum(order.count for _, order in orders) == 18
 
@@ -373,6 +373,8 @@
         name = f'upstream="ops",kind="reclaimable",bound="{counts.bound}"'
         counters = components.discovery.metrics.counters
         assert counters[sizing.METRIC, name] == ordered
+        sizing.remove_metrics(components)
+        assert not any(key == sizing.METRIC for key, _ in counters)
 
     def test_an_unknown_method_is_refused(self):
         field = next(
@@ -386,7 +388,3 @@
         assert base_settings.check({}, (field,), where="f") == {
             "sizing": "requests"
         }
-
-
-def duties_default():
-    return test_duties.OPTIONS.sizing
