--- a/src/_arbutuswalk/routing/endpoint_speed.py
+++ b/src/_arbutuswalk/routing/endpoint_speed.py
@@ -30,8 +30,13 @@
 
 MIN_SAMPLES = 6
 """Samples from which an endpoint is compared."""
-MIN_MEDIAN_SAMPLES = 3
-"""Samples from which their median is not moved by one of them."""
+MIN_QUARTILE_SAMPLES = 4
+"""Samples from which one of them does not move their quartile."""
+READ_QUANTILE = 4
+"""One time to read in so many is below the one that counts in seconds: others
+contain waits that no entry knew of when it sent the request."""
+PACE_QUANTILE = 2
+"""The same for the pace, which leaves such waits out already."""
 MIN_ENDPOINTS = 4
 """Compared endpoints from which they have a typical one."""
 PRIOR_SAMPLES = 2
@@ -136,7 +141,7 @@
     """Returns the times of the mean endpoint, None if none is known.
 
     Args:
-        samples: Recent samples by endpoint. An endpoint counts by its median,
+        samples: Recent samples by endpoint. An endpoint counts by a quantile,
             which a stall of one answer does not move.
     """
     found = [
@@ -148,23 +153,26 @@
                     if (value := each[position]) is not None
                 ]
                 for measures in samples
-            ]
+            ],
+            quantile,
         )
-        for position in range(len(Measures._fields))
+        for position, quantile in enumerate((READ_QUANTILE, PACE_QUANTILE))
     ]
     return Seconds(*found) if any(found) else None
 
 
-def _typical(values: list[list[int]]) -> float:
+def _typical(values: list[list[int]], quantile: int) -> float:
     """Returns the geometric mean of the endpoints in seconds, 0 if unknown.
 
     Endpoints with few samples count together.
     """
     if sum(map(len, values)) < MIN_SAMPLES:
         return 0.0
-    groups = [each for each in values if len(each) >= MIN_MEDIAN_SAMPLES]
+    groups = [each for each in values if len(each) >= MIN_QUARTILE_SAMPLES]
     groups = groups or [[value for each in values for value in each]]
-    mean = statistics.fmean(map(statistics.median, groups))
+    mean = statistics.fmean(
+        sorted(each)[len(each) // quantile] for each in groups
+    )
     return math.exp(mean / LOG_STEPS)
 
 
--- a/src/_arbutuswalk/state/token_sizing.py
+++ b/src/_arbutuswalk/state/token_sizing.py
@@ -26,6 +26,9 @@
 ON_DEMAND_WAIT_SHARE = 1 / 2
 """The same for on-demand endpoints, where a surplus costs the full price: 14 %
 of such times exceed twice their mean."""
+MAX_OWN_SHARE = 1 / 2
+"""Largest share of the objective that reading the own prompt is taken to need.
+The strictest objective is that of requests with short prompts."""
 MAX_UTILIZATION = 0.6
 """Largest share of the time in which endpoints read prompts, whatever the
 objective: entries place requests by loads that are some tenths of a second
@@ -345,7 +348,8 @@
     ``read_s * utilization / (1 - utilization) / 2`` on average.
     """
     read_s = sizing.prompt_tokens * sizing.speed.read_s
-    left_s = objective_s - read_s - sizing.speed.pace_s
+    own_s = min(read_s, MAX_OWN_SHARE * objective_s)
+    left_s = objective_s - own_s - sizing.speed.pace_s
     if not read_s or left_s <= 0:
         return MIN_UTILIZATION
     wait_s = wait_share * left_s
