--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -238,6 +238,11 @@
         "workspace share changed upstream=%s workspace=%s excess=%s asked=%s "
         "admitted=%s entries=%s",
     )
+    SIZING_CHANGED = (
+        717,
+        "sizing changed upstream=%s reclaimable=%s on_demand=%s bound=%s"
+        " read_ms=%s pace_ms=%s objective_ms=%s",
+    )
     HEAD_REFUSED = (683, "request head refused caller=%s status=%s reason=%s")
 
     @property
