Spread the voters over failure domains whose loss has to be borne

What operators saw: a deployment states that a whole failure domain may be lost at once. With nine control processes in three domains, three of the five voters were in one domain: its loss left two of five, so no order was acknowledged until it was back, and with its disks what had been acknowledged was gone.

Cause: the leader added members in the order of their addresses, and replaced voters by whichever member was the standby. The number of domains that may be lost was not in the settings.

Change: `domain_losses` in the settings; a Hello names the member's domain; the leader adds standbys where there are fewest voters, and replaces a voter of a crowded domain by a member of another one. A lost voter is still replaced at once by whichever member is ready. Without the setting nothing changes.

--- a/src/_arbutuswalk/agreement/membership.py
+++ b/src/_arbutuswalk/agreement/membership.py
@@ -8,10 +8,16 @@
 replaces a voter that is silent, lost its disk or is about to end, so that the
 group is whole again before another voter may be lost. While a voter is needed,
 there may be a second learner, as the first one may be out of reach.
+
+Where the loss of failure domains has to be borne, voters are spread over them
+(``domains``). A voter that is lost is replaced by whichever member is ready;
+one of too many in its domain only by a member of a domain that has room.
 """
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
+from _arbutuswalk.agreement import domains
 from _arbutuswalk.agreement import presence
 from _arbutuswalk.agreement import replica as replicas
 from _arbutuswalk.agreement import replication
@@ -21,6 +27,7 @@
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
 ADD, PROMOTE, REMOVE = "add", "promote", "remove"
+CROWDED = "too many voters in its domain"
 STANDBY_RETRY_S = 5.0
 """Time until a removed member is kept as the standby again unless it had ended.
 One that says hello but does not answer would else be added all the time."""
@@ -145,7 +152,7 @@
     replaceable = _voter_to_replace(replica, now)
     if len(members.voters) > replica.target_voters:
         return _removal(members, *(replaceable or _surplus_voter(replica)))
-    caught_up = _caught_up_learner(replica, now)
+    caught_up = _caught_up_learner(replica, now, replaceable)
     too_few_voters = len(members.voters) < replica.target_voters
     if caught_up and (too_few_voters or replaceable):
         reason = "too few voters" if too_few_voters else replaceable.reason
@@ -154,7 +161,7 @@
         reason = _replacement_reason(replica, learner, now)
         if reason:
             return _removal(members, learner, reason)
-    joining = _next_learner(replica, now)
+    joining = _next_learner(replica, now, replaceable)
     needs_voter = too_few_voters or replaceable is not None
     max_learners = 2 if needs_voter else 1
     if (
@@ -184,7 +191,8 @@
         reason = _replacement_reason(replica, voter, now)
         if reason:
             return Replaceable(voter, reason)
-    return None
+    crowded = domains.crowded_voter(replica, now)
+    return Replaceable(crowded, CROWDED) if crowded else None
 
 
 def _surplus_voter(replica: replicas.Replica) -> Replaceable:
@@ -233,10 +241,14 @@
     return now - heard_at > replica.timing.replace_after_s
 
 
-def _caught_up_learner(replica: replicas.Replica, now: float) -> str:
+def _caught_up_learner(
+    replica: replicas.Replica, now: float, replaceable: Replaceable | None
+) -> str:
     """Returns a learner whose durable log has all committed entries."""
     acked_after = now - replica.timing.election_s
-    for learner in replica.log.members.learners:
+    for learner in _by_domain(
+        replica, replica.log.members.learners, replaceable
+    ):
         progress = replica.progress.get(learner)
         if progress is None or progress.acked_sent_at < acked_after:
             continue
@@ -247,14 +259,37 @@
     return ""
 
 
-def _next_learner(replica: replicas.Replica, now: float) -> str:
+def _next_learner(
+    replica: replicas.Replica, now: float, replaceable: Replaceable | None
+) -> str:
     """Returns the member to add next, the last removed ones after others."""
-    joining = presence.joining_members(replica, now)
+    joining = _by_domain(
+        replica, presence.joining_members(replica, now), replaceable
+    )
     return min(
         joining, key=lambda member: _removed_at(replica, member), default=""
     )
 
 
+def _by_domain(
+    replica: replicas.Replica,
+    members: Sequence[str],
+    replaceable: Replaceable | None,
+) -> Sequence[str]:
+    """Returns the members that may replace a voter, the best domains first."""
+    if not replica.domain_losses:
+        return members
+    if replaceable and replaceable.reason == CROWDED:
+        members = [
+            member for member in members if domains.has_room(replica, member)
+        ]
+    voter = replaceable.member if replaceable else ""
+    return sorted(
+        members,
+        key=lambda member: domains.voters_beside(replica, member, voter),
+    )
+
+
 def _may_be_standby(replica: replicas.Replica, member: str, now: float) -> bool:
     """Returns whether a member was never removed, or long ago, or came back."""
     removed_at = _removed_at(replica, member)
--- a/src/_arbutuswalk/agreement/presence.py
+++ b/src/_arbutuswalk/agreement/presence.py
@@ -21,6 +21,7 @@
         leaving=replica.leaving,
         members_index=index,
         members=dict(members.addresses),
+        domain=replica.domain,
     )
 
 
@@ -60,6 +61,7 @@
         now,
         now if is_new else before.since,
         bool(message.leaving),
+        message.domain or "",
     )
     _record_membership(replica, message)
     if is_new:
--- a/src/_arbutuswalk/agreement/replica.py
+++ b/src/_arbutuswalk/agreement/replica.py
@@ -80,6 +80,7 @@
         at: When the message came in.
         since: When the first one came in after a time without any.
         leaving: Whether its process is about to end.
+        domain: Its failure domain, empty if unknown.
     """
 
     address: str
@@ -87,6 +88,7 @@
     at: float
     since: float
     leaving: bool = False
+    domain: str = ""
 
 
 class HeardMembership(NamedTuple):
@@ -112,6 +114,8 @@
         timing: Timeouts and intervals.
         rng: Source of election delays and of the group's random name.
         target_voters: How many voters the group should have.
+        domain: This member's failure domain, empty if unknown.
+        domain_losses: Failure domains that may be lost at once.
         peers: Configured addresses of other members, perhaps with its own.
         founders: Addresses, including its own, of the members that bootstrap a
             group; none unless the folder dates from the system's first start.
@@ -159,12 +163,16 @@
         log: raftlog.RaftLog | None = None,
         commit: int = 0,
         founders: tuple[str, ...] = (),
+        domain: str = "",
+        domain_losses: int = 0,
     ):
         self.member = member
         self.address = address
         self.timing = timing
         self.rng = rng
         self.target_voters = target_voters
+        self.domain = domain
+        self.domain_losses = domain_losses
         self.peers = peers
         self.founders = founders
         self.term = vote.term if vote else 0
--- a/src/_arbutuswalk/control/durable_replica.py
+++ b/src/_arbutuswalk/control/durable_replica.py
@@ -42,12 +42,16 @@
         peers: Addresses of all founding members, including its own.
         target_voters: Number of voters that the group should have.
         may_bootstrap: Whether this may be the first start of the whole system.
+        domain: The member's failure domain, empty if unknown.
+        domain_losses: Failure domains that may be lost at once.
     """
 
     address: str
     peers: tuple[str, ...]
     target_voters: int
     may_bootstrap: bool = True
+    domain: str = ""
+    domain_losses: int = 0
 
 
 class Applied(NamedTuple):
@@ -120,6 +124,8 @@
             rng=self.rng,
             now=now,
             target_voters=self.identity.target_voters,
+            domain=self.identity.domain,
+            domain_losses=self.identity.domain_losses,
             peers=self.identity.peers,
             founders=founders,
             vote=recovered.vote,
--- a/src/_arbutuswalk/control/main.py
+++ b/src/_arbutuswalk/control/main.py
@@ -12,6 +12,11 @@
 from _arbutuswalk.control import process as processes
 from _arbutuswalk.storage import folder
 
+
+def _is_text(value: object) -> bool:
+    return isinstance(value, str)
+
+
 FIELDS = (
     settings.Field("id", "a name", settings.is_non_empty_string),
     settings.Field("address", "IP:port to listen on", settings.is_address),
@@ -26,6 +31,10 @@
     settings.Field(
         "voters", "a whole number of voters", settings.is_non_negative_int, 3
     ),
+    settings.Field("domain", "a failure domain", _is_text, ""),
+    settings.Field(
+        "domain_losses", "a whole number", settings.is_non_negative_int, 0
+    ),
     settings.Field("heartbeat_s", "seconds", settings.is_positive, 0.1),
     settings.Field("election_s", "seconds", settings.is_positive, 0.6),
     settings.Field("replace_after_s", "seconds", settings.is_positive, 10.0),
@@ -64,6 +73,8 @@
             address=values["address"],
             peers=tuple(values["peers"]),
             target_voters=values["voters"],
+            domain=values["domain"],
+            domain_losses=values["domain_losses"],
         ),
         timing=types.Timing(
             heartbeat_s=values["heartbeat_s"],
--- a/src/_arbutuswalk/wire/arbutuswalk.thrift
+++ b/src/_arbutuswalk/wire/arbutuswalk.thrift
@@ -77,6 +77,7 @@
   4: optional bool leaving, // the process is about to end
   5: optional i64 members_index, // log index of the membership in 6
   6: optional map<string, string> members, // committed, address by id
+  7: optional string domain, // the member's failure domain
 }
 
 // Control: commands, leases and reads.
--- a/src/_arbutuswalk/wire/gen/arbutus/ttypes.py
+++ b/src/_arbutuswalk/wire/gen/arbutus/ttypes.py
@@ -1043,6 +1043,7 @@
      - leaving
      - members_index
      - members
+     - domain
 
     """
 
@@ -1053,16 +1054,18 @@
         'leaving',
         'members_index',
         'members',
+        'domain',
     )
 
 
-    def __init__(self, member=None, address=None, group=None, leaving=None, members_index=None, members=None,):
+    def __init__(self, member=None, address=None, group=None, leaving=None, members_index=None, members=None, domain=None,):
         self.member = member
         self.address = address
         self.group = group
         self.leaving = leaving
         self.members_index = members_index
         self.members = members
+        self.domain = domain
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1109,6 +1112,11 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1147,6 +1155,10 @@
                 oprot.writeString(viter22.encode('utf-8') if sys.version_info[0] == 2 else viter22)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.domain is not None:
+            oprot.writeFieldBegin('domain', TType.STRING, 7)
+            oprot.writeString(self.domain.encode('utf-8') if sys.version_info[0] == 2 else self.domain)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4271,6 +4283,7 @@
     (4, TType.BOOL, 'leaving', None, None, ),  # 4
     (5, TType.I64, 'members_index', None, None, ),  # 5
     (6, TType.MAP, 'members', (TType.STRING, 'UTF8', TType.STRING, 'UTF8', False), None, ),  # 6
+    (7, TType.STRING, 'domain', 'UTF8', None, ),  # 7
 )
 all_structs.append(Submit)
 Submit.thrift_spec = (
--- a/testing/fakes.py
+++ b/testing/fakes.py
@@ -125,6 +125,7 @@
         self.address = address
         self.peers = peers
         self.folder = FakeFolder()
+        self.domain = ""
         self.may_bootstrap = True
         self.up = False
         self.core = None
@@ -141,6 +142,8 @@
                 self.peers,
                 self.cluster.target_voters,
                 self.may_bootstrap,
+                domain=self.domain,
+                domain_losses=self.cluster.domain_losses,
             ),
             timing=self.cluster.timing,
             rng=random.Random(self.cluster.rng.random()),
@@ -207,11 +210,13 @@
         peer_count=3,
         target_voters=3,
         timing=TIMING,
+        domains=(),
     ):
         self.rng = random.Random(seed)
         self.now = 100.0
         self.snapshot_interval_entries = snapshot_interval_entries
         self.target_voters = target_voters
+        self.domain_losses = int(bool(domains))
         self.timing = timing
         node_count = peer_count + spares
         addresses = [f"127.0.0.1:{7000 + i}" for i in range(node_count)]
@@ -225,6 +230,8 @@
         self.acked = {}
         self.applied = {}
         self.next_hello_at = 0.0
+        for node, domain in zip(self.nodes.values(), domains, strict=False):
+            node.domain = domain
         for node in self.nodes.values():
             node.start()
 
