Let requests leave the lost endpoints of an evacuated domain

What callers saw: a failure domain is lost and the operator evacuates it at once. Repeatable requests that ran there got nothing until their route's timeout and then 504, although endpoints elsewhere had room.

Cause: a silent endpoint is left once a new connection to it fails, and none is opened into an evacuated domain. That an endpoint is gone was to be learned from its heartbeats, whose absence control notices after 20 s.

The new case of test_evacuations failed before (504 after the timeout of 5 s) and passes now.

Change: the entry opens a connection to an endpoint that has a request of its own and is silent, also in an evacuated domain. Nothing is sent on it. All other probes there stay away; their test is unchanged.

--- a/src/_arbutuswalk/relay/crash_probes.py
+++ b/src/_arbutuswalk/relay/crash_probes.py
@@ -36,7 +36,11 @@
 
 
 def start_silent(
-    relay: relay_state.Relay, endpoint: directory.Endpoint, peer: str = ""
+    relay: relay_state.Relay,
+    endpoint: directory.Endpoint,
+    peer: str = "",
+    *,
+    has_request: bool = False,
 ) -> None:
     """Opens a connection to a silent endpoint, unless that is under way.
 
@@ -46,11 +50,15 @@
         relay: State of the entry.
         endpoint: The endpoint.
         peer: Peer that the connection is to go through, empty for any path.
+        has_request: Whether a request of this entry waits for the endpoint. If
+            it is in an evacuated failure domain, no other one is examined:
+            nothing is sent on the connection, and only it shows whether the
+            request may go elsewhere.
     """
     endpoint_start = directory.start_of(endpoint)
     if endpoint_start in relay.probed_starts:
         return
-    if evacuations.is_evacuated(relay, endpoint):
+    if evacuations.is_evacuated(relay, endpoint) and not has_request:
         return
     relay.probed_starts.add(endpoint_start)
     background.start("probe", _probe_silent(relay, endpoint, peer))
--- a/src/_arbutuswalk/relay/silence.py
+++ b/src/_arbutuswalk/relay/silence.py
@@ -150,4 +150,6 @@
             peer_heard_at = self.relay.paths.peer_heard_at
             heard_at = min(heard_at, peer_heard_at.get(self.peer, -math.inf))
         if now - max(heard_at, self.progress_at) >= PROBE_AFTER_S:
-            crash_probes.start_silent(self.relay, self.endpoint, self.peer)
+            crash_probes.start_silent(
+                self.relay, self.endpoint, self.peer, has_request=True
+            )
--- a/testing/test_evacuations.py
+++ b/testing/test_evacuations.py
@@ -32,6 +32,7 @@
 from _arbutuswalk.state import state_machine
 from _arbutuswalk.state import tables as rows
 from _arbutuswalk.state import view
+from _arbutuswalk.streams import pool
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
 BEGIN, FINISH = commands.BeginEvacuation, commands.FinishEvacuation
@@ -354,6 +355,35 @@
         writer.close()
         assert first.connection_count == 0
 
+    async def test_a_request_leaves_a_lost_endpoint_of_an_evacuated_domain(
+        self, monkeypatch
+    ):
+        """A domain is evacuated because it was lost."""
+        relay = relay_fixtures.make_relay()
+        first, second = await start_both(relay)
+        first.steps = [relay_fixtures.stay_silent()]
+        route = relay.route_table.config.routes[0]._replace(timeout_s=5.0)
+        task = asyncio.ensure_future(relay_one(relay, route=route))
+        while not first.request_heads:
+            await asyncio.sleep(0.01)
+
+        lost = relay.directory.rows["e-d1"].endpoint.address
+        open_connection = relay.pool.open
+
+        async def open_unless_lost(address):
+            if address != lost:
+                return await open_connection(address)
+            return pool.NotOpened(reason="connect timed out", refused=False)
+
+        monkeypatch.setattr(relay.pool, "open", open_unless_lost)
+        relay_evacuations.merge(relay, news(d1=("evacuated", 1, 5)), "a")
+        # Callers of the other domain go on.
+        assert (await relay_one(relay)).status == 200
+        started_at = time.monotonic()
+        assert (await task).status == 200
+        assert time.monotonic() - started_at < 3.0
+        assert len(second.request_heads) == 2
+
 
 class TestUpstreamsOfTheInventory:
     @pytest.fixture
