Refuse requests that would be answered late, where a setting asks for it

Callers of an overloaded upstream all got late answers: each admitted request was sent at once, and the endpoints' queues know neither priorities nor workspaces, nor what other entries have sent.

With reject_late an entry expects the time to the first event, or to the whole answer, at the endpoint that placement chooses, from the work known there and the time that a unit of work took its own recent answers. A request whose wait exceeds its limit is refused with 503 and a Retry-After; less urgent priorities and workspaces over their share have lower limits. Its quota is given back. Without the setting nothing of this runs.

--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -228,6 +228,12 @@
         711,
         "evacuation in force domain=%s state=%s step=%s source=%s",
     )
+    LATE_REFUSED = (
+        712,
+        "late request refused request=%s upstream=%s workspace=%s priority=%s"
+        " endpoint=%s estimate_ms=%s limit_ms=%s wait_ms=%s excess=%s"
+        " priorities=%s retry_after_s=%s",
+    )
     CLIENT_REFUSED = (720, "client refused caller=%s status=%s reason=%s")
     ENDPOINT_SPEED_CHANGED = (
         706,
--- a/src/_arbutuswalk/relay/admission.py
+++ b/src/_arbutuswalk/relay/admission.py
@@ -3,6 +3,8 @@
 from typing import NamedTuple
 
 from _arbutuswalk.limits import quota_levels
+from _arbutuswalk.relay import late_requests
+from _arbutuswalk.relay import quota_buckets
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.relay import stopping
@@ -103,6 +105,8 @@
         )
     relay.lateness.record(route.name, incoming.deadline_s)
     refusal = _take_quota(relay, request)
+    if refusal is None and relay.options.rejects_late:
+        refusal = _refuse_late(relay, request)
     return refusal or request
 
 
@@ -202,6 +206,22 @@
     )
 
 
+def _refuse_late(
+    relay: relay_state.Relay, request: requests.Request
+) -> Refusal | None:
+    """Returns the refusal of a late request, whose quota is given back."""
+    not_sent = late_requests.admit(relay, request)
+    if not_sent is None:
+        return None
+    workspace = request.workspace
+    if workspace is not None and workspace.rate_per_s:
+        cost = quota_cost(request)
+        quota_buckets.give_back(relay.quota_buckets[workspace.name], cost)
+        labels = f'workspace="{workspace.name}"'
+        relay.metrics.count("quota_taken", labels, -cost)
+    return Refusal(STATUS_UNAVAILABLE, not_sent.reason, not_sent.retry_after_s)
+
+
 def quota_cost(request: requests.Request) -> int:
     """Returns the cost of a request in its workspace's quota."""
     if not request.workspace.by_tokens:
--- a/src/_arbutuswalk/relay/attempt_timing.py
+++ b/src/_arbutuswalk/relay/attempt_timing.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from _arbutuswalk.relay import attempt_speed
+from _arbutuswalk.relay import late_requests
 from _arbutuswalk.relay import placement
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import request as requests
@@ -21,6 +22,7 @@
         relay: State of the entry.
         version: Version of the endpoint.
         speed: Speed of the endpoint, None if it is not measured.
+        expected: Expected time to the first data, None if it is not compared.
         group: Group of requests that it is counted with.
         size: Prompt size, 0 without a prompt.
         compared: Whether a rollout of the upstream is under way.
@@ -56,6 +58,13 @@
             if request.prompt
             else None
         )
+        self.expected = (
+            late_requests.FirstDataCheck(
+                relay=relay, request=request, chosen=chosen
+            )
+            if relay.options.rejects_late
+            else None
+        )
         self.started_at = relay.now()
         self.first_data_at: float | None = None
         self.further_bytes = 0
@@ -77,9 +86,11 @@
                 max(bounds), self._record_overdue
             )
 
-    def record_first_data(self) -> None:
+    def record_first_data(self, *, is_success: bool = True) -> None:
         """Records the latency to the first data, or to the whole answer."""
         self.stop()
+        if self.expected is not None and is_success:
+            self.expected.record_first_data()
         self.first_data_at = self.relay.now()
         if self.speed is not None:
             self.speed.record_first_data()
--- a/src/_arbutuswalk/relay/attempts.py
+++ b/src/_arbutuswalk/relay/attempts.py
@@ -247,7 +247,7 @@
             return self._record_lost(self.exchange.failure)
         self._count_usage(self.started_at)
         if self.exchange.status < results.MIN_FAILURE_STATUS:
-            self.timing.record_first_data()
+            self.timing.record_first_data(is_success=reply.is_success)
         return results.Answered(
             status=self.exchange.status,
             headers=self.exchange.headers,
--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -389,4 +389,7 @@
     quota_buckets.update(relay, config, is_first_config=not relay.route_table)
     relay.route_table = routetable.RouteTable(config=config)
     relay.hedging.keep_routes({route.name for route in config.routes})
+    upstream_names = {upstream.name for upstream in config.upstreams}
+    relay.first_data.keep_upstreams(upstream_names)
+    relay.late_refusals.keep_upstreams(upstream_names)
     events.record(events.Event.ROUTES_IN_FORCE, config.version, before, source)
--- a/src/_arbutuswalk/relay/hedged_attempts.py
+++ b/src/_arbutuswalk/relay/hedged_attempts.py
@@ -271,6 +271,8 @@
         return None
     if relay.connection_waiters.get(request.upstream):
         return None
+    if relay.late_refusals.refused_recently(request.upstream, relay.now()):
+        return None
     if _has_rollout(relay, request):
         return None
     sound = placement.usable_endpoints(
--- a/src/_arbutuswalk/relay/placement.py
+++ b/src/_arbutuswalk/relay/placement.py
@@ -84,6 +84,22 @@
     return None
 
 
+def expected_work(
+    relay: relay_state.Relay, request: requests.Request, chosen: Placement
+) -> selection.Work | None:
+    """Returns the expected work before the first event at an endpoint.
+
+    It is None if the endpoint is not known any more.
+    """
+    row = relay.directory.rows.get(chosen.endpoint.id)
+    if row is None:
+        return None
+    candidate = _make_candidate(relay, row, relay.now(), set())
+    if request.prompt is None:
+        return selection.expected_queue(candidate)
+    return selection.expected_work(candidate, chosen.uncached_tokens)
+
+
 def usable_endpoints(
     relay: relay_state.Relay,
     request: requests.Request,
--- a/src/_arbutuswalk/relay/quota_buckets.py
+++ b/src/_arbutuswalk/relay/quota_buckets.py
@@ -50,6 +50,15 @@
         )
 
 
+def give_back(bucket: quota.Bucket, cost: float) -> None:
+    """Undoes the last ``take``, which nothing has followed yet."""
+    bucket.level += cost
+    bucket.own_share.level += cost
+    bucket.taken -= cost
+    bucket.taken_since_report -= cost
+    bucket.recent_takes.pop()
+
+
 def _effective_quota(
     relay: relay_state.Relay, workspace: routeconfig.Workspace
 ) -> tuple[float, float]:
--- a/src/_arbutuswalk/relay/relay_state.py
+++ b/src/_arbutuswalk/relay/relay_state.py
@@ -17,6 +17,8 @@
 from _arbutuswalk.limits import retries
 from _arbutuswalk.relay import answer_buffers
 from _arbutuswalk.relay import endpoint_speeds
+from _arbutuswalk.relay import first_data_estimates
+from _arbutuswalk.relay import late_refusals
 from _arbutuswalk.relay import lateness
 from _arbutuswalk.relay import paths
 from _arbutuswalk.relay import permit_client
@@ -129,6 +131,8 @@
             one was lost.
         refusals: What is refused as it crashes endpoints.
         lateness: Longest deadlines of the callers of each route.
+        first_data: Expected times to the first data of answers.
+        late_refusals: What was asked for and refused as late.
         recent_parts: Endpoints that recently received shared prompt parts.
         heard_at: When an endpoint last sent something, by id.
         unreachable_at: When a connection to an endpoint last failed, by id.
@@ -193,6 +197,8 @@
         self.connection_waiters: dict[str, list] = {}
         self.recent_parts = recent_parts.RecentParts()
         self.lateness = lateness.LatenessTracker()
+        self.first_data = first_data_estimates.FirstDataEstimates()
+        self.late_refusals = late_refusals.LateRefusals()
         self.crashes = crashes.CrashTracker()
         self.outlier_detector = outliers.OutlierDetector()
         self.probed_starts: set[leaving.Start] = set()
--- a/src/_arbutuswalk/routing/selection.py
+++ b/src/_arbutuswalk/routing/selection.py
@@ -70,6 +70,21 @@
     tokens: int
 
 
+class Work(NamedTuple):
+    """Expected work at an endpoint before a request's first event.
+
+    Its unit is a prompt token read by the typical endpoint for model requests,
+    else the usual answer of the upstream.
+
+    Attributes:
+        own: Work of the request itself.
+        others: Work of other requests before or beside it.
+    """
+
+    own: float
+    others: float
+
+
 def choose(
     candidates: Sequence[Candidate],
     prompt_profile: PromptProfile | None,
@@ -160,6 +175,29 @@
     return delay_tokens * candidate.slowness
 
 
+def expected_work(candidate: Candidate, tokens: int) -> Work:
+    """Returns the expected work before the first event of a model request.
+
+    Args:
+        candidate: The endpoint.
+        tokens: Prompt tokens of the request that are not cached there.
+    """
+    own = tokens * candidate.slowness
+    return Work(own, _delay_tokens(candidate, tokens) - own)
+
+
+def expected_queue(candidate: Candidate) -> Work:
+    """Returns the expected work before the answer of any other request.
+
+    Each slot ends one request in the time of an answer.
+    """
+    queued = max(0, candidate.running + 1 - candidate.slots)
+    return Work(
+        candidate.slowness,
+        candidate.slowness * queued / max(1, candidate.slots),
+    )
+
+
 def _uncached_tokens(
     prompt_profile: PromptProfile, rank: int, recently_sent: bool
 ) -> int:
