--- a/src/_arbutuswalk/limits/late_admission.py
+++ b/src/_arbutuswalk/limits/late_admission.py
@@ -7,9 +7,9 @@
 place to others at once, instead of being answered late like all of them.
 
 A request is refused if its wait for the work of others exceeds a limit. A wait
-of up to half of the time left is always accepted. Of the other half, the most
-urgent priority in use may wait for all of it, the next one for half of it, the
-one after that for a third. A workspace over its fair share may wait for its
+of up to half of the time left is always accepted. Of the rest, without the
+request's own work and the error of the estimate, the most urgent priority in
+use may wait for all, the next one for half, the one after that for a third. A workspace over its fair share may wait for its
 part of that. So as the load grows, workspaces over their shares are refused
 first, then less urgent requests.
 """
@@ -19,6 +19,9 @@
 
 ROOM_FRACTION = 0.5
 """Wait that is always accepted, as a fraction of the time left."""
+ERROR_FRACTION = 0.15
+"""Part of the time left that is kept for the error of the estimate, which is as
+often too low as too high."""
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 5.0
 RETRY_AFTER_JITTER_FRACTION = 0.5
@@ -75,7 +78,8 @@
     more_urgent = sum(other < priority for other in set(priorities_in_use))
     share = 1 / (1 + more_urgent) / max(1.0, excess)
     room_s = ROOM_FRACTION * max(0.0, left_s)
-    further_s = max(0.0, left_s - room_s - estimate.own_s)
+    sure_s = (1 - ERROR_FRACTION) * left_s
+    further_s = max(0.0, sure_s - room_s - estimate.own_s)
     max_wait_s = room_s + share * further_s
     return Decision(
         is_late=estimate.wait_s > max_wait_s,
