Test and play refusals of late requests; tell priorities further apart

The floor is now half of the objective for the whole expected time, and the limits fall with the square of the rank. Work that no entry reports counts as that of others.

--- a/bench/admission.py
+++ b/bench/admission.py
@@ -46,6 +46,7 @@
 DURATION_S = 40.0
 WARM_UP_S = 5.0
 TIMED_DECISIONS = 3000
+SEED_COUNT = 3
 
 
 class Outcome(NamedTuple):
@@ -70,7 +71,7 @@
         load,
         rejects_late,
         hot_factor=1,
-        knows_shares=True,
+        hears_control=True,
         entry_count=12,
         endpoint_count=8,
         seed=1,
@@ -85,7 +86,7 @@
         self.rate_per_s = load * capacity
         room = max(0.0, sum(self.weights) / load - len(WORKSPACES) + 1)
         self.hot_excess = max(1.0, hot_factor / max(1.0, room))
-        self.knows_shares = knows_shares
+        self.hears_control = hears_control
         self.outcomes = []
         self.entries = [
             self._make_entry(rejects_late) for _ in range(entry_count)
@@ -116,7 +117,7 @@
 
     def excess(self, demand, upstream, workspace, now):
         """Stands for the shares that control finds."""
-        is_known = self.knows_shares and workspace == WORKSPACES[0]
+        is_known = self.hears_control and workspace == WORKSPACES[0]
         return self.hot_excess if is_known else 1.0
 
     def schedule(self, after_s, action):
@@ -175,9 +176,7 @@
             not_sent = late_requests.admit(relay, request)
         first_s = None if not_sent else self._send(relay, request)
         self.outcomes.append(
-            Outcome(
-                request.workspace.name, request.priority, self.now, first_s
-            )
+            Outcome(request.workspace.name, request.priority, self.now, first_s)
         )
 
     def _send(self, relay, request):
@@ -191,9 +190,7 @@
         number = int(name[1:])
         read_at = max(self.now, self.free_at[number])
         if read_at >= request.deadline:
-            self.schedule(
-                TIMEOUT_S, lambda: relay.add_load(name, -1, -tokens)
-            )
+            self.schedule(TIMEOUT_S, lambda: relay.add_load(name, -1, -tokens))
             return float("inf")
         read = 0 if self.rng.random() < CACHED_SHARE else tokens
         placement.record_sent(relay, request, name)
@@ -212,6 +209,8 @@
         return first_s
 
     def _report(self, entry):
+        if not self.hears_control:
+            return
         self.schedule(REPORT_INTERVAL_S, lambda: self._report(entry))
         totals = collections.defaultdict(relay_state.Load)
         for other in self.entries:
@@ -250,27 +249,39 @@
     return (time.process_time() - started_at) / TIMED_DECISIONS * 1e6
 
 
+def print_play(**changes):
+    """Plays a load for some seeds and prints what callers get."""
+    outcomes = [
+        outcome
+        for seed in range(1, 1 + SEED_COUNT)
+        for outcome in Play(seed=seed, **changes).run()
+    ]
+    sent = [each for each in outcomes if each.first_s is not None]
+    by_priority = " ".join(
+        f"{share_in_time(outcomes, priorities=(priority,)):.3f}"
+        for priority in PRIORITIES
+    )
+    print(
+        " ".join(f"{name} {value}" for name, value in changes.items()),
+        f"in time {share_in_time(outcomes):.3f}"
+        f" refused {share_refused(outcomes):.3f}"
+        f" of sent in time {share_in_time(sent):.3f}"
+        f" by priority {by_priority}"
+        f" hot {share_in_time(outcomes, WORKSPACES[:1]):.3f}"
+        f" others {share_in_time(outcomes, WORKSPACES[1:]):.3f}",
+        flush=True,
+    )
+
+
 def main():
     for load, hot_factor in ((0.5, 1), (0.9, 1), (1.5, 1), (1.5, HOT_FACTOR)):
         for rejects_late in (False, True):
-            play = Play(
+            print_play(
                 load=load, rejects_late=rejects_late, hot_factor=hot_factor
             )
-            outcomes = play.run()
-            by_priority = " ".join(
-                f"{share_in_time(outcomes, priorities=(priority,)):.3f}"
-                for priority in PRIORITIES
-            )
-            print(
-                f"load {load} hot workspace x{hot_factor}"
-                f" refusals {'on' if rejects_late else 'off':3}"
-                f" in time {share_in_time(outcomes):.3f}"
-                f" refused {share_refused(outcomes):.3f}"
-                f" by priority {by_priority}"
-                f" hot {share_in_time(outcomes, WORKSPACES[:1]):.3f}"
-                f" others {share_in_time(outcomes, WORKSPACES[1:]):.3f}",
-                flush=True,
-            )
+    hot = {"load": 1.5, "rejects_late": True, "hot_factor": HOT_FACTOR}
+    print_play(**hot, hears_control=False)
+    print_play(**hot, entry_count=1)
     for count in (8, 30, 60):
         play = Play(load=0.7, rejects_late=True, endpoint_count=count)
         play.run(WARM_UP_S)
--- a/src/_arbutuswalk/limits/late_admission.py
+++ b/src/_arbutuswalk/limits/late_admission.py
@@ -6,19 +6,24 @@
 for itself, on the load that all entries report. What is refused leaves its
 place to others at once, instead of being answered late like all of them.
 
-A request is refused if its wait for the work of others exceeds a limit. A wait
-of up to half of the time left is always accepted. Of the rest, without the
-request's own work and the error of the estimate, the most urgent priority in
-use may wait for all, the next one for half, the one after that for a third. A workspace over its fair share may wait for its
-part of that. So as the load grows, workspaces over their shares are refused
-first, then less urgent requests.
+A request is refused if its wait for the work of others exceeds a limit. An
+expected time of up to half of the time left is always accepted, and so is a
+wait of a quarter of it. Of the rest, without the error of the estimate, the
+most urgent priority in use may take all, the next one a quarter, the one after
+that a ninth: entries learn of each other's load with a lag, so limits that are
+close to each other would not tell priorities apart. A workspace over its fair
+share may take its part of that. So as the load grows, workspaces over their
+shares and less urgent requests are refused first.
 """
 
 from collections.abc import Iterable
 from typing import NamedTuple
 
 ROOM_FRACTION = 0.5
-"""Wait that is always accepted, as a fraction of the time left."""
+"""Expected time that is always accepted, as a fraction of the time left."""
+MIN_WAIT_FRACTION = 0.25
+"""Wait that is always accepted, as a fraction of the time left, however long a
+request's own work takes."""
 ERROR_FRACTION = 0.15
 """Part of the time left that is kept for the error of the estimate, which is as
 often too low as too high."""
@@ -76,11 +81,13 @@
             upstream, 1 if it is inside its share or if that is not known.
     """
     more_urgent = sum(other < priority for other in set(priorities_in_use))
-    share = 1 / (1 + more_urgent) / max(1.0, excess)
-    room_s = ROOM_FRACTION * max(0.0, left_s)
-    sure_s = (1 - ERROR_FRACTION) * left_s
-    further_s = max(0.0, sure_s - room_s - estimate.own_s)
-    max_wait_s = room_s + share * further_s
+    share = (1 + more_urgent) ** -2 / max(1.0, excess)
+    left_s = max(0.0, left_s)
+    room_s = max(
+        ROOM_FRACTION * left_s - estimate.own_s, MIN_WAIT_FRACTION * left_s
+    )
+    sure_s = (1 - ERROR_FRACTION) * left_s - estimate.own_s
+    max_wait_s = room_s + share * max(0.0, sure_s - room_s)
     return Decision(
         is_late=estimate.wait_s > max_wait_s,
         estimate_s=estimate.own_s + estimate.wait_s,
--- a/src/_arbutuswalk/relay/first_data_estimates.py
+++ b/src/_arbutuswalk/relay/first_data_estimates.py
@@ -10,6 +10,7 @@
 """
 
 import collections
+import math
 from typing import NamedTuple
 
 from _arbutuswalk.limits import late_admission
@@ -61,6 +62,8 @@
             the least time that was seen.
         samples: Latest answers.
         fixed_s: Least time in the running window and in the one before.
+        idle_unit_s: Least time of a unit in these windows: that without the
+            work of others which is not known.
         window_ends_at: When the running window ends, in seconds.
         unit_s: Time of a unit of work by the samples, None if not computed.
     """
@@ -70,14 +73,16 @@
         self.samples: collections.deque[_Sample] = collections.deque(
             maxlen=MAX_SAMPLES
         )
-        self.fixed_s = (float("inf"), float("inf"))
+        self.fixed_s = (math.inf, math.inf)
+        self.idle_unit_s = (math.inf, math.inf)
         self.window_ends_at = now + FIXED_TIME_WINDOW_S
         self.unit_s: float | None = None
 
     def record(self, work: selection.Work, took_s: float, now: float) -> None:
         """Records the time to the first data of a successful answer."""
         if now >= self.window_ends_at:
-            self.fixed_s = (float("inf"), self.fixed_s[0])
+            self.fixed_s = (math.inf, self.fixed_s[0])
+            self.idle_unit_s = (math.inf, self.idle_unit_s[0])
             self.window_ends_at = now + FIXED_TIME_WINDOW_S
         self.fixed_s = (min(self.fixed_s[0], took_s), self.fixed_s[1])
         total = work.own + work.others
@@ -98,9 +103,12 @@
         fixed_s = min(self.fixed_s) if self.has_fixed_time else 0.0
         if self.unit_s is None:
             self.unit_s = _unit_time(self.samples, fixed_s)
+            least_s = min(self.idle_unit_s[0], self.unit_s)
+            self.idle_unit_s = (least_s, self.idle_unit_s[1])
+        own_s = work.own * min(self.idle_unit_s)
         return late_admission.Estimate(
-            own_s=fixed_s + work.own * self.unit_s,
-            wait_s=work.others * self.unit_s,
+            own_s=fixed_s + own_s,
+            wait_s=(work.own + work.others) * self.unit_s - own_s,
         )
 
 
