Let priorities make no difference in a burst; keep late bodies apart

A request whose body was read after its objective had passed was refused for any wait; its objective now counts from the admission.

--- a/src/_arbutuswalk/limits/late_admission.py
+++ b/src/_arbutuswalk/limits/late_admission.py
@@ -13,9 +13,12 @@
 that a ninth: entries learn of each other's load with a lag, so limits that are
 close to each other would not tell priorities apart. A workspace over its fair
 share may take its part of that. So as the load grows, workspaces over their
-shares and less urgent requests are refused first.
+shares and less urgent requests are refused first. Priorities make no difference
+in a short burst, which the upstream can answer in time.
 """
 
+import statistics
+from collections.abc import Collection
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -24,6 +27,9 @@
 MIN_WAIT_FRACTION = 0.25
 """Wait that is always accepted, as a fraction of the time left, however long a
 request's own work takes."""
+OVERLOAD_FRACTION = 0.35
+"""Expected time of half of the recent requests, as a fraction of their time
+left, from which an upstream is overloaded and not in a burst."""
 ERROR_FRACTION = 0.15
 """Part of the time left that is kept for the error of the estimate, which is as
 often too low as too high."""
@@ -62,6 +68,15 @@
     wait_s: float
 
 
+def is_overloaded(fractions: Collection[float]) -> bool:
+    """Returns whether an upstream is overloaded for more than a burst.
+
+    Args:
+        fractions: Expected times of recent requests, by their time left.
+    """
+    return bool(fractions) and statistics.median(fractions) > OVERLOAD_FRACTION
+
+
 def decide(
     estimate: Estimate,
     *,
@@ -74,9 +89,10 @@
 
     Args:
         estimate: Expected time at the endpoint that it would be sent to.
-        left_s: Time left until its objective or its deadline.
+        left_s: Its objective, or the time until its deadline if that is less.
         priority: Its priority, 0 for the most urgent.
-        priorities_in_use: Priorities of recent requests for the upstream.
+        priorities_in_use: Priorities of recent requests for the upstream, none
+            if it is not overloaded.
         excess: What its workspace asks for relative to its fair share of the
             upstream, 1 if it is inside its share or if that is not known.
     """
--- a/src/_arbutuswalk/relay/late_requests.py
+++ b/src/_arbutuswalk/relay/late_requests.py
@@ -1,5 +1,7 @@
 """Refuses requests that would be answered late, before they are sent."""
 
+import math
+
 from _arbutuswalk.base import events
 from _arbutuswalk.limits import late_admission
 from _arbutuswalk.relay import first_data_estimates
@@ -66,16 +68,18 @@
     estimate = relay.first_data.estimate(_key(request), work, now)
     if estimate is None:
         return None
-    ends_at = request.deadline
-    if request.route.objective_s:
-        objective_at = request.received_at + request.route.objective_s
-        ends_at = min(ends_at, objective_at)
+    # A body that was read slowly is its caller's time.
+    left_s = min(request.deadline - now, request.route.objective_s or math.inf)
+    known, upstream = relay.late_refusals, request.upstream
+    if left_s > 0:
+        known.record_expected(upstream, sum(estimate) / left_s, now)
+    is_overloaded = known.is_overloaded(upstream, now)
     return late_admission.decide(
         estimate,
-        left_s=ends_at - now,
+        left_s=left_s,
         priority=request.priority,
-        priorities_in_use=relay.late_refusals.priorities_in_use(
-            request.upstream, now
+        priorities_in_use=(
+            known.priorities_in_use(upstream, now) if is_overloaded else ()
         ),
         excess=excess,
     )
--- a/testing/test_late_admission.py
+++ b/testing/test_late_admission.py
@@ -44,6 +44,11 @@
     def test_the_least_urgent_in_use_is_not_held_back_by_none(self):
         assert max_wait(priority=2, in_use=(2,)) == max_wait(priority=0)
 
+    def test_half_of_the_requests_show_an_overload(self):
+        assert not late_admission.is_overloaded([])
+        assert not late_admission.is_overloaded([0.1, 0.2, 0.9, 0.2, 0.9])
+        assert late_admission.is_overloaded([0.1, 0.5, 0.9, 0.2, 0.9])
+
     def test_a_workspace_over_its_share_is_refused_before_less_urgent_ones(
         self,
     ):
@@ -234,6 +239,17 @@
         assert not bucket.recent_takes
         assert relay.late_refusals.refused_recently("ops", relay.now())
 
+    async def test_a_body_that_was_read_slowly_is_no_reason(self):
+        """The objective has passed, and there is room."""
+        relay, endpoint = await make_overloaded(timeout_s=30.0)
+        relay.other_loads = {"e1": relay_state.Load(4, 0)}
+        received_at = relay.now() - 2.0
+        admitted = admission.admit(
+            relay, make_incoming(received_at=received_at)
+        )
+        endpoint.stop()
+        assert isinstance(admitted, requests.Request)
+
     async def test_a_stream_to_be_resumed_is_not_refused(self):
         relay, endpoint = await make_overloaded(
             kind=routeconfig.STREAM, resumable=True
