--- a/testing/test_hedging.py
+++ b/testing/test_hedging.py
@@ -297,6 +297,12 @@
         case.options |= {"retry_ratio": 0.0, "retry_extra": 2.0}
         self.check(case)
 
+    def test_of_an_upstream_that_refused_late_requests(self, case):
+        case.prepare = lambda relay: relay.late_refusals.refused_at.update(
+            ops=relay.now()
+        )
+        self.check(case)
+
     def test_during_a_rollout(self, case):
         case.prepare = lambda relay: relay.rollouts.update(
             ops=["v2", rollouts.GROWING, 0, 0]
--- a/testing/test_late_admission.py
+++ b/testing/test_late_admission.py
@@ -7,6 +7,7 @@
 from arbutuswalk_platform import callers
 from arbutuswalk_platform import settings as platform_settings
 
+from _arbutuswalk.base import events
 from _arbutuswalk.base import settings
 from _arbutuswalk.limits import late_admission
 from _arbutuswalk.relay import admission
@@ -225,7 +226,13 @@
 
 class TestAdmission:
     @pytest.mark.parametrize("kind", routeconfig.ROUTE_KINDS)
-    async def test_a_late_request_is_refused_and_costs_no_quota(self, kind):
+    async def test_a_late_request_is_refused_and_costs_no_quota(
+        self, kind, monkeypatch
+    ):
+        recorded = []
+        monkeypatch.setattr(
+            late_requests.events, "record", lambda *args: recorded.append(args)
+        )
         relay, endpoint = await make_overloaded(kind=kind)
         bucket = relay.quota_buckets["w"]
         before = bucket.taken, bucket.taken_since_report
@@ -234,6 +241,10 @@
         endpoint.stop()
         assert refusal.status == admission.STATUS_UNAVAILABLE
         assert 1.0 < refusal.retry_after_s <= 5.0
+        event, *fields = recorded[-1]
+        assert event == events.Event.LATE_REFUSED
+        assert len(fields) == event.message.count("%s")
+        assert 'late_refused{upstream="ops"' in relay.metrics.render()
         assert (bucket.taken, bucket.taken_since_report) == before
         assert bucket.level == pytest.approx(level, abs=5.0)
         assert not bucket.recent_takes
