--- a/testing/test_late_admission.py
+++ b/testing/test_late_admission.py
@@ -156,7 +156,7 @@
 
 
 class TestOverload:
-    """Of what is asked, two thirds can be answered in time."""
+    """The endpoints can read two thirds of the tokens in time."""
 
     def test_more_callers_get_answers_in_time(self, overload):
         assert plays.share_in_time(overload[False]) < 0.1
