--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,5 +1,6 @@
 """Runs benchmarks: routing, speeds, demand, moves, control and streams."""
 
+from bench import admission
 from bench import control
 from bench import endpoint_speed
 from bench import moves
@@ -7,7 +8,15 @@
 from bench import streams
 from bench import workspace_demand
 
-MODULES = (routing, endpoint_speed, workspace_demand, moves, control, streams)
+MODULES = (
+    routing,
+    endpoint_speed,
+    admission,
+    workspace_demand,
+    moves,
+    control,
+    streams,
+)
 
 if __name__ == "__main__":
     for module in MODULES:
