Compare endpoints for a request in fewer steps

The load of each endpoint was computed twice, its speed was looked up when none was known, and a predicate was called that accepts all. Decisions are the same (same expressions, same random draws).

--- a/src/_arbutuswalk/relay/placement.py
+++ b/src/_arbutuswalk/relay/placement.py
@@ -22,6 +22,7 @@
 """Heartbeat intervals without a heartbeat after which an endpoint is used last:
 one heartbeat may be lost and the next one late."""
 FULL_SHARE_PER_MILLE = 1000
+NO_LOAD = relay_state.Load()
 
 
 class Placement(NamedTuple):
@@ -41,10 +42,6 @@
     permit_ends_at: float | None = None
 
 
-def _accept_all(_: directory.Endpoint) -> bool:
-    return True
-
-
 def find_placement(
     relay: relay_state.Relay,
     request: requests.Request,
@@ -53,7 +50,7 @@
     max_permit_wait_s: float = 0.0,
     max_pause_wait_s: float = 0.0,
     within_connection_limits: bool = True,
-    accepts: Callable[[directory.Endpoint], bool] = _accept_all,
+    accepts: Callable[[directory.Endpoint], bool] | None = None,
 ) -> Placement | None:
     """Returns an endpoint that was not tried yet, None if there is none.
 
@@ -63,13 +60,15 @@
     accept no other connection, ``accepts`` any others.
     """
     now = relay.now()
-    candidates = [
-        candidate
-        for candidate in _find_candidates(
-            relay, request, tried, max_permit_wait_s, max_pause_wait_s
-        )
-        if accepts(relay.directory.rows[candidate.id].endpoint)
-    ]
+    candidates = _find_candidates(
+        relay, request, tried, max_permit_wait_s, max_pause_wait_s
+    )
+    if accepts is not None:
+        candidates = [
+            candidate
+            for candidate in candidates
+            if accepts(relay.directory.rows[candidate.id].endpoint)
+        ]
     for group in slow_start.groups(relay, candidates):
         chosen = _choose(relay, request, group, now)
         if (
@@ -132,10 +131,7 @@
             <= max_pause_wait_s
         ]
     eligible = filter_by_version(relay, request, rows)
-    outliers = relay.outlier_detector.outliers(
-        [row.endpoint.id for row in eligible], now
-    )
-    return [_make_candidate(relay, row, now, outliers) for row in eligible]
+    return _make_candidates(relay, eligible, now)
 
 
 def _choose(
@@ -194,12 +190,13 @@
 def _ready_rows(
     relay: relay_state.Relay, request: requests.Request, tried: set[str]
 ) -> list[directory.Row]:
+    upstream = request.upstream
     rows = [
         row
         for row in relay.directory.rows.values()
-        if row.endpoint.upstream == request.upstream
-        and row.endpoint.state == directory.READY
-        and row.endpoint.id not in tried
+        if (endpoint := row.endpoint).upstream == upstream
+        and endpoint.state == directory.READY
+        and endpoint.id not in tried
     ]
     if relay.evacuations.domains:
         return [
@@ -224,26 +221,36 @@
     relay.suspect_until[endpoint] = relay.now() + SUSPECT_DURATION_S
 
 
-def _make_candidate(
-    relay: relay_state.Relay, row: directory.Row, now: float, outliers: set[str]
-) -> selection.Candidate:
-    endpoint_id = row.endpoint.id
-    own_load, other_load = (
-        relay.own_loads.get(endpoint_id),
-        relay.other_loads.get(endpoint_id, (0, 0)),
+def _make_candidates(
+    relay: relay_state.Relay, rows: list[directory.Row], now: float
+) -> list[selection.Candidate]:
+    outliers = relay.outlier_detector.outliers(
+        [row.endpoint.id for row in rows], now
     )
-    running, waiting_tokens = own_load or (0, 0)
     silent_s = DOUBTFUL_AFTER_HEARTBEATS * relay.options.heartbeat_s
-    doubtful = now - row.announced_at > silent_s or endpoint_id in outliers
-    return selection.Candidate(
-        id=endpoint_id,
-        running=running + other_load[0],
-        waiting_tokens=waiting_tokens + other_load[1],
-        slots=row.endpoint.slots,
-        near=row.endpoint.domain == relay.domain,
-        doubtful=doubtful or relay.suspect_until.get(endpoint_id, 0.0) > now,
-        slowness=relay.endpoint_speeds.factor(row.endpoint, now),
-    )
+    own_loads, other_loads = relay.own_loads, relay.other_loads
+    suspect_until, speeds = relay.suspect_until, relay.endpoint_speeds
+    knows_speeds = bool(speeds.slowness)
+    candidates = []
+    for row in rows:
+        endpoint = row.endpoint
+        endpoint_id = endpoint.id
+        own_running, own_tokens = own_loads.get(endpoint_id, NO_LOAD)
+        other_running, other_tokens = other_loads.get(endpoint_id, NO_LOAD)
+        candidates.append(
+            selection.Candidate(
+                id=endpoint_id,
+                running=own_running + other_running,
+                waiting_tokens=own_tokens + other_tokens,
+                slots=endpoint.slots,
+                near=endpoint.domain == relay.domain,
+                doubtful=now - row.announced_at > silent_s
+                or endpoint_id in outliers
+                or suspect_until.get(endpoint_id, 0.0) > now,
+                slowness=speeds.factor(endpoint, now) if knows_speeds else 1.0,
+            )
+        )
+    return candidates
 
 
 def _prompt_profile(
--- a/src/_arbutuswalk/routing/outliers.py
+++ b/src/_arbutuswalk/routing/outliers.py
@@ -46,7 +46,7 @@
     def failure_rate(self, endpoint_id: str, now: float) -> float:
         """Returns the failure rate, decayed to ``now``."""
         last = self.failure_rates.get(endpoint_id)
-        if last is None:
+        if last is None or not last.rate:
             return 0.0
         return last.rate * math.exp(-(now - last.updated_at) / DECAY_TIME_S)
 
--- a/src/_arbutuswalk/routing/selection.py
+++ b/src/_arbutuswalk/routing/selection.py
@@ -94,16 +94,17 @@
 
 
 def _least_loaded(usable: list[Candidate], draw: float) -> Candidate:
-    def load_per_slot(candidate: Candidate) -> float:
-        remote_load = 0.0 if candidate.near else REMOTE_DOMAIN_LOAD_REQUESTS
-        load = (candidate.running + remote_load) / max(1, candidate.slots)
-        return load * candidate.slowness
-
-    lowest_load = min(map(load_per_slot, usable))
+    loads_per_slot = [
+        (running + (0.0 if near else REMOTE_DOMAIN_LOAD_REQUESTS))
+        / (slots if slots > 1 else 1)
+        * slowness
+        for _, running, _, slots, near, _, slowness in usable
+    ]
+    highest_load = min(loads_per_slot) + 1e-9
     least_loaded = [
         candidate
-        for candidate in usable
-        if load_per_slot(candidate) <= lowest_load + 1e-9
+        for candidate, load in zip(usable, loads_per_slot, strict=True)
+        if load <= highest_load
     ]
     return least_loaded[int(draw * len(least_loaded))]
 
