Measure no more gaps of a stream once there are enough

The time between events is sampled for endpoints' speeds, 32 gaps a stream; the separators of later data were still counted, though nothing was done with them.

--- a/src/_arbutuswalk/relay/attempt_speed.py
+++ b/src/_arbutuswalk/relay/attempt_speed.py
@@ -50,8 +50,10 @@
 
     def record_further_data(self, data: bytes) -> None:
         """Records more data of a stream."""
+        if len(self.gaps_s) >= endpoint_speed.MAX_GAPS:
+            return
         event_count = data.count(framing.SEPARATOR)
-        if not event_count or len(self.gaps_s) >= endpoint_speed.MAX_GAPS:
+        if not event_count:
             return
         now = self.relay.now()
         self.gaps_s.append((now - self.event_at) / event_count)
