--- a/src/_arbutuswalk/relay/placement.py
+++ b/src/_arbutuswalk/relay/placement.py
@@ -93,7 +93,7 @@
     row = relay.directory.rows.get(chosen.endpoint.id)
     if row is None:
         return None
-    candidate = _make_candidate(relay, row, relay.now(), set())
+    (candidate,) = _make_candidates(relay, [row], relay.now())
     if request.prompt is None:
         return selection.expected_queue(candidate)
     return selection.expected_work(candidate, chosen.uncached_tokens)
