Start and end clusters of the platform's tests in one place

Four fixtures repeated the session, the end of the heartbeats and processes, and the check of the programs' output; platform_fixtures.running does it.

--- a/testing/platform_fixtures.py
+++ b/testing/platform_fixtures.py
@@ -1,6 +1,7 @@
 """Cluster of real processes with the platform's interfaces on loopback."""
 
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
@@ -259,3 +260,15 @@
         assert status == 200
         for ip in self.entry_ips:
             await self.wait_for_status(ip, 200)
+
+
+@contextlib.asynccontextmanager
+async def running(cluster):
+    """Gives a cluster its session; ends its processes and checks their logs."""
+    async with aiohttp.ClientSession() as cluster.session:
+        yield cluster
+        for task in cluster.heartbeat_tasks:
+            task.cancel()
+        await asyncio.gather(*cluster.heartbeat_tasks, return_exceptions=True)
+    cluster.process_group.stop_all()
+    assert cluster.unstructured_lines() == []
--- a/testing/test_domain_loss_processes.py
+++ b/testing/test_domain_loss_processes.py
@@ -197,15 +197,8 @@
 @pytest.fixture
 async def cluster(tmp_path):
     new_cluster = DomainCluster(tmp_path)
-    async with aiohttp.ClientSession() as new_cluster.session:
+    async with platform_fixtures.running(new_cluster):
         yield new_cluster
-        for task in new_cluster.heartbeat_tasks:
-            task.cancel()
-        await asyncio.gather(
-            *new_cluster.heartbeat_tasks, return_exceptions=True
-        )
-    new_cluster.process_group.stop_all()
-    assert new_cluster.unstructured_lines() == []
 
 
 @pytest.mark.parametrize("how", ["silent", "killed"])
--- a/testing/test_evacuation_processes.py
+++ b/testing/test_evacuation_processes.py
@@ -29,15 +29,8 @@
 @pytest.fixture
 async def cluster(tmp_path):
     new_cluster = platform_fixtures.PlatformCluster(tmp_path)
-    async with aiohttp.ClientSession() as new_cluster.session:
+    async with platform_fixtures.running(new_cluster):
         yield new_cluster
-        for task in new_cluster.heartbeat_tasks:
-            task.cancel()
-        await asyncio.gather(
-            *new_cluster.heartbeat_tasks, return_exceptions=True
-        )
-    new_cluster.process_group.stop_all()
-    assert new_cluster.unstructured_lines() == []
 
 
 async def start(cluster):
--- a/testing/test_late_in_grace.py
+++ b/testing/test_late_in_grace.py
@@ -6,7 +6,6 @@
 import socket
 from typing import NamedTuple
 
-import aiohttp
 import platform_fixtures
 import pytest
 import relay_fixtures
@@ -753,16 +752,8 @@
             "grace_s": PROCESS_GRACE_S,
         }
         new_cluster.entry_ips = new_cluster.entry_ips[:1]
-        new_cluster.session = aiohttp.ClientSession()
-        yield new_cluster
-        for task in new_cluster.heartbeat_tasks:
-            task.cancel()
-        await asyncio.gather(
-            *new_cluster.heartbeat_tasks, return_exceptions=True
-        )
-        await new_cluster.session.close()
-        new_cluster.process_group.stop_all()
-        assert new_cluster.unstructured_lines() == []
+        async with platform_fixtures.running(new_cluster):
+            yield new_cluster
 
     async def test_every_request_in_the_grace_is_answered_or_unread(
         self, cluster
--- a/testing/test_placement_explanation.py
+++ b/testing/test_placement_explanation.py
@@ -3,7 +3,6 @@
 import asyncio
 import json
 
-import aiohttp
 import platform_fixtures
 import pytest
 import relay_fixtures
@@ -170,15 +169,8 @@
     async def cluster(self, tmp_path):
         new_cluster = platform_fixtures.PlatformCluster(tmp_path)
         new_cluster.entry_ips = new_cluster.entry_ips[:1]
-        new_cluster.session = aiohttp.ClientSession()
-        yield new_cluster
-        for task in new_cluster.heartbeat_tasks:
-            task.cancel()
-        await asyncio.gather(
-            *new_cluster.heartbeat_tasks, return_exceptions=True
-        )
-        await new_cluster.session.close()
-        new_cluster.process_group.stop_all()
+        async with platform_fixtures.running(new_cluster):
+            yield new_cluster
 
     async def run_command(self, *arguments):
         return await asyncio.to_thread(
