Use one class for numbered reports to a control process

Demand of workspaces had a copy of the class that speeds of endpoints use for the revision received and the reports sent and confirmed. Behaviour is the same; the tests of both, of status feeds and of watches passed.

--- a/bench/endpoint_speed.py
+++ b/bench/endpoint_speed.py
@@ -19,6 +19,7 @@
 from _arbutuswalk.base import metrics
 from _arbutuswalk.control import speed_reports
 from _arbutuswalk.relay import endpoint_speeds
+from _arbutuswalk.relay import report_feed
 from _arbutuswalk.routing import directory
 from _arbutuswalk.routing import endpoint_speed
 from _arbutuswalk.routing import recent_parts
@@ -150,7 +151,7 @@
         self.other = {}
         self.parts = recent_parts.RecentParts()
         self.speeds = endpoint_speeds.EndpointSpeeds()
-        self.feed = endpoint_speeds.Feed()
+        self.feed = report_feed.ReportFeed()
         self.metrics = metrics.Metrics()
 
 
--- a/bench/workspace_demand.py
+++ b/bench/workspace_demand.py
@@ -13,6 +13,7 @@
 from _arbutuswalk.base import metrics
 from _arbutuswalk.control import demand_reports
 from _arbutuswalk.control import report_checks
+from _arbutuswalk.relay import report_feed
 from _arbutuswalk.relay import workspace_demand
 from _arbutuswalk.wire import compressed_json
 from _arbutuswalk.wire import watch_timing
@@ -42,7 +43,7 @@
 
     def __init__(self, rng):
         self.demand = workspace_demand.WorkspaceDemand()
-        self.feed = workspace_demand.Feed()
+        self.feed = report_feed.ReportFeed()
         self.metrics = metrics.Metrics()
         self.other_fields = {
             "loads": {
--- a/src/_arbutuswalk/relay/endpoint_speeds.py
+++ b/src/_arbutuswalk/relay/endpoint_speeds.py
@@ -11,6 +11,7 @@
 
 from _arbutuswalk.base import metrics
 from _arbutuswalk.base import settings
+from _arbutuswalk.relay import report_feed
 from _arbutuswalk.routing import directory
 from _arbutuswalk.routing import endpoint_speed
 from _arbutuswalk.wire import speed_fields
@@ -45,21 +46,6 @@
     factor: float
 
 
-class Feed:
-    """Speeds exchanged with one control process.
-
-    Attributes:
-        revision: Revision of the speeds last received from it.
-        sent: Number of the last sample that was sent to it.
-        confirmed: Number of the last sample that it has received.
-    """
-
-    def __init__(self):
-        self.revision = 0
-        self.sent = 0
-        self.confirmed = 0
-
-
 class EndpointSpeeds:
     """Measured answers, and speeds that control has found.
 
@@ -93,7 +79,9 @@
         return slowness.factor if now - self.updated_at <= MAX_AGE_S else 1.0
 
 
-def to_json(speeds: EndpointSpeeds, feed: Feed) -> dict[str, Any]:
+def to_json(
+    speeds: EndpointSpeeds, feed: report_feed.ReportFeed
+) -> dict[str, Any]:
     """Returns the part of a report for one control process.
 
     It is empty unless there is something to say, as without model requests.
@@ -111,7 +99,7 @@
 
 def record_reply(
     speeds: EndpointSpeeds,
-    feed: Feed,
+    feed: report_feed.ReportFeed,
     news: dict[str, Any],
     now: float,
     entry_metrics: metrics.Metrics,
--- a/src/_arbutuswalk/relay/status_feeds.py
+++ b/src/_arbutuswalk/relay/status_feeds.py
@@ -15,6 +15,7 @@
 from _arbutuswalk.relay import endpoint_speeds
 from _arbutuswalk.relay import leaving_endpoints
 from _arbutuswalk.relay import relay_state
+from _arbutuswalk.relay import report_feed
 from _arbutuswalk.relay import workspace_demand
 from _arbutuswalk.routing import directory
 
@@ -42,8 +43,8 @@
         self.revision = 0
         self.received_at = float("-inf")
         self.unknown_ids: set[str] = set()
-        self.speeds = endpoint_speeds.Feed()
-        self.demand = workspace_demand.Feed()
+        self.speeds = report_feed.ReportFeed()
+        self.demand = report_feed.ReportFeed()
 
 
 def is_wanted(
--- a/src/_arbutuswalk/relay/workspace_demand.py
+++ b/src/_arbutuswalk/relay/workspace_demand.py
@@ -12,6 +12,7 @@
 
 from _arbutuswalk.base import metrics
 from _arbutuswalk.base import settings
+from _arbutuswalk.relay import report_feed
 from _arbutuswalk.wire import demand_fields
 
 AVERAGING_TIME_S = 4.0
@@ -44,21 +45,6 @@
     at: float
 
 
-class Feed:
-    """Demand and shares exchanged with one control process.
-
-    Attributes:
-        revision: Revision of the shares last received from it.
-        sent: Number of the rates that were last sent to it.
-        confirmed: Number of the last rates that it has received.
-    """
-
-    def __init__(self):
-        self.revision = 0
-        self.sent = 0
-        self.confirmed = 0
-
-
 class WorkspaceDemand:
     """Counted requests, and shares that control has found.
 
@@ -132,7 +118,9 @@
     return demand.excess.get((upstream, workspace), 1.0)
 
 
-def to_json(demand: WorkspaceDemand, feed: Feed, now: float) -> dict[str, Any]:
+def to_json(
+    demand: WorkspaceDemand, feed: report_feed.ReportFeed, now: float
+) -> dict[str, Any]:
     """Returns the part of a report for one control process.
 
     Rates that it has confirmed are left out.
@@ -148,7 +136,7 @@
 
 def record_reply(
     demand: WorkspaceDemand,
-    feed: Feed,
+    feed: report_feed.ReportFeed,
     news: dict[str, Any],
     now: float,
     entry_metrics: metrics.Metrics,
--- a/testing/test_demand_reports.py
+++ b/testing/test_demand_reports.py
@@ -10,6 +10,7 @@
 from _arbutuswalk.control import demand_reports
 from _arbutuswalk.control import discovery as discoveries
 from _arbutuswalk.control import report_checks
+from _arbutuswalk.relay import report_feed
 from _arbutuswalk.relay import workspace_demand
 from _arbutuswalk.wire import demand_fields
 
@@ -39,7 +40,7 @@
         self.metrics = metrics.Metrics()
         self.reports = demand_reports.DemandReports(metrics=self.metrics)
         for entry in self.entries.values():
-            entry.feed = workspace_demand.Feed()
+            entry.feed = report_feed.ReportFeed()
 
     def watch(self, name, incarnation=1):
         """Sends a report and its reply; returns both."""
--- a/testing/test_endpoint_speed.py
+++ b/testing/test_endpoint_speed.py
@@ -15,6 +15,7 @@
 from _arbutuswalk.relay import attempt_timing
 from _arbutuswalk.relay import endpoint_speeds
 from _arbutuswalk.relay import placement
+from _arbutuswalk.relay import report_feed
 from _arbutuswalk.relay import request as requests
 from _arbutuswalk.routing import directory
 from _arbutuswalk.routing import endpoint_speed
@@ -205,7 +206,7 @@
         self.directory = directory.Directory()
         self.reports = speed_reports.SpeedReports()
         self.speeds = endpoint_speeds.EndpointSpeeds()
-        self.feed = endpoint_speeds.Feed()
+        self.feed = report_feed.ReportFeed()
         self.metrics = metrics.Metrics()
         self.now = 100.0
         for i in range(12):
--- a/testing/test_workspace_demand.py
+++ b/testing/test_workspace_demand.py
@@ -5,6 +5,7 @@
 import pytest
 
 from _arbutuswalk.base import metrics
+from _arbutuswalk.relay import report_feed
 from _arbutuswalk.relay import workspace_demand
 from _arbutuswalk.wire import demand_fields
 
@@ -17,7 +18,7 @@
 
     def __init__(self):
         self.demand = workspace_demand.WorkspaceDemand()
-        self.feed = workspace_demand.Feed()
+        self.feed = report_feed.ReportFeed()
         self.metrics = metrics.Metrics()
         self.now = 100.0
 
@@ -132,7 +133,7 @@
         assert entry.excess("a") == 1.0
 
     def test_news_of_few_entries_does_not_replace_that_of_most(self, entry):
-        other = workspace_demand.Feed()
+        other = report_feed.ReportFeed()
         entry.receive({"u": {"a": 5}})
         entry.receive({"u": {"b": 5}}, entry_count=30, feed=other)
         assert entry.excess("a") > 1.0
