--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -125,6 +125,7 @@
         self.entry_ips = [
             f"127.{self.octet}.2.{i}" for i in range(1, entries + 1)
         ]
+        self.seeds = [f"{ip}:{self.operators_port}" for ip in self.control_ips]
         self.zones = {
             ip: f"zone-{'abc'[i % 3]}"
             for ips in (self.control_ips, self.entry_ips)
@@ -145,7 +146,7 @@
             "domain": self.zones[ip],
             "region": "region",
             "domains": ["zone-a", "zone-b", "zone-c"],
-            "seeds": [f"{i}:{self.operators_port}" for i in self.control_ips],
+            "seeds": self.seeds,
             "internal_port": self.internal_port,
             "losses": 1,
             "heartbeat_ms": int(HEARTBEAT_S * 1000),
@@ -188,6 +189,18 @@
         )
         self.record.write(f"{role} {ip} is started")
 
+    def replace_control(self, lost_ip):
+        """Returns the address of a machine that takes a lost one's place.
+
+        The operator's list names it from now on, settings files do not yet.
+        """
+        number = len(self.control_ips) + 1
+        new_ip = f"127.{self.octet}.1.{number}"
+        self.zones[new_ip] = self.zones[lost_ip]
+        self.control_ips.remove(lost_ip)
+        self.control_ips.append(new_ip)
+        return new_ip
+
     def send_signal(self, ip, signal_number):
         """Sends a signal to the process of a machine."""
         name = signal.Signals(signal_number).name
