--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -361,13 +361,16 @@
         self.sequence = 0
         self.runs = []
         self.server = None
+        self.port = 0
         self.tasks = set()
 
-    async def start(self):
-        """Starts to listen and to send status reports."""
-        self.server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        port = self.server.sockets[0].getsockname()[1]
-        self.address = f"127.0.0.1:{port}"
+    async def start(self, port=0):
+        """Starts to listen and to send status reports, at any port for 0."""
+        self.server = await asyncio.start_server(
+            self._accept, "127.0.0.1", port, reuse_address=True
+        )
+        self.port = self.server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{self.port}"
         self.tasks.add(asyncio.ensure_future(self._beat()))
 
     async def stop(self):
