--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,7 +1,7 @@
-"""A runner deregisters at a control process that is no member of the group.
+"""A runner deregisters at a control process that never joins the group.
 
-The deployment has five zones with a core machine each, of which one may be
-lost: the deploy file starts control on all five.
+Two core machines are added to three, of which one may be lost: the deploy file
+starts control on both.
 """
 
 import asyncio
@@ -15,18 +15,32 @@
 
 import harness  # noqa: E402
 
-CONTROLS = 5
 DRAIN_DEADLINE_S = 2.0
+ADDED_FOR_S = 15.0
+"""Several times ``contact_threshold_ms`` and ``catch_up_s``."""
 SERVES_ON_S = 6.0
 """How long the runner serves after the acknowledgement."""
 REQUEST_INTERVAL_S = 0.05
 
 
+class TurningRunner(harness.Runner):
+    """A runner that calls the nodes of its list in turn."""
+
+    turn = 0
+
+    def nodes(self):
+        """Returns all nodes, a later one first with each call."""
+        ips = self.system.control_ips
+        first = self.turn % len(ips)
+        self.turn += 1
+        return ips[first:] + ips[:first]
+
+
 async def run_case(record):
     """Returns the requests that reached the runner too late."""
-    system = harness.System(record, controls=CONTROLS)
+    system = harness.System(record)
     runners = [
-        harness.Runner(system, record, name=f"i-{n}", service="claims")
+        TurningRunner(system, record, name=f"i-{n}", service="claims")
         for n in (1, 2)
     ]
     try:
@@ -38,11 +52,15 @@
             [harness.make_service("claims")],
         )
         await system.start_all(config)
-        # All core machines have been in touch for several times 3 s by then.
-        await asyncio.sleep(15)
+        if harness.TROUBLE:
+            for zone_name in system.zone_names[:2]:
+                added_ip = system.add_control(zone_name)
+                system.start(added_ip, bootstrap=False)
+        await asyncio.sleep(ADDED_FOR_S)
+        told_ip = await find_node_without_config(system, record)
         consumers = asyncio.ensure_future(consume(system, record))
         await asyncio.sleep(2)
-        acked_at = await deregister(system, record, runners[0])
+        acked_at = await deregister(system, record, runners[0], told_ip)
         await asyncio.sleep(SERVES_ON_S)
         consumers.cancel()
         await asyncio.gather(consumers, return_exceptions=True)
@@ -62,24 +80,35 @@
     ]
 
 
-async def deregister(system, record, runner):
+async def find_node_without_config(system, record):
+    """Returns a control node that cannot say the config, else the last one."""
+    found_ip = system.control_ips[-1]
+    for ip in system.control_ips:
+        answer = await system.call_control(ip, "GET", "/v1/Configuration.Read")
+        status = answer.status if answer else "none"
+        record.write(f"operator reads the config at {ip}: {status}")
+        if status != harness.STATUS_OK:
+            found_ip = ip
+    return found_ip
+
+
+async def deregister(system, record, runner, told_ip):
     """Deregisters a runner, which goes on to serve; returns when it was acked.
 
-    It does so just after a status report. It picks one of the control nodes:
-    the last one, or without trouble the first.
+    It does so as soon as the node is the next one in its turn.
     """
-    sequence = runner.sequence
-    while runner.sequence == sequence:
+    ips = system.control_ips
+    while ips[runner.turn % len(ips)] != told_ip:
         await asyncio.sleep(0.02)
-    runner.beats = False
     await asyncio.sleep(0.1)
-    ip = system.control_ips[-1 if harness.TROUBLE else 0]
+    runner.beats = False
+    runner.leaves = True
     body = json.dumps({"born": runner.born}).encode()
     path = f"/v1/Instances.Deregister/{runner.name}"
-    answer = await system.call_control(ip, "POST", path, body)
-    if answer is None or answer.status != 200:
+    answer = await system.call_control(told_ip, "POST", path, body)
+    if answer is None or answer.status != harness.STATUS_OK:
         raise harness.CaseNotRunError("the deregistration is not acknowledged")
-    record.write(f"{ip} acknowledges the deregistration of {runner.name}")
+    record.write(f"{told_ip} acknowledges the deregistration of {runner.name}")
     return time.monotonic()
 
 
--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -24,9 +24,12 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 METRICS_PORT = 9464
+CONTROLS = 3
+"""Control processes at first, one in each zone."""
 HOST = "shop.example"
 KEY = "n2ctnfzs989anu6wsjnb"
 TENANT = "hule930"
+STATUS_OK = 200
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 
 # The bounds of sites/restwaarde-lm.toml.
@@ -114,7 +117,7 @@
         processes: Running process by address.
     """
 
-    def __init__(self, record, *, controls=3, entries=2, cloud=""):
+    def __init__(self, record, *, entries=2, cloud=""):
         self.record = record
         self.cloud = cloud
         self.octet, self.reservation = _reserve_network()
@@ -122,18 +125,15 @@
         self.internal_port, self.operators_port, self.lookups_port = ports[:3]
         self.callers_port, self.readiness_port = ports[3:]
         self.control_ips = [
-            f"127.{self.octet}.1.{i}" for i in range(1, controls + 1)
+            f"127.{self.octet}.1.{i}" for i in range(1, CONTROLS + 1)
         ]
         self.entry_ips = [
             f"127.{self.octet}.2.{i}" for i in range(1, entries + 1)
         ]
-        # Settings name three seeds, however many there are.
-        self.seeds = [
-            f"{ip}:{self.operators_port}" for ip in self.control_ips[:3]
-        ]
-        self.zone_names = [f"zone-{'abcde'[i]}" for i in range(controls)]
+        self.seeds = [f"{ip}:{self.operators_port}" for ip in self.control_ips]
+        self.zone_names = [f"zone-{'abc'[i]}" for i in range(CONTROLS)]
         self.zones = {
-            ip: self.zone_names[i % controls]
+            ip: self.zone_names[i]
             for ips in (self.control_ips, self.entry_ips)
             for i, ip in enumerate(ips)
         }
@@ -195,18 +195,23 @@
         )
         self.record.write(f"{role} {ip} is started")
 
-    def replace_control(self, lost_ip):
-        """Returns the address of a machine that takes a lost one's place.
+    def add_control(self, zone_name):
+        """Returns the address of a core machine that is added in a zone.
 
         The operator's list names it from now on, settings files do not yet.
         """
         number = len(self.control_ips) + 1
         new_ip = f"127.{self.octet}.1.{number}"
-        self.zones[new_ip] = self.zones[lost_ip]
-        self.control_ips.remove(lost_ip)
+        self.zones[new_ip] = zone_name
         self.control_ips.append(new_ip)
         return new_ip
 
+    def replace_control(self, lost_ip):
+        """Returns the address of a machine that takes a lost one's place."""
+        new_ip = self.add_control(self.zones[lost_ip])
+        self.control_ips.remove(lost_ip)
+        return new_ip
+
     def send_signal(self, ip, signal_number):
         """Sends a signal to the process of a machine."""
         name = signal.Signals(signal_number).name
@@ -359,6 +364,7 @@
         runs: What it ran: dicts with id, method, path, body and headers.
         work_s: How long a request takes.
         beats: Whether it goes on to send status reports.
+        leaves: Whether it leaves, which its answers state by closing channels.
     """
 
     def __init__(self, system, record, *, name, service, work_s=0.02):
@@ -370,6 +376,7 @@
         self.server = None
         self.port = 0
         self.beats = True
+        self.leaves = False
         self.tasks = set()
 
     async def start(self, port=0):
@@ -408,17 +415,21 @@
                     "born": self.born,
                 }
             ).encode()
-            for ip in self.system.control_ips:
+            for ip in self.nodes():
                 path = f"/v1/Instances.Heartbeat/{self.name}"
                 answer = await self.system.call_control(ip, "POST", path, body)
                 if answer and answer.status == 200:
                     break
             await asyncio.sleep(HEARTBEAT_S)
 
+    def nodes(self):
+        """Returns the nodes to call, until one acknowledges."""
+        return list(self.system.control_ips)
+
     async def _serve(self, reader, writer):
         try:
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-                while True:
+                while not writer.is_closing():
                     await self._serve_one(reader, writer)
         finally:
             writer.close()
@@ -451,10 +462,14 @@
         head = (
             f"HTTP/1.1 {status}\r\nX-Attempt-Id: {request_id}\r\n"
             f"X-Server-Signature: {self.name}.{request_id}\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n"
+            f"Content-Length: {len(body)}\r\n"
         )
-        writer.write(head.encode() + body)
+        if self.leaves:
+            head += "Connection: close\r\n"
+        writer.write(f"{head}\r\n".encode() + body)
         await writer.drain()
+        if self.leaves:
+            writer.close()
 
 
 def make_config(version, routes, services):
