Let reports of unconfigured upstreams displace no endpoint

Cause: a report of another writer, with the address or the id of an endpoint and a later start, displaced the endpoint; whether the configuration names the report's upstream was not asked. A displaced endpoint is gone for good, so its own reports did not help. The refusals name three endpoints that are gone, and the change of another id at their address comes right before them in control's log; a refused heartbeat or a wrong configuration at the entries were ruled out by that. Event 718 now names who was displaced by whom.

Change: announcements are compared by whether the configuration names their upstreams first. One that it does not name is kept, but takes neither id nor address; a deregistration ends its start though another writer has the id's row.

--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -73,7 +73,11 @@
     ENDPOINT_CHANGED = (
         650,
         "endpoint changed id=%s upstream=%s version=%s state=%s born=%s"
-        " sequence=%s address=%s",
+        " sequence=%s address=%s configured=%s",
+    )
+    ENDPOINT_DISPLACED = (
+        718,
+        "endpoint displaced id=%s upstream=%s born=%s by=%s address=%s",
     )
     ENDPOINT_FORGOTTEN = (651, "endpoint removed id=%s")
     ROUTES_IN_FORCE = (653, "routes in force version=%s before=%s source=%s")
--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -18,6 +18,7 @@
 from _arbutuswalk.base import clock
 from _arbutuswalk.base import events
 from _arbutuswalk.base import metrics
+from _arbutuswalk.control import announced_endpoints
 from _arbutuswalk.control import crash_reports
 from _arbutuswalk.control import demand_reports
 from _arbutuswalk.control import entry_paths
@@ -29,6 +30,7 @@
 from _arbutuswalk.control import shared_pools
 from _arbutuswalk.control import speed_reports
 from _arbutuswalk.control import watch_updates
+from _arbutuswalk.routing import deregistrations
 from _arbutuswalk.routing import directory as directories
 from _arbutuswalk.routing import leaving
 from _arbutuswalk.routing import stated_limits
@@ -121,19 +123,13 @@
 
     def apply_announcement(self, endpoint: directories.Endpoint) -> bool:
         """Applies an announcement; returns whether it changed the directory."""
-        is_change = directories.announce(self.directory, endpoint, self.now())
-        self.metrics.count("announcements", f'news="{is_change}"')
+        self.directory.upstream_names = route_parts.upstream_names(
+            self.route_parts, self.member.tables
+        )
+        is_change = announced_endpoints.apply(
+            self.directory, endpoint, self.now(), self.metrics
+        )
         if is_change:
-            events.record(
-                events.Event.ENDPOINT_CHANGED,
-                endpoint.id,
-                endpoint.upstream,
-                endpoint.version,
-                endpoint.state,
-                endpoint.born_ms,
-                endpoint.sequence,
-                endpoint.address,
-            )
             self.notify_watches()
         return is_change
 
@@ -143,7 +139,7 @@
         It may arrive before the first heartbeat of the same start.
         """
         now_ms = int(self.wall() * clock.MS_PER_S)
-        gone = directories.make_gone(
+        gone = deregistrations.make_gone(
             self.directory, endpoint_id, born_ms, now_ms
         )
         return gone is not None and self.announce(gone)
--- a/src/_arbutuswalk/control/route_parts.py
+++ b/src/_arbutuswalk/control/route_parts.py
@@ -16,11 +16,15 @@
     Attributes:
         version: Its version, None before the first.
         data: Its compressed bytes.
+        named_version: Version whose upstreams are in ``upstream_names``.
+        upstream_names: Upstreams that the configuration names.
     """
 
     def __init__(self):
         self.version: int | None = None
         self.data = b""
+        self.named_version: int | None = None
+        self.upstream_names: frozenset[str] = frozenset()
 
 
 def has_newer(tables: rows.Tables, message: ttypes.Watch) -> bool:
@@ -31,6 +35,16 @@
     return routeconfig.is_newer(tables.published_version, known_version)
 
 
+def upstream_names(parts: RouteParts, tables: rows.Tables) -> frozenset[str]:
+    """Returns the upstreams that the configuration names, none before it."""
+    if parts.named_version != tables.published_version:
+        parts.named_version = tables.published_version
+        parts.upstream_names = frozenset(
+            name for name, *_ in tables.routes["upstreams"]
+        )
+    return parts.upstream_names
+
+
 def part_from(
     parts: RouteParts, tables: rows.Tables, offset: int
 ) -> ttypes.RoutesPart:
--- a/src/_arbutuswalk/relay/control_watch.py
+++ b/src/_arbutuswalk/relay/control_watch.py
@@ -389,7 +389,8 @@
     quota_buckets.update(relay, config, is_first_config=not relay.route_table)
     relay.route_table = routetable.RouteTable(config=config)
     relay.hedging.keep_routes({route.name for route in config.routes})
-    upstream_names = {upstream.name for upstream in config.upstreams}
+    upstream_names = frozenset(upstream.name for upstream in config.upstreams)
+    relay.directory.upstream_names = upstream_names
     relay.first_data.keep_upstreams(upstream_names)
     relay.late_refusals.keep_upstreams(upstream_names)
     events.record(events.Event.ROUTES_IN_FORCE, config.version, before, source)
--- a/src/_arbutuswalk/relay/relay_state.py
+++ b/src/_arbutuswalk/relay/relay_state.py
@@ -176,7 +176,7 @@
         self.pool = pool.Pool(read_reply=dialect.read, now=now)
         self.answer_buffers = answer_buffers.AnswerBuffers()
         self.route_table: routetable.RouteTable | None = None
-        self.directory = directory.Directory()
+        self.directory = directory.Directory(upstream_names=frozenset())
         self.paths = paths.Paths(
             now=now,
             count_endpoints=lambda: len(self.directory.rows),
--- a/src/_arbutuswalk/relay/status_feeds.py
+++ b/src/_arbutuswalk/relay/status_feeds.py
@@ -123,7 +123,8 @@
 ) -> bool:
     """Applies the heartbeat of a known start; returns whether it is known.
 
-    A heartbeat of an older start than the known one changes nothing.
+    A heartbeat of an older start than the known one changes nothing, unless
+    that one is of an upstream that the configuration does not name.
     """
     row = relay.directory.rows.get(heartbeat.id)
     if row is None or row.endpoint.born_ms < heartbeat.born_ms:
@@ -132,7 +133,8 @@
         leaving_endpoints.merge_announcement(
             relay, directory.with_heartbeat(row.endpoint, heartbeat), source
         )
-    return True
+        return True
+    return directory.is_configured(relay.directory, row.endpoint)
 
 
 def record_loads(
--- a/src/_arbutuswalk/routing/directory.py
+++ b/src/_arbutuswalk/routing/directory.py
@@ -4,6 +4,9 @@
 each keep a directory and merge announcements in any order: for one endpoint the
 newest start wins, and within a start the highest sequence. Leaving is final
 within a start, so that a late announcement cannot make an endpoint ready again.
+
+An announcement of an upstream that the configuration does not name displaces no
+endpoint of one that it names, neither by id nor by address.
 """
 
 import json
@@ -12,13 +15,14 @@
 
 from _arbutuswalk.base import rows
 from _arbutuswalk.base import settings
+from _arbutuswalk.routing import announcement_order
 from _arbutuswalk.routing import endpoint_fields
 from _arbutuswalk.routing import leaving
 from _arbutuswalk.routing import warm_ups
 
-READY = "ready"
-LEAVING = "leaving"
-GONE = "gone"
+READY = endpoint_fields.READY
+LEAVING = endpoint_fields.LEAVING
+GONE = endpoint_fields.GONE
 
 
 class Endpoint(NamedTuple):
@@ -85,10 +89,13 @@
         ids_by_address: Endpoint id by address.
         leaving_starts: Starts that state in their answers that they leave.
         warm_ups: Starts that warm up.
+        upstream_names: Upstreams that the configuration names, empty before the
+            first one; None where there is no configuration of upstreams.
         revision: Number of updates so far.
     """
 
-    def __init__(self):
+    def __init__(self, *, upstream_names: frozenset[str] | None = None):
+        self.upstream_names = upstream_names
         self.leaving_starts = leaving.LeavingStarts()
         self.warm_ups = warm_ups.WarmUps()
         self.rows: dict[str, Row] = {}
@@ -106,30 +113,35 @@
     if start_of(announcement) in directory.leaving_starts.stated_at:
         announcement = _as_leaving(announcement)
     existing = directory.rows.get(announcement.id)
-    merged = (
-        announcement
-        if existing is None
-        else _merge_announcements(existing.endpoint, announcement)
+    merged = announcement_order.merge(
+        existing and existing.endpoint, announcement, directory.upstream_names
     )
     if merged is None:
         return False
-    address_owner = directory.rows.get(
-        directory.ids_by_address.get(merged.address, "")
-    )
-    if address_owner is not None and address_owner.endpoint.id != merged.id:
-        if address_owner.endpoint.born_ms > merged.born_ms:
+    owner = _other_owner(directory, merged)
+    names = directory.upstream_names
+    takes_address = bool(merged.address)
+    if owner is not None:
+        if announcement_order.is_overtaken(merged, owner.endpoint, names):
             return False
-        _put_row(
-            directory,
-            address_owner.endpoint._replace(state=GONE),
-            address_owner.announced_at,
+        takes_address = announcement_order.may_displace(
+            merged, owner.endpoint, names
         )
+        if takes_address:
+            _displace(directory, owner)
     _put_row(directory, merged, now)
     if merged.sequence == announcement.sequence:
         directory.warm_ups.record(start_of(merged), merged.cold_s, now)
-    if merged.address:
+    if takes_address:
         directory.ids_by_address[merged.address] = merged.id
-    return existing is None or _is_relevant_change(existing.endpoint, merged)
+    return existing is None or announcement_order.is_relevant_change(
+        existing.endpoint, merged
+    )
+
+
+def is_configured(directory: Directory, endpoint: Endpoint) -> bool:
+    """Returns whether the configuration names an endpoint's upstream."""
+    return announcement_order.is_configured(endpoint, directory.upstream_names)
 
 
 def deregister(
@@ -147,35 +159,6 @@
     return True
 
 
-def make_gone(
-    directory: Directory, endpoint_id: str, born_ms: int | None, now_ms: int
-) -> Endpoint | None:
-    """Returns what a deregistration announces, None if it does not count.
-
-    Args:
-        directory: Endpoints known so far.
-        endpoint_id: Endpoint that deregisters.
-        born_ms: Its start, None for the one that is known, or any so far.
-        now_ms: Time of day, in Unix milliseconds.
-    """
-    row = directory.rows.get(endpoint_id)
-    if row is not None and born_ms in (None, row.endpoint.born_ms):
-        return row.endpoint._replace(state=GONE)
-    if row is not None and born_ms < row.endpoint.born_ms:
-        return None
-    return Endpoint(
-        id=endpoint_id,
-        born_ms=now_ms if born_ms is None else born_ms,
-        sequence=0,
-        upstream="",
-        address="",
-        domain="",
-        version="",
-        slots=0,
-        state=GONE,
-    )
-
-
 def record_leaving(
     directory: Directory, start: leaving.Start, stated_at: float
 ) -> bool:
@@ -357,36 +340,31 @@
     )
 
 
-def _merge_announcements(
-    existing: Endpoint, announcement: Endpoint
-) -> Endpoint | None:
-    """Merges two announcements; returns None if nothing changes."""
-    if announcement.born_ms != existing.born_ms:
-        return announcement if announcement.born_ms > existing.born_ms else None
-    state = max(
-        existing.state, announcement.state, key=(READY, LEAVING, GONE).index
-    )
-    if announcement.sequence > existing.sequence:
-        return announcement._replace(state=state)
-    if state != existing.state:
-        return existing._replace(state=state)
-    return None
+def _other_owner(directory: Directory, endpoint: Endpoint) -> Row | None:
+    """Returns the row of another endpoint that has an endpoint's address."""
+    owner_id = directory.ids_by_address.get(endpoint.address, endpoint.id)
+    return None if owner_id == endpoint.id else directory.rows.get(owner_id)
 
 
-def _is_relevant_change(before: Endpoint, after: Endpoint) -> bool:
-    """Returns whether anything changed but the rest of a known warm-up."""
-    if after.cold_s > before.cold_s:
-        return True
-    return before._replace(sequence=0, cold_s=0.0) != after._replace(
-        sequence=0, cold_s=0.0
-    )
+def _displace(directory: Directory, owner: Row) -> None:
+    """Takes its address from an endpoint.
+
+    One of a configured upstream is gone for good, as another process uses its
+    address. Any other may prove sound once the configuration names it: it is
+    removed until it announces itself again.
+    """
+    if not is_configured(directory, owner.endpoint):
+        remove(directory, owner.endpoint.id)
+        return
+    gone = owner.endpoint._replace(state=GONE)
+    _put_row(directory, gone, owner.announced_at)
 
 
 def _put_row(directory: Directory, endpoint: Endpoint, now: float) -> None:
     directory.revision += 1
     revision = directory.revision
     existing = directory.rows.get(endpoint.id)
-    changed = existing is None or _is_relevant_change(
+    changed = existing is None or announcement_order.is_relevant_change(
         existing.endpoint, endpoint
     )
     change_revision = revision if changed else existing.change_revision
--- a/src/_arbutuswalk/routing/endpoint_fields.py
+++ b/src/_arbutuswalk/routing/endpoint_fields.py
@@ -5,6 +5,12 @@
 
 from _arbutuswalk.base import settings
 
+READY = "ready"
+LEAVING = "leaving"
+GONE = "gone"
+STATES = READY, LEAVING, GONE
+"""States of an endpoint in the order in which one start goes through them."""
+
 MAX_TEXT_CHARS = 256
 MAX_INTEGER = 2**53 - 1
 """Largest whole number that all readers of JSON hold exactly."""
--- a/testing/test_directory.py
+++ b/testing/test_directory.py
@@ -6,6 +6,7 @@
 import pytest
 from hypothesis import strategies
 
+from _arbutuswalk.routing import deregistrations
 from _arbutuswalk.routing import directory
 
 
@@ -119,3 +120,61 @@
         assert directory.expire(endpoints, 5.0, 4.0) == ["a"]
         assert not endpoints.rows
         assert not endpoints.ids_by_address
+
+
+class TestUnconfiguredUpstreams:
+    """Guards against odd reports that displace sound endpoints (STARVED)."""
+
+    OTHER = {"upstream": "next", "born_ms": 2000, "sequence": 9}
+
+    def make_directory(self):
+        return directory.Directory(upstream_names=frozenset({"llm"}))
+
+    @pytest.mark.parametrize("name", ["a", "w"], ids=["id", "address"])
+    @pytest.mark.parametrize("is_first", [False, True])
+    def test_they_displace_no_sound_endpoint(self, name, is_first):
+        endpoints = self.make_directory()
+        sound, odd = make_endpoint(), make_endpoint(id=name, **self.OTHER)
+        for announcement in (odd, sound) if is_first else (sound, odd):
+            directory.announce(endpoints, announcement, 1.0)
+        directory.announce(endpoints, sound._replace(sequence=2), 2.0)
+        assert endpoints.rows["a"].endpoint.upstream == "llm"
+        assert state_of(endpoints) == directory.READY
+        assert endpoints.rows["a"].announced_at == 2.0
+        assert endpoints.ids_by_address["10.0.0.1:80"] == "a"
+
+    def test_they_displace_none_before_the_first_configuration(self):
+        endpoints = directory.Directory(upstream_names=frozenset())
+        sound = make_endpoint()
+        odd = make_endpoint(id="w", **self.OTHER)
+        for announcement in (sound, odd):
+            directory.announce(endpoints, announcement, 1.0)
+        endpoints.upstream_names = frozenset({"llm"})
+        directory.announce(endpoints, sound._replace(sequence=2), 2.0)
+        assert state_of(endpoints) == directory.READY
+        assert endpoints.ids_by_address["10.0.0.1:80"] == "a"
+
+    def test_a_later_configuration_may_name_them(self):
+        endpoints = self.make_directory()
+        directory.announce(endpoints, make_endpoint(), 1.0)
+        odd = make_endpoint(id="w", state=directory.LEAVING, **self.OTHER)
+        directory.announce(endpoints, odd, 1.0)
+        endpoints.upstream_names = frozenset({"llm", "next"})
+        late = odd._replace(sequence=1, state=directory.READY)
+        directory.announce(endpoints, late, 2.0)
+        assert state_of(endpoints, "w") == directory.LEAVING
+        directory.announce(endpoints, odd._replace(sequence=10), 3.0)
+        assert state_of(endpoints) == directory.GONE
+
+    @pytest.mark.parametrize("born_ms", [None, 1000])
+    def test_an_endpoint_deregisters_though_they_have_its_id(self, born_ms):
+        receiver, member = self.make_directory(), self.make_directory()
+        directory.announce(member, make_endpoint(), 0.0)
+        directory.announce(receiver, make_endpoint(**self.OTHER), 0.0)
+        gone = deregistrations.make_gone(receiver, "a", born_ms, 1500)
+        directory.announce(receiver, gone, 1.0)
+        directory.announce(member, gone, 1.0)
+        late = make_endpoint(sequence=3)
+        directory.announce(receiver, late, 2.0)
+        directory.announce(member, late, 2.0)
+        assert state_of(receiver) == state_of(member) == directory.GONE
--- a/testing/test_odd_entry_processes.py
+++ b/testing/test_odd_entry_processes.py
@@ -1,6 +1,7 @@
 """Odd entries about endpoints, beside sound ones, with real processes."""
 
 import asyncio
+import itertools
 import json
 import pathlib
 import urllib.parse
@@ -91,6 +92,22 @@
     return start
 
 
+async def write_reports(cluster, endpoint_id, sound):
+    """Announces an upstream that no configuration names, at all processes."""
+    for sequence in itertools.count(1):
+        report = {
+            **sound,
+            "service": "ops-next",
+            "born": sound["born"] + 1000,
+            "sequence": sequence,
+        }
+        for ip in cluster.control_ips:
+            url = f"http://{ip}:{cluster.operators_port}"
+            url += HEARTBEAT_PATH + endpoint_id
+            await cluster.http_request("POST", url, json=report)
+        await asyncio.sleep(0.3)
+
+
 def failed_tasks(cluster):
     """Returns the log lines of errors that no code expects."""
     lines = [
@@ -152,6 +169,23 @@
         assert all(p.poll() is None for p in started.values())
         assert failed_tasks(cluster) == []
 
+    @pytest.mark.parametrize("name", ["i-1", "w-1"], ids=["id", "address"])
+    async def test_an_upstream_that_is_not_configured_displaces_none(
+        self, cluster, name
+    ):
+        """Guards against refusals for a sound endpoint (STARVED, review/10)."""
+        await cluster.start_all("/a/")
+        writer = asyncio.ensure_future(
+            write_reports(cluster, name, dict(cluster.heartbeat))
+        )
+        # Several heartbeats of both writers.
+        await asyncio.sleep(1)
+        sender = RequestSender(cluster)
+        await asyncio.sleep(2)
+        statuses = await sender.stop()
+        writer.cancel()
+        assert set(statuses) == {200}
+
     async def test_a_process_starts_with_odd_entries_on_its_disk(self, cluster):
         """Guards against a process that ends at each of its starts."""
         await cluster.start_all("/a/")
