--- a/src/_arbutuswalk/entry/upstream_announcements.py
+++ b/src/_arbutuswalk/entry/upstream_announcements.py
@@ -92,7 +92,10 @@
     """Applies an announcement that was made ``age_s`` seconds ago."""
     announced_at = entry.now() - age_s
     outcome = upstreams.announce(
-        entry.upstreams, announcement, announced_at=announced_at
+        entry.upstreams,
+        announcement,
+        announced_at=announced_at,
+        configured_names=_configured_names(entry),
     )
     if isinstance(outcome, upstreams.Refused):
         return outcome
@@ -111,6 +114,12 @@
     return None
 
 
+def _configured_names(entry: entry_state.Entry) -> frozenset[str] | None:
+    if entry.inventory is None:
+        return None
+    return frozenset(item["name"] for item in entry.inventory["upstreams"])
+
+
 def on_peer_updates(
     entry: entry_state.Entry, message: ttypes.UpstreamNews
 ) -> None:
--- a/src/_arbutuswalk/routing/upstreams.py
+++ b/src/_arbutuswalk/routing/upstreams.py
@@ -165,11 +165,25 @@
     announcement: announcements.Announcement,
     *,
     announced_at: float,
+    configured_names: frozenset[str] | None = None,
 ) -> Joined | Renewed | Refused:
-    """Applies an announcement; its time is by this entry's clock."""
+    """Applies an announcement.
+
+    Args:
+        table: Upstreams known so far.
+        announcement: The announcement.
+        announced_at: When it was made, in seconds of this entry's clock.
+        configured_names: Names in the inventory, None while there is none. An
+            announcement of another name takes no identity from one of these.
+    """
     row = table.rows.get(announcement["id"])
+    is_named = _is_named(announcement["upstream"], configured_names)
+    row_is_named = row is None or _is_named(row.name, configured_names)
+    if row is not None and row_is_named and not is_named:
+        return Refused(reason="the identity of a configured upstream")
     if (
         row is None
+        or (is_named and not row_is_named)
         or row.announcement["incarnation"] < announcement["incarnation"]
     ):
         new_row = Row(announcement=announcement, announced_at=announced_at)
@@ -196,6 +210,10 @@
     )
 
 
+def _is_named(name: str, configured_names: frozenset[str] | None) -> bool:
+    return configured_names is None or name in configured_names
+
+
 def _record_leaving(
     row: Row, announcement: announcements.Announcement, announced_at: float
 ) -> None:
--- a/testing/test_odd_announcements.py
+++ b/testing/test_odd_announcements.py
@@ -1,9 +1,13 @@
 """Odd announcements of upstreams at the chat front, beside sound ones."""
 
+import random
+
 import entry_fixtures
 import pytest
 import test_odd_entries
+import virtual
 
+from _arbutuswalk.entry import upstream_announcements
 from _arbutuswalk.routing import announcements
 from _arbutuswalk.routing import choose
 from _arbutuswalk.routing import upstreams
@@ -64,3 +68,28 @@
             blocks=(), prompt_tokens=10, affinity="affinity"
         )
         assert choose.choose(rows, features).announcement["id"] in ("a", "b")
+
+    def test_an_upstream_of_no_inventory_takes_no_identity(self):
+        """Guards against refusals for a sound upstream (STARVED)."""
+        loop = virtual.VirtualLoop()
+        control = entry_fixtures.Control(loop, random.Random(1))
+        entry = entry_fixtures.make_entry(loop, control, "a")
+        entry_fixtures.refresh(entry, control)
+        sound = announcements.check(
+            entry_fixtures.make_announcement("a", "model")
+        )
+        odd = {
+            **sound,
+            "upstream": "next",
+            "incarnation": sound["incarnation"] + 1,
+        }
+
+        async def announce_all():
+            for announcement in (odd, sound, odd):
+                upstream_announcements.apply_announcement(
+                    entry, announcement, age_s=0.0
+                )
+
+        loop.run_until_complete(announce_all())
+        rows = entry.upstreams.rows_for("model")
+        assert [row.announcement for row in rows] == [sound]
