Acknowledge announcements only where the group hears of them

Cause: the group keeps its voters and one learner. A control process beyond them forwards to the members of its own, empty log and waits for the entries that watch it, which are none, so it acknowledged at once what only it had heard. One that is cut off from the other members did the same. That the entries were told too late, or the process dropped it, is ruled out by the logs: it has event 650 with state gone, no other process has any event of that endpoint.

Change: a process that did not hear from a majority for 2 s hands a report or a deregistration over to a member, and acknowledges it only once a member has applied it; else it answers 503. Configurations, rollouts and evacuations were acknowledged only after their commit already.

--- a/src/_arbutuswalk/agreement/lease.py
+++ b/src/_arbutuswalk/agreement/lease.py
@@ -3,6 +3,10 @@
 from _arbutuswalk.agreement import replica as replicas
 from _arbutuswalk.agreement import types
 
+MAJORITY_SILENCE_S = 2.0
+"""Time without a word of a majority after which a member may be cut off from
+it: several elections, and less than operators allow for a cut to be noticed."""
+
 
 def quorum_acked_at(replica: replicas.Replica, now: float) -> float:
     """Returns the send time of the newest message a majority acknowledged.
@@ -49,6 +53,18 @@
     return now < quorum_acked_at(replica, now) + replica.timing.lease_s
 
 
+def hears_majority(replica: replicas.Replica, now: float) -> bool:
+    """Returns whether this member lately heard from a majority of its group.
+
+    A leader heard from it directly, any other member from a leader, which
+    steps down without one. A process that is in no group hears from neither.
+    """
+    heard_at = replica.contact_at
+    if replica.role is types.Role.LEADER:
+        heard_at = quorum_acked_at(replica, now)
+    return now - heard_at < MAJORITY_SILENCE_S
+
+
 def _acked_sent_at(replica: replicas.Replica, voter: str, now: float) -> float:
     if voter == replica.member:
         return now
--- a/src/_arbutuswalk/agreement/replica.py
+++ b/src/_arbutuswalk/agreement/replica.py
@@ -126,6 +126,8 @@
         leader: Leader of ``term`` if known, or empty.
         leader_heard_at: When the leader was last heard from, or the start
             time.
+        contact_at: When a leader was last heard from, minus infinity if none
+            was since the start.
         election_due_at: When to start an election unless a leader is heard
             from.
         granted_by: Voters that granted a vote in the current (trial) election.
@@ -183,6 +185,7 @@
         # A restarted member does not know which leader it last heard from.
         # Waiting a full election timeout keeps that leader's lease valid.
         self.leader_heard_at = now
+        self.contact_at = float("-inf")
         self.election_due_at = now + timing.election_s * (1 + rng.random())
         self.granted_by: set[str] = set()
         self.log = log or raftlog.RaftLog()
--- a/src/_arbutuswalk/agreement/replication.py
+++ b/src/_arbutuswalk/agreement/replication.py
@@ -122,7 +122,7 @@
     changed = term > replica.term or replica.leader != leader
     if changed or replica.role is not types.Role.FOLLOWER:
         terms.become_follower(replica, term, leader, now)
-    replica.leader_heard_at = now
+    replica.leader_heard_at = replica.contact_at = now
     replica.quorum_loss_logged = False
     terms.reset_election_timeout(replica, now)
 
--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -130,6 +130,10 @@
     ENDPOINT_SUSPECT = (666, "endpoint suspected id=%s reason=%s")
     SETTINGS_RELOADED = (667, "settings reloaded outcome=%s")
     DISK_REFUSED = (668, "disk write failed reason=%s")
+    ANNOUNCEMENT_UNACKNOWLEDGED = (
+        719,
+        "announcement not acknowledged id=%s reason=%s",
+    )
     ANNOUNCEMENT_BAD = (669, "announcement invalid id=%s reason=%s")
     DEATH_NOTED = (
         670,
--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -133,15 +133,18 @@
             self.notify_watches()
         return is_change
 
-    def deregister(self, endpoint_id: str, born_ms: int | None) -> bool:
-        """Applies a deregistration; returns whether it changed anything.
-
-        It may arrive before the first heartbeat of the same start.
-        """
+    def make_gone(
+        self, endpoint_id: str, born_ms: int | None
+    ) -> directories.Endpoint | None:
+        """Returns what a deregistration announces, None if nothing."""
         now_ms = int(self.wall() * clock.MS_PER_S)
-        gone = deregistrations.make_gone(
+        return deregistrations.make_gone(
             self.directory, endpoint_id, born_ms, now_ms
         )
+
+    def deregister(self, endpoint_id: str, born_ms: int | None) -> bool:
+        """Applies a deregistration; returns whether it changed anything."""
+        gone = self.make_gone(endpoint_id, born_ms)
         return gone is not None and self.announce(gone)
 
     def remove_endpoint(self, endpoint_id: str) -> None:
--- a/src/_arbutuswalk/control/member.py
+++ b/src/_arbutuswalk/control/member.py
@@ -134,6 +134,11 @@
             and self.durable_replica.applied >= self.replica.commit
         )
 
+    @property
+    def hears_majority(self) -> bool:
+        """Whether this member is in contact with a majority of its group."""
+        return lease.hears_majority(self.replica, self.now())
+
     def leader_address(self) -> str:
         """Returns the leader's address, or an empty string."""
         # One that is leaving may have removed itself already.
--- a/src/_arbutuswalk/control/service.py
+++ b/src/_arbutuswalk/control/service.py
@@ -7,6 +7,7 @@
 
 from _arbutuswalk.base import events
 from _arbutuswalk.base import settings
+from _arbutuswalk.control import acknowledgements
 from _arbutuswalk.control import discovery as discoveries
 from _arbutuswalk.control import evacuations
 from _arbutuswalk.control import leases
@@ -184,6 +185,8 @@
         return view.version(tables) > message.view_version
 
     async def _read(self, message: ttypes.Read) -> ttypes.ReadReply:
+        if message.query == acknowledgements.QUERY:
+            return await acknowledgements.answer(self.discovery, message)
         if not await self._wait_until_current():
             if not self.member.is_leader:
                 leader = self.member.leader_address()
--- a/testing/test_duties.py
+++ b/testing/test_duties.py
@@ -8,6 +8,7 @@
 import pytest
 import test_crashes
 
+from _arbutuswalk.agreement import replica as replicas
 from _arbutuswalk.agreement import types
 from _arbutuswalk.control import discovery as discoveries
 from _arbutuswalk.control import duties
@@ -38,6 +39,7 @@
     def __init__(self):
         self.term = 1
         self.log = type("Log", (), {"members": types.Members()})()
+        self.heard_membership = replicas.HeardMembership()
 
 
 class FakeMember:
@@ -52,6 +54,7 @@
         self.is_leader = True
         self.is_current = True
         self.holds_lease = True
+        self.hears_majority = True
         self.sent = []
 
     def now(self):
