Take a status that is none of HTTP's for no answer

Here the caller got no answer at all: its connection was closed, as uvicorn knows no such status line, and the log said "answered". The same with 001, 099, 600 and 999, on plain and streaming routes, with each framing.

Cause: the parser takes any three digits for a status. Change: a response whose status is outside 100 to 599 fails its exchange like other bytes that are no HTTP, for relayed requests, services and streams of the chat front alike. The caller gets 502, or the answer of another endpoint where the request may be repeated. A notice call to the platform takes only 2xx for an answer.

--- a/src/_arbutuswalk/control/platform_client.py
+++ b/src/_arbutuswalk/control/platform_client.py
@@ -9,6 +9,7 @@
 
 CALL_TIMEOUT_S = 5.0
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
+SUCCESS_STATUSES = range(200, 300)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -72,6 +73,8 @@
                 if response.status >= 400:
                     reason = answer[:200].decode(errors="replace")
                     return Refused(status=response.status, reason=reason)
+                if response.status not in SUCCESS_STATUSES:
+                    return NoAnswer(reason=f"status {response.status:03}")
                 return json.loads(answer)
         except (TimeoutError, aiohttp.ClientError, ValueError) as error:
             return NoAnswer(reason=http_answers.describe_error(error))
--- a/src/_arbutuswalk/streams/connection.py
+++ b/src/_arbutuswalk/streams/connection.py
@@ -269,6 +269,7 @@
         """Stores status and headers if they belong to this exchange."""
         self.in_body = True
         self.status = self.parser.get_status_code()
+        self.limits.check_status(self.status)
         exchange = self.exchange
         if exchange.ended or self._is_interim():
             return
--- a/src/_arbutuswalk/streams/response_limits.py
+++ b/src/_arbutuswalk/streams/response_limits.py
@@ -8,6 +8,8 @@
 one byte takes six in all."""
 HEADER_SEPARATOR_BYTES = 4
 """Bytes of a header line beside name and value."""
+STATUSES = range(100, 600)
+"""Statuses of HTTP. The parser accepts any three digits."""
 MAX_SKIPPED_RESPONSES = 100
 """Interim responses and responses to other requests that precede an answer."""
 MAX_SKIPPED_BODY_BYTES = 1024 * 1024
@@ -15,7 +17,7 @@
 
 
 class LimitExceededError(Exception):
-    """An upstream sends more than any answer may contain."""
+    """An upstream sends more than any answer may contain, or no answer."""
 
 
 class ResponseLimits:
@@ -27,7 +29,7 @@
         header_bytes: Size of the current response's headers and trailers.
         skipped_responses: Responses that preceded the answer.
         skipped_body_bytes: Total size of their bodies.
-        exceeded: Description of the limit that was exceeded, or empty.
+        exceeded: Why the response is rejected, or empty.
     """
 
     def __init__(self):
@@ -77,6 +79,12 @@
         self.exceeded = "a response after the answer"
         raise LimitExceededError(self.exceeded)
 
+    def check_status(self, status: int) -> None:
+        """Rejects a response whose status is none of HTTP's."""
+        if status not in STATUSES:
+            self.exceeded = f"not HTTP: status {status:03}"
+            raise LimitExceededError(self.exceeded)
+
     def add_header(self, name: bytes, value: bytes) -> None:
         """Counts a header or trailer."""
         self.header_bytes += len(name) + len(value) + HEADER_SEPARATOR_BYTES
--- a/testing/test_tunnels.py
+++ b/testing/test_tunnels.py
@@ -27,8 +27,8 @@
 class Pair:
     """An entry that is cut off, its peer, and one endpoint."""
 
-    def __init__(self, *steps, route=None):
-        config = relay_fixtures.make_config(
+    def __init__(self, *steps, route=None, config=None):
+        config = config or relay_fixtures.make_config(
             *([route] if route is not None else [])
         )
         self.entry = relay_fixtures.make_relay(config)
