Take no answer for complete that ends before its request was sent

A plain reset, and a close with the upload unread, are no success here, directly or through a tunnel (502, or a 200 that visibly breaks off, on the caller's socket). One variant was: an orderly end (FIN), the reset right after it; its part was passed on as a complete 200.

Cause: the end of the connection completes an answer of no length, whether or not the request has been sent. Change: if bytes of the request are unsent or unacknowledged by the endpoint's kernel (TIOCOUTQ) at that moment, the answer has failed and the connection is aborted.

The buffers of the transport alone did not show it: the kernel takes 3.5 MB on loopback.

--- a/src/_arbutuswalk/streams/connection.py
+++ b/src/_arbutuswalk/streams/connection.py
@@ -235,8 +235,15 @@
             self._fail_and_abort(str(error))
 
     def eof_received(self) -> None:
-        """Completes a response whose body ends with the connection."""
+        """Completes a response whose body ends with the connection.
+
+        One that ends while the request is still being sent may be cut off: the
+        upstream resets a connection of which it has not read all.
+        """
         self._record_closed_by_peer()
+        if self.ends_at_close and self._is_sending():
+            self._fail_and_abort("connection ended before the request was sent")
+            return
         # The end of a connection through a peer may be that of the peer.
         is_upstreams_end = self.ends_at_close and not self.peer
         if self.exchange is not None and is_upstreams_end:
@@ -340,6 +347,13 @@
         if self.transport.get_write_buffer_size():
             self.reusable = False
 
+    def _is_sending(self) -> bool:
+        """Returns whether the upstream has not received the whole request."""
+        if self.transport.get_write_buffer_size():
+            return True
+        sock = self.transport.get_extra_info("socket")
+        return sock is not None and sockets.unacknowledged_bytes(sock) > 0
+
     def _is_expected(self, reply: replies.Reply) -> bool:
         if reply.answered_id:
             return reply.answered_id == self.exchange.expected_id
--- a/src/_arbutuswalk/wire/sockets.py
+++ b/src/_arbutuswalk/wire/sockets.py
@@ -5,7 +5,10 @@
 give up, whatever their count.
 """
 
+import fcntl
 import socket
+import struct
+import termios
 from typing import NamedTuple
 
 KEEPALIVE_IDLE_S = 1
@@ -35,6 +38,21 @@
 dead; the bound is for those that never read the rest of an answer."""
 
 
+def unacknowledged_bytes(sock: socket.socket) -> int:
+    """Returns how much was sent that the peer's kernel has not received.
+
+    It is 0 where the kernel does not tell.
+    """
+    try:
+        packed = fcntl.ioctl(
+            sock.fileno(), termios.TIOCOUTQ, struct.pack("i", 0)
+        )
+    except OSError:
+        return 0
+    (count,) = struct.unpack("i", packed)
+    return count
+
+
 def set_options(sock: socket.socket, detection: Detection) -> None:
     """Makes the kernel abort a connection whose peer does not respond."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
