Bound what peers send without end

Reported elsewhere: bytes that are no answer, in a head or a body, without end, ended the machine that had called. Answers of endpoints were bounded already (test_endless), and are through tunnels (new test, passed before).

Change: limits for each; an unsound part counts against its member, and another one is asked.

test_endless_peers: 10 tests failed before, TestCopiedCaches ended with a MemoryError at a limit of 12 GB.

--- a/src/_arbutuswalk/agreement/transfer.py
+++ b/src/_arbutuswalk/agreement/transfer.py
@@ -14,11 +14,14 @@
 from _arbutuswalk.agreement import replica as replicas
 from _arbutuswalk.agreement import snapshot
 from _arbutuswalk.agreement import types
+from _arbutuswalk.base import events
 from _arbutuswalk.storage import wal
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
 PIECE_BYTES = 256 * 1024
 PIECE_TIMEOUT_HEARTBEATS = 5
+MAX_SNAPSHOT_BYTES = 128 * 1024 * 1024
+"""Largest snapshot that is received, as much as a control process's disk."""
 MAX_KEPT_BYTES = 8 * 1024 * 1024
 """Size of the entries that a leader keeps for other members though a snapshot
 covers them."""
@@ -54,6 +57,11 @@
     """Starts a transfer, or updates the sources of the current one."""
     if _log_covers(replica, message.last_index, message.last_term):
         return
+    if message.total > MAX_SNAPSHOT_BYTES:
+        events.record(
+            events.Event.SNAPSHOT_REFUSED, message.leader, message.total
+        )
+        return
     current = replica.transfer
     is_current = (
         current is not None
@@ -106,6 +114,8 @@
         return
     if piece.offset != len(transfer.data) or not piece.data:
         return
+    if piece.offset + len(piece.data) > transfer.total_bytes:
+        return
     transfer.data += piece.data
     if len(transfer.data) < transfer.total_bytes:
         transfer.source_position -= 1  # the source answers: keep using it
--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -35,6 +35,7 @@
     TERM_CHANGED = (400, "term=%s role=%s leader=%s")
     MEMBERS_CHANGED = (401, "voters=%s learners=%s")
     SNAPSHOT_INSTALLED = (402, "snapshot installed index=%s")
+    SNAPSHOT_REFUSED = (406, "snapshot too large leader=%s bytes=%s")
     QUORUM_LOST = (
         403,
         "no majority of voters answers term=%s voters=%s silent_s=%s"
--- a/src/_arbutuswalk/entry/main.py
+++ b/src/_arbutuswalk/entry/main.py
@@ -23,6 +23,7 @@
 from _arbutuswalk.state import commands
 from _arbutuswalk.state import entries
 from _arbutuswalk.wire import client_memory
+from _arbutuswalk.wire import http_answers
 from _arbutuswalk.wire import http_connections
 from _arbutuswalk.wire import link
 
@@ -101,8 +102,10 @@
 
 def _make_session(setting_values: dict[str, Any]) -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
-            limit=0, keepalive_timeout=UPSTREAM_IDLE_TIMEOUT_S
+        connector=http_answers.limit_interim_responses(
+            aiohttp.TCPConnector(
+                limit=0, keepalive_timeout=UPSTREAM_IDLE_TIMEOUT_S
+            )
         ),
         auto_decompress=False,
         read_bufsize=2**16,
--- a/src/_arbutuswalk/entry/migration.py
+++ b/src/_arbutuswalk/entry/migration.py
@@ -10,9 +10,13 @@
 from _arbutuswalk.entry import placement
 from _arbutuswalk.routing import choose
 from _arbutuswalk.routing import upstreams
+from _arbutuswalk.streams import attempts
+from _arbutuswalk.wire import http_answers
 
 MOVES_PER_BATCH = 4
 CACHE_COPY_TIMEOUT_S = 1.0
+MAX_CACHE_BYTES = 16 * 1024 * 1024
+"""Largest cache that is copied; a larger one is computed anew."""
 LEAVE_MARGIN_S = 0.3
 
 
@@ -86,7 +90,14 @@
 ) -> bytes:
     url = f"http://{row.announcement['address']}/v1/cache/{request.request_id}"
     async with entry.session.get(url) as response:
-        return await response.read() if response.status == 200 else b""
+        coding = response.headers.get("Transfer-Encoding", "")
+        has_end = response.content_length is not None or coding == "chunked"
+        if response.status != attempts.STATUS_OK or not has_end:
+            # The client takes a reset for the end of a body without a length.
+            response.close()
+            return b""
+        data = await http_answers.read_body(response, MAX_CACHE_BYTES)
+        return data or b""
 
 
 async def _upload_cache(
@@ -94,4 +105,4 @@
 ) -> bool:
     url = f"http://{row.announcement['address']}/v1/cache"
     async with entry.session.put(url, data=data) as response:
-        return response.status == 200
+        return response.status == attempts.STATUS_OK
--- a/src/_arbutuswalk/relay/config_fetch.py
+++ b/src/_arbutuswalk/relay/config_fetch.py
@@ -15,12 +15,15 @@
 
 from _arbutuswalk.base import events
 from _arbutuswalk.state import routeconfig
+from _arbutuswalk.wire import codec
 from _arbutuswalk.wire import compressed_json
 from _arbutuswalk.wire import config_versions
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
 PART_TIMEOUT_S = 0.5
 """Time-out for one part: ten times its transfer time at 5 Mbit/s."""
+MAX_CONFIG_BYTES = codec.MAX_FRAME_BYTES
+"""Largest compressed configuration: control commits none that needs more."""
 RETRY_INTERVAL_S = 0.1
 """Pause after all members have failed to send a part."""
 
@@ -61,6 +64,14 @@
         return len(self.data) >= part.size
 
 
+def _is_sound(part: ttypes.RoutesPart, offset: int) -> bool:
+    """Returns whether a part brings the configuration closer to its end."""
+    end = offset + len(part.data)
+    return end <= part.size <= MAX_CONFIG_BYTES and (
+        bool(part.data) or end == part.size
+    )
+
+
 async def fetch(
     members: Callable[[], Sequence[ControlMember]],
     version_in_use: Callable[[], int | None],
@@ -101,6 +112,13 @@
             ttypes.RoutesRequest(offset=offset), timeout_s=PART_TIMEOUT_S
         )
         version = _version_of(part)
+        continues = offset == 0 or version == partial.version
+        if version is not None and continues and not _is_sound(part, offset):
+            reason = f"part of {len(part.data)} bytes of {part.size}"
+            events.record(
+                events.Event.ROUTES_UNREADABLE, chosen_member.address, reason
+            )
+            partial.data, version = b"", None
         if not routeconfig.is_newer(version, version_in_use()):
             failed_addresses.add(chosen_member.address)
             continue
--- a/src/_arbutuswalk/streams/tunnels.py
+++ b/src/_arbutuswalk/streams/tunnels.py
@@ -33,9 +33,15 @@
     has_lost_tunnels: bool = False
 
 
+MAX_REPLY_BYTES = 4096
+"""Largest reply of a peer: a reason and some flags."""
+
+
 class Handshake(asyncio.Protocol):
     """Receives a peer's reply to a request for a tunnel.
 
+    Bytes after the reply are not kept: no upstream sends any before a request.
+
     Attributes:
         received: Bytes of the reply so far.
         reply: The reply; None if the connection ended before or is no tunnel.
@@ -47,14 +53,15 @@
 
     def data_received(self, data: bytes) -> None:
         """Decodes the reply once it is complete."""
-        self.received += data
+        if self.reply.done():
+            return
+        self.received += data[: MAX_REPLY_BYTES + 1]
         prefix = codec.LENGTH_PREFIX
-        if len(self.received) < prefix.size or self.reply.done():
+        if len(self.received) < prefix.size:
             return
         (length,) = prefix.unpack_from(self.received)
         payload = self.received[prefix.size :]
-        # An upstream sends nothing before a request.
-        if length > codec.MAX_FRAME_BYTES or len(payload) > length:
+        if length > MAX_REPLY_BYTES or len(payload) > length:
             self._set_reply(None)
         elif len(payload) == length:
             decoded = codec.decode(payload)
