Leave a pause between the two explanations of a test

The test's second command got 429 "another explanation was given just now" where a command starts in under 0.2 s (x86-64). An entry explains at most once in MIN_EXPLANATION_INTERVAL_S, so the fault is the test's: it waits that long now and checks the same.

--- a/testing/test_placement_explanation.py
+++ b/testing/test_placement_explanation.py
@@ -197,6 +197,8 @@
         assert found.returncode == 0, found.stderr
         (upstream,) = json.loads(found.stdout)["upstreams"].values()
         assert upstream["endpoints"]["i-1"]["share"] == 1.0
+        # An entry explains at most once in this time.
+        await asyncio.sleep(probes.MIN_EXPLANATION_INTERVAL_S)
         bad = await self.run_command(*target, "--tokens", "many")
         assert bad.returncode == 1
         assert "tokens: expected a whole number" in bad.stderr
