Derive the start of a suspect, and the addresses not tried, in one place each

The start was built from id and time at four places, the addresses of ready endpoints that have not failed at two. Suspect.start and _untried_addresses serve them.

--- a/src/_arbutuswalk/relay/crash_probes.py
+++ b/src/_arbutuswalk/relay/crash_probes.py
@@ -16,7 +16,6 @@
 from _arbutuswalk.relay import warm_up_limits
 from _arbutuswalk.routing import crashes
 from _arbutuswalk.routing import directory
-from _arbutuswalk.routing import leaving
 from _arbutuswalk.streams import pool
 from _arbutuswalk.streams import tunnels
 
@@ -157,18 +156,16 @@
     Each is examined once. One that was replaced needs no connection to tell.
     """
     for suspect in relay.crashes.suspects:
-        endpoint_start = leaving.Start(suspect.endpoint_id, suspect.born_ms)
         row = relay.directory.rows.get(suspect.endpoint_id)
         if (
             suspect.withdrawn
-            and endpoint_start not in relay.crashes.reprobed_starts
+            and suspect.start not in relay.crashes.reprobed_starts
             and row is not None
-            and directory.start_of(row.endpoint) == endpoint_start
+            and directory.start_of(row.endpoint) == suspect.start
             and row.endpoint.state == directory.READY
         ):
-            relay.crashes.reprobed_starts.add(endpoint_start)
+            relay.crashes.reprobed_starts.add(suspect.start)
             start(relay, row.endpoint)
     relay.crashes.reprobed_starts &= {
-        leaving.Start(suspect.endpoint_id, suspect.born_ms)
-        for suspect in relay.crashes.suspects
+        suspect.start for suspect in relay.crashes.suspects
     }
--- a/src/_arbutuswalk/relay/path_opener.py
+++ b/src/_arbutuswalk/relay/path_opener.py
@@ -166,19 +166,15 @@
     is one: those that have may be the only ones that are gone.
     """
     while relay.paths.is_cut_off:
-        addresses = _ready_addresses(relay)
-        failures = relay.paths.failures
-        untried = [a for a in addresses if a not in failures]
-        await _probe(relay, untried or addresses)
+        untried = _untried_addresses(relay)
+        await _probe(relay, untried or _ready_addresses(relay))
         if relay.paths.is_cut_off:
             await asyncio.sleep(PROBE_INTERVAL_S)
 
 
 async def _try_another_endpoint(relay: relay_state.Relay) -> None:
     """Finds out whether the path is lost, or only endpoints have failed."""
-    failures = relay.paths.failures
-    addresses = [a for a in _ready_addresses(relay) if a not in failures]
-    await _probe(relay, addresses)
+    await _probe(relay, _untried_addresses(relay))
 
 
 async def _probe(relay: relay_state.Relay, addresses: list[str]) -> None:
@@ -194,6 +190,12 @@
         relay.paths.record_success()
 
 
+def _untried_addresses(relay: relay_state.Relay) -> list[str]:
+    """Returns the addresses of ready endpoints that have not failed lately."""
+    failures = relay.paths.failures
+    return [a for a in _ready_addresses(relay) if a not in failures]
+
+
 def _ready_addresses(relay: relay_state.Relay) -> list[str]:
     return [
         row.endpoint.address
--- a/src/_arbutuswalk/routing/crashes.py
+++ b/src/_arbutuswalk/routing/crashes.py
@@ -48,6 +48,11 @@
     lost_at: float
     withdrawn: bool = False
 
+    @property
+    def start(self) -> leaving.Start:
+        """The start of the endpoint."""
+        return leaving.Start(self.endpoint_id, self.born_ms)
+
 
 class CrashTracker:
     """Suspects, confirmed deaths and successes known to one entry.
@@ -216,10 +221,10 @@
     suspect: Suspect,
     endpoint_directory: directory.Directory,
 ) -> bool:
-    start = leaving.Start(suspect.endpoint_id, suspect.born_ms)
-    return crashes.refused_at.get(
-        start, suspect.lost_at
-    ) > suspect.lost_at and not directory.is_leaving(endpoint_directory, start)
+    refused_at = crashes.refused_at.get(suspect.start, suspect.lost_at)
+    return refused_at > suspect.lost_at and not directory.is_leaving(
+        endpoint_directory, suspect.start
+    )
 
 
 def _is_dead(
@@ -230,8 +235,7 @@
     row = endpoint_directory.rows.get(suspect.endpoint_id)
     if row is None or row.endpoint.born_ms != suspect.born_ms:
         return True
-    start = leaving.Start(suspect.endpoint_id, suspect.born_ms)
-    if start in endpoint_directory.replaced_starts:
+    if suspect.start in endpoint_directory.replaced_starts:
         return True
     if row.endpoint.state != directory.READY:
         # The connection was closed by an orderly shutdown.
--- a/testing/deadly_cluster.py
+++ b/testing/deadly_cluster.py
@@ -130,9 +130,9 @@
         "Host": platform_fixtures.HOST,
         "X-Attempt-Id": f"a-{number}-{body[:6].decode()}",
     }
-    url = f"http://{ip}:{cluster.callers_port}/a/{number % 100}"
-    if body == DEADLY:
-        url = f"http://{ip}:{cluster.callers_port}/a/x"
+    # A deadly request comes again with the same path and body.
+    name = "x" if body == DEADLY else number % 100
+    url = f"http://{ip}:{cluster.callers_port}/a/{name}"
     status, _ = await cluster.http_request(
         "POST", url, headers=headers, data=body
     )
