Remove the deregistration that only tests still called

control.acknowledgements makes what a deregistration announces and announces it; Discovery.deregister did the same for tests alone. They use the two calls now and assert the same: that the announcement changed the directory.

--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -142,11 +142,6 @@
             self.directory, endpoint_id, born_ms, now_ms
         )
 
-    def deregister(self, endpoint_id: str, born_ms: int | None) -> bool:
-        """Applies a deregistration; returns whether it changed anything."""
-        gone = self.make_gone(endpoint_id, born_ms)
-        return gone is not None and self.announce(gone)
-
     def remove_endpoint(self, endpoint_id: str) -> None:
         """Removes an endpoint that was restored from disk and not confirmed."""
         directories.remove(self.directory, endpoint_id)
--- a/testing/test_leaving.py
+++ b/testing/test_leaving.py
@@ -653,7 +653,7 @@
         if known_born_ms is not None:
             former = test_crashes.make_endpoint("a", born_ms=known_born_ms)
             receiver.apply_announcement(former)
-        assert receiver.deregister("a", 5)
+        assert receiver.announce(receiver.make_gone("a", 5))
         ((_, message),) = forwarded
         told = directory.from_json(json.loads(message.announcements[0]))
         member.apply_announcement(told)
@@ -670,7 +670,7 @@
         member = test_duties.make_components().discovery
         forwarded = forward_to(receiver, "127.0.0.1:9")
         receiver.wall = lambda: 0.010
-        assert receiver.deregister("a", None)
+        assert receiver.announce(receiver.make_gone("a", None))
         ((_, message),) = forwarded
         told = directory.from_json(json.loads(message.announcements[0]))
         member.apply_announcement(told)
@@ -684,7 +684,7 @@
     def test_several_unknown_endpoints_deregister(self):
         discovery = test_duties.make_components().discovery
         for name, born_ms in (("a", 7), ("b", 5), ("c", 6)):
-            assert discovery.deregister(name, born_ms)
+            assert discovery.announce(discovery.make_gone(name, born_ms))
             late = test_crashes.make_endpoint(name, born_ms=born_ms)
             discovery.apply_announcement(late)
         states = [r.endpoint.state for r in discovery.directory.rows.values()]
