--- a/review/common-3/fleet.py
+++ b/review/common-3/fleet.py
@@ -510,6 +510,7 @@
 
     Attributes:
         sent: (entry, time) at which each attempt was sent, by its id.
+        answers: Status of each answer by attempt id, 0 for none.
     """
 
     def __init__(self, *, fleet, entry_ip, name, path="/lookup/x"):
@@ -518,6 +519,7 @@
         self.name = name
         self.path = path
         self.sent = {}
+        self.answers = {}
 
     async def run(self, interval_s):
         """Sends requests at an interval until cancelled."""
@@ -543,11 +545,12 @@
         status, _, _ = await call(
             self.entry_ip,
             self.fleet.callers_port,
-            "GET",
+            "GET" if self.path.startswith("/lookup/") else "POST",
             self.path,
             headers=consumer_headers(attempt_id),
             timeout_s=3.5,
         )
+        self.answers[attempt_id] = status
         record.add("answer", attempt_id, status)
 
 
