--- a/review/11/case.py
+++ b/review/11/case.py
@@ -12,7 +12,8 @@
 import sys
 import time
 
-sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / "common-3"))
+FOLDER = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent / "common-3"))
 
 import fleet as fleets  # noqa: E402
 
@@ -239,4 +240,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(fleets.run_case(__file__, main))
+    sys.exit(fleets.run_case(FOLDER / "record.txt", main))
--- a/review/common-3/fleet.py
+++ b/review/common-3/fleet.py
@@ -558,10 +558,10 @@
     """Runs a case; returns its exit code.
 
     Args:
-        path: Path of the case's script, beside which the record is written.
+        path: Path of the record, beside the case's script.
         main: Coroutine function that returns the breaks that it has seen.
     """
-    record = Record(path=pathlib.Path(path).parent / "record.txt")
+    record = Record(path=path)
     try:
         breaks = asyncio.run(main(record))
     except CannotRunError as error:
