Log the process's term beside the fence of a call to the platform

Event 663 named only the fence of a call, so that a call of a former term could not be told from one that was delayed on its way.

--- a/src/_arbutuswalk/base/events.py
+++ b/src/_arbutuswalk/base/events.py
@@ -121,7 +121,7 @@
     CONTROL_FOUND = (662, "control connection established address=%s term=%s")
     DUTY_CALL = (
         663,
-        "duty call duty=%s subject=%s fence=%s value=%s outcome=%s",
+        "duty call duty=%s subject=%s fence=%s value=%s outcome=%s term=%s",
     )
     ROLLOUT_STEPPED = (
         664,
--- a/src/_arbutuswalk/control/duties.py
+++ b/src/_arbutuswalk/control/duties.py
@@ -189,7 +189,13 @@
     holder: DutyHolder, duty: str, subject: Any, value: Any, outcome: str
 ) -> None:
     events.record(
-        events.Event.DUTY_CALL, duty, subject, holder.term, value, outcome
+        events.Event.DUTY_CALL,
+        duty,
+        subject,
+        holder.term,
+        value,
+        outcome,
+        holder.components.member.replica.term,
     )
     holder.components.discovery.metrics.count(
         "duty_calls", f'duty="{duty}",outcome="{outcome}"'
