Bind what a leader does to the term in which it was decided

Cause: DutyHolder noted its term once a tick, and may_act then asked whether the process leads now, not whether it still leads in that term. A tick that waited for a settlement outlasted another leader's whole term, and went on with the former fence once the process was elected again.

Evidence: event 663 with fence 9 and term 11, 0.36 s after the election in term 11 and 1.5 s after the process went on. Ruled out by that: a freeze between check and write (too late after the thaw), and two holders of the lease.

Change: may_act holds only in the noted term. Member.submit takes the term of the leader that decided a command and proposes it in no other. Settlements, steps of rollouts and the leader's periodic commands use it; the state kept for scaling orders and sent reports is dropped at every change of term.

--- a/src/_arbutuswalk/control/duties.py
+++ b/src/_arbutuswalk/control/duties.py
@@ -3,6 +3,8 @@
 The leader makes them and sends its term as the fencing token. The platform
 may not check fencing tokens, so a new leader waits until the platform's lease
 for its predecessor has expired, and no process acts outside its leader lease.
+What was decided in one term is not sent in another: the same process may have
+been elected again meanwhile, after another one has acted.
 """
 
 from collections.abc import Awaitable
@@ -96,9 +98,9 @@
         self.leading_since = 0.0
 
     def may_act(self) -> bool:
-        """Returns whether this process may perform the duties now."""
+        """Returns whether this process may perform the duties of its term."""
         member = self.components.member
-        if not member.is_current:
+        if not member.is_current_in(self.term):
             return False
         elapsed_s = member.now() - self.leading_since
         return elapsed_s > self.options.lease_s + IN_FLIGHT_MARGIN_S
@@ -125,11 +127,13 @@
 
     async def tick() -> None:
         nonlocal fleets
-        if not holder.update_term():
+        former_term = holder.term
+        holder.update_term()
+        if holder.term != former_term:
             sent_reports.clear()
             fleets = _make_fleets(options)
             sizing.remove_metrics(components)
-        elif holder.may_act():
+        if holder.may_act():
             if options.usage:
                 await _report_usage(holder, platform_calls, sent_reports)
             if options.scaling:
@@ -151,7 +155,7 @@
 ) -> None:
     components, options = holder.components, holder.options
     await usage_reports.settle_due_windows(
-        components, sent_reports, options.delay_s
+        components, sent_reports, options.delay_s, holder.term
     )
     for window, counts in usage_reports.unsent_windows(
         components, sent_reports
--- a/src/_arbutuswalk/control/leader_tasks.py
+++ b/src/_arbutuswalk/control/leader_tasks.py
@@ -138,9 +138,11 @@
         return int(self.service.member.wall() * clock.MS_PER_S)
 
     async def submit(self, command: commands.Command) -> object:
-        """Commits one command."""
+        """Commits one command in the term in which it was decided."""
         return await self.service.member.submit(
-            commands.encode(command), timeout_s=COMMAND_TIMEOUT_S
+            commands.encode(command),
+            timeout_s=COMMAND_TIMEOUT_S,
+            term=self.term,
         )
 
     def dump(self) -> dict[str, Any]:
--- a/src/_arbutuswalk/control/member.py
+++ b/src/_arbutuswalk/control/member.py
@@ -64,6 +64,20 @@
     future: asyncio.Future
 
 
+class Proposal(NamedTuple):
+    """A command to propose.
+
+    Attributes:
+        command: The encoded command.
+        term: Only term in which it may be proposed, None for any.
+        future: Receives its outcome.
+    """
+
+    command: bytes
+    term: int | None
+    future: asyncio.Future
+
+
 class Member:
     """One member of the control group.
 
@@ -71,7 +85,7 @@
         durable_replica: Replica, disk and tables.
         pending: Proposed commands by log index.
         inbox: Messages from other members, in order of arrival.
-        proposals: Commands to propose, with their futures.
+        proposals: Commands to propose.
         links: Link to each address.
         changed: Set and replaced whenever the tables or the role change.
         failure: The storage error that stopped the member, if any.
@@ -92,7 +106,7 @@
         self.wall = wall
         self.pending: dict[int, PendingCommand] = {}
         self.inbox: list[object] = []
-        self.proposals: list[tuple[bytes, asyncio.Future]] = []
+        self.proposals: list[Proposal] = []
         self.links: dict[str, link.Link] = {}
         self.changed = asyncio.Event()
         self.wake = asyncio.Event()
@@ -144,16 +158,31 @@
         # One that is leaving may have removed itself already.
         return self._address_of(self.replica.leader)
 
+    def is_current_in(self, term: int) -> bool:
+        """Whether this member leads in ``term``, with up-to-date tables.
+
+        What a leader decided in one term must not take effect in a later one,
+        even if the same member leads it.
+        """
+        return self.is_current and self.replica.term == term
+
     async def submit(
-        self, command: bytes, *, timeout_s: float
+        self, command: bytes, *, timeout_s: float, term: int | None = None
     ) -> outcomes.Outcome | NotLeader | Undecided | TooLarge:
-        """Commits an encoded command and returns its outcome."""
+        """Commits an encoded command and returns its outcome.
+
+        Args:
+            command: The encoded command.
+            timeout_s: Time within which it has to commit.
+            term: Term of the leader that decided it; it is not proposed in
+                another one. None if it holds in any term.
+        """
         if len(command) > MAX_COMMAND_BYTES:
             return TooLarge(command_bytes=len(command))
-        if not self.is_leader:
+        if not self._may_propose(term):
             return NotLeader(leader=self.leader_address())
         future = asyncio.get_running_loop().create_future()
-        self.proposals.append((command, future))
+        self.proposals.append(Proposal(command, term, future))
         self.wake.set()
         try:
             async with asyncio.timeout(timeout_s):
@@ -202,21 +231,25 @@
     def _step(self) -> None:
         now = self.now()
         proposals, self.proposals = self.proposals, []
-        for command, future in proposals:
-            self._propose(command, future, now)
+        for proposal in proposals:
+            self._propose(proposal, now)
         inbox, self.inbox = self.inbox, []
         self.durable_replica.step(inbox, now)
         if now >= self.next_hello_at:
             self.next_hello_at = now + HELLO_INTERVAL_S
             self._send_hello()
 
-    def _propose(
-        self, command: bytes, future: asyncio.Future, now: float
-    ) -> None:
+    def _may_propose(self, term: int | None) -> bool:
+        return self.is_leader and term in (None, self.replica.term)
+
+    def _propose(self, proposal: Proposal, now: float) -> None:
+        future = proposal.future
         if future.done():
             return
-        at_ms = int(self.wall() * clock.MS_PER_S)
-        index = self.durable_replica.propose(command, now, at_ms)
+        index = None
+        if self._may_propose(proposal.term):
+            at_ms = int(self.wall() * clock.MS_PER_S)
+            index = self.durable_replica.propose(proposal.command, now, at_ms)
         if index is None:
             future.set_result(NotLeader(leader=self.leader_address()))
         else:
@@ -262,9 +295,9 @@
         """
         self.inbox.clear()
         proposals, self.proposals = self.proposals, []
-        for _, future in proposals:
-            if not future.done():
-                future.set_result(NotLeader(leader=""))
+        for proposal in proposals:
+            if not proposal.future.done():
+                proposal.future.set_result(NotLeader(leader=""))
 
     async def _apply_committed(self) -> None:
         before = self.durable_replica.applied
--- a/src/_arbutuswalk/control/rollouts.py
+++ b/src/_arbutuswalk/control/rollouts.py
@@ -8,7 +8,6 @@
 
 from _arbutuswalk.base import background
 from _arbutuswalk.base import events
-from _arbutuswalk.control import leader_client
 from _arbutuswalk.control import process
 from _arbutuswalk.routing import directory
 from _arbutuswalk.state import commands
@@ -62,10 +61,13 @@
     }
     for key in trials.keys() - growing.keys():
         del trials[key]
+    term = components.member.replica.term
     for key, row in growing.items():
+        if components.member.tables.rollouts.get(key[0]) != row:
+            continue  # changed while an earlier step was committed
         step = _decide(components, exposure, trials, key, row)
-        if step is not None and components.member.is_current:
-            await _submit(components, step)
+        if step is not None and components.member.is_current_in(term):
+            await _submit(components, step, term)
 
 
 def _decide(
@@ -102,10 +104,10 @@
 
 
 async def _submit(
-    components: process.Components, step: commands.StepRollout
+    components: process.Components, step: commands.StepRollout, term: int
 ) -> None:
-    outcome = await leader_client.submit(
-        components.service, step, timeout_s=SUBMIT_TIMEOUT_S
+    outcome = await components.member.submit(
+        commands.encode(step), timeout_s=SUBMIT_TIMEOUT_S, term=term
     )
     events.record(
         events.Event.ROLLOUT_STEPPED,
--- a/src/_arbutuswalk/control/usage_reports.py
+++ b/src/_arbutuswalk/control/usage_reports.py
@@ -7,7 +7,6 @@
 import statistics
 from typing import Any
 
-from _arbutuswalk.control import leader_client
 from _arbutuswalk.control import process
 from _arbutuswalk.state import commands
 
@@ -42,8 +41,17 @@
     components: process.Components,
     sent_reports: SentReports,
     report_delay_s: float,
+    term: int,
 ) -> None:
-    """Commits the counts of each window whose settlement delay has passed."""
+    """Commits the counts of each window whose settlement delay has passed.
+
+    Args:
+        components: Components of the process.
+        sent_reports: Reports sent in the term.
+        report_delay_s: Time after a window's end by which its report is due.
+        term: Term in which this process leads; once it has ended, the counts
+            are for the next leader to settle.
+    """
     settled = components.member.tables.usage
     now = median_time(components)
     settle_delay_s = min(SETTLE_DELAY_S, report_delay_s / 2)
@@ -54,11 +62,15 @@
             continue
         if str(window) in settled:
             continue
+        if not components.member.is_current_in(term):
+            return
         counts = sum_counts(components, window)
         if counts:
             command = commands.SettleUsage(window, counts)
-            await leader_client.submit(
-                components.service, command, timeout_s=SUBMIT_TIMEOUT_S
+            await components.member.submit(
+                commands.encode(command),
+                timeout_s=SUBMIT_TIMEOUT_S,
+                term=term,
             )
 
 
--- a/testing/test_duties.py
+++ b/testing/test_duties.py
@@ -57,6 +57,9 @@
         self.hears_majority = True
         self.sent = []
 
+    def is_current_in(self, term):
+        return self.is_current and self.replica.term == term
+
     def now(self):
         return self.time
 
--- a/testing/test_duty_calls.py
+++ b/testing/test_duty_calls.py
@@ -30,6 +30,13 @@
         return f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
 
 
+def lose_during_settlement(monkeypatch, lose):
+    async def settle_slowly(*_):
+        lose()
+
+    monkeypatch.setattr(usage_reports, "settle_due_windows", settle_slowly)
+
+
 def lose_during_import(monkeypatch, lose):
     async def import_slowly():
         lose()
@@ -55,8 +62,18 @@
     pass
 
 
+def lose_lease(member):
+    member.is_current = False
+
+
+def lead_again(member):
+    """Another member leads and acts, then this one is elected again."""
+    member.replica.term += 2
+    member.time += 10.0
+
+
 class TestLostLeases:
-    async def report(self, monkeypatch, lose_when):
+    async def report(self, monkeypatch, lose_when, end_term=lose_lease):
         """Returns the calls that arrive for one report, and its outcome."""
         platform = Platform()
         client = platform_client.PlatformClient(
@@ -71,7 +88,7 @@
         monkeypatch.setattr(usage_reports, "settle_due_windows", settle_nothing)
 
         def lose():
-            components.member.is_current = False
+            end_term(components.member)
 
         lose_when(monkeypatch, lose)
         holder = duties.DutyHolder(
@@ -93,5 +110,16 @@
     ):
         assert await self.report(monkeypatch, lose_when) == (0, set())
 
+    @pytest.mark.parametrize(
+        "lose_when",
+        [lose_during_settlement, lose_during_import, lose_during_connect],
+    )
+    async def test_a_call_is_not_sent_in_a_later_term_of_its_sender(
+        self, monkeypatch, lose_when
+    ):
+        """Guards against a report with a lower fence than one before it."""
+        outcome = await self.report(monkeypatch, lose_when, lead_again)
+        assert outcome == (0, set())
+
     async def test_a_call_of_the_holder_is_sent(self, monkeypatch):
         assert await self.report(monkeypatch, lose_nothing) == (1, {7})
--- a/testing/test_rollout_speed.py
+++ b/testing/test_rollout_speed.py
@@ -316,7 +316,7 @@
         )
         submitted = []
 
-        async def submit(_, step):
+        async def submit(_, step, __):
             submitted.append(step)
 
         monkeypatch.setattr(control_rollouts, "_submit", submit)
