Commit that an endpoint leaves before it is acknowledged

Cause: a departure was held in memory only, by control processes and by the entries that were waited for. After the kill the processes restored the endpoint as ready from their caches, which were from before.

Evidence: after the restart event 650 with state "ready" from the cache, then event 651, and no trace of the departure. Ruled out by that: an acknowledgement before the others had heard, and a loss by the group's log.

Change: departures are committed to the group's log, together with those that arrive meanwhile, while the entries are told as before. Control processes apply those in their tables to what they restore and hear.

--- a/src/_arbutuswalk/control/acknowledgements.py
+++ b/src/_arbutuswalk/control/acknowledgements.py
@@ -3,6 +3,9 @@
 Entries watch the members of the group and the seeds. What a process outside of
 the group hears, or one that is cut off from the others, may reach no entry: it
 hands the announcement over to a member, or else acknowledges nothing.
+
+That an endpoint leaves is committed first. It may say so only once and serve
+on, and the processes that know it may all be killed.
 """
 
 import asyncio
@@ -12,6 +15,7 @@
 from _arbutuswalk.base import events
 from _arbutuswalk.control import discovery as discoveries
 from _arbutuswalk.routing import directory
+from _arbutuswalk.routing import leaving
 from _arbutuswalk.wire.gen.arbutus import ttypes
 
 QUERY = "announce"
@@ -22,6 +26,8 @@
 MEMBER_TIMEOUT_S = 0.5
 """Longest time for one member's reply, so that another one can be asked."""
 
+NOT_COMMITTED = "departure not committed in time"
+
 
 async def announce(
     discovery: discoveries.Discovery, endpoint: directory.Endpoint
@@ -31,8 +37,9 @@
     If not, it is lost with this process, so that the endpoint has to call
     another one.
     """
-    if await _apply(discovery, endpoint):
-        return True
+    if discovery.member.hears_majority:
+        return await _apply(discovery, endpoint)
+    discovery.announce(endpoint)
     return await _hand_over(discovery, endpoint)
 
 
@@ -44,8 +51,11 @@
     It may arrive before the first heartbeat of the same start.
     """
     gone = discovery.make_gone(endpoint_id, born_ms)
-    # One of a former start ends nothing.
-    return gone is None or await announce(discovery, gone)
+    if gone is None:
+        # One of a former start ends nothing that is known here now.
+        start = leaving.Start(endpoint_id, born_ms)
+        return await discovery.departure_log.record(start)
+    return await announce(discovery, gone)
 
 
 async def answer(
@@ -55,28 +65,41 @@
     endpoint = directory.decode((message.argument or "").encode())
     if isinstance(endpoint, str):
         return ttypes.ReadReply(status=ttypes.Status.INVALID, reason=endpoint)
+    if not discovery.member.hears_majority:
+        discovery.announce(endpoint)
+        return _refuse("no quorum")
     if not await _apply(discovery, endpoint):
-        return ttypes.ReadReply(
-            status=ttypes.Status.UNAVAILABLE, reason="no quorum"
-        )
+        return _refuse(NOT_COMMITTED)
     return ttypes.ReadReply(status=ttypes.Status.OK)
 
 
+def _refuse(reason: str) -> ttypes.ReadReply:
+    return ttypes.ReadReply(status=ttypes.Status.UNAVAILABLE, reason=reason)
+
+
 async def _apply(
     discovery: discoveries.Discovery, endpoint: directory.Endpoint
 ) -> bool:
-    """Applies an announcement; returns whether the entries learn of it here.
+    """Applies an announcement; returns whether it lasts.
 
-    Waits a short time until no entry uses an endpoint that leaves.
+    Waits a short time until no entry uses an endpoint that leaves, and until
+    its departure is committed.
     """
     is_change = discovery.announce(endpoint)
-    if not discovery.member.hears_majority:
-        return False
+    if endpoint.state == directory.READY:
+        return True
+    start = directory.start_of(endpoint)
+    committed = asyncio.ensure_future(discovery.departure_log.record(start))
     if endpoint.state == directory.LEAVING:
         await discovery.wait_for_entries(endpoint.id)
-    elif endpoint.state == directory.GONE and is_change:
+    elif is_change:
         await discovery.wait_for_entries()
-    return True
+    if await committed:
+        return True
+    events.record(
+        events.Event.ANNOUNCEMENT_UNACKNOWLEDGED, endpoint.id, NOT_COMMITTED
+    )
+    return False
 
 
 async def _hand_over(
--- a/src/_arbutuswalk/control/announced_endpoints.py
+++ b/src/_arbutuswalk/control/announced_endpoints.py
@@ -1,8 +1,13 @@
 """Applies announcements of endpoints to the directory of a control process."""
 
+import json
+from collections.abc import Iterable
+
 from _arbutuswalk.base import events
 from _arbutuswalk.base import metrics as process_metrics
+from _arbutuswalk.control import member as members
 from _arbutuswalk.routing import directory as directories
+from _arbutuswalk.wire.gen.arbutus import ttypes
 
 
 def apply(
@@ -42,3 +47,15 @@
             endpoint.address,
         )
     return is_change
+
+
+def forward(
+    member: members.Member,
+    addresses: Iterable[str],
+    endpoint: directories.Endpoint,
+) -> None:
+    """Sends an announcement to the members at some addresses."""
+    payload = json.dumps(endpoint).encode()
+    message = ttypes.UpstreamNews(announcements=[payload])
+    for address in addresses:
+        member.link_to(address).send_oneway(message)
--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -3,14 +3,13 @@
 Every control process keeps its own directory of endpoints, built from the
 announcements that it receives and from those that other members forward.
 Entries watch every member, so a leader change or the loss of a member does not
-interrupt updates. Nothing here is replicated: endpoints announce themselves
-again within seconds.
+interrupt updates. Only that endpoints leave is replicated, which they may say
+once: all else they announce again within seconds.
 """
 
 import asyncio
 import contextlib
 import functools
-import json
 import math
 import secrets
 from typing import Any
@@ -21,6 +20,7 @@
 from _arbutuswalk.control import announced_endpoints
 from _arbutuswalk.control import crash_reports
 from _arbutuswalk.control import demand_reports
+from _arbutuswalk.control import departure_log
 from _arbutuswalk.control import entry_paths
 from _arbutuswalk.control import entry_reports
 from _arbutuswalk.control import member as members
@@ -67,16 +67,15 @@
         session: Random id of this process start; revisions are valid only
             within it.
         directory: Endpoints.
+        departure_log: Commits that endpoints leave.
         entries: Known entries by id and incarnation.
-        quota_use: Quota use of the entries since the start of this process, by
-            workspace.
-        quota_returned: Tokens that entries returned to the shared buckets since
-            then, by workspace.
+        quota_use: Entries' quota use since this process started, by workspace.
+        quota_returned: Tokens returned to the shared buckets, likewise.
         shared_pools: The entries' shared quota buckets.
         outcomes: Request outcomes since then, by upstream, version, group and
             position in ``rollout_evidence.Counts``.
         stated_limits: Limits that endpoints state, as entries report them.
-        stated_brittle: Rejections that brittle endpoints state, likewise.
+        stated_brittle: Rejections that they state, likewise.
         crash_reports: What entries report on crashes.
         speeds: Speeds of endpoints that entries measure.
         demand: Demand of workspaces that entries report.
@@ -95,6 +94,7 @@
         self.domain = domain
         self.session = secrets.token_hex(8)
         self.directory = directories.Directory()
+        self.departure_log = departure_log.DepartureLog(member=member)
         self.entries: dict[tuple[str, int], entry_reports.KnownEntry] = {}
         self.quota_use = counter_sum.CounterSum()
         self.quota_returned = counter_sum.CounterSum()
@@ -147,6 +147,11 @@
         directories.remove(self.directory, endpoint_id)
         events.record(events.Event.ENDPOINT_FORGOTTEN, endpoint_id)
 
+    def apply_departures(self) -> None:
+        """Marks endpoints as leaving whose departure is committed."""
+        starts = self.departure_log.take_new()
+        self.record_leaving(dict.fromkeys(starts, self.now()), "log")
+
     async def wait_for_entries(self, endpoint_id: str | None = None) -> bool:
         """Waits until every reachable entry has the current directory.
 
@@ -384,8 +389,5 @@
         return self.shared_pools.summarize(reports, self.now())
 
     def _forward_to_members(self, endpoint: directories.Endpoint) -> None:
-        payload = json.dumps(endpoint).encode()
-        message = ttypes.UpstreamNews(announcements=[payload])
-        for address in self.member_addresses():
-            if address != self.member.address:
-                self.member.link_to(address).send_oneway(message)
+        others = {*self.member_addresses()} - {self.member.address}
+        announced_endpoints.forward(self.member, others, endpoint)
--- a/src/_arbutuswalk/control/process.py
+++ b/src/_arbutuswalk/control/process.py
@@ -10,14 +10,18 @@
 from _arbutuswalk.base import clock
 from _arbutuswalk.base import events
 from _arbutuswalk.base import process
+from _arbutuswalk.control import departure_log
 from _arbutuswalk.control import discovery as discoveries
 from _arbutuswalk.control import durable_replica as durable_replicas
 from _arbutuswalk.control import endpoint_cache
 from _arbutuswalk.control import entry_count_cache
+from _arbutuswalk.control import leader_client
 from _arbutuswalk.control import leader_tasks
 from _arbutuswalk.control import member as members
 from _arbutuswalk.control import service
 from _arbutuswalk.routing import directory
+from _arbutuswalk.state import commands
+from _arbutuswalk.state import outcomes
 from _arbutuswalk.storage import errors
 from _arbutuswalk.wire import link
 
@@ -58,12 +62,14 @@
         member=member, domain=values.get("domain", "")
     )
     discovery.restored_entry_count = entry_count_cache.load(values["data"])
+    discovery.apply_departures()
     restored = endpoint_cache.load(values["data"])
     for endpoint in restored:
         discovery.apply_announcement(endpoint)
     request_service = service.Service(
         member=member, name=values["id"], discovery=discovery
     )
+    discovery.departure_log.commit = _make_departure_commit(request_service)
     server = link.LinkServer(
         address=values["address"],
         handler=request_service.handle,
@@ -153,6 +159,21 @@
     ]
 
 
+def _make_departure_commit(
+    request_service: service.Service,
+) -> departure_log.Commit:
+    async def commit(
+        command: commands.RecordDepartures, timeout_s: float
+    ) -> bool:
+        outcome = await leader_client.submit(
+            request_service, command, timeout_s=timeout_s
+        )
+        # A leader of a former build knows no such command.
+        return isinstance(outcome, outcomes.Accepted | leader_client.Invalid)
+
+    return commit
+
+
 async def _remove_expired(request_service: service.Service) -> None:
     async def remove() -> None:
         request_service.discovery.remove_expired()
@@ -217,6 +238,7 @@
     while True:
         changed = components.member.changed
         await changed.wait()
+        components.discovery.apply_departures()
         components.discovery.notify_watches()
 
 
--- a/src/_arbutuswalk/control/service.py
+++ b/src/_arbutuswalk/control/service.py
@@ -8,6 +8,7 @@
 from _arbutuswalk.base import events
 from _arbutuswalk.base import settings
 from _arbutuswalk.control import acknowledgements
+from _arbutuswalk.control import departure_log
 from _arbutuswalk.control import discovery as discoveries
 from _arbutuswalk.control import evacuations
 from _arbutuswalk.control import leases
@@ -353,7 +354,9 @@
     if command is None:
         return "unknown command"
     if not isinstance(command, commands.Apply):
-        return evacuations.find_problem(command)
+        return evacuations.find_problem(command) or departure_log.find_problem(
+            command
+        )
     if not isinstance(command.inventory, dict):
         return "inventory: not a table"
     checked = inventories.check(command.inventory, where="inventory")
--- a/src/_arbutuswalk/state/commands.py
+++ b/src/_arbutuswalk/state/commands.py
@@ -259,6 +259,16 @@
     counts: dict[str, int]
 
 
+class RecordDepartures(NamedTuple):
+    """Records starts of endpoints that leave for good.
+
+    Attributes:
+        starts: Endpoint id and start, in Unix milliseconds, of each.
+    """
+
+    starts: list[list[str | int]]
+
+
 class Tick(NamedTuple):
     """Advances log time so that records expire."""
 
@@ -285,6 +295,7 @@
     | BeginEvacuation
     | FinishEvacuation
     | SettleUsage
+    | RecordDepartures
     | Tick
 )
 
@@ -312,6 +323,7 @@
         BeginEvacuation,
         FinishEvacuation,
         SettleUsage,
+        RecordDepartures,
         Tick,
     )
 }
--- a/src/_arbutuswalk/state/state_machine.py
+++ b/src/_arbutuswalk/state/state_machine.py
@@ -6,6 +6,7 @@
 from _arbutuswalk.state import charges
 from _arbutuswalk.state import commands
 from _arbutuswalk.state import configuration
+from _arbutuswalk.state import departures
 from _arbutuswalk.state import entries
 from _arbutuswalk.state import evacuations
 from _arbutuswalk.state import fleet
@@ -44,6 +45,7 @@
     commands.BeginEvacuation: evacuations.begin,
     commands.FinishEvacuation: evacuations.finish,
     commands.SettleUsage: usage.settle,
+    commands.RecordDepartures: departures.record,
 }
 
 _EXPIRY_FUNCTIONS = (
@@ -53,6 +55,7 @@
     quarantine.expire,
     moves.expire,
     fleet.expire,
+    departures.expire,
 )
 
 _ROW_TYPES = {
@@ -67,6 +70,7 @@
     "orders": rows.OrderRow,
     "rollouts": rows.RolloutRow,
     "evacuations": rows.EvacuationRow,
+    "departures": rows.DepartureRow,
 }
 
 
--- a/src/_arbutuswalk/state/tables.py
+++ b/src/_arbutuswalk/state/tables.py
@@ -171,6 +171,20 @@
     changed_ms: int
 
 
+class DepartureRow(NamedTuple):
+    """A start of an endpoint that leaves or has left.
+
+    Attributes:
+        endpoint_id: Id of the endpoint.
+        born_ms: Time of the start, in Unix milliseconds.
+        at_ms: Log time at which it was recorded.
+    """
+
+    endpoint_id: str
+    born_ms: int
+    at_ms: int
+
+
 class Tables:
     """All replicated tables; each log entry is applied to them atomically.
 
@@ -203,6 +217,9 @@
         rollouts: Rollouts by upstream name.
         evacuations: Failure domains that are or were evacuated, by name.
         usage: Settled counts by window number and workspace.
+        departures: Starts of endpoints that leave by endpoint id + ``/`` +
+            time of the start, the oldest record first.
+        departures_changed: Log index of the last departure, 0 before the first.
         expired_ms: Log time of the last removal of expired records.
         changed: Log index of the last change of each part of the view.
         applied: Index of the last log entry applied.
@@ -239,6 +256,8 @@
         self.rollouts: dict[str, RolloutRow] = {}
         self.evacuations: dict[str, EvacuationRow] = {}
         self.usage: dict[str, dict[str, int]] = {}
+        self.departures: dict[str, DepartureRow] = {}
+        self.departures_changed = 0
         self.expired_ms = 0
         self.changed: dict[str, int] = {}
         self.applied = 0
--- a/testing/test_duties.py
+++ b/testing/test_duties.py
@@ -20,6 +20,7 @@
 from _arbutuswalk.control import shared_pools
 from _arbutuswalk.control import usage_reports
 from _arbutuswalk.routing import directory
+from _arbutuswalk.state import departures
 from _arbutuswalk.state import rollout_evidence
 from _arbutuswalk.state import tables as rows
 from _arbutuswalk.wire import compressed_json
@@ -72,9 +73,14 @@
 
 def make_components():
     member = FakeMember()
-    return process.Components(
-        "c", member, None, discoveries.Discovery(member=member)
-    )
+    discovery = discoveries.Discovery(member=member)
+
+    async def commit(command, _):
+        departures.record(member.tables, command)
+        return True
+
+    discovery.departure_log.commit = commit
+    return process.Components("c", member, None, discovery)
 
 
 def watch(discovery, entry="e1", incarnation=1, version=0, **report):
--- a/testing/test_platform_messages.py
+++ b/testing/test_platform_messages.py
@@ -179,7 +179,7 @@
     @hypothesis.given(body=strategies.binary(max_size=200))
     def test_no_bytes_break_the_decoder(self, body):
         announcements.decode_heartbeat("i-1", body)
-        announcements.decode_deregistration(body)
+        announcements.decode_deregistration("i", body)
 
     @pytest.mark.parametrize(
         "address",
