Tell entries which endpoints control no longer knows

Cause: a control process removes what it restored and nobody confirmed, and what was silent for 20 s, from its own directory only. An entry counts the age of an endpoint from when it was told of it.

Change: watches carry the removed starts with their last sequences.

Result: TestRemovals.test_an_entry_uses_last_what_control_removed fails without the change and passes with it.

--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -24,6 +24,7 @@
 from _arbutuswalk.control import entry_paths
 from _arbutuswalk.control import entry_reports
 from _arbutuswalk.control import member as members
+from _arbutuswalk.control import removed_endpoints
 from _arbutuswalk.control import report_checks
 from _arbutuswalk.control import report_counters
 from _arbutuswalk.control import route_parts
@@ -64,9 +65,9 @@
     Attributes:
         member: The member of the control group in this process.
         domain: Failure domain of this process, empty if unknown.
-        session: Random id of this process start; revisions are valid only
-            within it.
+        session: Random id of this start; revisions are valid only within it.
         directory: Endpoints.
+        removed: Endpoints that were removed from the directory.
         departure_log: Commits that endpoints leave.
         entries: Known entries by id and incarnation.
         quota_use: Entries' quota use since this process started, by workspace.
@@ -94,6 +95,7 @@
         self.domain = domain
         self.session = secrets.token_hex(8)
         self.directory = directories.Directory()
+        self.removed = removed_endpoints.RemovedEndpoints()
         self.departure_log = departure_log.DepartureLog(member=member)
         self.entries: dict[tuple[str, int], entry_reports.KnownEntry] = {}
         self.quota_use = counter_sum.CounterSum()
@@ -143,9 +145,10 @@
         )
 
     def remove_endpoint(self, endpoint_id: str) -> None:
-        """Removes an endpoint that was restored from disk and not confirmed."""
-        directories.remove(self.directory, endpoint_id)
+        """Removes a silent endpoint and tells the entries."""
+        self.removed.remove_from(self.directory, endpoint_id, self.now())
         events.record(events.Event.ENDPOINT_FORGOTTEN, endpoint_id)
+        self.notify_watches()
 
     def apply_departures(self) -> None:
         """Marks endpoints as leaving whose departure is committed."""
@@ -215,9 +218,11 @@
     def remove_expired(self) -> None:
         """Removes endpoints and entries that have been silent for too long."""
         now = self.now()
-        silent = directories.expire(self.directory, now, ENDPOINT_RETENTION_S)
-        for name in silent:
-            events.record(events.Event.ENDPOINT_FORGOTTEN, name)
+        for name in directories.find_silent(
+            self.directory, now, ENDPOINT_RETENTION_S
+        ):
+            self.remove_endpoint(name)
+        self.removed.expire(now, ENDPOINT_RETENTION_S)
         self.stated_limits.remove_unknown(self.directory.rows)
         self.stated_brittle.remove_unknown(self.directory.rows)
         directories.expire_leaving(self.directory, now)
@@ -318,6 +323,7 @@
             message.session != self.session
             or route_parts.has_newer(self.member.tables, message)
             or directories.has_changes_since(self.directory, revision)
+            or bool(self.removed.since(revision))
         )
 
     def routes_part(self, message: ttypes.RoutesRequest) -> ttypes.RoutesPart:
@@ -360,6 +366,7 @@
             "routes_version": tables.routes_version,
             "has_routes": tables.routes is not None,
             **watch_updates.parts(self.directory, revision, wanted, loads),
+            "removed": self.removed.since(revision),
             **self.speeds.parts(self.directory, wanted.speeds_since, now),
             **self.demand.parts(tables.routes, wanted.shares_since, now),
             "members": self.member_addresses(),
--- a/src/_arbutuswalk/relay/placement.py
+++ b/src/_arbutuswalk/relay/placement.py
@@ -243,7 +243,7 @@
     outliers = relay.outlier_detector.outliers(
         [row.endpoint.id for row in rows], now
     )
-    silent_s = DOUBTFUL_AFTER_HEARTBEATS * relay.options.heartbeat_s
+    silent_s = doubtful_after_s(relay)
     own_loads, other_loads = relay.own_loads, relay.other_loads
     suspect_until, speeds = relay.suspect_until, relay.endpoint_speeds
     knows_speeds = bool(speeds.slowness)
@@ -269,6 +269,11 @@
     return candidates
 
 
+def doubtful_after_s(relay: relay_state.Relay) -> float:
+    """Returns the time without a heartbeat after which endpoints are last."""
+    return DOUBTFUL_AFTER_HEARTBEATS * relay.options.heartbeat_s
+
+
 def _prompt_profile(
     request: requests.Request,
 ) -> selection.PromptProfile | None:
--- a/src/_arbutuswalk/relay/status_feeds.py
+++ b/src/_arbutuswalk/relay/status_feeds.py
@@ -14,10 +14,12 @@
 from _arbutuswalk.relay import control_features
 from _arbutuswalk.relay import endpoint_speeds
 from _arbutuswalk.relay import leaving_endpoints
+from _arbutuswalk.relay import placement
 from _arbutuswalk.relay import relay_state
 from _arbutuswalk.relay import report_feed
 from _arbutuswalk.relay import workspace_demand
 from _arbutuswalk.routing import directory
+from _arbutuswalk.routing import silence
 
 FAR_INTERVAL_S = 2.0
 """Interval of the status of a control process in another failure domain."""
@@ -103,6 +105,8 @@
             events.record(events.Event.ENDPOINT_INVALID, source, heartbeat)
         elif not _apply_heartbeat(relay, heartbeat, source):
             feed.unknown_ids.add(heartbeat.id)
+    for fields in news.get("removed", []):
+        _record_removal(relay, directory.heartbeat_from_json(fields), source)
     endpoint_speeds.record_reply(
         relay.endpoint_speeds, feed.speeds, news, relay.now(), relay.metrics
     )
@@ -137,6 +141,24 @@
     return directory.is_configured(relay.directory, row.endpoint)
 
 
+def _record_removal(
+    relay: relay_state.Relay, removed: directory.Heartbeat | str, source: str
+) -> None:
+    """Uses an endpoint last that a process no longer knows.
+
+    It may live: it is used where there is no other, unless a newer heartbeat of
+    it is known here.
+    """
+    if isinstance(removed, str):
+        events.record(events.Event.ENDPOINT_INVALID, source, removed)
+        return
+    heard_before = relay.now() - placement.doubtful_after_s(relay)
+    if silence.record(relay.directory, removed, heard_before):
+        events.record(
+            events.Event.ENDPOINT_SUSPECT, removed.id, f"removed by {source}"
+        )
+
+
 def record_loads(
     relay: relay_state.Relay,
     loads: dict[str, list[int]],
--- a/src/_arbutuswalk/routing/directory.py
+++ b/src/_arbutuswalk/routing/directory.py
@@ -202,7 +202,7 @@
     return {start_of(row.endpoint) for row in directory.rows.values()}
 
 
-def start_of(endpoint: Endpoint) -> leaving.Start:
+def start_of(endpoint: Endpoint | Heartbeat) -> leaving.Start:
     """Returns the start of an endpoint."""
     return leaving.Start(endpoint.id, endpoint.born_ms)
 
@@ -221,14 +221,19 @@
 
 def expire(directory: Directory, now: float, silent_s: float) -> list[str]:
     """Removes rows not updated for ``silent_s`` seconds; returns their ids."""
-    expired_ids = [
+    expired_ids = find_silent(directory, now, silent_s)
+    for endpoint_id in expired_ids:
+        remove(directory, endpoint_id)
+    return expired_ids
+
+
+def find_silent(directory: Directory, now: float, silent_s: float) -> list[str]:
+    """Returns the ids of rows not updated for ``silent_s`` seconds."""
+    return [
         endpoint_id
         for endpoint_id, row in directory.rows.items()
         if now - row.announced_at > silent_s
     ]
-    for endpoint_id in expired_ids:
-        remove(directory, endpoint_id)
-    return expired_ids
 
 
 def remove(directory: Directory, endpoint_id: str) -> None:
--- a/testing/test_departures.py
+++ b/testing/test_departures.py
@@ -10,11 +10,13 @@
 import test_crashes
 import test_duties
 import test_odd_entries
+import test_status_feeds
 from arbutuswalk_platform import control_api
 
 from _arbutuswalk.control import departure_log
 from _arbutuswalk.control import discovery as discoveries
 from _arbutuswalk.control import endpoint_cache
+from _arbutuswalk.relay import placement
 from _arbutuswalk.routing import directory
 from _arbutuswalk.routing import leaving
 from _arbutuswalk.state import commands
@@ -203,6 +205,52 @@
         )
 
 
+class TestRemovals:
+    """What control no longer knows, as the entries learn it."""
+
+    def is_doubtful(self, group):
+        row = group.relay.directory.rows[group.endpoint.id]
+        silent_s = group.relay.now() - row.announced_at
+        return silent_s >= placement.doubtful_after_s(group.relay)
+
+    def group_with_removal(self):
+        group = test_status_feeds.Group(["d1", "d2"])
+        group.settle()
+        group.endpoint = test_status_feeds.make_endpoints(1)[0]
+        group.announce(group.endpoint)
+        group.exchange_all()
+        group.discoveries["d1"].remove_endpoint(group.endpoint.id)
+        return group
+
+    def test_an_entry_uses_last_what_control_removed(self):
+        """Guards against the use of endpoints of which nobody has heard."""
+        group = self.group_with_removal()
+        group.exchange("d1")
+        assert self.is_doubtful(group)
+
+    def test_not_if_it_knows_a_newer_heartbeat(self):
+        group = self.group_with_removal()
+        group.announce(group.endpoint._replace(sequence=9), ["d2"])
+        group.clock.time += 10.0
+        group.exchange("d2")
+        group.exchange("d1")
+        assert not self.is_doubtful(group)
+
+    def test_one_that_announces_itself_again_is_used(self):
+        group = self.group_with_removal()
+        group.exchange("d1")
+        group.announce(group.endpoint._replace(sequence=9))
+        group.exchange("d1")
+        assert not self.is_doubtful(group)
+
+    def test_a_watch_waits_once_a_removal_was_sent(self):
+        group = self.group_with_removal()
+        group.exchange("d1")
+        message = group.watcher._make_watch_message(group.feeds["d1"])
+        discovery = group.discoveries["d1"]
+        assert not discovery._has_update(message, message.version)
+
+
 class Cluster(platform_fixtures.PlatformCluster):
     """Keeps restored endpoints until an entry that starts has them, too."""
 
