Keep departures in force as long as the log holds them

The directory forgets after 60 s that a start leaves, unless it knows the endpoint; a status report that comes later made it ready again. Announcements are checked against the committed departures now.

Result: TestRestart.test_one_heard_of_much_later_is_not_ready fails without the check and passes with it.

--- a/src/_arbutuswalk/control/departure_log.py
+++ b/src/_arbutuswalk/control/departure_log.py
@@ -12,6 +12,7 @@
 
 from _arbutuswalk.base import background
 from _arbutuswalk.control import member as members
+from _arbutuswalk.routing import directory
 from _arbutuswalk.routing import endpoint_fields
 from _arbutuswalk.routing import leaving
 from _arbutuswalk.state import commands
@@ -55,16 +56,29 @@
         self.task: asyncio.Task | None = None
         self.seen_index = 0
 
-    def take_new(self) -> list[leaving.Start]:
-        """Returns the committed departures if there are others than before."""
+    def take_new(self, now: float) -> dict[leaving.Start, float]:
+        """Returns the committed departures if there are others than before.
+
+        Args:
+            now: Present time in seconds, which each of them gets.
+        """
         tables = self.member.tables
         if tables.departures_changed == self.seen_index:
-            return []
+            return {}
         self.seen_index = tables.departures_changed
-        return [
-            leaving.Start(row.endpoint_id, row.born_ms)
+        return {
+            leaving.Start(row.endpoint_id, row.born_ms): now
             for row in tables.departures.values()
-        ]
+        }
+
+    def mark(self, endpoint: directory.Endpoint) -> directory.Endpoint:
+        """Returns an announcement, of a start that has departed as leaving."""
+        start = directory.start_of(endpoint)
+        if endpoint.state != directory.READY or not departures.is_recorded(
+            self.member.tables, *start
+        ):
+            return endpoint
+        return endpoint._replace(state=directory.LEAVING)
 
     async def record(self, start: leaving.Start) -> bool:
         """Returns whether a departure is committed, within a limited time."""
--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -128,6 +128,7 @@
         self.directory.upstream_names = route_parts.upstream_names(
             self.route_parts, self.member.tables
         )
+        endpoint = self.departure_log.mark(endpoint)
         is_change = announced_endpoints.apply(
             self.directory, endpoint, self.now(), self.metrics
         )
@@ -152,8 +153,7 @@
 
     def apply_departures(self) -> None:
         """Marks endpoints as leaving whose departure is committed."""
-        starts = self.departure_log.take_new()
-        self.record_leaving(dict.fromkeys(starts, self.now()), "log")
+        self.record_leaving(self.departure_log.take_new(self.now()), "log")
 
     async def wait_for_entries(self, endpoint_id: str | None = None) -> bool:
         """Waits until every reachable entry has the current directory.
--- a/testing/test_departures.py
+++ b/testing/test_departures.py
@@ -185,6 +185,17 @@
         states = [r.endpoint.state for r in discovery.directory.rows.values()]
         assert states == [directory.LEAVING, directory.READY]
 
+    def test_one_heard_of_much_later_is_not_ready(self):
+        """The directory forgets statements long before the log does."""
+        gone = test_crashes.make_endpoint("a")
+        discovery = self.make_discovery(gone)
+        discovery.member.time += 2 * leaving.RETENTION_S
+        discovery.remove_expired()
+        assert discovery.directory.rows == {}
+        discovery.apply_announcement(gone._replace(sequence=99))
+        known = discovery.directory.rows["a"].endpoint
+        assert known.state == directory.LEAVING
+
     def test_a_later_start_is_ready(self):
         gone = test_crashes.make_endpoint("a")
         again = gone._replace(born_ms=gone.born_ms + 1)
