Read the bodies of requests that offer another protocol

Cause: the parser's binding ends a message after a head that offers an upgrade and raises with the position of the rest, which uvicorn drops or takes for the next request.

Change: what follows the head is parsed. A body is read by a second parser of the library, which is given a head with the same framing first.

Ruled out: refusing such requests; a sound client may send them (RFC 9110, 7.8).

--- a/src/_arbutuswalk/wire/client_connections.py
+++ b/src/_arbutuswalk/wire/client_connections.py
@@ -14,6 +14,7 @@
 from _arbutuswalk.base import events
 from _arbutuswalk.wire import client_memory
 from _arbutuswalk.wire import client_refusals
+from _arbutuswalk.wire import offered_upgrades
 from _arbutuswalk.wire import read_flow
 from _arbutuswalk.wire import request_pieces
 
@@ -33,7 +34,7 @@
     """The headers of a request are too large."""
 
 
-class ClientConnection(httptools_impl.HttpToolsProtocol):
+class ClientConnection(offered_upgrades.HttpProtocol):
     """An HTTP connection that is bounded in all that it holds.
 
     Attributes:
@@ -215,7 +216,7 @@
 
     def on_message_complete(self) -> None:
         """Expects the head of the next request."""
-        if self.refused:
+        if self.refused or self.body_parser is not None:
             return
         super().on_message_complete()
         self.reading_head = True
