Heed departures in a recovered log before their commit is known

Cause: a process that starts knows its log, but not up to where it is committed, and gave entries what its cache said.

Change: departures in the unapplied part of the recovered log hold at once. They need not be committed: an endpoint that says that it leaves does.

--- a/src/_arbutuswalk/control/departure_log.py
+++ b/src/_arbutuswalk/control/departure_log.py
@@ -6,8 +6,10 @@
 
 import asyncio
 import itertools
+import json
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
 from typing import Any
 
 from _arbutuswalk.base import background
@@ -24,6 +26,7 @@
 MAX_BATCH = 256
 """Departures in one command."""
 
+_ENCODED_NAME = json.dumps(commands.RecordDepartures.__name__).encode()
 Commit = Callable[[commands.RecordDepartures, float], Awaitable[bool]]
 """Commits a command within a time in seconds; returns whether it has."""
 
@@ -109,6 +112,25 @@
                     committed.set_result(is_committed)
 
 
+def find_recovered(encoded_commands: Iterable[bytes]) -> list[leaving.Start]:
+    """Returns the departures among the commands of a log.
+
+    They need not be committed: an endpoint that says that it leaves does.
+    """
+    candidates = [
+        commands.decode(encoded)
+        for encoded in encoded_commands
+        # Decoding all commands would delay the start.
+        if encoded.startswith(b"[" + _ENCODED_NAME)
+    ]
+    return [
+        leaving.Start(*start)
+        for command in candidates
+        if command is not None
+        for start in command.starts
+    ]
+
+
 def find_problem(command: Any) -> str:
     """Returns why a command must not be proposed, or an empty text."""
     if not isinstance(command, commands.RecordDepartures):
--- a/src/_arbutuswalk/control/durable_replica.py
+++ b/src/_arbutuswalk/control/durable_replica.py
@@ -237,6 +237,19 @@
             last = ready.entries[-1]
             replication.saved(self.replica, last.index, last.term)
 
+    def unapplied_commands(self) -> list[bytes]:
+        """Returns the encoded commands after the last one applied.
+
+        After a restart nobody may know yet which of them are committed.
+        """
+        log = self.replica.log
+        count = log.last_index - self.applied
+        return [
+            entry.command[1:].partition(b" ")[2]
+            for entry in log.slice(self.applied + 1, count)
+            if entry.command[:1] == types.COMMAND_KIND
+        ]
+
     def apply_next(self) -> Applied | None:
         """Applies the next committed log entry; None when there is none."""
         if self.applied >= self.replica.commit:
--- a/src/_arbutuswalk/control/process.py
+++ b/src/_arbutuswalk/control/process.py
@@ -62,6 +62,12 @@
         member=member, domain=values.get("domain", "")
     )
     discovery.restored_entry_count = entry_count_cache.load(values["data"])
+    recovered = departure_log.find_recovered(
+        durable_replica.unapplied_commands()
+    )
+    discovery.record_leaving(
+        dict.fromkeys(recovered, discovery.now()), "recovered log"
+    )
     discovery.apply_departures()
     restored = endpoint_cache.load(values["data"])
     for endpoint in restored:
--- a/testing/test_departures.py
+++ b/testing/test_departures.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import types
 
 import asgi
 import platform_fixtures
@@ -13,8 +14,11 @@
 import test_status_feeds
 from arbutuswalk_platform import control_api
 
+from _arbutuswalk.agreement import raftlog
+from _arbutuswalk.agreement import types as agreement_types
 from _arbutuswalk.control import departure_log
 from _arbutuswalk.control import discovery as discoveries
+from _arbutuswalk.control import durable_replica
 from _arbutuswalk.control import endpoint_cache
 from _arbutuswalk.relay import placement
 from _arbutuswalk.routing import directory
@@ -24,6 +28,7 @@
 from _arbutuswalk.state import routeconfig
 from _arbutuswalk.state import state_machine
 from _arbutuswalk.state import tables as rows
+from _arbutuswalk.wire.gen.arbutus import ttypes
 
 LEAVING_CALLS = {
     "Heartbeat": {**test_odd_entries.BEAT, "state": "draining", "sequence": 99},
@@ -185,6 +190,36 @@
         states = [r.endpoint.state for r in discovery.directory.rows.values()]
         assert states == [directory.LEAVING, directory.READY]
 
+    def test_one_whose_commit_is_not_known_yet_is_not_ready(self):
+        """Guards against its use until the group has a leader again."""
+        later_build = b'["RecordDepartures",[["i-9",5]],"more"]'
+        encoded = [
+            commands.encode(commands.Tick()),
+            commands.encode(commands.RecordDepartures([["i-1", 5]])),
+            later_build,
+        ]
+        replica = types.SimpleNamespace(
+            log=raftlog.RaftLog(
+                snapshot_index=3,
+                entries=[
+                    ttypes.Entry(1, agreement_types.NOOP_KIND),
+                    *(
+                        ttypes.Entry(
+                            1, agreement_types.COMMAND_KIND + b"7 " + command
+                        )
+                        for command in encoded
+                    ),
+                ],
+            )
+        )
+        durable = durable_replica.DurableReplica(
+            data=None, identity=None, timing=None, rng=None
+        )
+        durable.replica, durable.applied = replica, 3
+        assert durable.unapplied_commands() == encoded
+        recovered = departure_log.find_recovered(durable.unapplied_commands())
+        assert recovered == [leaving.Start("i-1", 5)]
+
     def test_one_heard_of_much_later_is_not_ready(self):
         """The directory forgets statements long before the log does."""
         gone = test_crashes.make_endpoint("a")
