--- a/src/_arbutuswalk/control/endpoint_cache.py
+++ b/src/_arbutuswalk/control/endpoint_cache.py
@@ -3,9 +3,8 @@
 Endpoints announce themselves again within seconds, so losing the cache is
 harmless; it only avoids an outage of those seconds. Those that left since it
 was saved are known from the group's log. A restored endpoint is kept only until
-its next heartbeat is overdue. Until then a request to an
-endpoint that is gone is refused by its instance, or by the endpoint that uses
-the address now.
+its next heartbeat is overdue. Until then a request to an endpoint that is gone
+is refused by its instance, or by the endpoint that uses the address now.
 """
 
 import json
--- a/testing/test_framing.py
+++ b/testing/test_framing.py
@@ -61,9 +61,7 @@
     async with test_platform_front.RunningEntry() as entry:
         reader, writer = await entry.connect()
         async with asyncio.timeout(10):
-            while not entry.listener.server_state.connections:
-                await asyncio.sleep(0)
-            (connection,) = entry.listener.server_state.connections
+            connection = await entry.accepted_connection()
             for part in parts:
                 connection.data_received(part)
             for _ in range(count):
--- a/testing/test_platform_front.py
+++ b/testing/test_platform_front.py
@@ -55,6 +55,13 @@
     async def connect(self):
         return await asyncio.open_connection("127.0.0.1", self.port)
 
+    async def accepted_connection(self):
+        """Returns the listener's side of the only connection."""
+        while not self.listener.server_state.connections:
+            await asyncio.sleep(0.01)
+        (connection,) = self.listener.server_state.connections
+        return connection
+
     async def send_request(self, data, wait_s=10.0):
         reader, writer = await self.connect()
         writer.write(data)
--- a/testing/test_slow_callers.py
+++ b/testing/test_slow_callers.py
@@ -110,9 +110,7 @@
         async with test_platform_front.RunningEntry() as entry:
             _, writer = await entry.connect()
             async with asyncio.timeout(2):
-                while not entry.listener.server_state.connections:
-                    await asyncio.sleep(0.01)
-            (connection,) = entry.listener.server_state.connections
+                connection = await entry.accepted_connection()
             sock = connection.transport.get_extra_info("socket")
             writer.close()
             assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
