Do not wake entries for endpoints that had left

Cause: control recorded each endpoint that it forgot as a removal, raised the directory's revision and woke the watches of all entries, although entries were told of those that left when they left. The table of departures was also copied with each command and each second of the replicated clock.

Change: the removal of an endpoint that had left is kept for entries that are behind, but wakes nobody; departures are trimmed and expire from the front.

--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -147,9 +147,12 @@
 
     def remove_endpoint(self, endpoint_id: str) -> None:
         """Removes a silent endpoint and tells the entries."""
-        self.removed.remove_from(self.directory, endpoint_id, self.now())
+        is_news = self.removed.remove_from(
+            self.directory, endpoint_id, self.now()
+        )
         events.record(events.Event.ENDPOINT_FORGOTTEN, endpoint_id)
-        self.notify_watches()
+        if is_news:
+            self.notify_watches()
 
     def apply_departures(self) -> None:
         """Marks endpoints as leaving whose departure is committed."""
--- a/src/_arbutuswalk/control/removed_endpoints.py
+++ b/src/_arbutuswalk/control/removed_endpoints.py
@@ -35,15 +35,23 @@
 
     def remove_from(
         self, directory: directories.Directory, endpoint_id: str, now: float
-    ) -> None:
-        """Removes an endpoint from a directory."""
+    ) -> bool:
+        """Removes an endpoint from a directory.
+
+        Returns:
+            Whether entries with the current directory have to be told. Of one
+            that had left, they know.
+        """
         endpoint = directory.rows[endpoint_id].endpoint
         directories.remove(directory, endpoint_id)
-        directory.revision += 1
+        is_news = endpoint.state == directories.READY
+        if is_news:
+            directory.revision += 1
         self.by_id.pop(endpoint_id, None)
         self.by_id[endpoint_id] = Removal(
             directories.heartbeat_of(endpoint), directory.revision, now
         )
+        return is_news
 
     def since(self, revision: int) -> list[directories.Heartbeat]:
         """Returns the newest heartbeats of those removed after a revision."""
--- a/src/_arbutuswalk/state/departures.py
+++ b/src/_arbutuswalk/state/departures.py
@@ -26,9 +26,8 @@
                 endpoint_id, born_ms, tables.time_ms
             )
             tables.departures_changed = tables.applied
-    surplus = max(0, len(tables.departures) - MAX_DEPARTURES)
-    for key in list(tables.departures)[:surplus]:
-        del tables.departures[key]
+    while len(tables.departures) > MAX_DEPARTURES:
+        del tables.departures[next(iter(tables.departures))]
     return outcomes.Accepted()
 
 
@@ -39,10 +38,11 @@
 
 def expire(tables: rows.Tables) -> None:
     """Removes departures past their retention."""
-    for key, row in list(tables.departures.items()):
+    while tables.departures:
+        oldest, row = next(iter(tables.departures.items()))
         if row.at_ms + RETENTION_MS > tables.time_ms:
             break
-        del tables.departures[key]
+        del tables.departures[oldest]
 
 
 def _key(endpoint_id: str, born_ms: int) -> str:
--- a/testing/test_departures.py
+++ b/testing/test_departures.py
@@ -296,6 +296,21 @@
         discovery = group.discoveries["d1"]
         assert not discovery._has_update(message, message.version)
 
+    def test_entries_that_know_of_a_departure_are_not_woken(self):
+        group = test_status_feeds.Group(["d1"])
+        endpoint = test_status_feeds.make_endpoints(1)[0]
+        group.announce(endpoint)
+        known = group.discoveries["d1"].directory.revision
+        group.announce(endpoint._replace(sequence=2, state=directory.LEAVING))
+        discovery = group.discoveries["d1"]
+        revision = discovery.directory.revision
+        waiting = discovery.changed
+        discovery.remove_endpoint(endpoint.id)
+        assert not waiting.is_set()
+        assert not discovery.removed.since(revision)
+        (removed,) = discovery.removed.since(known)
+        assert removed.sequence == 2
+
 
 class Cluster(platform_fixtures.PlatformCluster):
     """Keeps restored endpoints until an entry that starts has them, too."""
