Keep collected tests out of garbage collections

Cause: the last whole run failed once in test_endless ('one header name', trickle): the answer took 0.875 s, 0.75 are allowed. The entry under test runs in the process of pytest, whose full garbage collections examine all collected tests and the modules that they import.

A trial that forces one 0.56 s after the request fails the same test at rest: 0.761 s, of which 0.203 are the collection. Load alone (16 busy processes, 192 trials) left the time at 0.60 to 0.63 s. That the failure itself was such a collection is not shown by its log.

Change: what exists after the collection of tests is frozen. No bound changes.

Measured: the same trial takes 0.602 s, 0.002 of them for the collection.

--- a/testing/conftest.py
+++ b/testing/conftest.py
@@ -1,5 +1,6 @@
 """Profiles and fixtures shared by the tests."""
 
+import gc
 import os
 
 import hypothesis
@@ -28,6 +29,16 @@
 hypothesis.settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
 
 
+def pytest_collection_finish():
+    """Keeps the collected tests out of garbage collections.
+
+    Collections of several hundred milliseconds would count as lateness of the
+    code under test, in whose processes these objects do not exist.
+    """
+    gc.collect()
+    gc.freeze()
+
+
 @pytest.fixture
 def process_group(tmp_path):
     new_group = process_fixtures.ProcessGroup(tmp_path)
