--- a/src/_arbutuswalk/control/discovery.py
+++ b/src/_arbutuswalk/control/discovery.py
@@ -147,11 +147,8 @@
 
     def remove_endpoint(self, endpoint_id: str) -> None:
         """Removes a silent endpoint and tells the entries."""
-        is_news = self.removed.remove_from(
-            self.directory, endpoint_id, self.now()
-        )
-        events.record(events.Event.ENDPOINT_FORGOTTEN, endpoint_id)
-        if is_news:
+        now = self.now()
+        if self.removed.remove_from(self.directory, endpoint_id, now):
             self.notify_watches()
 
     def apply_departures(self) -> None:
--- a/src/_arbutuswalk/control/removed_endpoints.py
+++ b/src/_arbutuswalk/control/removed_endpoints.py
@@ -6,6 +6,7 @@
 
 from typing import NamedTuple
 
+from _arbutuswalk.base import events
 from _arbutuswalk.routing import directory as directories
 
 
@@ -51,6 +52,7 @@
         self.by_id[endpoint_id] = Removal(
             directories.heartbeat_of(endpoint), directory.revision, now
         )
+        events.record(events.Event.ENDPOINT_FORGOTTEN, endpoint_id)
         return is_news
 
     def since(self, revision: int) -> list[directories.Heartbeat]:
