Call the users' platform without loading aiohttp

Cause: each new leader imported aiohttp, in a thread, with its first duty call, 4.4 s after its election.

Change: duty calls use the connections of streams/, which control processes have loaded anyway (streams/calls.py). The right to send is still asked for once the connection is open. The tests that lose it during the import lose it before the connection now.

Measured: test_the_first_call_imports_nothing failed before (aiohttp and what it imports). test_duty_calls, test_endless_calls, test_duties, test_leader_terms, test_mixed_answers, test_platform_processes and test_departures pass.

--- a/testing/test_duty_calls.py
+++ b/testing/test_duty_calls.py
@@ -1,14 +1,15 @@
 """Calls to the platform whose sender loses its right to make them."""
 
 import asyncio
+import sys
 
-import aiohttp
 import pytest
 import test_duties
 from arbutuswalk_platform import platform_client
 
 from _arbutuswalk.control import duties
 from _arbutuswalk.control import usage_reports
+from _arbutuswalk.streams import pool
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
@@ -37,25 +38,25 @@
     monkeypatch.setattr(usage_reports, "settle_due_windows", settle_slowly)
 
 
-def lose_during_import(monkeypatch, lose):
-    async def import_slowly():
+def lose_before_connect(monkeypatch, lose):
+    connect = pool.connect
+
+    async def lose_and_connect(*arguments, **options):
         lose()
-        return aiohttp
+        return await connect(*arguments, **options)
 
-    monkeypatch.setattr(platform_client, "_import_aiohttp", import_slowly)
+    monkeypatch.setattr(pool, "connect", lose_and_connect)
 
 
 def lose_during_connect(monkeypatch, lose):
-    create_connection = aiohttp.TCPConnector._create_connection
+    connect = pool.connect
 
-    async def connect_slowly(self, *arguments, **options):
-        opened = await create_connection(self, *arguments, **options)
+    async def connect_slowly(*arguments, **options):
+        opened = await connect(*arguments, **options)
         lose()
         return opened
 
-    monkeypatch.setattr(
-        aiohttp.TCPConnector, "_create_connection", connect_slowly
-    )
+    monkeypatch.setattr(pool, "connect", connect_slowly)
 
 
 def lose_nothing(monkeypatch, lose):
@@ -98,12 +99,11 @@
         components.member.time += 10
         reports = usage_reports.SentReports(window_s=5.0)
         await duties._report_usage(holder, client.platform_calls(), reports)
-        await client.close()
         platform.server.close()
         return platform.calls, reports.accepted_windows
 
     @pytest.mark.parametrize(
-        "lose_when", [lose_during_import, lose_during_connect]
+        "lose_when", [lose_before_connect, lose_during_connect]
     )
     async def test_a_call_is_not_sent_once_the_right_to_it_is_lost(
         self, monkeypatch, lose_when
@@ -112,7 +112,7 @@
 
     @pytest.mark.parametrize(
         "lose_when",
-        [lose_during_settlement, lose_during_import, lose_during_connect],
+        [lose_during_settlement, lose_before_connect, lose_during_connect],
     )
     async def test_a_call_is_not_sent_in_a_later_term_of_its_sender(
         self, monkeypatch, lose_when
@@ -123,3 +123,41 @@
 
     async def test_a_call_of_the_holder_is_sent(self, monkeypatch):
         assert await self.report(monkeypatch, lose_nothing) == (1, {7})
+
+
+FIRST_CALL = """
+import asyncio, sys, time
+import arbutuswalk_platform.control
+from arbutuswalk_platform import platform_client
+from _arbutuswalk.control import duties
+
+async def serve(reader, writer):
+    await reader.read(65536)
+    writer.write(b"HTTP/1.1 200 OK\\r\\nContent-Length: 0\\r\\n\\r\\n")
+
+async def main():
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    client = platform_client.PlatformClient(
+        address=f"127.0.0.1:{port}", owner="c"
+    )
+    before = set(sys.modules)
+    report = duties.UsageReport(window=1, counts={}, fence=1)
+    print(await client.report_usage(report, lambda: True))
+    print(*sorted(set(sys.modules) - before))
+
+asyncio.run(main())
+"""
+
+
+async def test_the_first_call_imports_nothing():
+    """Guards against leaders that lose their lease to an import.
+
+    Each new leader loaded an HTTP library with its first call, which took
+    longer than a lease on a slow processor.
+    """
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-c", FIRST_CALL, stdout=asyncio.subprocess.PIPE
+    )
+    output, _ = await process.communicate()
+    assert output.decode().split() == [duties.ACCEPTED]
--- a/testing/test_endless_calls.py
+++ b/testing/test_endless_calls.py
@@ -38,7 +38,7 @@
             self.memory_growth = max(self.memory_growth, grown)
 
 
-async def observe_call(client, call):
+async def observe_call(call):
     """Returns the call's outcome; checks time, memory and the event loop."""
     observer = Observer()
     observer_task = asyncio.ensure_future(observer.run())
@@ -47,7 +47,6 @@
         outcome = await call()
     finally:
         observer_task.cancel()
-        await client.close()
     took_s = time.monotonic() - started_at
     assert took_s < CALL_TIMEOUT_S + ANSWER_LATENESS_S
     assert observer.memory_growth < MAX_MEMORY_BYTES
@@ -56,9 +55,7 @@
 
 
 @pytest.fixture(autouse=True)
-async def short_timeouts(monkeypatch):
-    """Limits the calls, not the import of aiohttp at the first one."""
-    await platform_client._import_aiohttp()
+def short_timeouts(monkeypatch):
     for client in (platform_client, reclaim_client):
         monkeypatch.setattr(client, "CALL_TIMEOUT_S", CALL_TIMEOUT_S)
 
@@ -82,7 +79,7 @@
         )
         report = duties.UsageReport(window=1, counts={"w": 1}, fence=1)
         outcome = await observe_call(
-            client, lambda: client.report_usage(report, lambda: True)
+            lambda: client.report_usage(report, lambda: True)
         )
         assert outcome not in (duties.ACCEPTED, duties.NO_CAPACITY)
         assert 0 < len(outcome) < test_endless.MAX_REASON_CHARACTERS
@@ -105,11 +102,17 @@
                 == duties.ACCEPTED
             )
             await test_endless.wait_until_closed(endpoint)
-        await client.close()
         assert endpoint.connection_count == 2
         endpoint.stop()
 
 
+async def call_and_close(client):
+    try:
+        return await client.notices(0)
+    finally:
+        await client.close()
+
+
 class TestReclaimNotices:
     @test_endless.both_speeds
     @test_endless.each(test_endless.ALL)
@@ -117,7 +120,7 @@
         endpoint = endless_endpoint.EndlessEndpoint(*answer, trickle=trickle)
         endpoint.listen()
         client = reclaim_client.PlatformClient(address=endpoint.address)
-        outcome = await observe_call(client, lambda: client.notices(0))
+        outcome = await observe_call(lambda: call_and_close(client))
         assert isinstance(outcome, reclaim_client.NoAnswer)
         assert 0 < len(outcome.reason) < test_endless.MAX_REASON_CHARACTERS
         await test_endless.wait_until_closed(endpoint)
