Encode plain requests in one place

streams/calls.py wrote the request line and headers as entry/exchange.py does; both call streams/requests.py now. streams/attempts.py keeps its own encoding: it is UTF-8, not Latin-1. Outcomes of calls are dataclasses, as elsewhere; the status 200 has one name for duty calls. No behaviour changed.

--- a/src/_arbutuswalk/control/removed_endpoints.py
+++ b/src/_arbutuswalk/control/removed_endpoints.py
@@ -40,8 +40,8 @@
         """Removes an endpoint from a directory.
 
         Returns:
-            Whether entries with the current directory have to be told. Of one
-            that had left, they know.
+            Whether entries with the current directory have to be told. They
+            know already if the endpoint had left.
         """
         endpoint = directory.rows[endpoint_id].endpoint
         directories.remove(directory, endpoint_id)
--- a/src/_arbutuswalk/entry/exchange.py
+++ b/src/_arbutuswalk/entry/exchange.py
@@ -10,6 +10,7 @@
 from _arbutuswalk.streams import connection as connections
 from _arbutuswalk.streams import pool as pools
 from _arbutuswalk.streams import replies
+from _arbutuswalk.streams import requests
 
 METHODS_WITH_BODY = ("POST", "PUT", "PATCH")
 MAX_REPLY_BYTES = 8 * 1024 * 1024
@@ -153,7 +154,4 @@
         headers["Idempotency-Key"] = order.key
     if order.body or order.method in METHODS_WITH_BODY:
         headers["Content-Length"] = str(len(order.body))
-    lines = [f"{order.method} {target} HTTP/1.1"]
-    lines += [f"{name}: {value}" for name, value in headers.items()]
-    head = "\r\n".join(lines) + "\r\n\r\n"
-    return head.encode("latin-1") + order.body
+    return requests.encode(order.method, target, headers, order.body)
--- a/src/_arbutuswalk/streams/calls.py
+++ b/src/_arbutuswalk/streams/calls.py
@@ -4,6 +4,7 @@
 follow the answer to another call must not be taken for it.
 """
 
+import dataclasses
 import json
 from collections.abc import Callable
 from typing import Any
@@ -13,9 +14,11 @@
 from _arbutuswalk.streams import connection as connections
 from _arbutuswalk.streams import pool
 from _arbutuswalk.streams import replies
+from _arbutuswalk.streams import requests
 
 MAX_BODY_BYTES = 64 * 1024
 """Largest body of an answer that is accepted."""
+STATUS_OK = 200
 
 
 class Call(NamedTuple):
@@ -34,11 +37,13 @@
     body: Any
 
 
-class NotPermitted(NamedTuple):
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NotPermitted:
     """The call may not be sent any more, and was not."""
 
 
-class NoAnswer(NamedTuple):
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NoAnswer:
     """No complete answer; the call may have reached the server.
 
     Attributes:
@@ -64,10 +69,10 @@
         call.address, read_reply=_read_reply, timeout_s=timeout_s
     )
     if isinstance(connection, pool.NotOpened):
-        return NoAnswer(connection.reason)
+        return NoAnswer(reason=connection.reason)
     try:
         if clock.monotonic() >= deadline:
-            return NoAnswer("connected after the timeout")
+            return NoAnswer(reason="connected after the timeout")
         if not may_send():
             return NotPermitted()
         return await _exchange(connection, _encode(call), deadline)
@@ -94,15 +99,17 @@
     while not exchange.ended:
         left_s = deadline - clock.monotonic()
         if not await exchange.wait_for_change(left_s):
-            return NoAnswer("no complete answer before the timeout")
-    return exchange.status if exchange.complete else NoAnswer(exchange.failure)
+            return NoAnswer(reason="no complete answer before the timeout")
+    if not exchange.complete:
+        return NoAnswer(reason=exchange.failure)
+    return exchange.status
 
 
 def _read_reply(status: int, headers: replies.Headers) -> replies.Reply:
     return replies.Reply(
         ran=True,
         answered_id="",
-        is_success=status == 200,
+        is_success=status == STATUS_OK,
         keep_alive_s=None,
         closes_connection=True,
     )
@@ -117,6 +124,4 @@
         "Content-Length": str(len(body)),
         "Connection": "close",
     }
-    lines = [f"POST {call.path} HTTP/1.1"]
-    lines += [f"{name}: {value}" for name, value in headers.items()]
-    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+    return requests.encode("POST", call.path, headers, body)
--- a/testing/test_departures.py
+++ b/testing/test_departures.py
@@ -297,6 +297,7 @@
         assert not discovery._has_update(message, message.version)
 
     def test_entries_that_know_of_a_departure_are_not_woken(self):
+        """Guards against replies to all watches that tell nothing new."""
         group = test_status_feeds.Group(["d1"])
         endpoint = test_status_feeds.make_endpoints(1)[0]
         group.announce(endpoint)
--- a/testing/test_duty_calls.py
+++ b/testing/test_duty_calls.py
@@ -126,7 +126,7 @@
 
 
 FIRST_CALL = """
-import asyncio, sys, time
+import asyncio, sys
 import arbutuswalk_platform.control
 from arbutuswalk_platform import platform_client
 from _arbutuswalk.control import duties
