Accept the connections of test_late_in_grace while its loop is busy

The test sends hundreds at once to an endpoint in its own process, whose backlog of 100 connections fills up while the event loop stands still; the kernel repeats a dropped SYN only after 1 s.

Change: the backlog of that endpoint is SOMAXCONN; no bound or assertion changes.

--- a/testing/relay_fixtures.py
+++ b/testing/relay_fixtures.py
@@ -132,8 +132,13 @@
     """A scripted endpoint; each request runs the next step of the script.
 
     A step is called with the request head and the writer of the connection.
+
+    Attributes:
+        backlog: Connections that may wait for the event loop to accept them.
     """
 
+    backlog = 100
+
     def __init__(self, *steps, name="e1", upstream="ops", **announced):
         self.steps = list(steps)
         self.name = name
@@ -146,7 +151,9 @@
         self.server = None
 
     async def start(self, relay):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.server = await asyncio.start_server(
+            self.serve, "127.0.0.1", 0, backlog=self.backlog
+        )
         port = self.server.sockets[0].getsockname()[1]
         values = {
             "id": self.name,
--- a/testing/test_late_in_grace.py
+++ b/testing/test_late_in_grace.py
@@ -604,6 +604,10 @@
         started: Ids of the requests that it has run.
     """
 
+    # The test sends hundreds of requests at once. Connections beyond the
+    # backlog would wait for the kernel to repeat its SYN after a second.
+    backlog = socket.SOMAXCONN
+
     def __init__(self):
         super().__init__(name="i-1")
         self.steps = self
