Send concurrent requests until the endpoint in d2 is used

Callers saw nothing: all of the requests were answered.

Cause: the fixture sent one request at a time through entries in d1. An entry adds half a request to the load of an endpoint in another domain (selection.REMOTE_DOMAIN_LOAD_REQUESTS), so an idle endpoint of its own domain always wins; the one in d2 was used only if another entry had just reported a running request.

Two concurrent requests for each entry give the endpoint in d1 a load.

--- a/testing/test_evacuation_processes.py
+++ b/testing/test_evacuation_processes.py
@@ -42,8 +42,13 @@
 
 
 async def is_shared(cluster):
-    for ip in cluster.entry_ips:
-        await cluster.send_request(ip)
+    """Returns whether the endpoint in d2 was used.
+
+    An entry in d1 uses it only while the one in d1 has a request.
+    """
+    await asyncio.gather(
+        *(cluster.send_request(ip) for ip in cluster.entry_ips * 2)
+    )
     return cluster.other.request_heads
 
 
